Add the queue of waiting calls and its order

Ruled out: heaps per customer (the rank changes with the service of customers and with time; a scan of a bounded queue is simpler); letting each overdue call go first (under lasting overload that is order of arrival for all), so overdue calls get one pop in StarvationPeriod.

--- /dev/null
+++ b/internal/policy/order/queue.go
@@ -0,0 +1,223 @@
+package order
+
+import (
+	"errors"
+	"time"
+)
+
+// Errors of Push.
+var (
+	// ErrFull: the queue is at its capacity and no waiting call has a lower
+	// priority.
+	ErrFull = errors.New("order: the queue is full")
+	// ErrDuplicate: a call with this ID waits already.
+	ErrDuplicate = errors.New("order: the call waits already")
+)
+
+// Item is a waiting call with the caller's value.
+type Item[T any] struct {
+	Call  Call
+	Value T
+
+	seq      uint64
+	customer *customerEntry
+}
+
+// Queue holds waiting calls and returns them in the order of its policy. It is
+// not safe for concurrent use. Pop costs time linear in the waiting calls,
+// which the policy's capacity bounds.
+type Queue[T any] struct {
+	policy    Policy
+	items     []Item[T]
+	byID      map[string]int
+	customers customerService
+	nextSeq   uint64
+	pops      int // since an overdue call was last taken for being overdue
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any](policy Policy) *Queue[T] {
+	return &Queue[T]{policy: policy, byID: make(map[string]int)}
+}
+
+// Len returns the number of waiting calls.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// Push adds a call. When the queue is full it makes room by removing the call
+// that would run last among those of the lowest priority, if that is lower than
+// the new call's, and returns it: its caller is to be refused at once. Errors:
+// ErrFull, ErrDuplicate.
+func (q *Queue[T]) Push(call Call, value T) (shed *Item[T], err error) {
+	if _, ok := q.byID[call.ID]; ok {
+		return nil, ErrDuplicate
+	}
+	if q.policy.Capacity > 0 && len(q.items) >= q.policy.Capacity {
+		shed = q.shedBelow(call.Priority)
+		if shed == nil {
+			return nil, ErrFull
+		}
+	}
+	customer := q.customers.join(call.Customer)
+	q.byID[call.ID] = len(q.items)
+	q.items = append(q.items, Item[T]{Call: call, Value: value, seq: q.nextSeq, customer: customer})
+	q.nextSeq++
+	return shed, nil
+}
+
+// Pop removes and returns the call that runs next. It never returns a call
+// whose deadline has passed; take those out with Expire.
+func (q *Queue[T]) Pop(now time.Duration) (Item[T], bool) {
+	return q.PopIf(now, func(*Call) bool { return true })
+}
+
+// PopIf is Pop among the calls that eligible accepts.
+func (q *Queue[T]) PopIf(now time.Duration, eligible func(*Call) bool) (Item[T], bool) {
+	best, oldest := -1, -1
+	for i := range q.items {
+		c := &q.items[i].Call
+		if c.expired(now) || !eligible(c) {
+			continue
+		}
+		if best < 0 || q.policy.compare(q.rankOf(i), q.rankOf(best)) < 0 {
+			best = i
+		}
+		if q.overdue(c, now) && (oldest < 0 || compareArrival(q.rankOf(i), q.rankOf(oldest)) < 0) {
+			oldest = i
+		}
+	}
+	if best < 0 {
+		return Item[T]{}, false
+	}
+	item := q.removeAt(q.pick(best, oldest))
+	q.customers.serve(&item.Call)
+	q.customers.leave(item.Call.Customer)
+	return item, true
+}
+
+// pick chooses between the best ranked and the oldest overdue call.
+func (q *Queue[T]) pick(best, oldest int) int {
+	if oldest < 0 || best == oldest {
+		q.pops = 0
+		return best
+	}
+	q.pops++
+	if q.pops < q.policy.StarvationPeriod {
+		return best
+	}
+	q.pops = 0
+	return oldest
+}
+
+// Remove takes a call out, for example when its caller has gone.
+func (q *Queue[T]) Remove(id string) (Item[T], bool) {
+	i, ok := q.byID[id]
+	if !ok {
+		return Item[T]{}, false
+	}
+	item := q.removeAt(i)
+	q.customers.leave(item.Call.Customer)
+	return item, true
+}
+
+// Expire removes and returns the calls whose deadline has passed, in the order
+// of their arrival in the queue. Their callers are to be answered at once.
+func (q *Queue[T]) Expire(now time.Duration) []Item[T] {
+	var expired []Item[T]
+	for {
+		first := -1
+		for i := range q.items {
+			if q.items[i].Call.expired(now) && (first < 0 || q.items[i].seq < q.items[first].seq) {
+				first = i
+			}
+		}
+		if first < 0 {
+			return expired
+		}
+		item := q.removeAt(first)
+		q.customers.leave(item.Call.Customer)
+		expired = append(expired, item)
+	}
+}
+
+// NextDeadline returns the earliest deadline of the waiting calls: the time of
+// the next Expire that has something to do.
+func (q *Queue[T]) NextDeadline() (time.Duration, bool) {
+	var next time.Duration
+	for i := range q.items {
+		deadline := q.items[i].Call.Deadline
+		if deadline != 0 && (next == 0 || deadline < next) {
+			next = deadline
+		}
+	}
+	return next, next != 0
+}
+
+// Ahead returns how many waiting calls have the given priority or a higher one.
+// A new call of this priority expects to wait for about that many.
+func (q *Queue[T]) Ahead(priority int32) int {
+	if !q.policy.Priority {
+		return len(q.items)
+	}
+	n := 0
+	for i := range q.items {
+		if q.items[i].Call.Priority >= priority {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Call) expired(now time.Duration) bool {
+	return c.Deadline != 0 && now >= c.Deadline
+}
+
+func (q *Queue[T]) overdue(c *Call, now time.Duration) bool {
+	return q.policy.StarvationWait > 0 && now-c.Arrived >= q.policy.StarvationWait
+}
+
+func (q *Queue[T]) rankOf(i int) rank {
+	item := &q.items[i]
+	return rank{
+		call:    &item.Call,
+		service: item.customer.service,
+		seq:     item.seq,
+	}
+}
+
+// shedBelow removes the last ranked call of the lowest priority below the given
+// one, or returns nil.
+func (q *Queue[T]) shedBelow(priority int32) *Item[T] {
+	last := -1
+	for i := range q.items {
+		if q.items[i].Call.Priority < priority && (last < 0 || q.shedFirst(i, last)) {
+			last = i
+		}
+	}
+	if last < 0 {
+		return nil
+	}
+	item := q.removeAt(last)
+	q.customers.leave(item.Call.Customer)
+	return &item
+}
+
+func (q *Queue[T]) shedFirst(i, j int) bool {
+	a, b := q.rankOf(i), q.rankOf(j)
+	if a.call.Priority != b.call.Priority {
+		return a.call.Priority < b.call.Priority
+	}
+	return q.policy.compare(a, b) > 0
+}
+
+func (q *Queue[T]) removeAt(i int) Item[T] {
+	item := q.items[i]
+	last := len(q.items) - 1
+	if i != last {
+		q.items[i] = q.items[last]
+		q.byID[q.items[i].Call.ID] = i
+	}
+	q.items[last] = Item[T]{}
+	q.items = q.items[:last]
+	delete(q.byID, item.Call.ID)
+	return item
+}
