Check that Remove takes out the call it was asked for

Cause: the property of the queue did not see a stale index after a removal. Change: the property's Remove compares the ID.

--- a/internal/policy/order/queue_test.go
+++ b/internal/policy/order/queue_test.go
@@ -184,7 +184,7 @@
 			remove := fmt.Sprint(rapid.IntRange(0, step).Draw(t, "remove"))
 			call := drawCall(t, step)
 			for i, q := range queues {
-				ids[i] = apply(q, kind, call, remove, now)
+				ids[i] = apply(t, q, kind, call, remove, now)
 			}
 			assert.DeepEqual(t, ids[0], ids[1])
 			if kind <= 1 {
@@ -203,7 +203,7 @@
 
 // apply runs one operation and returns the calls that are not in the queue
 // because of it.
-func apply(q *Queue[int], kind int, call Call, remove string, now time.Duration) []string {
+func apply(t assert.TestingT, q *Queue[int], kind int, call Call, remove string, now time.Duration) []string {
 	var out []string
 	switch kind {
 	case 0, 1:
@@ -220,6 +220,7 @@
 		}
 	case 3:
 		if item, ok := q.Remove(remove); ok {
+			assert.Equal(t, item.Call.ID, remove)
 			out = append(out, item.Call.ID)
 		}
 	default:
