Add the state machine of a customer shard

Cause: the shard leader needs one deterministic place that decides contracts, call order, budget and outcomes.

Conclusion: usable by the leader's RPC handler with MemoryBodies.

--- /dev/null
+++ b/internal/shard/bodies.go
@@ -0,0 +1,151 @@
+package shard
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+// ErrNoBody says that a body store does not hold a body.
+var ErrNoBody = errors.New("shard: body not found")
+
+// BodyStore keeps the bodies of calls and answers outside of the state's
+// memory. IDs are given out by the state, from 1 upwards, and are the same on
+// each replica. Get may be called from any goroutine while other methods run.
+type BodyStore interface {
+	// Put stores a body. A second Put of an ID replaces the first.
+	Put(id uint64, body []byte) error
+	// Get returns a body that the caller must not change, or ErrNoBody.
+	Get(id uint64) ([]byte, error)
+	// Has reports whether Get would find the body.
+	Has(id uint64) bool
+	// Drop says that a body is no longer needed.
+	Drop(id uint64)
+	// Sync returns when all bodies that were put are durable.
+	Sync() error
+	// Reset drops all bodies.
+	Reset() error
+}
+
+// BodyError is the failure of a body store. The state cannot go on after it.
+type BodyError struct {
+	Op  string
+	ID  uint64
+	Err error
+}
+
+// Error implements error.
+func (e *BodyError) Error() string {
+	return fmt.Sprintf("shard: %s body %d: %v", e.Op, e.ID, e.Err)
+}
+
+// Unwrap returns the store's error.
+func (e *BodyError) Unwrap() error { return e.Err }
+
+// putBody stores a body under a new ID and returns it.
+func (s *State) putBody(body []byte) uint64 {
+	s.lastBody++
+	if err := s.bodies.Put(s.lastBody, body); err != nil {
+		panic(&BodyError{Op: "put", ID: s.lastBody, Err: err})
+	}
+	return s.lastBody
+}
+
+func (s *State) getBody(id uint64) []byte {
+	body, err := s.bodies.Get(id)
+	if err != nil {
+		panic(&BodyError{Op: "get", ID: id, Err: err})
+	}
+	return body
+}
+
+func (s *State) dropBody(id uint64) {
+	if id != 0 {
+		s.bodies.Drop(id)
+	}
+}
+
+func (s *State) putAnswer(answer *shardpb.Answer) uint64 {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(answer)
+	if err != nil {
+		panic(&BodyError{Op: "encode", ID: s.lastBody + 1, Err: err})
+	}
+	return s.putBody(data)
+}
+
+// answerOf returns the recorded answer of a finished call.
+func (s *State) answerOf(c *call) *shardpb.Answer {
+	answer, err := decodeAnswer(s.getBody(c.answer))
+	if err != nil {
+		panic(&BodyError{Op: "decode", ID: c.answer, Err: err})
+	}
+	return answer
+}
+
+func decodeAnswer(data []byte) (*shardpb.Answer, error) {
+	answer := new(shardpb.Answer)
+	if err := proto.Unmarshal(data, answer); err != nil {
+		return nil, fmt.Errorf("shard: decode answer: %w", err)
+	}
+	return answer, nil
+}
+
+// MemoryBodies is a BodyStore without a disk.
+type MemoryBodies struct {
+	mu     sync.RWMutex
+	bodies map[uint64][]byte
+}
+
+// NewMemoryBodies returns an empty store.
+func NewMemoryBodies() *MemoryBodies {
+	return &MemoryBodies{bodies: make(map[uint64][]byte)}
+}
+
+// Put implements BodyStore.
+func (m *MemoryBodies) Put(id uint64, body []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bodies[id] = body
+	return nil
+}
+
+// Get implements BodyStore.
+func (m *MemoryBodies) Get(id uint64) ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	body, ok := m.bodies[id]
+	if !ok {
+		return nil, ErrNoBody
+	}
+	return body, nil
+}
+
+// Has implements BodyStore.
+func (m *MemoryBodies) Has(id uint64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, ok := m.bodies[id]
+	return ok
+}
+
+// Drop implements BodyStore.
+func (m *MemoryBodies) Drop(id uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.bodies, id)
+}
+
+// Sync implements BodyStore.
+func (m *MemoryBodies) Sync() error { return nil }
+
+// Reset implements BodyStore.
+func (m *MemoryBodies) Reset() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.bodies)
+	return nil
+}
--- /dev/null
+++ b/internal/shard/contracts_test.go
@@ -0,0 +1,112 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+func TestApplyContractResendReturnsFirstResult(t *testing.T) {
+	f := newFixture(t)
+	changed := testContract(testCustomer)
+	changed.Priority = 9
+	firstResult := f.applyContract(changed, 1, "raise")
+	f.change("later", func(c *shardpb.Contract) { c.Priority = 1 })
+	f.restart()
+	again := f.applyContract(changed, 1, "raise")
+	assert.Assert(t, proto.Equal(again, firstResult))
+	assert.Equal(t, f.state.Contract(testCustomer).GetPriority(), int32(1))
+}
+
+func TestApplyContractRefusesReusedChangeID(t *testing.T) {
+	f := newFixture(t)
+	other := testContract(testCustomer)
+	other.Priority = 9
+	assertRefused(t, f.applyContract(other, 1, "create"), shardpb.Reason_REASON_CHANGE_ID_REUSED)
+}
+
+func TestApplyContractOneOfTwoOperatorsWins(t *testing.T) {
+	f := newFixture(t)
+	a, b := testContract(testCustomer), testContract(testCustomer)
+	a.Priority, b.Priority = 1, 2
+	assert.Assert(t, f.applyContract(a, 1, "a").GetContract() != nil)
+	lost := f.applyContract(b, 1, "b")
+	assertRefused(t, lost, shardpb.Reason_REASON_VERSION_CONFLICT)
+	assert.Equal(t, lost.GetRefusal().GetWinner().GetPriority(), int32(1))
+	assert.Equal(t, lost.GetRefusal().GetWinner().GetVersion(), uint64(2))
+}
+
+func TestApplyContractForgetsOldChangesSafely(t *testing.T) {
+	f := newFixture(t)
+	for i := range MaxChanges {
+		f.change(fmt.Sprintf("change-%d", i), func(c *shardpb.Contract) { c.Priority = int32(i % 9) })
+	}
+	before := f.state.Contract(testCustomer)
+	assertRefused(t, f.applyContract(testContract(testCustomer), 0, "create"), shardpb.Reason_REASON_VERSION_CONFLICT)
+	assert.Assert(t, proto.Equal(f.state.Contract(testCustomer), before))
+	assert.Equal(t, len(f.state.customers[testCustomer].changes.list), MaxChanges)
+}
+
+func TestApplyContractRefusesInvalid(t *testing.T) {
+	f := newFixture(t)
+	bad := testContract(testCustomer)
+	bad.MaxTurns = 0
+	refusedResult := f.applyContract(bad, 1, "bad")
+	assertRefused(t, refusedResult, shardpb.Reason_REASON_INVALID_CONTRACT)
+	assert.Equal(t, f.state.Contract(testCustomer).GetVersion(), uint64(1))
+}
+
+func TestContractIsInForceForTheNextCommand(t *testing.T) {
+	f := newFixture(t)
+	f.change("suspend", func(c *shardpb.Contract) { c.Suspended = true })
+	assertRefused(t, f.begin(modelCall("p", "c1")), shardpb.Reason_REASON_SUSPENDED)
+	f.change("resume", func(c *shardpb.Contract) { c.Suspended = false })
+	f.mustBegin(modelCall("p", "c1"))
+}
+
+func TestLoweredBudgetBreaksNothingRunning(t *testing.T) {
+	f := newFixture(t)
+	f.exchange("p", "c1")
+	begun := f.mustBegin(modelCall("p", "c2"))
+	f.change("lower", func(c *shardpb.Contract) { c.Budget.Tokens = 10 })
+	assertRefused(t, f.begin(modelCall("q", "c1")), shardpb.Reason_REASON_BUDGET_EXHAUSTED)
+	done := f.finish(begun, testCall("p", "c2"), testAnswer("a", 90, 50))
+	assert.Assert(t, done.GetCommit().GetFirst())
+}
+
+func TestKeyOfAnotherCustomerIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.applyContract(testContract("wharf"), 0, "create-wharf")
+	f.exchange("p", "c1")
+	stolen := modelCall("p", "c1")
+	stolen.KeyHash = testKey("wharf")
+	assertRefused(t, f.begin(stolen), shardpb.Reason_REASON_BAD_KEY)
+	assert.Assert(t, !f.state.Authenticated(testCustomer, testKey("wharf")))
+	assert.Assert(t, f.state.Authenticated(testCustomer, testKey(testCustomer)))
+}
+
+func TestProgramsOfTwoCustomersAreSeparate(t *testing.T) {
+	f := newFixture(t)
+	f.applyContract(testContract("wharf"), 0, "create-wharf")
+	f.exchange("p", "c1")
+	other := modelCall("p", "c1")
+	other.Key.Customer = "wharf"
+	other.KeyHash = testKey("wharf")
+	begun := f.mustBegin(other)
+	assert.Assert(t, begun.GetBegin().GetFirst())
+	assert.Equal(t, begun.GetBegin().GetHistoryTurns(), uint64(0))
+	view, err := f.state.History("wharf", "p", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(view.Items), 0)
+}
+
+func TestUnknownCustomerIsRefused(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.Key.Customer = "nobody"
+	assertRefused(t, f.begin(op), shardpb.Reason_REASON_UNKNOWN_CUSTOMER)
+}
--- /dev/null
+++ b/internal/shard/dispatch.go
@@ -0,0 +1,60 @@
+package shard
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+// dispatch records that an attempt is about to be sent. It is idempotent for
+// the same attempt and target.
+func (s *State) dispatch(op *shardpb.Dispatch) *shardpb.Result {
+	p, c, refusal := s.lookup(op.GetKey())
+	if refusal != nil {
+		return &shardpb.Result{Refusal: refusal}
+	}
+	if refusal := checkEpoch(p, op.GetEpoch()); refusal != nil {
+		return &shardpb.Result{Refusal: refusal}
+	}
+	if c.final() {
+		return refused(shardpb.Reason_REASON_CALL_FINAL, "the call has a final outcome")
+	}
+	if op.GetAttempt() == uint64(c.attempt) && proto.Equal(op.GetTarget(), p.open.target) {
+		return dispatchOutcome(c)
+	}
+	if refusal := s.checkAttempt(p, c, op); refusal != nil {
+		return &shardpb.Result{Refusal: refusal}
+	}
+	s.startAttempt(p, c, op)
+	return dispatchOutcome(c)
+}
+
+// checkAttempt lets exactly the next attempt through. A non-repeatable call
+// needs the proof that its newest attempt has not started and never will.
+func (s *State) checkAttempt(p *program, c *call, op *shardpb.Dispatch) *shardpb.Refusal {
+	if op.GetAttempt() != uint64(c.attempt)+1 {
+		return refuse(shardpb.Reason_REASON_STALE_ATTEMPT, "attempt %d, the newest is %d", op.GetAttempt(), c.attempt)
+	}
+	if !c.repeatable && op.GetFencedAttempt() != uint64(c.attempt) {
+		return refuse(shardpb.Reason_REASON_NOT_FENCED, "attempt %d of a non-repeatable call is not fenced", c.attempt)
+	}
+	if p.open.deadlineMs != 0 && p.open.deadlineMs <= s.nowMs {
+		return refuse(shardpb.Reason_REASON_DEADLINE_EXCEEDED, "the deadline has passed")
+	}
+	return nil
+}
+
+func (s *State) startAttempt(p *program, c *call, op *shardpb.Dispatch) {
+	if c.attempt != 0 && op.GetFencedAttempt() != uint64(c.attempt) {
+		p.open.mayHaveRun = true
+	}
+	c.attempt++
+	c.state = stateDispatched
+	p.open.target = op.GetTarget()
+	s.touch(p)
+}
+
+func dispatchOutcome(c *call) *shardpb.Result {
+	result := &shardpb.DispatchResult{Attempt: uint64(c.attempt)}
+	return &shardpb.Result{Outcome: &shardpb.Result_Dispatch{Dispatch: result}}
+}
--- /dev/null
+++ b/internal/shard/restore.go
@@ -0,0 +1,215 @@
+package shard
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+// Restore replaces the state by one that Snapshot or SnapshotLocal wrote, and
+// wakes each watcher. After an error the state must not be used before another
+// Restore succeeds: its body store may be empty or partly filled. Errors:
+// ErrBadSnapshot, and ErrNoBody when a local snapshot's body is missing.
+func (s *State) Restore(r io.Reader) error {
+	next := New(s.bodies)
+	if err := next.read(newFrameReader(r)); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nowMs = next.nowMs
+	s.customers = next.customers
+	s.due = next.due
+	s.lastBody = next.lastBody
+	s.notifyAll()
+	return nil
+}
+
+// read fills an empty state.
+func (s *State) read(f *frameReader) error {
+	record, err := f.read()
+	if err != nil {
+		return err
+	}
+	header := record.GetHeader()
+	if header == nil || header.GetFormat() != snapshotFormat {
+		return fmt.Errorf("%w: no header of format %d", ErrBadSnapshot, snapshotFormat)
+	}
+	s.nowMs = header.GetNowMs()
+	s.lastBody = header.GetLastBody()
+	if header.GetWithBodies() {
+		if err := s.bodies.Reset(); err != nil {
+			return fmt.Errorf("shard: restore: %w", err)
+		}
+	}
+	if err := s.readRecords(f); err != nil {
+		return err
+	}
+	return s.checkBodies()
+}
+
+func (s *State) readRecords(f *frameReader) error {
+	for {
+		record, err := f.read()
+		if err != nil {
+			return err
+		}
+		if record == nil {
+			return nil
+		}
+		if err := s.readRecord(record); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *State) readRecord(record *shardpb.SnapshotRecord) error {
+	switch r := record.GetRecord().(type) {
+	case *shardpb.SnapshotRecord_Customer:
+		return s.readCustomer(r.Customer)
+	case *shardpb.SnapshotRecord_Program:
+		return s.readProgram(r.Program)
+	case *shardpb.SnapshotRecord_Body:
+		if err := s.bodies.Put(r.Body.GetId(), r.Body.GetData()); err != nil {
+			return fmt.Errorf("shard: restore body %d: %w", r.Body.GetId(), err)
+		}
+		return nil
+	default:
+		return fmt.Errorf("%w: unknown record", ErrBadSnapshot)
+	}
+}
+
+// checkBodies makes sure that each body in use is there.
+func (s *State) checkBodies() error {
+	for _, id := range s.bodyIDs() {
+		if !s.bodies.Has(id) {
+			return fmt.Errorf("shard: restore: body %d: %w", id, ErrNoBody)
+		}
+	}
+	return nil
+}
+
+func (s *State) readCustomer(record *shardpb.CustomerRecord) error {
+	name := record.GetContract().GetCustomer()
+	if name == "" || s.customers[name] != nil {
+		return fmt.Errorf("%w: customer %q is unnamed or repeated", ErrBadSnapshot, name)
+	}
+	c := newCustomer()
+	c.contract = record.GetContract()
+	c.contractIndex = record.GetContractIndex()
+	c.budget = ledger{
+		period:   record.GetPeriod(),
+		startMs:  record.GetPeriodStartMs(),
+		endMs:    record.GetPeriodEndMs(),
+		used:     record.GetUsed(),
+		reserved: record.GetReserved(),
+		clamped:  record.GetClampedTokens(),
+	}
+	for _, r := range record.GetChanges() {
+		known := change{id: r.GetChangeId(), result: r.GetResult()}
+		copy(known.digest[:], r.GetDigest())
+		c.changes.list = append(c.changes.list, known)
+	}
+	s.customers[name] = c
+	return nil
+}
+
+func (s *State) readProgram(record *shardpb.ProgramRecord) error {
+	c := s.customers[record.GetCustomer()]
+	if c == nil || c.programs[record.GetName()] != nil {
+		return fmt.Errorf("%w: program %q has no customer or is repeated", ErrBadSnapshot, record.GetName())
+	}
+	p := programFrom(c, record)
+	for _, r := range record.GetCalls() {
+		p.appendCall(callFrom(r))
+	}
+	if err := checkProgramRecord(p); err != nil {
+		return err
+	}
+	if p.open != nil {
+		c.openCalls++
+	}
+	if p.hold != nil {
+		c.heldTokens += p.hold.tokens
+	}
+	c.programs[p.name] = p
+	p.dueMs = p.dueTime()
+	heap.Push(&s.due, p)
+	return nil
+}
+
+func checkProgramRecord(p *program) error {
+	isOpen := len(p.calls) > 0 && !p.openRecord().final()
+	if isOpen != (p.open != nil) || len(p.byID) != len(p.calls) {
+		return fmt.Errorf("%w: calls of program %q", ErrBadSnapshot, p.name)
+	}
+	for _, pos := range p.history {
+		if int(pos) >= len(p.calls) {
+			return fmt.Errorf("%w: history of program %q", ErrBadSnapshot, p.name)
+		}
+	}
+	return nil
+}
+
+func programFrom(c *customer, record *shardpb.ProgramRecord) *program {
+	return &program{
+		customer:       c,
+		name:           record.GetName(),
+		epoch:          record.GetEpoch(),
+		parent:         record.GetParent(),
+		parentEpoch:    record.GetParentEpoch(),
+		countedTurns:   record.GetCountedTurns(),
+		history:        record.GetHistory(),
+		historyTokens:  record.GetHistoryTokens(),
+		historyDigest:  record.GetHistoryDigest(),
+		attainedTokens: record.GetAttainedTokens(),
+		startedMs:      record.GetStartedMs(),
+		lastActivityMs: record.GetLastActivityMs(),
+		endedMs:        record.GetEndedMs(),
+		lastTarget:     record.GetLastTarget(),
+		open:           openFrom(record.GetOpen()),
+		hold:           holdFrom(record.GetHold()),
+	}
+}
+
+func callFrom(r *shardpb.CallRecord) call {
+	c := call{
+		id:         r.GetId(),
+		failure:    r.GetFailure(),
+		input:      r.GetInput(),
+		answer:     r.GetAnswer(),
+		attempt:    uint32(r.GetAttempt()),  //nolint:gosec // at most MaxAttempts
+		state:      callState(r.GetState()), //nolint:gosec // written from a callState
+		kind:       callKind(r.GetKind()),   //nolint:gosec // written from a callKind
+		repeatable: r.GetRepeatable(),
+	}
+	copy(c.fingerprint[:], r.GetFingerprint())
+	return c
+}
+
+func openFrom(r *shardpb.OpenCallRecord) *openCall {
+	if r == nil {
+		return nil
+	}
+	o := &openCall{
+		target:            r.GetTarget(),
+		reserved:          r.GetReserved(),
+		period:            r.GetPeriod(),
+		newInputTokensMax: r.GetNewInputTokensMax(),
+		maxOutputTokens:   r.GetMaxOutputTokens(),
+		deadlineMs:        r.GetDeadlineMs(),
+		begunMs:           r.GetBegunMs(),
+		mayHaveRun:        r.GetMayHaveRun(),
+	}
+	copy(o.inputDigest[:], r.GetInputDigest())
+	return o
+}
+
+func holdFrom(r *shardpb.HoldRecord) *hold {
+	if r == nil {
+		return nil
+	}
+	return &hold{target: r.GetTarget(), tokens: r.GetTokens(), untilMs: r.GetUntilMs()}
+}
