--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -185,6 +185,31 @@
 	}, nil
 }
 
+// Stats are figures of one customer for metrics.
+type Stats struct {
+	Programs      int
+	OpenCalls     uint32
+	HeldTokens    uint64 // engine cache held through pauses
+	ClampedTokens uint64 // reported usage above the reservations
+}
+
+// CustomerStats returns the figures of a customer, or ErrUnknownCustomer.
+func (s *State) CustomerStats(customer string) (Stats, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	c := s.customers[customer]
+	if c == nil {
+		return Stats{}, ErrUnknownCustomer
+	}
+	stats := Stats{
+		Programs:      len(c.programs),
+		OpenCalls:     c.openCalls,
+		HeldTokens:    c.heldTokens,
+		ClampedTokens: c.budget.clamped,
+	}
+	return stats, nil
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
