Fake backend server: model engine and plain service

Cause: tests of the sidecar and of the whole path, and the demo, need a backend server that behaves like the real ones, faults included.

Ruled out: a simulator with virtual time inside the engine. The fake is used by separate processes too, where only real time exists; a speed factor keeps runs short. Also ruled out: routing "/v1/cache/customer/program" with an unescaped slash, because the interface says that the program is escaped.

Found on the way: the HTTP client library sends an escaped slash in a path as a plain slash unless path normalizing is switched off; the tests switch it off.

--- /dev/null
+++ b/internal/backendtest/http.go
@@ -0,0 +1,162 @@
+package backendtest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+)
+
+// maxBodyBytes bounds the body of one request.
+const maxBodyBytes = 16 << 20
+
+// Statuses and headers of the interface that have no constant in the library.
+const (
+	statusOverloaded = 529
+
+	headerRequestID    = "X-Request-Id"
+	headerFencingToken = "X-Fencing-Token"
+	headerRetryAfter   = "Retry-After"
+)
+
+// httpServer is an HTTP server whose connections can be cut all at once.
+type httpServer struct {
+	*server.Hertz
+	listener *trackedListener
+}
+
+func newHTTPServer(address string) (*httpServer, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	listener := &trackedListener{Listener: inner, open: make(map[net.Conn]struct{})}
+	h := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+		server.WithUseRawPath(true),
+		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithIdleTimeout(0),
+	)
+	return &httpServer{Hertz: h, listener: listener}, nil
+}
+
+// start serves in the background. Run does not catch signals, unlike Spin.
+func (s *httpServer) start() {
+	go func() { _ = s.Run() }()
+}
+
+func (s *httpServer) url() string {
+	return "http://" + s.listener.Addr().String()
+}
+
+// abort closes the listener and cuts every connection.
+func (s *httpServer) abort() {
+	s.listener.abort()
+}
+
+// trackedListener remembers its open connections.
+type trackedListener struct {
+	net.Listener
+
+	mu      sync.Mutex
+	open    map[net.Conn]struct{}
+	aborted bool
+}
+
+// Accept returns the next connection; one that comes after abort is closed.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.aborted {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	l.open[tracked] = struct{}{}
+	return tracked, nil
+}
+
+func (l *trackedListener) abort() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.aborted = true
+	for conn := range l.open {
+		_ = conn.(*trackedConn).Conn.Close()
+	}
+	clear(l.open)
+}
+
+func (l *trackedListener) forget(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, conn)
+}
+
+type trackedConn struct {
+	net.Conn
+	listener *trackedListener
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
+
+// errorBody is the JSON form of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
+func writeError(c *app.RequestContext, status int, kind, message string) {
+	writeJSON(c, status, errorBody{Error: errorDetail{Type: kind, Message: message}})
+}
+
+func writeRefusal(c *app.RequestContext, r refusal) {
+	seconds := int((r.retryAfter + time.Second - 1) / time.Second)
+	c.Response.Header.Set(headerRetryAfter, strconv.Itoa(seconds))
+	writeError(c, r.status, "overloaded", "the request was not run")
+}
+
+func writeJSON(c *app.RequestContext, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		c.SetStatusCode(consts.StatusInternalServerError)
+		return
+	}
+	c.Data(status, consts.MIMEApplicationJSON, data)
+}
+
+// decode reads the JSON body of a request; it answers 400 and returns false
+// when the body cannot be read.
+func decode(c *app.RequestContext, into any) bool {
+	if err := json.Unmarshal(c.Request.Body(), into); err != nil {
+		writeError(c, consts.StatusBadRequest, "invalid_request", err.Error())
+		return false
+	}
+	return true
+}
+
+func serveHealth(_ context.Context, c *app.RequestContext) {
+	writeJSON(c, consts.StatusOK, map[string]string{"status": "ok"})
+}
--- /dev/null
+++ b/internal/backendtest/options.go
@@ -0,0 +1,62 @@
+package backendtest
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Options configures an engine. The zero value of a field means its default.
+type Options struct {
+	Listen             string        // address to listen on; default 127.0.0.1:0
+	Models             []string      // models loaded at start; empty: every model is served
+	BatchLimit         int           // requests that decode together; default 8
+	QueueLimit         int           // waiting requests above which the engine answers 529; default 1024
+	DecodeRate         float64       // tokens a second of one running request; default 50
+	PrefillRate        float64       // tokens a second of the whole engine; default 5000
+	Speed              float64       // factor on both rates; default 1
+	CacheTokens        int           // capacity of the prefix cache; default 200000
+	CacheEventDelay    time.Duration // age at which a cache event becomes visible; default 0
+	CacheEventGapEvery int           // every n-th cache event is lost; 0: none
+	LoadLag            time.Duration // interval between load snapshots; 0: always fresh
+	CheckFencing       bool          // refuse old fencing numbers
+	CrashMarker        string        // a request with this text crashes the engine when it starts to run
+	SilentMarker       string        // a request with this text is accepted and never answered
+	StallMarker        string        // the first stream of a request with this text goes silent half way
+	OnCrash            func()        // called after a crash has cut all connections; default: nothing
+	Logger             hclog.Logger  // default: no log
+}
+
+const (
+	defaultListen      = "127.0.0.1:0"
+	defaultBatchLimit  = 8
+	defaultQueueLimit  = 1024
+	defaultDecodeRate  = 50.0
+	defaultPrefillRate = 5000.0
+	defaultCacheTokens = 200_000
+)
+
+// withDefaults returns the options with every default filled in.
+func (o Options) withDefaults() Options {
+	setDefault(&o.Listen, defaultListen)
+	setDefault(&o.BatchLimit, defaultBatchLimit)
+	setDefault(&o.QueueLimit, defaultQueueLimit)
+	setDefault(&o.DecodeRate, defaultDecodeRate)
+	setDefault(&o.PrefillRate, defaultPrefillRate)
+	setDefault(&o.Speed, 1)
+	setDefault(&o.CacheTokens, defaultCacheTokens)
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.OnCrash == nil {
+		o.OnCrash = func() {}
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/backendtest/service_test.go
@@ -0,0 +1,54 @@
+package backendtest
+
+import (
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+type booking struct {
+	Berth string `json:"berth"`
+}
+
+func TestServiceRecordsEachEffect(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "effects.log")
+	s := StartService(t, ServiceOptions{Name: "berths", LogFile: path})
+	c := newTestClient(t, s.URL())
+	var answer ServiceAnswer
+	c.call("POST", "/v1/services/berths/book", booking{Berth: "3"}, 200, &answer)
+	c.call("POST", "/v1/services/berths/book", booking{Berth: "3"}, 200, &answer)
+	assert.Equal(t, answer.Effect, 2)
+	c.call("POST", "/v1/services/other/book", booking{Berth: "3"}, 404, nil)
+	c.call("POST", "/v1/services/berths/book", []byte("{"), 400, nil)
+	c.call("POST", "/admin/refuse", refuseRequest{Count: 1, Status: 503}, 204, nil)
+	c.call("POST", "/v1/services/berths/book", booking{Berth: "4"}, 503, nil)
+	var effects []Effect
+	c.call("GET", "/effects", nil, 200, &effects)
+	assert.Equal(t, len(effects), 2)
+	logged, err := ReadEffects(path)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, logged, effects)
+}
+
+func TestRestartedServiceKeepsItsEffects(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "effects.log")
+	first := StartService(t, ServiceOptions{Name: "berths", LogFile: path})
+	newTestClient(t, first.URL()).call("POST", "/v1/services/berths/book", booking{Berth: "3"}, 200, nil)
+	first.Close()
+	second := StartService(t, ServiceOptions{Name: "berths", LogFile: path})
+	assert.Equal(t, len(second.Effects()), 1)
+}
+
+func TestHangingOperationHasItsEffect(t *testing.T) {
+	s := StartService(t, ServiceOptions{Name: "berths", HangMarker: "HANG"})
+	c := newTestClient(t, s.URL())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.do("POST", "/v1/services/berths/book", booking{Berth: "HANG"}, nil)
+		ended <- err
+	}()
+	waitFor(t, "the effect", func() bool { return len(s.Effects()) == 1 })
+	s.Close()
+	assert.Assert(t, <-ended != nil)
+}
