--- /dev/null
+++ b/internal/contract/units.go
@@ -0,0 +1,62 @@
+package contract
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const day = 24 * time.Hour
+
+// parseDuration reads a duration like "90s", "24h" or "7d" in milliseconds.
+func parseDuration(text string) (int64, bool) {
+	if days, ok := strings.CutSuffix(text, "d"); ok {
+		n, err := strconv.ParseUint(days, 10, 16)
+		return int64(n) * day.Milliseconds(), err == nil //nolint:gosec // at most 16 bits
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 || d%time.Millisecond != 0 {
+		return 0, false
+	}
+	return d.Milliseconds(), true
+}
+
+// formatDuration writes milliseconds so that parseDuration reads them back.
+func formatDuration(ms int64) string {
+	d := time.Duration(ms) * time.Millisecond
+	switch {
+	case d == 0:
+		return "0s"
+	case d%day == 0:
+		return strconv.FormatInt(int64(d/day), 10) + "d"
+	case d%time.Hour == 0:
+		return strconv.FormatInt(int64(d/time.Hour), 10) + "h"
+	case d%time.Minute == 0:
+		return strconv.FormatInt(int64(d/time.Minute), 10) + "m"
+	default:
+		return d.String()
+	}
+}
+
+// parseShare reads a percentage like "40%" or "12.5%" in permille.
+func parseShare(text string) (uint32, bool) {
+	number, ok := strings.CutSuffix(text, "%")
+	if !ok {
+		return 0, false
+	}
+	percent, err := strconv.ParseFloat(number, 64)
+	permille := percent * 10
+	if err != nil || !(permille >= 1 && permille <= MaxShare) {
+		return 0, false
+	}
+	if math.Abs(permille-math.Round(permille)) > 1e-9 {
+		return 0, false
+	}
+	return uint32(math.Round(permille)), true
+}
+
+// formatShare writes permille as a percentage.
+func formatShare(permille uint32) string {
+	return strconv.FormatFloat(float64(permille)/10, 'f', -1, 64) + "%"
+}
--- a/internal/contract/validate.go
+++ b/internal/contract/validate.go
@@ -27,7 +27,7 @@
 	MaxOperations    = 256 // of one service
 	MaxKeys          = 64
 	MaxNameBytes     = 256
-	MaxDocumentBytes = 1 << 20
+	MaxDocumentBytes = 256 << 10
 )
 
 var customerPattern = regexp.MustCompile(`^[a-z0-9-]{1,63}$`)
