Add admission: bounded wait, deadlines, lowest priority refused first

Ruled out: holding a refused call back until its deadline, which the users forbid; one bound for all calls, which drops programs half way. Change: admit.Policy.Decide and admit.SlotLimit. Measured: tests pass. Seen to fail first, each by a scratch edit: deadlines, capacity, wait bound, share of new programs, order of priorities, bounds of the hint, at least one slot.

--- /dev/null
+++ b/internal/policy/admit/admit.go
@@ -0,0 +1,120 @@
+// Package admit decides whether a call may wait for a backend server or is
+// refused at once. A refused call has not run, and its caller is told when to
+// come back. The decisions are pure: a snapshot in, a decision out.
+package admit
+
+import "time"
+
+// Reason says why a call was refused; it is a name for counters.
+type Reason string
+
+// Reasons of a decision. ReasonNone means that the call was admitted.
+const (
+	ReasonNone      Reason = ""
+	ReasonQueueFull Reason = "queue_full" // as many calls wait as may
+	ReasonOverload  Reason = "overload"   // the wait is too long for this priority
+	ReasonDeadline  Reason = "deadline"   // the call cannot end before its deadline
+)
+
+// topPriority is the highest priority of a contract.
+const topPriority = 9
+
+// Policy are the bounds on waiting.
+type Policy struct {
+	// Capacity is the most calls that wait; 0: no bound.
+	Capacity int
+	// MaxWait is the longest expected wait at which a call of the highest
+	// priority is admitted; 0: no bound. The lowest priority is admitted up to
+	// LowestShare of it, those between in proportion.
+	MaxWait     time.Duration
+	LowestShare float64
+	// NewProgramShare, 0 to 1, scales the bound for the first call of a
+	// program: under overload, programs that have begun are finished before
+	// new ones begin.
+	NewProgramShare float64
+	// Deadlines refuses calls that cannot end in time.
+	Deadlines bool
+	// MinRetryAfter and MaxRetryAfter bound the hint when to come back.
+	MinRetryAfter time.Duration
+	MaxRetryAfter time.Duration
+}
+
+// DefaultPolicy returns the bounds that the benchmark supports.
+func DefaultPolicy() Policy {
+	return Policy{
+		Capacity:        256,
+		MaxWait:         60 * time.Second,
+		LowestShare:     0.25,
+		NewProgramShare: 0.25,
+		Deadlines:       true,
+		MinRetryAfter:   time.Second,
+		MaxRetryAfter:   time.Minute,
+	}
+}
+
+// Request is what the decision needs to know of a call.
+type Request struct {
+	Priority   int32         // of the contract, 0 to 9
+	NewProgram bool          // the program's first call
+	RunTime    time.Duration // expected time from start to end
+	Deadline   time.Duration // 0: none
+}
+
+// Load is the state of the queue that the call would join.
+type Load struct {
+	Waiting int           // calls in the queue
+	Wait    time.Duration // expected wait of a new call of this priority
+}
+
+// Decision admits a call or refuses it with the time after which the caller
+// should come back.
+type Decision struct {
+	Admit      bool
+	Reason     Reason
+	RetryAfter time.Duration // for a refusal
+}
+
+// Decide returns the decision on a call.
+func (p Policy) Decide(req Request, load Load, now time.Duration) Decision {
+	if p.Deadlines && req.Deadline != 0 && now+load.Wait+req.RunTime > req.Deadline {
+		return p.refuse(ReasonDeadline, load.Wait+req.RunTime-max(req.Deadline-now, 0))
+	}
+	if p.Capacity > 0 && load.Waiting >= p.Capacity {
+		return p.refuse(ReasonQueueFull, load.Wait)
+	}
+	bound := p.bound(req)
+	if p.MaxWait > 0 && load.Wait > bound {
+		return p.refuse(ReasonOverload, load.Wait-bound)
+	}
+	return Decision{Admit: true}
+}
+
+// bound returns the longest expected wait at which the call is admitted.
+func (p Policy) bound(req Request) time.Duration {
+	rank := float64(min(max(req.Priority, 0), topPriority)) / topPriority
+	share := rank + (1-rank)*p.LowestShare
+	if req.NewProgram {
+		share *= p.NewProgramShare
+	}
+	return time.Duration(share * float64(p.MaxWait))
+}
+
+// refuse returns a refusal whose hint is the time in which the queue is
+// expected to have shrunk enough.
+func (p Policy) refuse(reason Reason, excess time.Duration) Decision {
+	hint := min(max(excess, p.MinRetryAfter), p.MaxRetryAfter)
+	return Decision{Reason: reason, RetryAfter: hint}
+}
+
+// permille is the unit of a contract's share.
+const permille = 1000
+
+// SlotLimit returns how many of the slots a customer may hold under a contract
+// share in permille: at least one. A share of 0 means that the contract sets no
+// limit.
+func SlotLimit(slots int, sharePermille uint32) int {
+	if sharePermille == 0 || sharePermille >= permille {
+		return slots
+	}
+	return max(slots*int(sharePermille)/permille, 1)
+}
--- /dev/null
+++ b/internal/policy/admit/admit_test.go
@@ -0,0 +1,66 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestDecide(t *testing.T) {
+	policy := Policy{
+		Capacity: 10, MaxWait: 100 * time.Second, LowestShare: 0.1, NewProgramShare: 0.5, Deadlines: true,
+		MinRetryAfter: time.Second, MaxRetryAfter: 30 * time.Second,
+	}
+	tests := []struct {
+		name  string
+		req   Request
+		load  Load
+		want  Reason
+		retry time.Duration
+	}{
+		{"idle", Request{}, Load{}, ReasonNone, 0},
+		{"full", Request{Priority: 9}, Load{Waiting: 10, Wait: 5 * time.Second}, ReasonQueueFull, 5 * time.Second},
+		{"full without a wait", Request{Priority: 9}, Load{Waiting: 10}, ReasonQueueFull, time.Second},
+		{"low priority", Request{Priority: 0}, Load{Wait: 12 * time.Second}, ReasonOverload, 2 * time.Second},
+		{"high priority", Request{Priority: 9}, Load{Wait: 100 * time.Second}, ReasonNone, 0},
+		{"new program", Request{Priority: 9, NewProgram: true}, Load{Wait: 90 * time.Second}, ReasonOverload, 30 * time.Second},
+		{"priority above the range", Request{Priority: 50}, Load{Wait: 101 * time.Second}, ReasonOverload, time.Second},
+		{"deadline", Request{Deadline: 13 * time.Second, RunTime: 4 * time.Second}, Load{Wait: 7 * time.Second}, ReasonDeadline, time.Second},
+		{"deadline can be met", Request{Deadline: 14 * time.Second, RunTime: 4 * time.Second}, Load{Wait: 7 * time.Second}, ReasonNone, 0},
+		{"deadline passed", Request{Deadline: 1}, Load{}, ReasonDeadline, time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := policy.Decide(test.req, test.load, 3*time.Second)
+			assert.Equal(t, d.Reason, test.want)
+			assert.Equal(t, d.Admit, test.want == ReasonNone)
+			assert.Equal(t, d.RetryAfter, test.retry)
+		})
+	}
+}
+
+// If a call is refused for overload, so is each call of a lower priority, and
+// each refusal says when to come back.
+func TestLowerPriorityIsShedFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := DefaultPolicy()
+		load := Load{Wait: time.Duration(rapid.Int64Range(0, int64(2*time.Minute)).Draw(t, "wait"))}
+		req := Request{Priority: rapid.Int32Range(1, 9).Draw(t, "priority"), NewProgram: rapid.Bool().Draw(t, "new")}
+		high := policy.Decide(req, load, 0)
+		req.Priority--
+		low := policy.Decide(req, load, 0)
+		assert.Assert(t, high.Admit || !low.Admit)
+		for _, d := range []Decision{high, low} {
+			assert.Assert(t, d.Admit || d.RetryAfter >= policy.MinRetryAfter && d.RetryAfter <= policy.MaxRetryAfter)
+		}
+	})
+}
+
+func TestSlotLimit(t *testing.T) {
+	assert.Equal(t, SlotLimit(16, 0), 16)
+	assert.Equal(t, SlotLimit(16, 1000), 16)
+	assert.Equal(t, SlotLimit(16, 500), 8)
+	assert.Equal(t, SlotLimit(16, 1), 1)
+}
