Add quarantine of requests that crash servers

Ruled out: quarantine at the first death, which would hit innocent requests of the batch; a count of deaths without running alone, which convicts the requests of a busy server. Change: fingerprints by content, suspects that run alone, ServerDied, MayStart. A request that runs on one server at a time costs at most 2 servers. Measured: tests pass, with innocents that arrive at random and end. Seen to fail first, each by a scratch edit: suspects with company, others joining a suspect (first not caught; innocents now arrive over time), no quarantine, quarantine in company, no clearing, suspicion without end, parts without length.

--- /dev/null
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -0,0 +1,143 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestComputeSeparatesParts(t *testing.T) {
+	a := Compute("m", []byte("xy"), []byte("z"))
+	assert.Equal(t, a, Compute("m", []byte("xy"), []byte("z")))
+	assert.Assert(t, a != Compute("m", []byte("x"), []byte("yz")))
+	assert.Assert(t, a != Compute("other", []byte("xy"), []byte("z")))
+}
+
+func TestSuspicionEndsButQuarantineStays(t *testing.T) {
+	suspect := Record{Status: StatusSuspect, Since: time.Minute}
+	assert.Equal(t, suspect.At(2*time.Minute), StatusSuspect)
+	assert.Equal(t, suspect.At(time.Minute+suspicionLifetime), StatusClear)
+	quarantined := Record{Status: StatusQuarantined}
+	assert.Equal(t, quarantined.At(1000*time.Hour), StatusQuarantined)
+}
+
+func TestRunEnded(t *testing.T) {
+	assert.Equal(t, RunEnded(StatusClear), StatusClear)
+	assert.Equal(t, RunEnded(StatusSuspect), StatusClear)
+	assert.Equal(t, RunEnded(StatusQuarantined), StatusQuarantined)
+}
+
+func TestServerDied(t *testing.T) {
+	a, b := Fingerprint{1}, Fingerprint{2}
+	tests := []struct {
+		name string
+		runs []Run
+		want []Status
+	}{
+		{"nothing ran", nil, nil},
+		{"first death of one request", []Run{{a, StatusClear}}, []Status{StatusSuspect}},
+		{"batch", []Run{{a, StatusClear}, {b, StatusClear}}, []Status{StatusSuspect, StatusSuspect}},
+		{"suspect alone", []Run{{a, StatusSuspect}}, []Status{StatusQuarantined}},
+		{"suspect with another", []Run{{a, StatusSuspect}, {b, StatusClear}}, []Status{StatusSuspect, StatusSuspect}},
+		{"two copies of a suspect", []Run{{a, StatusSuspect}, {a, StatusSuspect}}, []Status{StatusQuarantined, StatusQuarantined}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			changes := ServerDied(test.runs, 5)
+			assert.Equal(t, len(changes), len(test.want))
+			for i, change := range changes {
+				assert.Equal(t, change.Fingerprint, test.runs[i].Fingerprint)
+				assert.Equal(t, change.Record.Status, test.want[i])
+			}
+		})
+	}
+}
+
+// cluster runs requests on servers until each has ended or is quarantined.
+type cluster struct {
+	servers [][]Run
+	lost    int
+	records map[Fingerprint]Record
+	ended   map[Fingerprint]bool
+}
+
+func (c *cluster) start(t *rapid.T, f Fingerprint) {
+	status := c.records[f].Status
+	var free []int
+	for i, runs := range c.servers {
+		suspect := len(runs) == 1 && runs[0].Known == StatusSuspect
+		if MayStart(status, len(runs), suspect) {
+			free = append(free, i)
+		}
+	}
+	if len(free) == 0 {
+		return
+	}
+	i := rapid.SampledFrom(free).Draw(t, "server")
+	c.servers[i] = append(c.servers[i], Run{f, status})
+}
+
+func (c *cluster) step(i int, crashing Fingerprint) {
+	runs := c.servers[i]
+	c.servers[i] = nil
+	for _, run := range runs {
+		if run.Fingerprint == crashing {
+			c.lost++
+			for _, change := range ServerDied(runs, 0) {
+				c.records[change.Fingerprint] = change.Record
+			}
+			return
+		}
+	}
+	for _, run := range runs {
+		c.ended[run.Fingerprint] = true
+		c.records[run.Fingerprint] = Record{Status: RunEnded(run.Known)}
+	}
+}
+
+func (c *cluster) running(f Fingerprint) bool {
+	for _, runs := range c.servers {
+		for _, run := range runs {
+			if run.Fingerprint == f {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// One crashing request among innocent ones, resent under new call IDs without
+// end, costs at most MaxServersLost servers, and each innocent request ends.
+func TestServersLostAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &cluster{
+			servers: make([][]Run, rapid.IntRange(1, 4).Draw(t, "servers")),
+			records: make(map[Fingerprint]Record),
+			ended:   make(map[Fingerprint]bool),
+		}
+		innocents := rapid.IntRange(0, 12).Draw(t, "innocents")
+		var all []Fingerprint
+		arrival := make(map[Fingerprint]int)
+		for n := range innocents + 1 {
+			f := Fingerprint{byte(n)}
+			all = append(all, f)
+			arrival[f] = rapid.IntRange(0, 5).Draw(t, "arrival")
+		}
+		crashing := all[innocents]
+		for round := range 40 {
+			for _, f := range rapid.Permutation(all).Draw(t, "resends") {
+				if round >= arrival[f] && !c.ended[f] && !c.running(f) {
+					c.start(t, f)
+				}
+			}
+			for i := range c.servers {
+				c.step(i, crashing)
+			}
+		}
+		assert.Assert(t, c.lost <= MaxServersLost, "%d servers lost", c.lost)
+		assert.Equal(t, c.records[crashing].Status, StatusQuarantined)
+		assert.Equal(t, len(c.ended), innocents)
+	})
+}
