--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,185 @@
+// Package ctl is the operators' command-line tool.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"ibistray.example/ibistray/proto/rpcpb"
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+const (
+	dialTimeout    = 2 * time.Second
+	requestTimeout = 10 * time.Second
+)
+
+// ErrUnreachable says that no entry answered: the request was not taken, or its
+// answer was lost. Changes carry a change ID and may be sent again.
+var ErrUnreachable = errors.New("no entry answered")
+
+// ServerError is an error that an entry answered.
+type ServerError struct {
+	Status       int    `json:"-"`
+	Reason       string `json:"reason"`
+	Message      string `json:"message"`
+	NotRun       bool   `json:"not_run"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+func (e *ServerError) Error() string {
+	return fmt.Sprintf("%s: %s", e.Reason, e.Message)
+}
+
+// ConflictError says that another operator changed the contract first.
+type ConflictError struct {
+	Winner *shardpb.Contract
+	Detail string
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("version conflict: version %d is in force (%s)", e.Winner.GetVersion(), e.Detail)
+}
+
+// Client calls the administration API at the first entry that answers.
+type Client struct {
+	servers []string
+	key     string
+	http    *client.Client
+}
+
+// NewClient returns a client of the entries at servers (base URLs) with an
+// operator's key.
+func NewClient(servers []string, key string) (*Client, error) {
+	h, err := client.NewClient(
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(dialTimeout),
+		client.WithClientReadTimeout(requestTimeout),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("make HTTP client: %w", err)
+	}
+	return &Client{servers: servers, key: key, http: h}, nil
+}
+
+// ReadKey reads the first key of an operator's key file.
+func ReadKey(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("operator's key: %w", err)
+	}
+	for line := range strings.Lines(string(data)) {
+		line = strings.TrimSpace(line)
+		if line != "" && !strings.HasPrefix(line, "#") {
+			return line, nil
+		}
+	}
+	return "", fmt.Errorf("operator's key: %s holds none", path)
+}
+
+// ApplyContract creates or changes a contract. Errors: *ConflictError,
+// *ServerError, ErrUnreachable.
+func (c *Client) ApplyContract(ctx context.Context, customer string, document []byte, expected uint64, changeID string) (*shardpb.ContractResult, error) {
+	query := url.Values{}
+	query.Set("expected_version", strconv.FormatUint(expected, 10))
+	query.Set("change_id", changeID)
+	path := "/admin/v1/contracts/" + url.PathEscape(customer) + "?" + query.Encode()
+	result := new(shardpb.ContractResult)
+	if err := c.do(ctx, consts.MethodPut, path, document, result); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+// Customer returns the contract, budget and programs of one customer.
+func (c *Client) Customer(ctx context.Context, customer string) (*rpcpb.ViewResponse, error) {
+	view := new(rpcpb.ViewResponse)
+	if err := c.do(ctx, consts.MethodGet, "/admin/v1/contracts/"+url.PathEscape(customer), nil, view); err != nil {
+		return nil, err
+	}
+	return view, nil
+}
+
+// Customers returns contracts, budgets and programs of all customers.
+func (c *Client) Customers(ctx context.Context) (*rpcpb.ViewResponse, error) {
+	view := new(rpcpb.ViewResponse)
+	if err := c.do(ctx, consts.MethodGet, "/admin/v1/contracts", nil, view); err != nil {
+		return nil, err
+	}
+	return view, nil
+}
+
+// Servers returns the backend servers that the entry knows.
+func (c *Client) Servers(ctx context.Context) (*rpcpb.MembersResponse, error) {
+	members := new(rpcpb.MembersResponse)
+	if err := c.do(ctx, consts.MethodGet, "/admin/v1/servers", nil, members); err != nil {
+		return nil, err
+	}
+	return members, nil
+}
+
+// do sends a request to the entries in turn until one answers.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, result proto.Message) error {
+	var last error
+	for _, server := range c.servers {
+		status, data, err := c.exchange(ctx, method, server+path, body)
+		if err != nil {
+			last = fmt.Errorf("%w: %s: %w", ErrUnreachable, server, err)
+			continue
+		}
+		if status != consts.StatusOK {
+			return decodeError(status, data)
+		}
+		if err := protojson.Unmarshal(data, result); err != nil {
+			return fmt.Errorf("answer of %s: %w", server, err)
+		}
+		return nil
+	}
+	return last
+}
+
+func (c *Client) exchange(ctx context.Context, method, uri string, body []byte) (int, []byte, error) {
+	req := protocol.AcquireRequest()
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if body != nil {
+		req.SetBody(body)
+	}
+	if err := c.http.Do(ctx, req, resp); err != nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
+
+func decodeError(status int, data []byte) error {
+	var doc struct {
+		Error *ServerError `json:"error"`
+	}
+	if json.Unmarshal(data, &doc) == nil && doc.Error != nil {
+		doc.Error.Status = status
+		return doc.Error
+	}
+	refusal := new(shardpb.Refusal)
+	if protojson.Unmarshal(data, refusal) == nil && refusal.Winner != nil {
+		return &ConflictError{Winner: refusal.Winner, Detail: refusal.Detail}
+	}
+	return &ServerError{Status: status, Reason: "unexpected_answer", Message: string(data)}
+}
--- /dev/null
+++ b/internal/ctl/state.go
@@ -0,0 +1,166 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ibistray.example/ibistray/proto/rpcpb"
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+const topRows = 20
+
+func programCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "program",
+		Usage: "show programs",
+		Commands: []*cli.Command{{
+			Name:      "list",
+			Usage:     "list the programs of a customer",
+			ArgsUsage: "<customer>",
+			Flags:     []cli.Flag{watchFlag()},
+			Action:    watched(listPrograms),
+		}},
+	}
+}
+
+func serverCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "server",
+		Usage: "show backend servers",
+		Commands: []*cli.Command{{
+			Name:   "list",
+			Usage:  "list the backend servers that an entry knows",
+			Flags:  []cli.Flag{watchFlag()},
+			Action: watched(listServers),
+		}},
+	}
+}
+
+func topCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "top",
+		Usage:  "show the busiest backend servers and the longest programs",
+		Flags:  []cli.Flag{watchFlag()},
+		Action: watched(showTop),
+	}
+}
+
+func listPrograms(ctx context.Context, s *session, cmd *cli.Command) error {
+	customer, err := oneArgument(cmd, "customer")
+	if err != nil {
+		return err
+	}
+	view, err := s.client.Customer(ctx, customer)
+	if err != nil {
+		return err
+	}
+	if s.json {
+		return printProto(s.out, view)
+	}
+	return printPrograms(s, view.Programs)
+}
+
+func printPrograms(s *session, programs []*shardpb.ProgramView) error {
+	t := newTable(s.out, "CUSTOMER", "PROGRAM", "TURNS", "TOKENS", "OPEN CALL", "STATE", "SERVER", "IDLE", "ENDED")
+	now := time.Now()
+	for _, p := range programs {
+		idle := now.Sub(time.UnixMilli(p.LastActivityMs)).Truncate(time.Second)
+		t.row(p.Customer, p.Program, p.Turns, p.HistoryTokens, p.OpenCall, stateOf(p), p.GetTarget().GetServer(), idle, p.Ended)
+	}
+	return t.flush()
+}
+
+func stateOf(p *shardpb.ProgramView) string {
+	if p.OpenCall == "" {
+		return "idle"
+	}
+	return strings.ToLower(strings.TrimPrefix(p.OpenState.String(), "CALL_STATE_"))
+}
+
+func listServers(ctx context.Context, s *session, _ *cli.Command) error {
+	members, err := s.client.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	if s.json {
+		return printProto(s.out, members)
+	}
+	slices.SortFunc(members.Members, func(a, b *rpcpb.Announcement) int { return strings.Compare(a.Server, b.Server) })
+	return printServers(s, members.Members)
+}
+
+func printServers(s *session, servers []*rpcpb.Announcement) error {
+	t := newTable(s.out, "SERVER", "STATE", "DOMAIN", "OFFERS", "RUNNING", "WAITING", "BATCH", "CACHE", "SIDECAR")
+	for _, a := range servers {
+		load := a.GetLoad()
+		cache := fmt.Sprintf("%d/%d", load.GetCacheUsedTokens(), load.GetCacheCapacityTokens())
+		offers := strings.Join(append(slices.Clone(a.Models), a.Services...), ",")
+		t.row(a.Server, serverState(a.State), a.FailureDomain, offers, load.GetRunning(), load.GetWaiting(), load.GetBatchLimit(), cache, a.Sidecar)
+	}
+	return t.flush()
+}
+
+func serverState(state rpcpb.ServerState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "SERVER_STATE_"))
+}
+
+func showTop(ctx context.Context, s *session, _ *cli.Command) error {
+	members, err := s.client.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	view, err := s.client.Customers(ctx)
+	if err != nil {
+		return err
+	}
+	slices.SortFunc(members.Members, func(a, b *rpcpb.Announcement) int {
+		return int(b.GetLoad().GetRunning()+b.GetLoad().GetWaiting()) - int(a.GetLoad().GetRunning()+a.GetLoad().GetWaiting())
+	})
+	slices.SortFunc(view.Programs, func(a, b *shardpb.ProgramView) int {
+		return int(b.HistoryTokens) - int(a.HistoryTokens)
+	})
+	if s.json {
+		return printProto(s.out, &rpcpb.ViewResponse{Programs: firstRows(view.Programs)})
+	}
+	if err := printServers(s, firstRows(members.Members)); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.out)
+	return printPrograms(s, firstRows(view.Programs))
+}
+
+func firstRows[T any](rows []T) []T {
+	return rows[:min(len(rows), topRows)]
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "status",
+		Usage:  "show at a glance what is wrong",
+		Flags:  []cli.Flag{watchFlag()},
+		Action: watched(showStatus),
+	}
+}
+
+// showStatus counts what exists and names what needs an operator.
+func showStatus(ctx context.Context, s *session, _ *cli.Command) error {
+	members, err := s.client.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	view, err := s.client.Customers(ctx)
+	if err != nil {
+		return err
+	}
+	report := newStatusReport(members.Members, view)
+	if s.json {
+		return report.printJSON(s.out)
+	}
+	return report.print(s.out)
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"ibistray.example/ibistray/proto/rpcpb"
+	"ibistray.example/ibistray/proto/shardpb"
+)
+
+// nearlyUsedPercent is the part of a budget from which a warning is given.
+const nearlyUsedPercent = 90
+
+// statusReport is what status prints.
+type statusReport struct {
+	Servers   int      `json:"servers"`
+	Ready     int      `json:"servers_ready"`
+	Customers int      `json:"customers"`
+	Programs  int      `json:"programs"`
+	OpenCalls int      `json:"open_calls"`
+	Problems  []string `json:"problems"`
+}
+
+func newStatusReport(servers []*rpcpb.Announcement, view *rpcpb.ViewResponse) *statusReport {
+	r := &statusReport{
+		Servers:   len(servers),
+		Customers: len(view.Contracts),
+		Programs:  len(view.Programs),
+		Problems:  []string{},
+	}
+	r.addServers(servers)
+	r.addBudgets(view)
+	for _, p := range view.Programs {
+		if p.OpenCall != "" {
+			r.OpenCalls++
+		}
+	}
+	return r
+}
+
+func (r *statusReport) addServers(servers []*rpcpb.Announcement) {
+	readyByOffer := make(map[string]int)
+	for _, a := range servers {
+		if a.State == rpcpb.ServerState_SERVER_STATE_READY {
+			r.Ready++
+		} else {
+			r.problem("server %s is %s", a.Server, serverState(a.State))
+		}
+		for _, offer := range append(append([]string{}, a.Models...), a.Services...) {
+			if a.State == rpcpb.ServerState_SERVER_STATE_READY {
+				readyByOffer[offer]++
+			} else {
+				readyByOffer[offer] += 0
+			}
+		}
+	}
+	for offer, ready := range readyByOffer {
+		if ready == 0 {
+			r.problem("no server is ready for %s", offer)
+		}
+	}
+	if len(servers) == 0 {
+		r.problem("no backend server has announced itself")
+	}
+}
+
+func (r *statusReport) addBudgets(view *rpcpb.ViewResponse) {
+	budgets := budgetsByCustomer(view)
+	for _, c := range view.Contracts {
+		b := budgets[c.Customer]
+		if c.Suspended {
+			r.problem("customer %s is suspended", c.Customer)
+		}
+		if isNearlyUsed(b) {
+			r.problem("customer %s has used %d of %d tokens", c.Customer, b.GetUsed()+b.GetReserved(), b.GetLimit())
+		}
+	}
+}
+
+func isNearlyUsed(b *shardpb.BudgetView) bool {
+	return b.GetLimit() > 0 && (b.GetUsed()+b.GetReserved())*100 >= b.GetLimit()*nearlyUsedPercent
+}
+
+func (r *statusReport) problem(format string, args ...any) {
+	r.Problems = append(r.Problems, fmt.Sprintf(format, args...))
+}
+
+func (r *statusReport) print(out io.Writer) error {
+	fmt.Fprintf(out, "servers    %d ready of %d\n", r.Ready, r.Servers)
+	fmt.Fprintf(out, "customers  %d\n", r.Customers)
+	fmt.Fprintf(out, "programs   %d, %d calls open\n", r.Programs, r.OpenCalls)
+	if len(r.Problems) == 0 {
+		fmt.Fprintln(out, "problems   none")
+		return nil
+	}
+	for _, p := range r.Problems {
+		fmt.Fprintf(out, "problem    %s\n", p)
+	}
+	return nil
+}
+
+func (r *statusReport) printJSON(out io.Writer) error {
+	return json.NewEncoder(out).Encode(r)
+}
