Mutual TLS between processes; a broken stream is never a clean end

Cause: the new test of a silent connection failed: a session that closes between two frames gave io.EOF, which Recv also returns after a clean end, so a broken exchange could pass for a finished one. Ruled out: closing order in the server (the status frame is sent before Close). Change: readFrame turns io.EOF into io.ErrUnexpectedEOF. Conclusion: every exchange that breaks off is ErrBroken.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	"ibistray.example/ibistray/internal/backend"
 	"ibistray.example/ibistray/internal/entry"
 	"ibistray.example/ibistray/internal/httpserver"
+	"ibistray.example/ibistray/internal/security"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/sidecar"
@@ -31,6 +33,7 @@
 	settings *settings.Settings
 	log      hclog.Logger
 	metrics  *telemetry.Metrics
+	keys     *security.Keys // nil: plain TCP between processes
 
 	pool   *transport.Pool
 	server *transport.Server
@@ -49,11 +52,16 @@
 // Start starts the roles that the settings name. The process serves when Start
 // returns without an error.
 func Start(s *settings.Settings, log hclog.Logger) (*Daemon, error) {
+	keys, err := loadKeys(s, log)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
 		settings:   s,
 		log:        log,
 		metrics:    telemetry.NewMetrics(),
-		pool:       transport.NewPool(transport.DialTCP),
+		keys:       keys,
+		pool:       transport.NewPool(dialFunc(keys)),
 		server:     transport.NewServer(log.Named("transport")),
 		serveError: make(chan error, 1),
 	}
@@ -70,6 +78,9 @@
 	if err != nil {
 		return fmt.Errorf("daemon: listen: %w", err)
 	}
+	if d.keys != nil {
+		listener = tls.NewListener(listener, d.keys.ServerConfig())
+	}
 	httpListener, err := net.Listen("tcp", d.settings.HTTP)
 	if err != nil {
 		listener.Close()
@@ -89,6 +100,21 @@
 	return nil
 }
 
+// loadKeys reads the certificates that the settings name, or returns nil.
+func loadKeys(s *settings.Settings, log hclog.Logger) (*security.Keys, error) {
+	if s.TLSCert == "" {
+		return nil, nil
+	}
+	return security.Load(security.Files{Cert: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}, log.Named("security"))
+}
+
+func dialFunc(keys *security.Keys) transport.DialFunc {
+	if keys == nil {
+		return transport.DialTCP
+	}
+	return keys.Dial
+}
+
 func (d *Daemon) makeRoles() error {
 	s := d.settings
 	retried := func(reason string) { d.metrics.Retries.WithLabelValues(reason).Inc() }
@@ -163,6 +189,9 @@
 func (d *Daemon) startLoops() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopLoops = cancel
+	if d.keys != nil {
+		d.loops.Go(func() { d.keys.Watch(ctx) })
+	}
 	if d.control != nil {
 		d.loops.Go(func() { d.control.run(ctx) })
 	}
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
@@ -36,11 +37,13 @@
 	return buf, nil
 }
 
-// readFrame reads one frame. The length is checked before memory is reserved.
+// readFrame reads one frame. The length is checked before memory is reserved. It
+// never returns io.EOF: an exchange ends with a status frame, so a connection
+// that ends between two frames has broken off.
 func readFrame(r io.Reader) (frameKind, []byte, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return 0, nil, err
+		return 0, nil, unexpectedEnd(err)
 	}
 	kind := frameKind(header[0])
 	if kind != frameMessage && kind != frameStatus {
@@ -52,7 +55,14 @@
 	}
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
-		return 0, nil, err
+		return 0, nil, unexpectedEnd(err)
 	}
 	return kind, data, nil
 }
+
+func unexpectedEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,203 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+const echoMethod = "test.echo"
+
+// link connects a pool to a server over in-memory connections, which can be
+// silenced: what is written is then lost without an error.
+type link struct {
+	server *Server
+	pool   *Pool
+
+	mu     sync.Mutex
+	silent bool
+	dials  int
+}
+
+func newLink() *link {
+	l := &link{server: NewServer(hclog.NewNullLogger())}
+	l.pool = NewPool(func(string) (net.Conn, error) {
+		client, server := net.Pipe()
+		l.mu.Lock()
+		l.dials++
+		l.mu.Unlock()
+		l.server.ServeConn(server)
+		return &silentConn{Conn: client, link: l, generation: l.dials}, nil
+	})
+	return l
+}
+
+func (l *link) close() {
+	l.pool.Close()
+	l.server.Close()
+}
+
+// silentConn drops the writes of the first connection while the link is silent.
+type silentConn struct {
+	net.Conn
+	link       *link
+	generation int
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	c.link.mu.Lock()
+	drop := c.link.silent && c.generation == 1
+	c.link.mu.Unlock()
+	if drop {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func echo(_ context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
+	switch req.Server {
+	case "refuse":
+		refusal := Errorf(rpcpb.Code_CODE_NOT_LEADER, "ask %s", "another")
+		refusal.Leader = "10.0.0.9:7001"
+		return nil, refusal
+	case "break":
+		return nil, errors.New("disk is gone")
+	}
+	return req, nil
+}
+
+// TestExchanges runs all scenarios in one bubble of virtual time: yamux keeps its
+// timers in a pool that bubbles must not share.
+func TestExchanges(t *testing.T) {
+	scenarios := []struct {
+		name string
+		run  func(*testing.T)
+	}{
+		{"callReturnsResponseAndTypedErrors", callReturnsResponseAndTypedErrors},
+		{"silentConnectionBreaksExchangeAndNextOneDialsAnew", silentConnectionBreaksExchangeAndNextOneDialsAnew},
+		{"deadlineReachesTheHandler", deadlineReachesTheHandler},
+		{"oversizeMessageIsRefusedBeforeItIsSent", oversizeMessageIsRefusedBeforeItIsSent},
+		{"idleSessionIsClosed", idleSessionIsClosed},
+	}
+	// Two collections empty the pool of an earlier run of this test.
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		for _, s := range scenarios {
+			t.Log(s.name)
+			s.run(t)
+			synctest.Wait()
+		}
+	})
+}
+
+func callReturnsResponseAndTypedErrors(t *testing.T) {
+	l := newLink()
+	defer l.close()
+	l.server.Handle(echoMethod, Unary(echo))
+	resp := new(rpcpb.Announcement)
+	assert.NilError(t, l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "s1"}, resp))
+	assert.Equal(t, resp.Server, "s1")
+
+	err := l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "refuse"}, resp)
+	var reported *Error
+	assert.Assert(t, errors.As(err, &reported))
+	assert.Equal(t, reported.Code, rpcpb.Code_CODE_NOT_LEADER)
+	assert.Equal(t, reported.Leader, "10.0.0.9:7001")
+
+	err = l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "break"}, resp)
+	assert.Equal(t, CodeOf(err), rpcpb.Code_CODE_INTERNAL)
+	err = l.pool.Call(t.Context(), "a", "test.none", &rpcpb.Announcement{}, resp)
+	assert.Equal(t, CodeOf(err), rpcpb.Code_CODE_UNKNOWN_METHOD)
+	assert.Equal(t, l.dials, 1)
+}
+
+func silentConnectionBreaksExchangeAndNextOneDialsAnew(t *testing.T) {
+	l := newLink()
+	defer l.close()
+	l.server.Handle(echoMethod, Unary(echo))
+	resp := new(rpcpb.Announcement)
+	assert.NilError(t, l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "s1"}, resp))
+
+	l.mu.Lock()
+	l.silent = true
+	l.mu.Unlock()
+	start := time.Now()
+	err := l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "s2"}, resp)
+	assert.Assert(t, errors.Is(err, ErrBroken) || errors.Is(err, ErrUnreachable), "%v", err)
+	assert.Assert(t, time.Since(start) <= heartbeatInterval+2*heartbeatTimeout)
+
+	assert.NilError(t, l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "s3"}, resp))
+	assert.Equal(t, resp.Server, "s3")
+	assert.Equal(t, l.dials, 2)
+}
+
+func deadlineReachesTheHandler(t *testing.T) {
+	l := newLink()
+	defer l.close()
+	ended := make(chan error, 1)
+	l.server.Handle(echoMethod, Unary(func(ctx context.Context, _ *rpcpb.Announcement) (*rpcpb.Announcement, error) {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, ctx.Err()
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	err := l.pool.Call(ctx, "a", echoMethod, &rpcpb.Announcement{}, new(rpcpb.Announcement))
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded) || errors.Is(err, ErrBroken), "%v", err)
+	assert.ErrorIs(t, <-ended, context.DeadlineExceeded)
+}
+
+func oversizeMessageIsRefusedBeforeItIsSent(t *testing.T) {
+	l := newLink()
+	defer l.close()
+	l.server.Handle(echoMethod, Unary(echo))
+	big := &rpcpb.RunRequest{Body: make([]byte, MaxMessageBytes+1)}
+	err := l.pool.Call(t.Context(), "a", echoMethod, big, new(rpcpb.Announcement))
+	assert.ErrorIs(t, err, ErrTooLarge)
+}
+
+func idleSessionIsClosed(t *testing.T) {
+	l := newLink()
+	defer l.close()
+	l.server.Handle(echoMethod, Unary(echo))
+	assert.NilError(t, l.pool.Call(t.Context(), "a", echoMethod, &rpcpb.Announcement{Server: "s1"}, new(rpcpb.Announcement)))
+	time.Sleep(sessionIdleLimit + 2*sessionSweepPeriod)
+	synctest.Wait()
+	l.pool.mu.RLock()
+	defer l.pool.mu.RUnlock()
+	assert.Equal(t, len(l.pool.sessions), 0)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	frame, err := appendFrame(nil, frameMessage, &rpcpb.RunRequest{Attempt: 3, Body: []byte("x")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frame)
+	f.Add([]byte{1, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{9, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		kind, payload, err := readFrame(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		if kind != frameMessage && kind != frameStatus {
+			t.Fatalf("kind %d was accepted", kind)
+		}
+		if len(payload)+frameHeaderBytes > len(data) {
+			t.Fatalf("payload of %d bytes out of %d", len(payload), len(data))
+		}
+	})
+}
