--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ibistray.example/ibistray/internal/daemon"
+	"ibistray.example/ibistray/internal/httpserver"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/version"
@@ -31,6 +32,9 @@
 		Version: version.String(),
 		Flags:   settings.Flags(),
 		Action:  run,
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return fmt.Errorf("%w; ibistrayd --help lists the settings", err)
+		},
 		Commands: []*cli.Command{{
 			Name:   "check-settings",
 			Usage:  "check the settings and exit",
@@ -45,10 +49,20 @@
 	os.Exit(exitCode(err))
 }
 
+// runError is a failure after the settings were found valid.
+type runError struct {
+	err error
+}
+
+func (e *runError) Error() string { return e.err.Error() }
+func (e *runError) Unwrap() error { return e.err }
+
+// exitCode tells failures of a running process from a wrong command line, which
+// is anything that fails before.
 func exitCode(err error) int {
-	var bad *settings.Error
+	var running *runError
 	switch {
-	case errors.As(err, &bad):
+	case !errors.As(err, &running):
 		return exitBadSetting
 	case errors.Is(err, context.DeadlineExceeded):
 		return exitDrainTimeout
@@ -65,13 +79,20 @@
 	return nil
 }
 
-// run starts the process and stops it gracefully on SIGTERM or SIGINT. A second
-// signal ends the wait for running calls.
 func run(_ context.Context, cmd *cli.Command) error {
 	s, err := settings.FromCommand(cmd)
 	if err != nil {
 		return err
 	}
+	if err := serve(s); err != nil {
+		return &runError{err: err}
+	}
+	return nil
+}
+
+// serve runs the process and stops it gracefully on SIGTERM or SIGINT. A second
+// signal ends the wait for running calls.
+func serve(s *settings.Settings) error {
 	log, err := telemetry.NewLogger("ibistrayd", s.LogLevel, os.Stderr)
 	if err != nil {
 		return err
@@ -79,6 +100,7 @@
 	log = log.With("node", s.NodeID)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	httpserver.RouteHTTPLog(log.Named("http"))
 	d, err := daemon.Start(s, log)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,7 +65,6 @@
 		server:     transport.NewServer(log.Named("transport")),
 		serveError: make(chan error, 1),
 	}
-	httpserver.RouteHTTPLog(log.Named("http"))
 	if err := d.start(); err != nil {
 		d.close()
 		return nil, err
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/url"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -41,6 +42,7 @@
 		TLSCA:           cmd.String(flagTLSCA),
 	}
 	steps := []func(*cli.Command) error{
+		checkEnvironment,
 		s.parseRoles,
 		s.parseNumbers,
 		s.parsePeers,
@@ -58,6 +60,22 @@
 	return s, nil
 }
 
+// checkEnvironment refuses variables that look like settings but are none.
+func checkEnvironment(cmd *cli.Command) error {
+	known := make(map[string]bool)
+	for _, f := range cmd.Root().Flags {
+		known[EnvName(f.Names()[0])] = true
+	}
+	for _, variable := range os.Environ() {
+		name, _, _ := strings.Cut(variable, "=")
+		if strings.HasPrefix(name, envPrefix) && !known[name] {
+			flag := strings.ToLower(strings.ReplaceAll(strings.TrimPrefix(name, envPrefix), "_", "-"))
+			return invalid(flag, "correct the name; ibistrayd --help lists the settings", "the variable %s is no setting", name)
+		}
+	}
+	return nil
+}
+
 func splitList(value string) []string {
 	var list []string
 	for part := range strings.SplitSeq(value, ",") {
