Load generator and a client that checks that answers are whole

Cause: program latency and wasted cache have to be measured from the caller's side, under the programs of both users, and the demo needs a caller that comes back with the same call ID.

A watchdog of our own ends before the body is closed.

Change: internal/load holds the client, the shapes of programs, the open loop and the report; Command is ready to be hooked into the operators' tool. The fake engine's load report has whole numbers of tokens a second.

Conclusion: ready to be run against the real path.

--- a/internal/backendtest/engine_state.go
+++ b/internal/backendtest/engine_state.go
@@ -14,14 +14,14 @@
 
 // loadReport is the load of an engine at one time.
 type loadReport struct {
-	Running           int     `json:"running"`
-	Waiting           int     `json:"waiting"`
-	BatchLimit        int     `json:"batch_limit"`
-	CacheUsed         int     `json:"cache_used_tokens"`
-	CacheCapacity     int     `json:"cache_capacity_tokens"`
-	AgeMS             int64   `json:"age_ms"`
-	TokensPerSecond   float64 `json:"tokens_per_second"`
-	PrefillsPerSecond float64 `json:"prefill_tokens_per_second"`
+	Running           int   `json:"running"`
+	Waiting           int   `json:"waiting"`
+	BatchLimit        int   `json:"batch_limit"`
+	CacheUsed         int   `json:"cache_used_tokens"`
+	CacheCapacity     int   `json:"cache_capacity_tokens"`
+	AgeMS             int64 `json:"age_ms"`
+	TokensPerSecond   int64 `json:"tokens_per_second"`
+	PrefillsPerSecond int64 `json:"prefill_tokens_per_second"`
 }
 
 func (e *Engine) serveLoad(_ context.Context, c *app.RequestContext) {
@@ -52,8 +52,8 @@
 		BatchLimit:        e.options.BatchLimit,
 		CacheUsed:         e.cache.used,
 		CacheCapacity:     e.cache.capacity,
-		TokensPerSecond:   e.options.DecodeRate * e.options.Speed * e.slowFactor,
-		PrefillsPerSecond: e.options.PrefillRate * e.options.Speed * e.slowFactor,
+		TokensPerSecond:   int64(e.options.DecodeRate * e.options.Speed * e.slowFactor),
+		PrefillsPerSecond: int64(e.options.PrefillRate * e.options.Speed * e.slowFactor),
 	}
 }
 
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,264 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+)
+
+const (
+	defaultIdleTimeout = 15 * time.Second
+	minBackoff         = 20 * time.Millisecond
+	maxBackoff         = time.Second
+	// longestRetryAfter is the longest hint that the client follows.
+	longestRetryAfter = 10 * time.Second
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Bases       []string      // base URLs of the system's HTTP front
+	Key         string        // customer key
+	IdleTimeout time.Duration // longest silence within an exchange; default 15 s
+	OnRetry     func(Retry)   // told of each call that is sent again; may be nil
+}
+
+// Retry tells why a call is sent again.
+type Retry struct {
+	Header Header
+	Base   string // base URL that failed
+	Err    error
+}
+
+// Header names a call.
+type Header struct {
+	Program  string
+	Call     string        // idempotency key
+	Sequence int           // 1-based position in the program; 0: order of arrival
+	Deadline time.Duration // 0: none
+	Parent   string        // parent program of a sub-agent
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ModelCall is one call of a model. It carries only the new messages.
+type ModelCall struct {
+	Header
+	Model     string
+	Messages  []Message
+	MaxTokens int
+}
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Header
+	Service   string
+	Operation string
+	Body      json.RawMessage
+}
+
+// Answer is a whole answer of a model that the system has committed.
+type Answer struct {
+	Text    string
+	Usage   Usage
+	Attempt uint64
+	Turn    uint64
+	Sends   int // how often the call was sent
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	Body  json.RawMessage
+	Sends int // how often the call was sent
+}
+
+// Client makes calls of one customer. A call whose outcome is unclear is sent
+// again with the same call ID to the next base URL, until the context ends. It
+// is safe for concurrent use.
+type Client struct {
+	config ClientConfig
+	http   *client.Client
+	next   atomic.Uint64 // base URL of the next call
+}
+
+// NewClient returns a client. It fails without a base URL.
+func NewClient(config ClientConfig) (*Client, error) {
+	if len(config.Bases) == 0 {
+		return nil, errors.New("new client: no base URL")
+	}
+	if config.IdleTimeout <= 0 {
+		config.IdleTimeout = defaultIdleTimeout
+	}
+	if config.OnRetry == nil {
+		config.OnRetry = func(Retry) {}
+	}
+	library, err := newHTTPClient()
+	if err != nil {
+		return nil, fmt.Errorf("new client: %w", err)
+	}
+	return &Client{config: config, http: library}, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+type modelBody struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream"`
+}
+
+// Model makes a model call. It returns a *CallError when the system refuses
+// the call or says that it failed for good, or the context's error.
+func (c *Client) Model(ctx context.Context, call ModelCall) (*Answer, error) {
+	body, err := json.Marshal(modelBody{call.Model, call.Messages, call.MaxTokens, true})
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", call.Call, err)
+	}
+	x := exchange{path: "/v1/chat/completions", headers: call.values(c.config.Key), body: body}
+	var answer *Answer
+	sends, err := c.retry(ctx, call.Header, func(base string) error {
+		answer, err = c.stream(ctx, base, x, call.Call)
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", call.Call, err)
+	}
+	answer.Sends = sends
+	return answer, nil
+}
+
+// Service makes a call of a plain service, with the errors of Model.
+func (c *Client) Service(ctx context.Context, call ServiceCall) (*ServiceAnswer, error) {
+	path := "/v1/services/" + url.PathEscape(call.Service) + "/" + url.PathEscape(call.Operation)
+	x := exchange{path: path, headers: call.values(c.config.Key), body: call.Body}
+	answer := &ServiceAnswer{}
+	sends, err := c.retry(ctx, call.Header, func(base string) error {
+		data, err := c.plain(ctx, base, x)
+		answer.Body = data
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", call.Call, err)
+	}
+	answer.Sends = sends
+	return answer, nil
+}
+
+// End ends a program.
+func (c *Client) End(ctx context.Context, program string) error {
+	header := Header{Program: program}
+	x := exchange{path: "/v1/programs/" + url.PathEscape(program) + "/end", headers: header.values(c.config.Key)}
+	delete(x.headers, headerCall)
+	_, err := c.retry(ctx, header, func(base string) error {
+		_, err := c.plain(ctx, base, x)
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("end program %s: %w", program, err)
+	}
+	return nil
+}
+
+func (c *Client) stream(ctx context.Context, base string, x exchange, call string) (*Answer, error) {
+	response, err := c.send(ctx, base, x)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkStatus(ctx, response); err != nil {
+		return nil, err
+	}
+	return c.readStream(ctx, response, call)
+}
+
+func (c *Client) plain(ctx context.Context, base string, x exchange) ([]byte, error) {
+	response, err := c.send(ctx, base, x)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkStatus(ctx, response); err != nil {
+		return nil, err
+	}
+	return c.readBody(ctx, response)
+}
+
+// checkStatus returns the error of a response that is not a success.
+func (c *Client) checkStatus(ctx context.Context, response *protocol.Response) error {
+	status := response.StatusCode()
+	if status >= consts.StatusOK && status < consts.StatusMultipleChoices {
+		return nil
+	}
+	data, err := c.readBody(ctx, response)
+	if err != nil {
+		return err
+	}
+	return decodeError(status, data)
+}
+
+// retry sends a call until it succeeds, fails for good or the context ends.
+// It returns how often the call was sent.
+func (c *Client) retry(ctx context.Context, header Header, send func(base string) error) (int, error) {
+	first := c.next.Add(1)
+	for sends := 1; ; sends++ {
+		base := c.config.Bases[(first+uint64(sends))%uint64(len(c.config.Bases))]
+		err := send(base)
+		if err == nil {
+			return sends, nil
+		}
+		wait, again := retryDelay(err, sends)
+		if !again || ctx.Err() != nil {
+			return sends, err
+		}
+		c.config.OnRetry(Retry{Header: header, Base: base, Err: err})
+		if !sleep(ctx, wait) {
+			return sends, err
+		}
+	}
+}
+
+// retryDelay returns how long to wait before a call is sent again, and false
+// for an error that is final.
+func retryDelay(err error, sends int) (time.Duration, bool) {
+	var callErr *CallError
+	if !errors.As(err, &callErr) {
+		return backoff(sends), true
+	}
+	if callErr.RetryAfter > longestRetryAfter {
+		return 0, false
+	}
+	if callErr.RetryAfter > 0 {
+		return callErr.RetryAfter, true
+	}
+	return backoff(sends), callErr.Status == consts.StatusServiceUnavailable
+}
+
+// backoff returns a random wait below a bound that doubles with each send.
+func backoff(sends int) time.Duration {
+	bound := min(maxBackoff, minBackoff<<min(sends, 10))
+	return rand.N(bound)
+}
+
+// sleep waits; it returns false when the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/client_test.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/backendtest"
+)
+
+func newTestClient(t *testing.T, config ClientConfig) *Client {
+	t.Helper()
+	c, err := NewClient(config)
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// unusedURL returns the base URL of a port that refuses connections.
+func unusedURL(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return "http://" + listener.Addr().String()
+}
+
+func modelCall(call string) ModelCall {
+	return ModelCall{
+		Header:    Header{Program: "p", Call: call},
+		Model:     "m",
+		Messages:  []Message{{Role: "user", Content: "hello"}},
+		MaxTokens: 32,
+	}
+}
+
+func TestBrokenExchangesAreSentAgainWithTheSameCallID(t *testing.T) {
+	for _, next := range []fault{faultCut, faultError, faultRefused} {
+		t.Run(string(next), func(t *testing.T) {
+			f := startFront(t)
+			f.breakNext(next, next)
+			var retries []Retry
+			c := newTestClient(t, ClientConfig{Bases: []string{f.url}, OnRetry: func(r Retry) { retries = append(retries, r) }})
+			answer, err := c.Model(context.Background(), modelCall("c1"))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Text, backendtest.Answer([]backendtest.Message{{Role: "user", Content: "hello"}}, 32))
+			assert.Equal(t, answer.Sends, 3)
+			assert.Equal(t, len(retries), 2)
+			assert.Equal(t, len(f.histories["p"]), 2)
+		})
+	}
+}
+
+func TestSilentExchangeIsSentAgain(t *testing.T) {
+	f := startFront(t)
+	f.breakNext(faultSilent)
+	c := newTestClient(t, ClientConfig{Bases: []string{f.url}, IdleTimeout: 50 * time.Millisecond})
+	answer, err := c.Model(context.Background(), modelCall("c1"))
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Sends > 1)
+}
+
+func TestConnectionFailureMovesToTheNextBase(t *testing.T) {
+	f := startFront(t)
+	c := newTestClient(t, ClientConfig{Bases: []string{unusedURL(t), f.url}})
+	for _, call := range []string{"c1", "c2"} {
+		_, err := c.Model(context.Background(), modelCall(call))
+		assert.NilError(t, err)
+	}
+}
+
+func TestFinalErrorIsReturned(t *testing.T) {
+	f := startFront(t)
+	f.breakNext(faultFinal)
+	c := newTestClient(t, ClientConfig{Bases: []string{f.url}})
+	_, err := c.Model(context.Background(), modelCall("c1"))
+	var callErr *CallError
+	assert.Assert(t, errors.As(err, &callErr))
+	assert.Equal(t, callErr.Reason, "budget_exhausted")
+	assert.Assert(t, callErr.NotRun)
+}
+
+func TestContextEndsASilentCall(t *testing.T) {
+	f := startFront(t)
+	f.breakNext(faultSilent)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := newTestClient(t, ClientConfig{Bases: []string{f.url}})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Model(ctx, modelCall("c1"))
+		ended <- err
+	}()
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+}
+
+func TestRetryDelay(t *testing.T) {
+	cases := map[string]struct {
+		err   error
+		again bool
+	}{
+		"connection":        {errors.New("connection refused"), true},
+		"incomplete":        {ErrIncomplete, true},
+		"hint":              {&CallError{Status: 429, RetryAfter: time.Second}, true},
+		"hint too far":      {&CallError{Status: 429, RetryAfter: time.Hour}, false},
+		"unavailable":       {&CallError{Status: 503}, true},
+		"budget":            {&CallError{Status: 429, Reason: "budget_exhausted"}, false},
+		"unknown outcome":   {&CallError{Status: 502, Reason: "outcome_unknown"}, false},
+		"error in a stream": {&CallError{Reason: "outcome_unknown"}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			wait, again := retryDelay(tc.err, 1)
+			assert.Equal(t, again, tc.again)
+			assert.Assert(t, wait <= longestRetryAfter)
+		})
+	}
+}
--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Config configures a run. Programs start at a fixed rate whether or not
+// earlier ones have finished.
+type Config struct {
+	Bases       []string      // base URLs of the system's HTTP front
+	Customers   []Customer    // at least one
+	Model       string        // model that the programs ask for
+	Rate        float64       // programs started a second, over all customers
+	Duration    time.Duration // time in which programs start
+	Drain       time.Duration // time after it in which they may finish; default 60 s
+	PauseScale  float64       // factor on tool pauses; 0: none
+	MaxPrograms int           // programs in flight above which a start is skipped and counted; default 10000
+	IdleTimeout time.Duration // of one exchange; default 15 s
+	Seed        uint64        // equal seeds give equal programs and start times
+	RunID       string        // prefix of program names; must be new for each run
+	Observer    Observer      // may be nil
+}
+
+// Customer is a customer whose programs are replayed.
+type Customer struct {
+	Key   string // customer key
+	Kinds []Kind // kinds of its programs, chosen with equal probability; empty: all
+}
+
+const (
+	defaultDrain       = time.Minute
+	defaultMaxPrograms = 10_000
+)
+
+// check fills in defaults and returns an error for a setting that is wrong.
+func (c *Config) check() error {
+	switch {
+	case len(c.Customers) == 0:
+		return errors.New("load: no customer")
+	case c.Rate <= 0:
+		return fmt.Errorf("load: rate %g is not positive", c.Rate)
+	case c.Duration <= 0:
+		return fmt.Errorf("load: duration %s is not positive", c.Duration)
+	case c.PauseScale < 0:
+		return fmt.Errorf("load: pause scale %g is negative", c.PauseScale)
+	case c.RunID == "":
+		return errors.New("load: no run ID")
+	}
+	if c.Drain <= 0 {
+		c.Drain = defaultDrain
+	}
+	if c.MaxPrograms <= 0 {
+		c.MaxPrograms = defaultMaxPrograms
+	}
+	return nil
+}
