Several services in one fake, models by kind, a client that stays with an entry

Cause: the example contracts name a model for each kind of program and six services, and the demo has to know through which entry a booking runs before it kills that entry.

Ruled out: one fake process for each service, which would double the processes of the demo for no fault more that it shows.

Change: a fake service offers several names and writes the name into each effect; load programs use the models and operations of the example contracts; Client has Sticky, reports the time of each call, and asks again after "answer_replaced".

Conclusion: programs run against the example contracts as they are.

--- a/cmd/fakebackend/flags.go
+++ b/cmd/fakebackend/flags.go
@@ -16,7 +16,7 @@
 func commonFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to listen on"},
-		&cli.StringFlag{Name: "service", Usage: "run a plain service with this name in place of an engine"},
+		&cli.StringSliceFlag{Name: "service", Usage: "offer the plain service with this name in place of an engine; repeat for more"},
 		&cli.StringFlag{Name: "effects", Usage: "file to which a service appends each effect"},
 		&cli.StringFlag{Name: "hang-marker", Usage: "a service never answers a request with this text"},
 		&cli.DurationFlag{Name: "delay", Usage: "time between a service's effect and its answer"},
@@ -67,7 +67,7 @@
 func serviceOptions(cmd *cli.Command) backendtest.ServiceOptions {
 	return backendtest.ServiceOptions{
 		Listen:     cmd.String("listen"),
-		Name:       cmd.String("service"),
+		Names:      cmd.StringSlice("service"),
 		LogFile:    cmd.String("effects"),
 		HangMarker: cmd.String("hang-marker"),
 		Delay:      cmd.Duration("delay"),
--- a/cmd/fakebackend/main.go
+++ b/cmd/fakebackend/main.go
@@ -40,7 +40,7 @@
 func run(ctx context.Context, cmd *cli.Command) error {
 	logger := hclog.New(&hclog.LoggerOptions{Name: "fakebackend", JSONFormat: true, Level: hclog.Info})
 	httpserver.RouteHTTPLog(logger)
-	if cmd.String("service") != "" {
+	if len(cmd.StringSlice("service")) > 0 {
 		return runService(ctx, cmd, logger)
 	}
 	return runEngine(ctx, cmd, logger)
@@ -66,7 +66,7 @@
 		return err
 	}
 	defer service.Close()
-	logger.Info("service runs", "url", service.URL(), "service", cmd.String("service"))
+	logger.Info("service runs", "url", service.URL(), "services", cmd.StringSlice("service"))
 	<-ctx.Done()
 	return nil
 }
--- a/internal/backendtest/service.go
+++ b/internal/backendtest/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,7 +18,7 @@
 // ServiceOptions configures a plain service.
 type ServiceOptions struct {
 	Listen     string        // address to listen on; default 127.0.0.1:0
-	Name       string        // name of the service
+	Names      []string      // names of the services that it offers
 	LogFile    string        // file to which each effect is appended; empty: none
 	HangMarker string        // a request with this text has its effect and is never answered
 	Delay      time.Duration // time between the effect and the answer
@@ -27,6 +28,7 @@
 type Effect struct {
 	Number    int             `json:"number"` // 1-based order of the effects
 	RequestID string          `json:"request_id"`
+	Service   string          `json:"service"`
 	Operation string          `json:"operation"`
 	Body      json.RawMessage `json:"body"`
 }
@@ -59,12 +61,12 @@
 	setDefault(&options.Listen, defaultListen)
 	s := &Service{options: options, closed: make(chan struct{})}
 	if err := s.openLog(); err != nil {
-		return nil, fmt.Errorf("start service %s: %w", options.Name, err)
+		return nil, fmt.Errorf("start service %v: %w", options.Names, err)
 	}
 	server, err := newHTTPServer(options.Listen)
 	if err != nil {
 		s.closeLog()
-		return nil, fmt.Errorf("start service %s: %w", options.Name, err)
+		return nil, fmt.Errorf("start service %v: %w", options.Names, err)
 	}
 	s.http = server
 	server.GET("/healthz", serveHealth)
@@ -153,8 +155,9 @@
 }
 
 func (s *Service) serveOperation(ctx context.Context, c *app.RequestContext) {
-	if c.Param("service") != s.options.Name {
-		writeError(c, consts.StatusNotFound, "unknown_service", "this is "+s.options.Name)
+	service := c.Param("service")
+	if !slices.Contains(s.options.Names, service) {
+		writeError(c, consts.StatusNotFound, "unknown_service", fmt.Sprintf("%v are offered", s.options.Names))
 		return
 	}
 	body := append([]byte{}, c.Request.Body()...)
@@ -166,7 +169,12 @@
 		writeRefusal(c, refused)
 		return
 	}
-	effect, err := s.record(string(c.GetHeader(headerRequestID)), c.Param("operation"), body)
+	effect, err := s.record(Effect{
+		RequestID: string(c.GetHeader(headerRequestID)),
+		Service:   service,
+		Operation: c.Param("operation"),
+		Body:      body,
+	})
 	if err != nil {
 		writeError(c, consts.StatusInternalServerError, "log_failed", err.Error())
 		return
@@ -174,15 +182,15 @@
 	if !s.wait(ctx, body) {
 		return
 	}
-	answer := ServiceAnswer{Service: s.options.Name, Operation: effect.Operation, Effect: effect.Number, Request: effect.Body}
+	answer := ServiceAnswer{Service: service, Operation: effect.Operation, Effect: effect.Number, Request: effect.Body}
 	writeJSON(c, consts.StatusOK, answer)
 }
 
-// record appends one effect.
-func (s *Service) record(requestID, operation string, body []byte) (Effect, error) {
+// record numbers an effect and appends it.
+func (s *Service) record(effect Effect) (Effect, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	effect := Effect{Number: len(s.effects) + 1, RequestID: requestID, Operation: operation, Body: body}
+	effect.Number = len(s.effects) + 1
 	if s.file != nil {
 		line, err := json.Marshal(effect)
 		if err != nil {
--- a/internal/backendtest/service_test.go
+++ b/internal/backendtest/service_test.go
@@ -13,7 +13,7 @@
 
 func TestServiceRecordsEachEffect(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "effects.log")
-	s := StartService(t, ServiceOptions{Name: "berths", LogFile: path})
+	s := StartService(t, ServiceOptions{Names: []string{"berths"}, LogFile: path})
 	c := newTestClient(t, s.URL())
 	var answer ServiceAnswer
 	c.call("POST", "/v1/services/berths/book", booking{Berth: "3"}, 200, &answer)
@@ -33,15 +33,15 @@
 
 func TestRestartedServiceKeepsItsEffects(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "effects.log")
-	first := StartService(t, ServiceOptions{Name: "berths", LogFile: path})
+	first := StartService(t, ServiceOptions{Names: []string{"berths"}, LogFile: path})
 	newTestClient(t, first.URL()).call("POST", "/v1/services/berths/book", booking{Berth: "3"}, 200, nil)
 	first.Close()
-	second := StartService(t, ServiceOptions{Name: "berths", LogFile: path})
+	second := StartService(t, ServiceOptions{Names: []string{"berths"}, LogFile: path})
 	assert.Equal(t, len(second.Effects()), 1)
 }
 
 func TestHangingOperationHasItsEffect(t *testing.T) {
-	s := StartService(t, ServiceOptions{Name: "berths", HangMarker: "HANG"})
+	s := StartService(t, ServiceOptions{Names: []string{"berths"}, HangMarker: "HANG"})
 	c := newTestClient(t, s.URL())
 	ended := make(chan error, 1)
 	go func() {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -21,6 +21,8 @@
 	maxBackoff         = time.Second
 	// longestRetryAfter is the longest hint that the client follows.
 	longestRetryAfter = 10 * time.Second
+	// reasonAnswerReplaced says that the answer of another attempt is on record.
+	reasonAnswerReplaced = "answer_replaced"
 )
 
 // ClientConfig configures a Client.
@@ -28,6 +30,7 @@
 	Bases       []string      // base URLs of the system's HTTP front
 	Key         string        // customer key
 	IdleTimeout time.Duration // longest silence within an exchange; default 15 s
+	Sticky      bool          // begin with the base URL that answered last, not with the next one
 	OnRetry     func(Retry)   // told of each call that is sent again; may be nil
 }
 
@@ -75,13 +78,15 @@
 	Usage   Usage
 	Attempt uint64
 	Turn    uint64
-	Sends   int // how often the call was sent
+	Sends   int           // how often the call was sent
+	Elapsed time.Duration // from the first send to the end of the answer
 }
 
 // ServiceAnswer is the answer of a plain service.
 type ServiceAnswer struct {
-	Body  json.RawMessage
-	Sends int // how often the call was sent
+	Body    json.RawMessage
+	Sends   int           // how often the call was sent
+	Elapsed time.Duration // from the first send to the end of the answer
 }
 
 // Client makes calls of one customer. A call whose outcome is unclear is sent
@@ -90,7 +95,7 @@
 type Client struct {
 	config ClientConfig
 	http   *client.Client
-	next   atomic.Uint64 // base URL of the next call
+	next   atomic.Uint64 // index of the base URL of the next call, before the modulus
 }
 
 // NewClient returns a client. It fails without a base URL.
@@ -130,6 +135,7 @@
 	}
 	x := exchange{path: "/v1/chat/completions", headers: call.values(c.config.Key), body: body}
 	var answer *Answer
+	began := time.Now()
 	sends, err := c.retry(ctx, call.Header, func(base string) error {
 		answer, err = c.stream(ctx, base, x, call.Call)
 		return err
@@ -138,6 +144,7 @@
 		return nil, fmt.Errorf("call %s: %w", call.Call, err)
 	}
 	answer.Sends = sends
+	answer.Elapsed = time.Since(began)
 	return answer, nil
 }
 
@@ -146,6 +153,7 @@
 	path := "/v1/services/" + url.PathEscape(call.Service) + "/" + url.PathEscape(call.Operation)
 	x := exchange{path: path, headers: call.values(c.config.Key), body: call.Body}
 	answer := &ServiceAnswer{}
+	began := time.Now()
 	sends, err := c.retry(ctx, call.Header, func(base string) error {
 		data, err := c.plain(ctx, base, x)
 		answer.Body = data
@@ -155,6 +163,7 @@
 		return nil, fmt.Errorf("call %s: %w", call.Call, err)
 	}
 	answer.Sends = sends
+	answer.Elapsed = time.Since(began)
 	return answer, nil
 }
 
@@ -211,13 +220,15 @@
 // retry sends a call until it succeeds, fails for good or the context ends.
 // It returns how often the call was sent.
 func (c *Client) retry(ctx context.Context, header Header, send func(base string) error) (int, error) {
-	first := c.next.Add(1)
+	index := c.firstBase()
 	for sends := 1; ; sends++ {
-		base := c.config.Bases[(first+uint64(sends))%uint64(len(c.config.Bases))]
+		base := c.config.Bases[index%uint64(len(c.config.Bases))]
 		err := send(base)
 		if err == nil {
+			c.answered(index)
 			return sends, nil
 		}
+		index++
 		wait, again := retryDelay(err, sends)
 		if !again || ctx.Err() != nil {
 			return sends, err
@@ -229,6 +240,21 @@
 	}
 }
 
+// firstBase returns the index of the base URL at which a call begins.
+func (c *Client) firstBase() uint64 {
+	if c.config.Sticky {
+		return c.next.Load()
+	}
+	return c.next.Add(1)
+}
+
+// answered notes which base URL answered.
+func (c *Client) answered(index uint64) {
+	if c.config.Sticky {
+		c.next.Store(index)
+	}
+}
+
 // retryDelay returns how long to wait before a call is sent again, and false
 // for an error that is final.
 func retryDelay(err error, sends int) (time.Duration, bool) {
@@ -242,7 +268,8 @@
 	if callErr.RetryAfter > 0 {
 		return callErr.RetryAfter, true
 	}
-	return backoff(sends), callErr.Status == consts.StatusServiceUnavailable
+	again := callErr.Status == consts.StatusServiceUnavailable || callErr.Reason == reasonAnswerReplaced
+	return backoff(sends), again
 }
 
 // backoff returns a random wait below a bound that doubles with each send.
--- a/internal/load/client_test.go
+++ b/internal/load/client_test.go
@@ -107,6 +107,7 @@
 		"incomplete":        {ErrIncomplete, true},
 		"hint":              {&CallError{Status: 429, RetryAfter: time.Second}, true},
 		"hint too far":      {&CallError{Status: 429, RetryAfter: time.Hour}, false},
+		"replaced answer":   {&CallError{Reason: reasonAnswerReplaced}, true},
 		"unavailable":       {&CallError{Status: 503}, true},
 		"budget":            {&CallError{Status: 429, Reason: "budget_exhausted"}, false},
 		"unknown outcome":   {&CallError{Status: 502, Reason: "outcome_unknown"}, false},
@@ -120,3 +121,18 @@
 		})
 	}
 }
+
+func TestStickyClientStaysWithTheBaseThatAnswers(t *testing.T) {
+	f := startFront(t)
+	var failed []string
+	c := newTestClient(t, ClientConfig{
+		Bases:   []string{unusedURL(t), f.url},
+		Sticky:  true,
+		OnRetry: func(r Retry) { failed = append(failed, r.Base) },
+	})
+	for _, call := range []string{"c1", "c2", "c3"} {
+		_, err := c.Model(context.Background(), modelCall(call))
+		assert.NilError(t, err)
+	}
+	assert.DeepEqual(t, failed, c.config.Bases[:1])
+}
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -41,7 +41,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: flagBase, Required: true, Usage: "base URL of an entry; repeat for more"},
 			&cli.StringSliceFlag{Name: flagCustomer, Required: true, Usage: "customer key, or KEY=KIND+KIND with kinds of programs; repeat for more"},
-			&cli.StringFlag{Name: flagModel, Required: true, Usage: "model that the programs ask for"},
+			&cli.StringMapFlag{Name: flagModel, Usage: "KIND=MODEL: model of a kind of programs; default: those of the example contracts"},
 			&cli.FloatFlag{Name: flagRate, Value: defaultRate, Usage: "programs started a second"},
 			&cli.DurationFlag{Name: flagDuration, Value: defaultDuration, Usage: "time in which programs start"},
 			&cli.DurationFlag{Name: flagDrain, Value: defaultDrain, Usage: "time after it in which they may finish"},
@@ -76,7 +76,7 @@
 func configOf(cmd *cli.Command) (Config, error) {
 	config := Config{
 		Bases:       cmd.StringSlice(flagBase),
-		Model:       cmd.String(flagModel),
+		Models:      parseModels(cmd.StringMap(flagModel)),
 		Rate:        cmd.Float(flagRate),
 		Duration:    cmd.Duration(flagDuration),
 		Drain:       cmd.Duration(flagDrain),
@@ -99,6 +99,14 @@
 	return config, nil
 }
 
+func parseModels(byName map[string]string) map[Kind]string {
+	models := make(map[Kind]string, len(byName))
+	for kind, model := range byName {
+		models[Kind(kind)] = model
+	}
+	return models
+}
+
 // parseCustomer reads KEY or KEY=KIND+KIND.
 func parseCustomer(text string) (Customer, error) {
 	key, kinds, named := strings.Cut(text, "=")
--- a/internal/load/command_test.go
+++ b/internal/load/command_test.go
@@ -12,7 +12,7 @@
 func TestCommandPrintsJSON(t *testing.T) {
 	f := startFront(t)
 	var out bytes.Buffer
-	args := []string{"load", "--base", f.url, "--customer", "ik_a_s=diagnosis", "--model", "m", "--rate", "100", "--duration", "50ms", "--json"}
+	args := []string{"load", "--base", f.url, "--customer", "ik_a_s=diagnosis", "--model", "quote=m", "--rate", "100", "--duration", "50ms", "--json"}
 	assert.NilError(t, Command(&out).Run(context.Background(), args))
 	var report Report
 	assert.NilError(t, json.Unmarshal(out.Bytes(), &report))
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -112,7 +112,7 @@
 	return &Program{
 		Client:     r.clients[s.customer],
 		Name:       s.name,
-		Model:      r.config.Model,
+		Model:      r.config.Models[s.kind],
 		Steps:      Shape(s.kind, s.name, random),
 		PauseScale: r.config.PauseScale,
 		Observer:   r.config.Observer,
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -43,7 +43,7 @@
 	return Config{
 		Bases:     []string{base},
 		Customers: []Customer{{Key: "ik_a_s"}, {Key: "ik_b_s", Kinds: []Kind{KindBerthPlan}}},
-		Model:     "m",
+		Models:    map[Kind]string{KindQuote: "quotes"},
 		Rate:      200,
 		Duration:  200 * time.Millisecond,
 		Seed:      7,
@@ -115,9 +115,9 @@
 func TestShapesHaveTheirLengths(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 0))
-		quote := len(Shape(KindQuote, "p", random))
+		quote := modelSteps(Shape(KindQuote, "p", random))
 		assert.Assert(t, quote >= minQuoteTurns && quote <= maxQuoteTurns)
-		shipping := len(Shape(KindShipping, "p", random))
+		shipping := modelSteps(Shape(KindShipping, "p", random))
 		assert.Assert(t, shipping >= minShippingTurns && shipping <= maxShippingTurns)
 	}
 	bookings := 0
@@ -129,6 +129,17 @@
 	assert.Equal(t, bookings, 1)
 }
 
+// modelSteps returns the number of model calls among the steps.
+func modelSteps(steps []Step) int {
+	n := 0
+	for _, step := range steps {
+		if step.Message != "" {
+			n++
+		}
+	}
+	return n
+}
+
 func TestWastedTokensOfAProgram(t *testing.T) {
 	p := &Program{}
 	for _, cached := range []int64{0, 12, 3} {
@@ -147,6 +158,7 @@
 		func(c *Config) { c.Duration = -1 },
 		func(c *Config) { c.PauseScale = -1 },
 		func(c *Config) { c.RunID = "" },
+		func(c *Config) { c.Models = map[Kind]string{"other": "m"} },
 		func(c *Config) { c.Bases = nil },
 	} {
 		config := testConfig("http://127.0.0.1:1")
--- a/internal/load/shapes.go
+++ b/internal/load/shapes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -35,11 +36,16 @@
 	SubAgents [][]Step      // programs that run side by side before the next step
 }
 
-// Services that the programs call.
+// Services and operations that the programs call, as in the example contracts.
 const (
-	ServiceBerths   = "berths"
-	OperationBook   = "book"   // may not be repeated
-	OperationLookup = "lookup" // may be repeated
+	ServiceBerths         = "berths"
+	ServiceManifests      = "manifests"
+	ServiceStock          = "stock"
+	ServiceTickets        = "tickets"
+	OperationBook         = "book"          // may not be repeated
+	OperationCreate       = "create"        // may not be repeated
+	OperationRequestParts = "request-parts" // may not be repeated
+	OperationLookup       = "lookup"        // may be repeated
 )
 
 const (
@@ -61,7 +67,7 @@
 func Shape(kind Kind, name string, random *rand.Rand) []Step {
 	switch kind {
 	case KindQuote:
-		return conversation(random, between(random, minQuoteTurns, maxQuoteTurns), shortMessage, shortAnswer)
+		return quote(name, random)
 	case KindShipping:
 		return conversation(random, between(random, minShippingTurns, maxShippingTurns), longMessage, longAnswer)
 	case KindBerthPlan:
@@ -87,6 +93,23 @@
 	return steps
 }
 
+// quote is a conversation with a look at the stock in its middle; it ends with
+// a parts request and a job ticket.
+func quote(name string, random *rand.Rand) []Step {
+	turns := between(random, minQuoteTurns, maxQuoteTurns)
+	steps := conversation(random, turns, shortMessage, shortAnswer)
+	lookup := Step{Service: ServiceStock, Operation: OperationLookup, Body: jobBody(name)}
+	steps = slices.Insert(steps, turns/2, lookup)
+	return append(steps,
+		Step{Service: ServiceStock, Operation: OperationRequestParts, Body: jobBody(name)},
+		Step{Service: ServiceTickets, Operation: OperationCreate, Body: jobBody(name)},
+	)
+}
+
+func jobBody(name string) string {
+	return fmt.Sprintf(`{"job":%q,"hose":"R12-16","quantity":2}`, name)
+}
+
 // berthPlan drafts a plan with sub-agents, looks up, books once and reports.
 func berthPlan(name string, random *rand.Rand) []Step {
 	agents := make([][]Step, planSubAgents)
@@ -97,7 +120,7 @@
 		{Message: sentence(random, longMessage), MaxTokens: longAnswer},
 		{SubAgents: agents},
 		{Message: sentence(random, shortMessage), MaxTokens: longAnswer},
-		{Service: ServiceBerths, Operation: OperationLookup, Body: bookingBody(name)},
+		{Service: ServiceManifests, Operation: OperationLookup, Body: bookingBody(name)},
 		{Message: sentence(random, shortMessage), MaxTokens: shortAnswer},
 		{Service: ServiceBerths, Operation: OperationBook, Body: bookingBody(name)},
 		{Message: sentence(random, shortMessage), MaxTokens: shortAnswer},
