--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"ibistray.example/ibistray/internal/load"
 	"ibistray.example/ibistray/internal/version"
 )
 
@@ -80,6 +82,7 @@
 			keyCommand(),
 			statusCommand(),
 			topCommand(),
+			load.Command(os.Stdout),
 		},
 	}
 }
