Add the state machine of the configuration group

Cause: planned stops, quarantines, crash suspects, engine orders, placement and control hosts must survive and hold everywhere without going back.

Ruled out: one command type per kind of record; all kinds share Put and Delete with an expected version of the record, so racing operators are decided in one place. Quarantine after the first death of a server with one running request: a server that dies for another cause would cost an innocent request its life, so it takes a second death, alone. Result records for each suspect of a report: a table of remembered results could then hold millions.

Change: State with Put, Delete, ReportCrash and ClearSuspects; one version for each change, ChangesSince for deltas and Copy for holders, which refuses older versions; bounded tables, deletions and change IDs.

Conclusion: a request that kills each server costs two servers, plus one for each copy that ran elsewhere before the first report.

--- /dev/null
+++ b/internal/config/copy_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ibistray.example/ibistray/proto/configpb"
+)
+
+func TestCopyNeverGoesBack(t *testing.T) {
+	f := newFixture(t)
+	f.put("a", 0, orderRecord("e1", "a"))
+	old := f.state.ChangesSince(0)
+	f.put("b", 1, orderRecord("e1", "b"))
+	c := f.full()
+	same, err := c.Merge(old)
+	assert.ErrorIs(t, err, ErrOlder)
+	assert.Assert(t, same == nil)
+	_, err = c.Merge(newFixture(t).state.ChangesSince(c.Version()))
+	assert.ErrorIs(t, err, ErrOlder)
+}
+
+func TestChangedIsClosedByAChange(t *testing.T) {
+	f := newFixture(t)
+	changed := f.state.Changed()
+	f.put("a", 7, orderRecord("e1", "a"))
+	select {
+	case <-changed:
+		t.Fatal("a refused command is not a change")
+	default:
+	}
+	f.put("a", 0, orderRecord("e1", "a"))
+	<-changed
+}
+
+func TestOldCopyGetsTheWholeConfiguration(t *testing.T) {
+	f := newFixture(t)
+	f.put("keep", 0, orderRecord("e1", "a"))
+	c := f.full()
+	for i := range MaxDeletions + deletionSlack + 2 {
+		server := fmt.Sprintf("s%d", i)
+		version := f.put("p"+server, 0, orderRecord(server, "a")).GetVersion()
+		f.remove("d"+server, OrderKey(server), version)
+	}
+	assert.Equal(t, len(f.state.records), 1+MaxDeletions+1)
+	f.restart()
+	changes := f.state.ChangesSince(c.Version())
+	assert.Assert(t, changes.GetFull())
+	assert.Equal(t, len(changes.GetRecords()), 1)
+	assert.Assert(t, !f.state.ChangesSince(f.state.Version()-1).GetFull())
+}
+
+// TestCopiesFollowTheState merges changes into copies at random times, through
+// restarts, and compares them with the state.
+func TestCopiesFollowTheState(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFixture(t)
+		copies := []*Copy{new(Copy), new(Copy)}
+		steps := rapid.IntRange(1, 40).Draw(rt, "steps")
+		for step := range steps {
+			f.randomChange(rt, fmt.Sprint(step))
+			if rapid.Bool().Draw(rt, "restart") {
+				f.restart()
+			}
+			i := rapid.IntRange(0, len(copies)-1).Draw(rt, "copy")
+			next, err := copies[i].Merge(f.state.ChangesSince(copies[i].Version()))
+			assert.NilError(rt, err)
+			copies[i] = next
+			assert.DeepEqual(rt, keysOf(copies[i].records), f.liveKeys())
+		}
+	})
+}
+
+func (f *fixture) randomChange(rt *rapid.T, id string) {
+	server := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(rt, "server"))
+	current := f.state.Get(OrderKey(server)).GetVersion()
+	switch rapid.IntRange(0, 4).Draw(rt, "operation") {
+	case 0, 1:
+		f.put(id, current, orderRecord(server, id))
+	case 2:
+		f.remove(id, OrderKey(server), current)
+	case 3:
+		f.crash(id, server, rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 3).Draw(rt, "requests")...)
+	case 4:
+		f.clearSuspects(id, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "request"))
+	}
+}
+
+func keysOf(records map[string]*configpb.Record) []string {
+	keys := []string{}
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		keys = append(keys, fmt.Sprintf("%s@%d", key, records[key].GetVersion()))
+	}
+	return keys
+}
+
+func (f *fixture) liveKeys() []string {
+	live := maps.Clone(f.state.records)
+	maps.DeleteFunc(live, func(_ string, r *configpb.Record) bool { return r.GetDeleted() })
+	return keysOf(live)
+}
--- /dev/null
+++ b/internal/config/crash_test.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/configpb"
+)
+
+func TestCrashMakesSuspectsAndQuarantinesTheOneThatDiesAlone(t *testing.T) {
+	f := newFixture(t)
+	f.crash("1", "e1", "innocent", "poison")
+	assert.Assert(t, f.full().Suspected(fingerprint("innocent")))
+	assert.Assert(t, f.full().Suspected(fingerprint("poison")))
+	f.clearSuspects("2", "innocent")
+	f.restart()
+	result := f.crash("3", "e2", "poison")
+	assert.DeepEqual(t, result.GetRecords()[0].GetQuarantine().GetServers(), []string{"e1", "e2"})
+	assert.Assert(t, f.full().Quarantined(fingerprint("poison")))
+	assert.Assert(t, !f.full().Suspected(fingerprint("poison")))
+	assert.Assert(t, !f.full().Quarantined(fingerprint("innocent")))
+	assert.Assert(t, !f.full().Suspected(fingerprint("innocent")))
+}
+
+func TestOneCrashAloneIsNotEnough(t *testing.T) {
+	f := newFixture(t)
+	f.crash("1", "e1", "a")
+	assert.Assert(t, !f.full().Quarantined(fingerprint("a")))
+	f.crash("2", "e2", "a", "b")
+	f.crash("2b", "e2", "a", "b")
+	assert.Assert(t, !f.full().Quarantined(fingerprint("a")))
+	assert.Assert(t, !f.full().Quarantined(fingerprint("b")))
+	f.crash("3", "e3", "a")
+	assert.Assert(t, f.full().Quarantined(fingerprint("a")))
+}
+
+func TestResentCrashReportCountsOnce(t *testing.T) {
+	f := newFixture(t)
+	f.crash("1", "e1", "a")
+	f.crash("1", "e1", "a")
+	assert.Assert(t, !f.full().Quarantined(fingerprint("a")))
+}
+
+func TestQuarantineCanBeLiftedAndPut(t *testing.T) {
+	f := newFixture(t)
+	f.crash("1", "e1", "a")
+	put := &configpb.Record{Value: &configpb.Record_Quarantine{
+		Quarantine: &configpb.Quarantine{Fingerprint: fingerprint("a"), Note: "by hand"},
+	}}
+	version := f.put("2", 0, put).GetVersion()
+	assert.Assert(t, f.full().Quarantined(fingerprint("a")))
+	assert.Assert(t, !f.full().Suspected(fingerprint("a")))
+	f.crash("3", "e2", "a")
+	assert.Assert(t, !f.full().Suspected(fingerprint("a")))
+	f.remove("4", QuarantineKey(fingerprint("a")), version)
+	assert.Assert(t, !f.full().Quarantined(fingerprint("a")))
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	f := newFixture(t)
+	limit := limits[kindSuspect]
+	var requests []string
+	for i := range limit {
+		requests = append(requests, fmt.Sprint(i))
+	}
+	f.crash("first", "e1", "oldest")
+	f.crash("many", "e2", requests...)
+	assert.Equal(t, f.state.counts[kindSuspect], limit)
+	assert.Assert(t, !f.full().Suspected(fingerprint("oldest")))
+}
--- /dev/null
+++ b/internal/config/kinds.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"ibistray.example/ibistray/proto/configpb"
+)
+
+// kind is the first part of a record's key.
+type kind string
+
+const (
+	kindStop       kind = "stop"
+	kindQuarantine kind = "quarantine"
+	kindSuspect    kind = "suspect"
+	kindOrder      kind = "order"
+	kindPlacement  kind = "placement"
+	kindHost       kind = "host"
+)
+
+// limits are the most records of each kind.
+var limits = map[kind]int{
+	kindStop:       1024,
+	kindQuarantine: 4096,
+	kindSuspect:    4096,
+	kindOrder:      16384,
+	kindPlacement:  4096,
+	kindHost:       1024,
+}
+
+// StopKey returns the key of the stop of a backend server, host or failure
+// domain.
+func StopKey(scope configpb.StopScope, name string) string {
+	return string(kindStop) + "/" + scopeNames[scope] + "/" + name
+}
+
+// QuarantineKey returns the key of a request's quarantine.
+func QuarantineKey(fingerprint []byte) string {
+	return string(kindQuarantine) + "/" + hex.EncodeToString(fingerprint)
+}
+
+// SuspectKey returns the key of a request's suspicion.
+func SuspectKey(fingerprint []byte) string {
+	return string(kindSuspect) + "/" + hex.EncodeToString(fingerprint)
+}
+
+// OrderKey returns the key of an engine's order.
+func OrderKey(server string) string {
+	return string(kindOrder) + "/" + server
+}
+
+// PlacementKey returns the key of a shard's placement.
+func PlacementKey(shard uint64) string {
+	return string(kindPlacement) + "/" + strconv.FormatUint(shard, 10)
+}
+
+// HostKey returns the key of a control host.
+func HostKey(address string) string {
+	return string(kindHost) + "/" + address
+}
+
+var scopeNames = map[configpb.StopScope]string{
+	configpb.StopScope_STOP_SCOPE_SERVER:         "server",
+	configpb.StopScope_STOP_SCOPE_HOST:           "host",
+	configpb.StopScope_STOP_SCOPE_FAILURE_DOMAIN: "failure-domain",
+}
+
+// keyOf returns the key that a record's value gives, or "" without a value.
+func keyOf(record *configpb.Record) string {
+	switch v := record.GetValue().(type) {
+	case *configpb.Record_Stop:
+		return StopKey(v.Stop.GetScope(), v.Stop.GetName())
+	case *configpb.Record_Quarantine:
+		return QuarantineKey(v.Quarantine.GetFingerprint())
+	case *configpb.Record_Suspect:
+		return SuspectKey(v.Suspect.GetFingerprint())
+	case *configpb.Record_EngineOrder:
+		return OrderKey(v.EngineOrder.GetServer())
+	case *configpb.Record_Placement:
+		return PlacementKey(v.Placement.GetShard())
+	case *configpb.Record_ControlHost:
+		return HostKey(v.ControlHost.GetAddress())
+	default:
+		return ""
+	}
+}
+
+func kindOf(key string) kind {
+	name, _, _ := strings.Cut(key, "/")
+	return kind(name)
+}
