Add the benchmark in virtual time, first form

Ruled out: a model of network and hosts (the users want no cluster simulator). No bounds and no table yet.

--- /dev/null
+++ b/internal/policybench/variant.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"time"
+
+	"ibistray.example/ibistray/internal/policy/admit"
+	"ibistray.example/ibistray/internal/policy/order"
+	"ibistray.example/ibistray/internal/policy/place"
+	"ibistray.example/ibistray/internal/policy/retain"
+	"ibistray.example/ibistray/internal/policy/retry"
+)
+
+// variant is one row of the table: a set of policies.
+type variant struct {
+	name   string
+	order  order.Policy
+	place  place.Params
+	admit  admit.Policy
+	retain *retain.Policy // nil: the engine's own eviction only
+	retry  retry.Policy
+	budget float64 // share of traffic for retries; 0: no bound
+	// slotShares limits the slots of each customer to its contract share.
+	slotShares bool
+}
+
+// baseline is the order of arrival, the least loaded server and no retention.
+func baseline() variant {
+	return variant{
+		name:  "baseline",
+		place: place.Params{MeanOutputTokens: 200, Choices: 8, IgnorePrefix: true},
+		retry: retry.Policy{MaxRetries: 3, MaxUnknownRetries: 3, BaseDelay: time.Second, MaxDelay: 30 * time.Second},
+	}
+}
+
+const combinedName = "combined"
+
+func combined() variant {
+	keep := retain.DefaultPolicy()
+	return variant{
+		name:   combinedName,
+		order:  order.DefaultPolicy(),
+		place:  place.DefaultParams(),
+		admit:  admit.DefaultPolicy(),
+		retain: &keep,
+		retry:  retry.DefaultPolicy(),
+		budget: 0.1,
+	}
+}
+
+// with returns a copy of v under a new name that change has edited.
+func (v variant) with(name string, change func(v *variant)) variant {
+	v.name = name
+	change(&v)
+	return v
+}
+
+// variants returns the rows of the table, the baseline first.
+func variants() []variant {
+	base, all := baseline(), combined()
+	return []variant{
+		base,
+		base.with("order: priority", func(v *variant) {
+			v.order = order.Policy{Priority: true}
+		}),
+		base.with("order: least attained", func(v *variant) {
+			v.order = order.Policy{LeastAttained: true}
+		}),
+		base.with("order: fair share", func(v *variant) {
+			v.order = order.Policy{FairShare: true}
+		}),
+		base.with("order: default", func(v *variant) { v.order = all.order }),
+		base.with("place: two choices", func(v *variant) { v.place.Choices = 2 }),
+		base.with("place: prefix", func(v *variant) { v.place = all.place }),
+		base.with("retain", func(v *variant) { v.retain = all.retain }),
+		base.with("admit", func(v *variant) { v.admit = all.admit }),
+		base.with("retry", func(v *variant) { v.retry, v.budget = all.retry, all.budget }),
+		base.with("place + retain", func(v *variant) { v.place, v.retain = all.place, all.retain }),
+		all,
+		all.with("combined, age weighted", func(v *variant) { v.order.AgeStep = 5 * time.Second }),
+		all.with("combined, no fair share", func(v *variant) { v.order.FairShare = false }),
+		all.with("combined, no least attained", func(v *variant) { v.order.LeastAttained = false }),
+		all.with("combined, move factor 1", func(v *variant) { v.place.MoveFactor = 1 }),
+		all.with("combined, move factor 4", func(v *variant) { v.place.MoveFactor = 4 }),
+		all.with("combined, 8 choices", func(v *variant) { v.place.Choices = 8 }),
+		all.with("combined, no retention", func(v *variant) { v.retain = nil }),
+		all.with("combined, no admission", func(v *variant) { v.admit = admit.Policy{} }),
+	}
+}
