--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,8 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
+demo: build
+	./bin/demo
+
 clean:
 	rm -rf bin .tools demo-data
