Configuration with leases; requests that crash servers are quarantined

Cause: planned stops, quarantine and their reach had no carrier, and a request that crashes servers was retried on the next one until the retries ran out. Ruled out: a lease of each holder with the group's leader (11,350 exchanges a second at one process at the target size); a rule on the entry alone (a second entry would run the request again). Change: two levels of leases on messages that are sent anyway; a sidecar without a lease refuses new attempts as not run; a change is reported in force once each control process and its holders have it or have been silent for 8 s. A sidecar records the death of its engine before anybody may send the request on; suspects run alone; the sidecar's and the entry's answers carry the quarantine at once.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ibistray.example/ibistray/internal/configlease"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
@@ -25,6 +26,7 @@
 // announcements after a start. It is safe for concurrent use.
 type Directory struct {
 	incarnation string
+	leases      *configlease.Grantor
 
 	mu      sync.Mutex
 	version uint64
@@ -43,10 +45,12 @@
 	version uint64
 }
 
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
+// NewDirectory returns an empty directory that renews the configuration leases
+// of those who announce themselves or read it.
+func NewDirectory(leases *configlease.Grantor) *Directory {
 	return &Directory{
 		incarnation: rand.Text(),
+		leases:      leases,
 		servers:     make(map[string]*record),
 		gone:        make(map[string]goneRecord),
 	}
@@ -58,17 +62,23 @@
 	if a.Server == "" || a.Sidecar == "" || a.Incarnation == "" {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "announcement without server, sidecar or incarnation")
 	}
+	now := time.Now()
+	d.record(a, now)
+	configuration := d.leases.Answer(a.Server+" "+a.Incarnation, a.ConfigurationVersion, now)
+	return &rpcpb.AnnounceResponse{Configuration: configuration}, nil
+}
+
+func (d *Directory) record(a *rpcpb.Announcement, now time.Time) {
 	lease := min(time.Duration(a.LeaseMs)*time.Millisecond, maxLease)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known := d.servers[a.Server]
 	if known != nil && known.announcement.Incarnation == a.Incarnation && known.announcement.Sequence >= a.Sequence {
-		return &rpcpb.AnnounceResponse{}, nil
+		return
 	}
 	d.version++
-	d.servers[a.Server] = &record{announcement: a, expires: time.Now().Add(lease), version: d.version}
+	d.servers[a.Server] = &record{announcement: a, expires: now.Add(lease), version: d.version}
 	delete(d.gone, a.Server)
-	return &rpcpb.AnnounceResponse{}, nil
 }
 
 // sweep removes servers whose lease has run out.
@@ -93,6 +103,12 @@
 // Limit servers, chosen by rendezvous hashing with the viewer's name, and only
 // what changed since the version that the viewer has.
 func (d *Directory) members(_ context.Context, req *rpcpb.MembersRequest) (*rpcpb.MembersResponse, error) {
+	resp := d.read(req)
+	resp.Configuration = d.leases.Answer(req.Viewer, req.ConfigurationVersion, time.Now())
+	return resp, nil
+}
+
+func (d *Directory) read(req *rpcpb.MembersRequest) *rpcpb.MembersResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	full := req.Directory != d.incarnation || req.SinceVersion == 0
@@ -105,7 +121,7 @@
 		}
 	}
 	if full {
-		return resp, nil
+		return resp
 	}
 	for id, g := range d.gone {
 		if g.version > req.SinceVersion {
@@ -113,7 +129,7 @@
 		}
 	}
 	slices.Sort(resp.Gone)
-	return resp, nil
+	return resp
 }
 
 // withRemainingLease returns an announcement that holds as long as it still
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -40,7 +40,7 @@
 	}
 	applied, err := s.groups.Propose(ctx, group, data)
 	if err != nil {
-		return nil, s.groupError(group, err)
+		return nil, groupError(s.groups, group, err)
 	}
 	return responseOf(applied), nil
 }
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -17,7 +17,7 @@
 		return nil, err
 	}
 	if err := s.groups.ReadBarrier(ctx, group); err != nil {
-		return nil, s.groupError(group, err)
+		return nil, groupError(s.groups, group, err)
 	}
 	view, err := state.History(req.Customer, req.Program, req.AfterTurn)
 	if err != nil {
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	if err := s.groups.ReadBarrier(ctx, group); err != nil {
-		return nil, s.groupError(group, err)
+		return nil, groupError(s.groups, group, err)
 	}
 	if req.KeyHash != nil && !state.Authenticated(req.Customer, req.KeyHash) {
 		return nil, transport.Errorf(rpcpb.Code_CODE_UNAUTHENTICATED, "unknown customer or key")
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -26,16 +26,18 @@
 	shards    []*shard.State // by shard; nil where this host has no replica
 	directory *Directory
 	gate      *gate
+	config    *Configuration
 }
 
 // New returns a service over the shards whose replicas are on this host.
-func New(log hclog.Logger, groups replica.Log, shards []*shard.State, directory *Directory) *Service {
+func New(log hclog.Logger, groups replica.Log, shards []*shard.State, configuration *Configuration) *Service {
 	return &Service{
 		log:       log,
 		groups:    groups,
 		shards:    shards,
-		directory: directory,
+		directory: NewDirectory(configuration.grantor),
 		gate:      newGate(),
+		config:    configuration,
 	}
 }
 
@@ -46,6 +48,7 @@
 	server.Handle(transport.MethodShardView, transport.Unary(s.view))
 	server.Handle(transport.MethodDirectoryAnnounce, transport.Unary(s.directory.announce))
 	server.Handle(transport.MethodDirectoryMembers, transport.Unary(s.directory.members))
+	s.config.register(server)
 }
 
 // Run does the periodic work until the context ends.
@@ -53,6 +56,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { every(ctx, directorySweepInterval, func(context.Context) { s.directory.sweep(time.Now()) }) })
 	loops.Go(func() { every(ctx, expireInterval, s.expireShards) })
+	loops.Go(func() { s.config.run(ctx) })
 	loops.Wait()
 }
 
@@ -66,22 +70,22 @@
 	group := placement.GroupOf(index)
 	state := s.shards[index]
 	if state == nil {
-		return nil, 0, s.notLeader(group, "this host has no replica of shard %d", index)
+		return nil, 0, notLeader(s.groups, group, "this host has no replica of shard %d", index)
 	}
 	return state, group, nil
 }
 
-func (s *Service) notLeader(group uint64, format string, args ...any) error {
+func notLeader(groups replica.Log, group uint64, format string, args ...any) error {
 	err := transport.Errorf(rpcpb.Code_CODE_NOT_LEADER, format, args...)
-	err.Leader = s.groups.Leader(group)
+	err.Leader = groups.Leader(group)
 	return err
 }
 
 // groupError turns an error of the replicated log.
-func (s *Service) groupError(group uint64, err error) error {
+func groupError(groups replica.Log, group uint64, err error) error {
 	switch {
 	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrUnknownGroup):
-		return s.notLeader(group, "%s", err)
+		return notLeader(groups, group, "%s", err)
 	case errors.Is(err, replica.ErrStopped):
 		return transport.Errorf(rpcpb.Code_CODE_STOPPING, "%s", err)
 	case errors.Is(err, replica.ErrUnavailable), errors.Is(err, replica.ErrUncertain):
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -19,13 +19,14 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/proto/configpb"
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
 )
 
 const (
 	dialTimeout    = 2 * time.Second
-	requestTimeout = 10 * time.Second
+	requestTimeout = 20 * time.Second
 )
 
 // ErrUnreachable says that no entry answered: the request was not taken, or its
@@ -132,6 +133,30 @@
 	return members, nil
 }
 
+// Configuration returns the records of the configuration and the version that is
+// in force everywhere.
+func (c *Client) Configuration(ctx context.Context) (*rpcpb.ConfigStatus, error) {
+	status := new(rpcpb.ConfigStatus)
+	if err := c.do(ctx, consts.MethodGet, "/admin/v1/configuration", nil, status); err != nil {
+		return nil, err
+	}
+	return status, nil
+}
+
+// Change proposes a change of the configuration and waits until it is in force;
+// InForceVersion is lower than Version when that took too long.
+func (c *Client) Change(ctx context.Context, cmd *configpb.Command) (*rpcpb.ConfigStatus, error) {
+	body, err := protojson.Marshal(cmd)
+	if err != nil {
+		return nil, fmt.Errorf("encode change: %w", err)
+	}
+	status := new(rpcpb.ConfigStatus)
+	if err := c.do(ctx, consts.MethodPost, "/admin/v1/configuration", body, status); err != nil {
+		return nil, err
+	}
+	return status, nil
+}
+
 // do sends a request to the entries in turn until one answers.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, result proto.Message) error {
 	var last error
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -79,6 +79,8 @@
 			contractCommand(),
 			programCommand(),
 			serverCommand(),
+			stopCommand(),
+			quarantineCommand(),
 			keyCommand(),
 			statusCommand(),
 			topCommand(),
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/control"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
@@ -24,7 +25,7 @@
 	service *control.Service
 }
 
-func newControlRole(s *settings.Settings, log hclog.Logger, _ *telemetry.Metrics, _ *transport.Pool) (*controlRole, error) {
+func newControlRole(s *settings.Settings, log hclog.Logger, _ *telemetry.Metrics, pool *transport.Pool) (*controlRole, error) {
 	if err := os.MkdirAll(s.DataDir, dataDirMode); err != nil {
 		return nil, fmt.Errorf("daemon: data folder: %w", err)
 	}
@@ -34,7 +35,19 @@
 		shards[i] = shard.New(shard.NewMemoryBodies())
 		groups[placement.GroupOf(uint32(i))] = shards[i]
 	}
-	return &controlRole{service: control.New(log, replicatest.New(groups), shards, control.NewDirectory())}, nil
+	configState := config.New()
+	groups[placement.ConfigGroup] = configState
+	host := replicatest.New(groups)
+	configuration := control.NewConfiguration(host, configState, pool, s.Listen, addresses(s.ControlPeers))
+	return &controlRole{service: control.New(log, host, shards, configuration)}, nil
+}
+
+func addresses(peers []settings.Peer) []string {
+	list := make([]string, len(peers))
+	for i, p := range peers {
+		list[i] = p.Address
+	}
+	return list
 }
 
 func (r *controlRole) register(server *transport.Server) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,8 +14,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/backend"
+	"ibistray.example/ibistray/internal/configclient"
 	"ibistray.example/ibistray/internal/entry"
 	"ibistray.example/ibistray/internal/httpserver"
+	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/security"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shardclient"
@@ -40,6 +42,8 @@
 	http   *httpserver.Server
 	shards *shardclient.Client
 
+	configuration *configclient.Client
+
 	control *controlRole
 	entry   *entry.Entry
 	sidecar *sidecar.Sidecar
@@ -118,7 +122,9 @@
 	s := d.settings
 	retried := func(reason string) { d.metrics.Retries.WithLabelValues(reason).Inc() }
 	if len(s.Control) > 0 {
-		d.shards = shardclient.New(d.pool, s.Control, s.Shards, retried)
+		leaders := leaderclient.New(d.pool, s.Control, retried)
+		d.shards = shardclient.New(leaders, s.Shards)
+		d.configuration = configclient.New(leaders)
 	}
 	if s.Has(settings.RoleControl) {
 		role, err := newControlRole(s, d.log.Named("control"), d.metrics, d.pool)
@@ -152,7 +158,7 @@
 		MaxOutputTokens: s.MaxOutputTokens,
 		OperatorKeys:    keys,
 	}
-	d.entry = entry.New(cfg, d.log.Named("entry"), d.metrics, d.pool, d.shards)
+	d.entry = entry.New(cfg, d.log.Named("entry"), d.metrics, d.pool, d.shards, d.configuration)
 	d.entry.RegisterCallers(d.http.Hertz)
 	d.entry.RegisterAdmin(d.http.Hertz)
 	return nil
@@ -170,6 +176,7 @@
 	}
 	cfg := sidecar.Config{
 		Server:        s.ServerID,
+		Host:          s.NodeID,
 		Address:       s.Listen,
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
@@ -180,7 +187,7 @@
 		RetainIdle:    s.RetainIdleLimit,
 		Control:       s.Control,
 	}
-	d.sidecar = sidecar.New(cfg, d.log.Named("sidecar"), d.metrics, client, d.shards, d.pool)
+	d.sidecar = sidecar.New(cfg, d.log.Named("sidecar"), d.metrics, client, d.shards, d.configuration, d.pool)
 	d.sidecar.Register(d.server)
 	return nil
 }
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -20,7 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ibistray.example/ibistray/internal/contract"
-	"ibistray.example/ibistray/internal/shardclient"
+	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
@@ -86,6 +86,8 @@
 	admin.PUT("/contracts/:customer", e.applyContract)
 	admin.GET("/programs/:customer", e.listPrograms)
 	admin.GET("/servers", e.listServers)
+	admin.GET("/configuration", e.showConfiguration)
+	admin.POST("/configuration", e.changeConfiguration)
 }
 
 func (e *Entry) requireOperator(ctx context.Context, rc *app.RequestContext) {
@@ -166,7 +168,7 @@
 		answered++
 	}
 	if answered == 0 {
-		e.refuse(rc, viewFailure(shardclient.ErrUnavailable))
+		e.refuse(rc, viewFailure(leaderclient.ErrUnavailable))
 		return
 	}
 	writeProto(rc, consts.StatusOK, all)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -84,6 +84,7 @@
 		Repeatable:          c.record.Repeatable,
 		AttainedTokens:      c.record.AttainedTokens,
 		EngineSharePermille: c.record.EngineSharePermille,
+		Alone:               c.mustRunAlone(),
 	}
 }
 
@@ -208,6 +209,10 @@
 		return c.loadHistory(ctx)
 	case rpcpb.RunRefusal_RUN_REFUSAL_FENCED:
 		return c.reload(ctx)
+	case rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DIED:
+		c.suspect = true
+	case rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED:
+		c.entry.recent.add(c.req.Fingerprint, time.Now())
 	}
 	failure := retry.Failure{
 		Kind:       refusalKind(r),
@@ -231,6 +236,7 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_CANCELLED:           retry.KindConnectionLost,
 	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: retry.KindStaleConfiguration,
 	rpcpb.RunRefusal_RUN_REFUSAL_BAD_ANSWER:          retry.KindBadAnswer,
+	rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED:         retry.KindQuarantined,
 }
 
 func refusalKind(r *rpcpb.RunRefused) retry.Kind {
@@ -252,6 +258,9 @@
 		f.Status = statusTimeout
 		f.Reason = reasonDeadlineExceeded
 	}
+	if r.Reason == rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED {
+		return quarantinedFailure()
+	}
 	if r.Status >= statusBadRequest {
 		f.Status = int(r.Status)
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -41,6 +41,7 @@
 	answer   *shardpb.Answer
 	stream   *transport.Stream // of an answer that is not acknowledged yet
 
+	suspect        bool // a backend server died while the call ran
 	retries        int
 	unknownRetries int
 	attachTries    int
@@ -188,6 +189,9 @@
 
 // dispatch chooses a server and records the next attempt before it is sent.
 func (c *call) dispatch(ctx context.Context) callTrigger {
+	if c.quarantined() {
+		return c.giveUp(quarantinedFailure())
+	}
 	target, err := c.choose(c.placeRequest())
 	if err != nil {
 		return c.retryOrGiveUp(ctx, retry.Failure{Kind: retry.KindConnect, NotRun: true, Err: c.noServer(err)}, "")
@@ -216,6 +220,7 @@
 	req := place.Request{
 		Program:      c.programName(),
 		PromptTokens: int64(c.record.HistoryTokens + c.req.InputTokens),
+		Alone:        c.mustRunAlone(),
 	}
 	if last := c.record.LastTarget; last != nil && c.record.HistoryTokens > 0 {
 		req.CachedOn = last.Server
@@ -224,6 +229,25 @@
 	return req
 }
 
+// mustRunAlone reports whether the call is suspected of crashing servers, by what
+// this entry saw or by the configuration, which lags.
+func (c *call) mustRunAlone() bool {
+	return c.suspect || c.entry.members.holder.View().Suspect(c.req.Fingerprint)
+}
+
+func (c *call) quarantined() bool {
+	return c.entry.members.holder.View().Quarantined(c.req.Fingerprint) ||
+		c.entry.recent.has(c.req.Fingerprint, time.Now())
+}
+
+func quarantinedFailure() *Failure {
+	return &Failure{
+		Status:  statusUnprocessable,
+		Reason:  reasonQuarantined,
+		Message: "backend servers died while this request ran; it is not run any more",
+	}
+}
+
 const reloadPause = 50 * time.Millisecond
 
 // reload reads the record again after someone else changed it.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/configclient"
 	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -43,9 +44,11 @@
 	metrics *telemetry.Metrics
 	pool    *transport.Pool
 	shards  *shardclient.Client
+	config  *configclient.Client
 	members *membership
 	retries retry.Policy
 	budget  *retry.Budget
+	recent  *recentQuarantine
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -53,16 +56,18 @@
 }
 
 // New returns an entry that has not been started.
-func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool *transport.Pool, shards *shardclient.Client) *Entry {
+func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool *transport.Pool, shards *shardclient.Client, configuration *configclient.Client) *Entry {
 	return &Entry{
 		cfg:     cfg,
 		log:     log,
 		metrics: metrics,
 		pool:    pool,
 		shards:  shards,
+		config:  configuration,
 		members: newMembership(pool, cfg.Control, cfg.Name, metrics),
 		retries: retry.DefaultPolicy(),
 		budget:  retry.NewBudget(retryShare, retryBurst),
+		recent:  newRecentQuarantine(),
 	}
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/blackboard"
+	"ibistray.example/ibistray/internal/configlease"
 	"ibistray.example/ibistray/internal/policy/place"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -46,6 +47,7 @@
 	metrics *telemetry.Metrics
 	start   time.Time
 	cell    *blackboard.Cell[*servers]
+	holder  *configlease.Holder
 
 	// Used by the refresh loop only.
 	current   int // index in control
@@ -62,6 +64,7 @@
 		metrics: metrics,
 		start:   time.Now(),
 		cell:    blackboard.NewCell(empty),
+		holder:  configlease.NewHolder(),
 		current: rand.IntN(len(control)),
 	}
 }
@@ -75,9 +78,14 @@
 // does not answer.
 func (m *membership) refresh(ctx context.Context) {
 	for range m.control {
+		sent := time.Now()
 		resp, err := m.read(ctx, m.control[m.current])
 		if err == nil {
 			m.apply(resp)
+			m.holder.Renew(resp.Configuration, sent)
+		}
+		if err == nil && resp.Configuration.GetFresh() {
+			m.metrics.LeaseRemaining.Set(m.holder.Remaining(time.Now()).Seconds())
 			return
 		}
 		m.metrics.Retries.WithLabelValues("directory_unreachable").Inc()
@@ -93,6 +101,8 @@
 		SinceVersion: m.version,
 		Viewer:       m.viewer,
 		Limit:        membersLimit,
+
+		ConfigurationVersion: m.holder.View().Version,
 	}
 	resp := new(rpcpb.MembersResponse)
 	if err := m.pool.Call(ctx, address, transport.MethodDirectoryMembers, req, resp); err != nil {
--- /dev/null
+++ b/internal/leaderclient/client.go
@@ -0,0 +1,147 @@
+// Package leaderclient finds the leader of a group among the control processes
+// and sends requests to it.
+package leaderclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+// Errors of this package.
+var (
+	// ErrUnavailable says that no leader answered before the context ended.
+	// The request may or may not have been applied.
+	ErrUnavailable = errors.New("leaderclient: no leader answered")
+	// ErrRejected says that the leader could not take the request: sending it
+	// again does not help.
+	ErrRejected = errors.New("leaderclient: request rejected")
+)
+
+const (
+	backoffBase = 10 * time.Millisecond
+	backoffMax  = 400 * time.Millisecond
+	// attemptTimeout bounds one exchange, beyond the wait that it asks for, so
+	// that a silent leader does not use up the caller's whole time.
+	attemptTimeout = 2 * time.Second
+)
+
+// Client sends requests to leaders. It is safe for concurrent use.
+type Client struct {
+	pool      *transport.Pool
+	addresses []string
+	onRetry   func(reason string)
+}
+
+// New returns a client of the control processes at addresses. onRetry is called
+// with a reason for each exchange that is made again.
+func New(pool *transport.Pool, addresses []string, onRetry func(reason string)) *Client {
+	return &Client{pool: pool, addresses: addresses, onRetry: onRetry}
+}
+
+// Leader remembers who led a group last. The zero value knows nobody.
+type Leader struct {
+	address atomic.Pointer[string]
+}
+
+// Call sends an idempotent request to the group's leader: the known one first,
+// then the other control processes in turn, with jittered backoff, until one
+// answers or the context ends. wait is added to the time of one exchange.
+// Errors: ErrUnavailable, ErrRejected.
+func (c *Client) Call(ctx context.Context, leader *Leader, method string, wait time.Duration, req, resp proto.Message) error {
+	next := rand.IntN(len(c.addresses))
+	for try := 0; ; try++ {
+		address := c.addresses[next]
+		if known := leader.address.Load(); known != nil {
+			address = *known
+		}
+		err := c.exchange(ctx, address, method, wait, req, resp)
+		if err == nil {
+			leader.address.Store(&address)
+			return nil
+		}
+		reason, again := retryReason(err)
+		if !again {
+			return fmt.Errorf("%w: %s: %w", ErrRejected, method, err)
+		}
+		hinted := leader.follow(err)
+		next = (next + 1) % len(c.addresses)
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		c.onRetry(reason)
+		if hinted && try < len(c.addresses) {
+			continue
+		}
+		if !sleep(ctx, backoff(try)) {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+	}
+}
+
+func (c *Client) exchange(ctx context.Context, address, method string, wait time.Duration, req, resp proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
+	defer cancel()
+	return c.pool.Call(ctx, address, method, req, resp)
+}
+
+// follow remembers the leader that a peer named and reports whether it did.
+func (l *Leader) follow(err error) bool {
+	var reported *transport.Error
+	if errors.As(err, &reported) && reported.Leader != "" {
+		l.address.Store(&reported.Leader)
+		return true
+	}
+	l.address.Store(nil)
+	return false
+}
+
+// retryReason names why an exchange may be made again.
+func retryReason(err error) (string, bool) {
+	var reported *transport.Error
+	if !errors.As(err, &reported) {
+		switch {
+		case errors.Is(err, transport.ErrUnreachable):
+			return "control_unreachable", true
+		case errors.Is(err, transport.ErrBroken):
+			return "control_broken", true
+		default:
+			return "", false
+		}
+	}
+	switch reported.Code {
+	case rpcpb.Code_CODE_NOT_LEADER:
+		return "not_leader", true
+	case rpcpb.Code_CODE_UNAVAILABLE, rpcpb.Code_CODE_STOPPING:
+		return "control_unavailable", true
+	case rpcpb.Code_CODE_TIMEOUT:
+		return "control_timeout", true
+	default:
+		return "", false
+	}
+}
+
+// backoff returns a delay with full jitter.
+func backoff(try int) time.Duration {
+	ceiling := min(backoffBase<<min(try, 10), backoffMax)
+	return rand.N(ceiling) + time.Millisecond
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/policy/order/policy.go
+++ b/internal/policy/order/policy.go
@@ -20,6 +20,7 @@
 	Cost     uint64        // expected tokens of this call; 0 counts as 1
 	Arrived  time.Duration // when the call began to wait
 	Deadline time.Duration // the call must not start at or after it; 0: none
+	Alone    bool          // must run with nothing else; for the eligible function of PopIf
 }
 
 // Policy selects the rules that rank waiting calls, each tried in the order of
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -59,19 +59,22 @@
 	var exchanges sync.WaitGroup
 	for _, address := range s.cfg.Control {
 		exchanges.Go(func() {
+			sent := time.Now()
 			resp := new(rpcpb.AnnounceResponse)
 			if err := s.tell(ctx, address, msg, resp); err != nil {
 				s.log.Debug("announcement failed", "control", address, "error", err)
 				return
 			}
 			accepted.Store(true)
-			s.obey(resp)
+			s.holder.Renew(resp.Configuration, sent)
 		})
 	}
 	exchanges.Wait()
 	if !accepted.Load() {
 		s.metrics.AnnounceErrors.Inc()
 	}
+	s.metrics.LeaseRemaining.Set(s.holder.Remaining(time.Now()).Seconds())
+	s.followStops()
 }
 
 func (s *Sidecar) tell(ctx context.Context, address string, msg *rpcpb.Announcement, resp *rpcpb.AnnounceResponse) error {
@@ -80,11 +83,17 @@
 	return s.pool.Call(ctx, address, transport.MethodDirectoryAnnounce, msg, resp)
 }
 
-// obey follows a planned stop that names this server.
-func (s *Sidecar) obey(resp *rpcpb.AnnounceResponse) {
-	if resp.Stop {
+// followStops leaves when a planned stop names this server, and returns when it
+// was lifted, unless the process itself is stopping.
+func (s *Sidecar) followStops() {
+	if s.stopping.Load() {
+		return
+	}
+	if s.holder.View().Stopped(s.cfg.Server, s.cfg.Host, s.cfg.FailureDomain) {
 		s.lifecycle.fire(triggerLeave)
+		return
 	}
+	s.lifecycle.fire(triggerReturn)
 }
 
 func (s *Sidecar) announcement() *rpcpb.Announcement {
@@ -101,6 +110,8 @@
 		Sequence:      s.sequence.Add(1),
 		Load:          s.currentLoad(),
 		LeaseMs:       announceLease.Milliseconds(),
+
+		ConfigurationVersion: s.holder.View().Version,
 	}
 }
 
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -45,6 +45,7 @@
 type attempt struct {
 	id      callID
 	request *rpcpb.RunRequest
+	alone   bool // suspected of crashing servers: runs with nothing else
 
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced on each change
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -30,21 +30,59 @@
 		return
 	}
 	chat.RequestID = requestID(a)
+	group := s.crashes.join(a)
+	defer group.leave(a)
+	usage, err := s.chat(ctx, a, chat)
+	if err != nil {
+		a.fail(s.modelFailure(ctx, a, group, err))
+		return
+	}
+	s.finishModel(a, usage)
+}
+
+// chat runs the call on the engine and reads its output to the end.
+func (s *Sidecar) chat(ctx context.Context, a *attempt, chat *backend.ChatRequest) (*backend.Usage, error) {
 	stream, err := s.backend.Chat(ctx, chat)
 	if errors.Is(err, backend.ErrBroken) {
 		stream, err = s.resume(ctx, a, err)
 	}
 	if err != nil {
-		a.fail(serverFailure(ctx, err))
-		return
+		return nil, err
 	}
 	usage, err := s.read(ctx, a, stream)
 	if err != nil {
 		s.cancelRequest(chat.RequestID)
-		a.fail(serverFailure(ctx, err))
-		return
 	}
-	s.finishModel(a, usage)
+	return usage, err
+}
+
+// modelFailure turns an error of the engine. When the engine died, the death is
+// on record before anybody can send the request to another server.
+func (s *Sidecar) modelFailure(ctx context.Context, a *attempt, group *crashGroup, err error) *rpcpb.RunRefused {
+	refused := serverFailure(ctx, err)
+	if refused.Reason != rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DIED {
+		return refused
+	}
+	if !s.engineDied(err) {
+		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_SERVER_ERROR
+		return refused
+	}
+	s.log.Warn("engine died", "running", group.size(), "request", requestID(a))
+	if group.report(a.request.Fingerprint) {
+		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED
+	}
+	return refused
+}
+
+// engineDied reports whether the engine that ran a request is gone: it does not
+// answer, or it has been started anew and does not know the request.
+func (s *Sidecar) engineDied(err error) bool {
+	if errors.Is(err, backend.ErrUnknownRequest) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return s.backend.Health(ctx) != nil
 }
 
 func (s *Sidecar) chatRequest(req *rpcpb.RunRequest) (*backend.ChatRequest, error) {
@@ -131,7 +169,10 @@
 		if err == nil {
 			return stream, nil
 		}
-		if errors.Is(err, backend.ErrUnknownRequest) || ctx.Err() != nil {
+		if errors.Is(err, backend.ErrUnknownRequest) {
+			return nil, fmt.Errorf("%w: %w", err, cause)
+		}
+		if ctx.Err() != nil {
 			return nil, cause
 		}
 		if !sleep(ctx, resumeInterval) {
@@ -151,6 +192,9 @@
 	digest := sha256.Sum256(body)
 	cached := usage.PromptDetails.CachedTokens
 	s.countUsage(a, usage)
+	if a.alone {
+		s.clearSuspect(a)
+	}
 	a.finish(&shardpb.Answer{
 		Body: body,
 		Usage: &shardpb.Usage{
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -32,11 +32,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	a.onStop(cancel)
-	if !s.slots.acquire(ctx, a.request) {
+	if !s.slots.acquire(ctx, a) {
 		a.fail(refusal(waitRefusal(a), true, "the attempt was still waiting for the backend server"))
 		return
 	}
-	defer s.slots.release()
+	defer s.slots.release(a)
 	switch a.request.Kind {
 	case shardpb.CallKind_CALL_KIND_SERVICE:
 		s.runService(ctx, a)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -36,6 +36,7 @@
 		return s.refuse(stream, admitted.refused)
 	}
 	if admitted.started {
+		admitted.attempt.alone = req.Alone || s.holder.View().Suspect(req.Fingerprint)
 		s.start(admitted.attempt)
 	}
 	return s.follow(ctx, stream, admitted.attempt, req.Offset)
@@ -52,6 +53,12 @@
 // mayStart says why a new attempt is refused, or nil. It is called with the
 // table of attempts locked.
 func (s *Sidecar) mayStart(req *rpcpb.RunRequest) *rpcpb.RunRefused {
+	if !s.holder.Valid(time.Now()) {
+		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION, true, "the sidecar's configuration lease has run out")
+	}
+	if s.holder.View().Quarantined(req.Fingerprint) {
+		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED, true, "the request is known to crash backend servers")
+	}
 	if s.lifecycle.state() != stateReady {
 		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_LEAVING, true, "the backend server is leaving")
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/backend"
+	"ibistray.example/ibistray/internal/configclient"
+	"ibistray.example/ibistray/internal/configlease"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -27,6 +29,7 @@
 // Config is what a sidecar needs to know of its server.
 type Config struct {
 	Server        string // backend server ID
+	Host          string // name that planned stops use for the host
 	Address       string // of this sidecar
 	Region        string
 	FailureDomain string
@@ -46,6 +49,7 @@
 	metrics     *telemetry.Metrics
 	backend     *backend.Client
 	shards      *shardclient.Client
+	config      *configclient.Client
 	pool        *transport.Pool
 
 	attempts  *attempts
@@ -53,6 +57,9 @@
 	slots     *slots
 	holds     *holds
 	lifecycle *lifecycle
+	holder    *configlease.Holder
+	crashes   *crashWatch
+	stopping  atomic.Bool
 	load      atomic.Pointer[rpcpb.Load]
 	healthy   atomic.Bool
 	sequence  atomic.Uint64
@@ -61,7 +68,7 @@
 }
 
 // New returns a sidecar that has not been started.
-func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, client *backend.Client, shards *shardclient.Client, pool *transport.Pool) *Sidecar {
+func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, client *backend.Client, shards *shardclient.Client, configuration *configclient.Client, pool *transport.Pool) *Sidecar {
 	s := &Sidecar{
 		cfg:         cfg,
 		incarnation: rand.Text(),
@@ -69,13 +76,16 @@
 		metrics:     metrics,
 		backend:     client,
 		shards:      shards,
+		config:      configuration,
 		pool:        pool,
 		attempts:    newAttempts(),
 		programs:    newProgramTexts(),
 		slots:       newSlots(cfg.MaxRunning),
 		holds:       newHolds(),
+		holder:      configlease.NewHolder(),
 	}
 	s.lifecycle = newLifecycle(s.log)
+	s.crashes = newCrashWatch(s.reportCrash)
 	return s
 }
 
@@ -109,6 +119,7 @@
 // Drain refuses new work from now on and returns when each running attempt has
 // ended and its answer is durable, or the context ends.
 func (s *Sidecar) Drain(ctx context.Context) error {
+	s.stopping.Store(true)
 	s.lifecycle.fire(triggerLeave)
 	s.announce(ctx)
 	done := make(chan struct{})
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -18,10 +18,13 @@
 
 	mu      sync.Mutex
 	running int
+	alone   int // waiting attempts that must run alone
 	queue   *order.Queue[*waiter]
+	holder  *waiter // attempt that runs alone now, or nil
 }
 
 type waiter struct {
+	alone   bool
 	granted chan bool // true: a slot is held; false: the wait ended without one
 }
 
@@ -36,9 +39,9 @@
 // acquire waits for a slot and reports whether it got one. It returns false
 // when the context ends, or at once when the queue is full or a call of higher
 // priority takes the place.
-func (s *slots) acquire(ctx context.Context, req *rpcpb.RunRequest) bool {
-	w := &waiter{granted: make(chan bool, 1)}
-	call := s.describe(req)
+func (s *slots) acquire(ctx context.Context, a *attempt) bool {
+	w := &waiter{alone: a.alone, granted: make(chan bool, 1)}
+	call := s.describe(a.request, a.alone)
 	if !s.enqueue(call, w) {
 		return false
 	}
@@ -50,7 +53,7 @@
 	}
 }
 
-func (s *slots) describe(req *rpcpb.RunRequest) order.Call {
+func (s *slots) describe(req *rpcpb.RunRequest, alone bool) order.Call {
 	id := callIDOf(req.Key)
 	return order.Call{
 		ID:       id.programID().String() + "/" + id.call + "#" + strconv.FormatUint(req.Attempt, 10),
@@ -61,6 +64,7 @@
 		Attained: req.AttainedTokens,
 		Cost:     req.MaxOutputTokens,
 		Arrived:  time.Since(s.start),
+		Alone:    alone,
 	}
 }
 
@@ -71,7 +75,11 @@
 	if err != nil {
 		return false
 	}
+	if w.alone {
+		s.alone++
+	}
 	if shed != nil {
+		s.forget(shed.Value)
 		shed.Value.granted <- false
 	}
 	s.grant()
@@ -85,31 +93,59 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, waiting := s.queue.Remove(id); waiting {
+		s.forget(w)
+		s.grant()
 		return false
 	}
 	return <-w.granted
 }
 
+// forget counts out an attempt that no longer waits. The caller holds mu.
+func (s *slots) forget(w *waiter) {
+	if w.alone {
+		s.alone--
+	}
+}
+
 // release gives a slot back.
-func (s *slots) release() {
+func (s *slots) release(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	if a.alone {
+		s.holder = nil
+	}
 	s.grant()
 }
 
-// grant hands free slots to the next calls. The caller holds mu.
+// grant hands free slots to the next calls. While an attempt that must run
+// alone waits, nothing else is started, so that the server becomes free for it.
+// The caller holds mu.
 func (s *slots) grant() {
-	for s.running < s.limit {
-		item, ok := s.queue.Pop(time.Since(s.start))
+	for s.running < s.limit && s.holder == nil {
+		if s.alone > 0 && s.running > 0 {
+			return
+		}
+		item, ok := s.next()
 		if !ok {
 			return
 		}
 		s.running++
+		if item.Value.alone {
+			s.holder = item.Value
+		}
+		s.forget(item.Value)
 		item.Value.granted <- true
 	}
 }
 
+func (s *slots) next() (order.Item[*waiter], bool) {
+	mustBeAlone := s.alone > 0
+	return s.queue.PopIf(time.Since(s.start), func(c *order.Call) bool {
+		return !mustBeAlone || c.Alone
+	})
+}
+
 // hasRoom reports whether another call may wait. A call of a higher priority
 // than a waiting one may be taken all the same by enqueue.
 func (s *slots) hasRoom() bool {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -23,7 +23,7 @@
 	RunningCalls   prometheus.Gauge         // calls in progress in this process
 	WaitingCalls   prometheus.Gauge         // calls waiting for a slot of a backend server
 	Servers        *prometheus.GaugeVec     // backend servers in the view, by state
-	LeaseAge       prometheus.Gauge         // seconds since the configuration lease was renewed
+	LeaseRemaining prometheus.Gauge         // seconds that the configuration lease still holds
 	ReleasedHolds  *prometheus.CounterVec   // by reason: engine memory released
 	AnnounceErrors prometheus.Counter       // announcements that no control process took
 }
@@ -45,14 +45,14 @@
 		RunningCalls:   gauge("running_calls", "Calls in progress in this process."),
 		WaitingCalls:   gauge("waiting_calls", "Calls waiting for a slot of a backend server."),
 		Servers:        gaugeVec("servers", "Backend servers in the view of this process, by state.", "state"),
-		LeaseAge:       gauge("configuration_lease_age_seconds", "Seconds since the configuration lease was renewed."),
+		LeaseRemaining: gauge("configuration_lease_remaining_seconds", "Seconds that the configuration lease still holds, negative after its end."),
 		ReleasedHolds:  counterVec("released_holds_total", "Programs whose engine memory was released, by reason.", "reason"),
 		AnnounceErrors: counter("announce_errors_total", "Announcements that no control process accepted."),
 	}
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstSeconds,
 		m.PromptTokens, m.CachedTokens, m.OutputTokens, m.WastedTokens,
-		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseAge, m.ReleasedHolds, m.AnnounceErrors,
+		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
