--- /dev/null
+++ b/internal/raft/append.go
@@ -0,0 +1,186 @@
+package raft
+
+import "ibistray.example/ibistray/proto/raftpb"
+
+// flush queues the appends that are due to the members.
+func (n *Node) flush() {
+	if n.role != RoleLeader {
+		return
+	}
+	for _, p := range n.peers {
+		n.flushTo(p)
+	}
+	n.sendTimeoutNow()
+}
+
+func (n *Node) flushTo(p *progress) {
+	if p.lostState {
+		return
+	}
+	switch p.state {
+	case stateProbe:
+		if !p.probeSent {
+			n.sendAppend(p)
+		}
+	case stateReplicate:
+		for p.next <= n.log.last() && len(p.inflight) < n.cfg.MaxInflight && p.state == stateReplicate {
+			n.sendAppend(p)
+		}
+	}
+}
+
+// sendAppend sends the next entries, possibly none, or a snapshot if the log no
+// longer reaches back far enough.
+func (n *Node) sendAppend(p *progress) {
+	prev := p.next - 1
+	prevTerm, ok := n.log.term(prev)
+	if !ok {
+		n.sendSnapshot(p)
+		return
+	}
+	entries := n.log.batch(p.next, n.cfg.MaxEntriesPerMessage, n.cfg.MaxBytesPerMessage)
+	n.send(&raftpb.Message{
+		Kind:    raftpb.MessageKind_MESSAGE_KIND_APPEND,
+		To:      p.id,
+		Index:   prev,
+		LogTerm: prevTerm,
+		Commit:  n.log.commit,
+		Entries: entries,
+		Context: uint64(n.round),
+	})
+	p.sent(prev+uint64(len(entries)), n.round)
+}
+
+// followLeader records that the leader of the current term was heard.
+func (n *Node) followLeader(m *raftpb.Message) {
+	if n.role != RoleFollower || n.leader != m.From {
+		n.becomeFollower(n.term, m.From)
+	}
+	n.sinceLeader = 0
+	n.electionElapsed = 0
+	n.quiesced = false
+	n.leaderRound = max(n.leaderRound, round(m.Context))
+}
+
+func (n *Node) handleAppend(m *raftpb.Message) {
+	n.followLeader(m)
+	prev, prevTerm, entries := m.Index, m.LogTerm, m.Entries
+	if prev < n.log.commit {
+		// Committed entries are equal on both sides: start behind them.
+		known := n.log.commit - prev
+		if known >= uint64(len(entries)) {
+			n.acceptAppend(m, n.log.commit)
+			return
+		}
+		entries = entries[known:]
+		prev = n.log.commit
+		prevTerm, _ = n.log.term(prev)
+	}
+	if !n.log.matches(prev, prevTerm) {
+		n.rejectAppend(m)
+		return
+	}
+	last := prev + uint64(len(entries))
+	n.storeEntries(n.log.newEntries(entries))
+	n.log.commitTo(min(m.Commit, last))
+	n.acceptAppend(m, last)
+}
+
+// storeEntries replaces the end of the log by entries of the leader.
+func (n *Node) storeEntries(entries []*raftpb.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	n.log.truncate(entries[0].Index)
+	n.truncateConfigs(entries[0].Index)
+	n.log.append(entries...)
+	if err := n.adoptConfigs(entries); err != nil {
+		panic(err) // Step has checked the entries
+	}
+}
+
+// acceptAppend acknowledges the log up to index once it is durable.
+func (n *Node) acceptAppend(m *raftpb.Message, index uint64) {
+	n.send(&raftpb.Message{
+		Kind:    raftpb.MessageKind_MESSAGE_KIND_APPEND_REPLY,
+		To:      m.From,
+		Index:   index,
+		Context: m.Context,
+	})
+}
+
+// rejectAppend names the last entry on which the two logs may agree.
+func (n *Node) rejectAppend(m *raftpb.Message) {
+	hint, hintTerm := n.log.conflictHint(m.Index, m.LogTerm)
+	n.send(&raftpb.Message{
+		Kind:       raftpb.MessageKind_MESSAGE_KIND_APPEND_REPLY,
+		To:         m.From,
+		Reject:     true,
+		Index:      m.Index,
+		RejectHint: hint,
+		LogTerm:    hintTerm,
+		Context:    m.Context,
+	})
+}
+
+func (n *Node) handleAppendReply(m *raftpb.Message) {
+	p := n.peer(m.From)
+	if n.role != RoleLeader || p == nil || p.lostState {
+		return
+	}
+	p.ack(round(m.Context))
+	switch {
+	case m.Reject:
+		n.handleReject(p, m)
+	case m.Index <= n.log.last():
+		n.handleAccept(p, m.Index)
+	}
+	n.releaseReads()
+}
+
+func (n *Node) handleAccept(p *progress, index uint64) {
+	p.raiseMatch(index, n.round)
+	switch {
+	case p.state == stateProbe:
+		p.becomeReplicate()
+	case p.state == stateSnapshot && p.match+1 >= n.log.first():
+		p.becomeReplicate()
+	}
+	n.maybeCommit()
+}
+
+// handleReject steps back to the last entry on which the logs may agree.
+func (n *Node) handleReject(p *progress, m *raftpb.Message) {
+	switch p.state {
+	case stateSnapshot:
+		return
+	case stateReplicate:
+		if m.Index <= p.match {
+			return
+		}
+	case stateProbe:
+		if m.Index != p.next-1 {
+			return
+		}
+	}
+	agreed, _ := n.log.conflictHint(m.RejectHint, m.LogTerm)
+	if m.RejectHint < n.log.baseIndex {
+		agreed = m.RejectHint
+	}
+	agreed = min(agreed, m.Index-1)
+	p.becomeProbe(max(agreed, p.match) + 1)
+}
+
+// maybeCommit raises the commit index to the highest entry of this term that a
+// quorum holds durably.
+func (n *Node) maybeCommit() {
+	index := n.quorumValue(n.log.stable, func(p *progress) uint64 { return p.match })
+	if index <= n.log.commit {
+		return
+	}
+	if term, _ := n.log.term(index); term != n.term {
+		return
+	}
+	n.log.commitTo(index)
+	n.resignIfRemoved()
+}
--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -32,6 +32,9 @@
 	ErrLearnerBehind = errors.New("raft: learner has not caught up")
 	// ErrRemoveLeader reports that the leader was asked to remove itself.
 	ErrRemoveLeader = errors.New("raft: leader cannot remove itself")
+	// ErrQuorumAtRisk reports that too few voters of the changed membership
+	// answer at present to form a quorum.
+	ErrQuorumAtRisk = errors.New("raft: change would leave the group without a quorum")
 	// ErrInvalidTarget reports a transfer target that is not another voter.
 	ErrInvalidTarget = errors.New("raft: transfer target is not another voter")
 	// ErrWrongReplica reports a message for another group or replica ID.
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -1,129 +1,313 @@
 package raft
 
-import "ibistray.example/ibistray/proto/raftpb"
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"ibistray.example/ibistray/proto/raftpb"
+)
 
 // Node is one replica of one group. It is not safe for concurrent use.
 type Node struct {
 	cfg Config
+	rng rand.PCG
+
+	// Durable state and what is known of its persistence.
+	term      uint64
+	vote      uint64
+	savedTerm uint64            // term reported durable
+	handed    *raftpb.HardState // last HardState handed out
+	log       entryLog
+	snapshot  *raftpb.SnapshotMeta
+	configs   []configAt // memberships in the log, oldest first, never empty
+
+	// Volatile state of every role. Times are counts of ticks.
+	role            Role
+	leader          uint64
+	tick            uint64 // ticks since the start, from 1 on
+	electionElapsed int    // since the election timer was reset
+	electionTimeout int    // drawn at each reset
+	sinceLeader     int    // since a leader was heard, or since the start
+	leaderRound     round  // latest round heard from the leader of this term
+	quiesced        bool
+
+	// Candidates.
+	ballots []ballot
+
+	// Leader.
+	peers       []*progress // other members, in order of ID
+	termStart   uint64      // index of the first entry of the term
+	leaderSince uint64      // tick at which leadership began or the group woke
+	lastActive  uint64      // tick of the last request
+	round       round       // latest heartbeat round
+	roundCommit uint64      // commit index when the latest round began
+	reads       []pendingRead
+	transfer    transfer
+
+	// Output since the last Ready.
+	softState  SoftState // last one handed out
+	install    *raftpb.SnapshotMeta
+	messages   []*raftpb.Message
+	afterSync  []*raftpb.Message
+	readStates []ReadState
 }
 
 // New returns the replica as a follower. It returns ErrConfig if the
 // configuration or the state is not consistent.
-func New(cfg Config, initial InitialState) (*Node, error) { panic("not built yet") }
+func New(cfg Config, initial InitialState) (*Node, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, tick: 1}
+	n.rng.Seed(cfg.Seed, cfg.ID)
+	if err := n.load(initial); err != nil {
+		return nil, err
+	}
+	n.becomeFollower(n.term, 0)
+	n.softState = n.currentSoftState()
+	return n, nil
+}
+
+// load takes in the state found on disk.
+func (n *Node) load(initial InitialState) error {
+	n.snapshot = initial.Snapshot
+	if n.snapshot == nil {
+		n.snapshot = &raftpb.SnapshotMeta{}
+	}
+	entries := initial.Entries
+	for len(entries) > 0 && entries[0].Index <= n.snapshot.Index {
+		entries = entries[1:]
+	}
+	if err := checkContiguous(entries, n.snapshot.Index+1); err != nil {
+		return fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	n.log = newEntryLog(n.snapshot, entries)
+	if err := n.loadHardState(initial.HardState); err != nil {
+		return err
+	}
+	n.log.applied = max(initial.Applied, n.snapshot.Index)
+	n.log.released = n.log.applied
+	if n.log.applied > n.log.commit {
+		return fmt.Errorf("%w: applied index %d is beyond the commit index %d", ErrConfig, n.log.applied, n.log.commit)
+	}
+	n.configs = []configAt{{index: n.snapshot.Index, membership: membership{normalize(n.snapshot.Membership)}}}
+	return n.adoptConfigs(entries)
+}
+
+func (n *Node) loadHardState(hs *raftpb.HardState) error {
+	n.handed = &raftpb.HardState{Term: hs.GetTerm(), Vote: hs.GetVote(), Commit: hs.GetCommit()}
+	n.term, n.vote, n.savedTerm = hs.GetTerm(), hs.GetVote(), hs.GetTerm()
+	if hs.GetCommit() > n.log.last() {
+		return fmt.Errorf("%w: commit index %d is beyond the last entry %d", ErrConfig, hs.GetCommit(), n.log.last())
+	}
+	if n.log.lastTerm() > n.term {
+		return fmt.Errorf("%w: last entry has term %d, hard state has term %d", ErrConfig, n.log.lastTerm(), n.term)
+	}
+	n.log.commitTo(hs.GetCommit())
+	return nil
+}
 
 // Tick advances the replica's time by one tick. It does nothing while the
 // replica is quiesced.
-func (n *Node) Tick() { panic("not built yet") }
+func (n *Node) Tick() {
+	if n.quiesced {
+		return
+	}
+	n.tick++
+	if n.role == RoleLeader {
+		n.tickLeader()
+		return
+	}
+	n.sinceLeader++
+	n.electionElapsed++
+	timedOut := n.electionElapsed >= n.electionTimeout && n.sinceLeader >= n.cfg.ElectionTicks
+	if timedOut && n.electable() {
+		n.preCampaign()
+	}
+}
 
 // Step takes in a message from another replica. It returns ErrWrongReplica or
 // ErrInvalidMessage for a message that it does not take; messages that are late
-// or duplicates are dropped without an error.
-func (n *Node) Step(m *raftpb.Message) error { panic("not built yet") }
+// or duplicates are dropped without an error. The message must not be changed
+// afterwards.
+func (n *Node) Step(m *raftpb.Message) error {
+	if err := n.check(m); err != nil {
+		return err
+	}
+	if n.role == RoleLeader {
+		n.Wake(0, false)
+	}
+	switch m.Kind {
+	case raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE:
+		n.handlePreVote(m)
+		return nil
+	case raftpb.MessageKind_MESSAGE_KIND_VOTE:
+		n.handleVote(m)
+		return nil
+	}
+	if m.Term < n.term {
+		n.answerStaleLeader(m)
+		return nil
+	}
+	prospective := m.Kind == raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY && !m.Reject
+	if m.Term > n.term && !prospective {
+		n.becomeFollower(m.Term, 0)
+	}
+	n.dispatch(m)
+	return nil
+}
+
+// dispatch hands a message of the current term to its handler.
+func (n *Node) dispatch(m *raftpb.Message) {
+	switch m.Kind {
+	case raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
+		n.handlePreVoteReply(m)
+	case raftpb.MessageKind_MESSAGE_KIND_VOTE_REPLY:
+		n.handleVoteReply(m)
+	case raftpb.MessageKind_MESSAGE_KIND_APPEND:
+		n.handleAppend(m)
+	case raftpb.MessageKind_MESSAGE_KIND_APPEND_REPLY:
+		n.handleAppendReply(m)
+	case raftpb.MessageKind_MESSAGE_KIND_HEARTBEAT:
+		n.handleHeartbeat(m)
+	case raftpb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
+		n.handleHeartbeatReply(m)
+	case raftpb.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		n.handleSnapshot(m)
+	case raftpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW:
+		n.handleTimeoutNow(m)
+	}
+}
+
+// check refuses messages that are not for this replica or not well formed.
+func (n *Node) check(m *raftpb.Message) error {
+	if m.Group != n.cfg.Group || m.To != n.cfg.ID {
+		return fmt.Errorf("%w: group %d, replica %d", ErrWrongReplica, m.Group, m.To)
+	}
+	if m.From == 0 || m.From == n.cfg.ID || m.Term == 0 {
+		return fmt.Errorf("%w: from %d in term %d", ErrInvalidMessage, m.From, m.Term)
+	}
+	isSnapshot := m.Kind == raftpb.MessageKind_MESSAGE_KIND_SNAPSHOT
+	if isSnapshot && m.Snapshot.GetIndex() == 0 {
+		return fmt.Errorf("%w: snapshot message without a snapshot", ErrInvalidMessage)
+	}
+	if err := checkContiguous(m.Entries, m.Index+1); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidMessage, err)
+	}
+	for _, e := range m.Entries {
+		if _, err := entryMembership(e); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalidMessage, err)
+		}
+	}
+	return nil
+}
+
+// checkContiguous tells whether entries have consecutive indexes from first on.
+func checkContiguous(entries []*raftpb.Entry, first uint64) error {
+	for i, e := range entries {
+		if want := first + uint64(i); e.Index != want {
+			return fmt.Errorf("entry %d where %d is due", e.Index, want)
+		}
+	}
+	return nil
+}
+
+// answerStaleLeader tells a leader of an earlier term that its term is over.
+func (n *Node) answerStaleLeader(m *raftpb.Message) {
+	switch m.Kind {
+	case raftpb.MessageKind_MESSAGE_KIND_APPEND,
+		raftpb.MessageKind_MESSAGE_KIND_HEARTBEAT,
+		raftpb.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		n.send(&raftpb.Message{
+			Kind:   raftpb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY,
+			To:     m.From,
+			Reject: true,
+		})
+	}
+}
+
+// send queues a message. Votes and acknowledgements, and all messages of a term
+// that is not yet durable, wait for persistence. Pre-votes promise nothing.
+func (n *Node) send(m *raftpb.Message) {
+	m.Group = n.cfg.Group
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	if n.mustWait(m.Kind) {
+		n.afterSync = append(n.afterSync, m)
+		return
+	}
+	n.messages = append(n.messages, m)
+}
+
+func (n *Node) mustWait(kind raftpb.MessageKind) bool {
+	switch kind {
+	case raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE, raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
+		return false
+	case raftpb.MessageKind_MESSAGE_KIND_VOTE,
+		raftpb.MessageKind_MESSAGE_KIND_VOTE_REPLY,
+		raftpb.MessageKind_MESSAGE_KIND_APPEND_REPLY:
+		return true
+	}
+	return n.savedTerm != n.term
+}
 
 // Propose appends a command to the log of the leader and returns its place. The
 // command is committed when an entry with this index and term is handed out in
 // Ready.Committed; an entry with this index and another term means that it was
 // not. Errors: ErrNotLeader, ErrTransferring, ErrBusy; the command was then not
-// taken.
-func (n *Node) Propose(data []byte) (index, term uint64, err error) { panic("not built yet") }
-
-// ChangeKind is the kind of a membership change.
-type ChangeKind uint8
-
-// Kinds of membership changes.
-const (
-	ChangeAddLearner ChangeKind = iota + 1 // Member with a new ID
-	ChangePromote                          // a learner by Member.Id
-	ChangeRemove                           // a member by Member.Id
-	ChangeAddress                          // Member.Address and FailureDomain of a member by Member.Id
-)
+// taken. data must not be changed afterwards.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if err := n.mayPropose(); err != nil {
+		return 0, 0, err
+	}
+	index = n.appendEntry(raftpb.EntryKind_ENTRY_KIND_COMMAND, data)
+	return index, n.term, nil
+}
+
+// mayPropose wakes the group and tells whether the leader takes proposals.
+func (n *Node) mayPropose() error {
+	switch {
+	case n.role != RoleLeader:
+		return ErrNotLeader
+	case n.transfer.target != 0:
+		return ErrTransferring
+	case n.log.last()-n.log.commit >= uint64(n.cfg.MaxUncommitted):
+		return ErrBusy
+	}
+	n.touch()
+	return nil
+}
+
+// appendEntry adds an entry to the leader's log. Ready sends it to the members.
+func (n *Node) appendEntry(kind raftpb.EntryKind, data []byte) uint64 {
+	e := &raftpb.Entry{Term: n.term, Index: n.log.last() + 1, Kind: kind, Data: data}
+	n.log.append(e)
+	return e.Index
+}
+
+func (n *Node) currentSoftState() SoftState {
+	return SoftState{Leader: n.leader, Role: n.role, Term: n.term}
+}
 
-// Change is one step from one membership to the next.
-type Change struct {
-	Kind   ChangeKind
-	Member *raftpb.Member
-}
-
-// ProposeMembership appends a membership change and returns its place, as
-// Propose does. Errors: ErrNotLeader, ErrTransferring, ErrChangePending,
-// ErrInvalidChange, ErrReplicaIDReused, ErrLearnerBehind, ErrRemoveLeader; the
-// change was then not taken.
-func (n *Node) ProposeMembership(c Change) (index, term uint64, err error) { panic("not built yet") }
-
-// TransferLeadership asks another voter to take over. Proposals are refused
-// until it has done so or until ElectionTicks have passed. Errors: ErrNotLeader,
-// ErrTransferring, ErrInvalidTarget.
-func (n *Node) TransferLeadership(id uint64) error { panic("not built yet") }
-
-// ReadIndex asks for a linearizable read. The answer comes as a ReadState with
-// the same context: at once under the lease, else after a heartbeat round to a
-// quorum. Error: ErrNotLeader.
-func (n *Node) ReadIndex(context uint64) error { panic("not built yet") }
-
-// LeaseRead returns the index up to which the state machine must be applied for
-// a linearizable read now. ok is false without a valid lease; the host then
-// uses ReadIndex.
-func (n *Node) LeaseRead() (index uint64, ok bool) { panic("not built yet") }
-
-// LeaseRemaining returns the ticks for which the lease holds from the last Tick
-// on, 0 without a lease. A host may take the time of the last Tick plus this
-// many ticks as the deadline of reads on other threads.
-func (n *Node) LeaseRemaining() int { panic("not built yet") }
-
-// LeaseValid tells whether this replica leads the group under a valid lease.
-func (n *Node) LeaseValid() bool { panic("not built yet") }
-
-// Quiesced tells whether the replica needs no ticks.
-func (n *Node) Quiesced() bool { panic("not built yet") }
-
-// Wake ends the quiescence of a replica; otherwise it does nothing. elapsed is
-// the number of whole ticks for which it was not ticked, rounded down. suspect
-// says that the leader's host is suspected to have failed: the replica then
-// starts an election without waiting for a full timeout.
-func (n *Node) Wake(elapsed int, suspect bool) { panic("not built yet") }
-
-// SnapshotMeta returns the metadata of a snapshot of the state at index, which
-// must be applied and not compacted. Errors: ErrUnavailable, ErrCompacted.
-func (n *Node) SnapshotMeta(index uint64) (*raftpb.SnapshotMeta, error) { panic("not built yet") }
-
-// Compact records that the host holds a durable snapshot with this metadata and
-// drops the entries up to its index from memory, but for the last retain ones,
-// which serve members that are a little behind. Errors: ErrUnavailable,
-// ErrCompacted (an older snapshot).
-func (n *Node) Compact(meta *raftpb.SnapshotMeta, retain uint64) error { panic("not built yet") }
-
-// ReportSnapshot reports the end of the stream of a snapshot to a member. The
-// host must call it once for each MESSAGE_KIND_SNAPSHOT message.
-func (n *Node) ReportSnapshot(id uint64, ok bool) { panic("not built yet") }
-
-// MemberStatus is the leader's view of one other member.
-type MemberStatus struct {
-	ID        uint64
-	Learner   bool
-	Match     uint64 // highest index known to be durable there
-	CaughtUp  bool   // a learner that may be promoted
-	LostState bool   // it answered with less than it had acknowledged; replace it under a new ID
-	SinceAck  int    // ticks since the last acknowledged round was sent; -1: none
-}
-
-// Status is a view of a replica for operators and tests.
-type Status struct {
-	SoftState
-	ID         uint64
-	Learner    bool
-	First      uint64 // first index that the log still holds
-	Last       uint64
-	Stable     uint64 // durable up to
-	Commit     uint64
-	Applied    uint64
-	Membership *raftpb.Membership
-	NextID     uint64         // replica ID for the next new member
-	Members    []MemberStatus // on the leader: the others, in order of ID
-	Quiesced   bool
-}
-
-// Status returns the replica's status.
-func (n *Node) Status() Status { panic("not built yet") }
-
-// normalize is replaced with the membership code.
-func normalize(m *raftpb.Membership) *raftpb.Membership { return m }
+func (n *Node) currentHardState() *raftpb.HardState {
+	commit := max(n.handed.Commit, n.log.releasable())
+	return &raftpb.HardState{Term: n.term, Vote: n.vote, Commit: commit}
+}
+
+func (n *Node) hardStateChanged() bool {
+	return n.handed.Term != n.term || n.handed.Vote != n.vote || n.handed.Commit < n.log.releasable()
+}
+
+// marshal encodes a message that is known to be valid.
+func marshal(m proto.Message) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(fmt.Sprintf("raft: marshal: %v", err))
+	}
+	return data
+}
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -29,11 +29,10 @@
 
 // Receipt stands for the durable part of one Ready. It is opaque to the host.
 type Receipt struct {
-	seq       uint64
-	term      uint64
-	vote      uint64
-	lastIndex uint64
-	lastTerm  uint64
+	seq  uint64
+	term uint64
+	vote uint64
+	last uint64 // last entry handed out so far
 }
 
 // Ready is the output of a Node since the previous Ready. See the package
@@ -52,15 +51,68 @@
 }
 
 // HasReady tells whether Ready would return anything.
-func (n *Node) HasReady() bool { panic("not built yet") }
+func (n *Node) HasReady() bool {
+	n.flush()
+	return n.install != nil ||
+		n.hardStateChanged() ||
+		n.log.unsaved <= n.log.last() ||
+		n.log.released < n.log.releasable() ||
+		len(n.messages) > 0 ||
+		len(n.afterSync) > 0 ||
+		len(n.readStates) > 0 ||
+		n.softState != n.currentSoftState()
+}
 
 // Ready returns the output since the last call and counts it as handed out.
-func (n *Node) Ready() Ready { panic("not built yet") }
+func (n *Node) Ready() Ready {
+	n.flush()
+	rd := Ready{
+		Snapshot:             n.install,
+		Entries:              n.log.takeUnsaved(),
+		Messages:             n.messages,
+		MessagesAfterPersist: n.afterSync,
+		Committed:            n.log.takeCommitted(),
+		ReadStates:           n.readStates,
+	}
+	n.install, n.messages, n.afterSync, n.readStates = nil, nil, nil, nil
+	rd.MustSync = rd.Snapshot != nil || len(rd.Entries) > 0
+	n.takeHardState(&rd)
+	if s := n.currentSoftState(); s != n.softState {
+		n.softState = s
+		rd.SoftState = &s
+	}
+	rd.Receipt = Receipt{seq: n.log.seq, term: n.term, vote: n.vote, last: n.log.last()}
+	n.log.seq++
+	return rd
+}
+
+func (n *Node) takeHardState(rd *Ready) {
+	if !n.hardStateChanged() {
+		return
+	}
+	hs := n.currentHardState()
+	if hs.Term != n.handed.Term || hs.Vote != n.handed.Vote {
+		rd.MustSync = true
+	}
+	n.handed = hs
+	rd.HardState = hs
+}
 
 // Persisted reports that a Ready is durable. It must be called for each Ready,
 // in order.
-func (n *Node) Persisted(r Receipt) { panic("not built yet") }
+func (n *Node) Persisted(r Receipt) {
+	n.savedTerm = r.term
+	n.log.persisted(r.seq, r.last)
+	switch {
+	case n.role == RoleLeader:
+		n.maybeCommit()
+	case n.role == RoleCandidate && r.term == n.term && r.vote == n.cfg.ID:
+		n.countBallot(n.cfg.ID, true)
+	}
+}
 
 // Applied reports that the state machine holds the log up to index. It bounds
 // SnapshotMeta and Compact.
-func (n *Node) Applied(index uint64) { panic("not built yet") }
+func (n *Node) Applied(index uint64) {
+	n.log.applied = max(n.log.applied, min(index, n.log.released))
+}
--- /dev/null
+++ b/internal/raft/sim_test.go
@@ -0,0 +1,329 @@
+package raft
+
+import (
+	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/raftpb"
+)
+
+// Times of the simulation, in units of which a tick has at least 100. Ticks of
+// two hosts differ by less than the factor 1.5 that the package comment states.
+const (
+	minTickLen   = 100
+	maxTickLen   = 149
+	netDelay     = 60
+	diskDelay    = 80
+	compactEvery = 20
+	retainCount  = 5
+)
+
+type event struct {
+	at, seq int64
+	run     func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// disk is what survives a crash.
+type disk struct {
+	hardState *raftpb.HardState
+	snapshot  *raftpb.SnapshotMeta
+	data      map[string]string // state at the snapshot
+	entries   []*raftpb.Entry
+}
+
+// host runs one replica at a time.
+type host struct {
+	slot        int
+	id          uint64
+	node        *Node // nil: down
+	disk        disk
+	epoch       int // grows with each crash; events of earlier epochs are void
+	tickLen     int64
+	nextTick    int64
+	frozenUntil int64
+	queued      []Ready
+	diskBusy    int64 // time at which the last queued write ends
+	kv          map[string]string
+	applied     uint64
+	incoming    map[uint64]map[string]string // snapshot data received
+	writes      map[uint64]*op               // by log index
+	reads       map[uint64]*op               // by context
+	due         []ReadState                  // reads that wait for their index
+	idleTicks   int                          // since the node quiesced
+	suspect     int                          // ticks without contact to the leader's host
+}
+
+// sim is a group on simulated hosts with a seed for all that is random.
+type sim struct {
+	t      *testing.T
+	seed   uint64
+	rng    *rand.Rand
+	now    int64
+	seq    int64
+	queue  eventHeap
+	hosts  []*host
+	slotOf map[uint64]int
+	lastID uint64
+	cuts   map[[2]int]bool // one way, by slot
+	loss   int             // percent of messages lost
+	late   int             // percent of messages that are very late
+	check  *checker
+	hist   history
+}
+
+func newSim(t *testing.T, seed uint64, size int) *sim {
+	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), slotOf: map[uint64]int{}, cuts: map[[2]int]bool{}}
+	s.check = newChecker(s)
+	m := &raftpb.Membership{}
+	for slot := range size {
+		m.Members = append(m.Members, &raftpb.Member{Id: uint64(slot + 1)})
+	}
+	for slot := range size {
+		h := &host{slot: slot, id: uint64(slot + 1), tickLen: minTickLen + s.rng.Int64N(maxTickLen-minTickLen+1)}
+		h.disk.snapshot = Bootstrap(m).Snapshot
+		s.slotOf[h.id] = slot
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+		s.scheduleTick(h)
+	}
+	s.lastID = uint64(size)
+	return s
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Fatalf("seed %d at %d: "+format, append([]any{s.seed, s.now}, args...)...)
+}
+
+func (s *sim) after(delay int64, run func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now + delay, seq: s.seq, run: run})
+}
+
+// run processes events up to a time.
+func (s *sim) run(until int64) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+		s.check.leases()
+	}
+	s.now = until
+}
+
+// start runs the replica from what is on the host's disk.
+func (s *sim) start(h *host) {
+	initial := InitialState{HardState: h.disk.hardState, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)}
+	node, err := New(Config{Group: 1, ID: h.id, Seed: s.rng.Uint64(), MaxEntriesPerMessage: 4, MaxInflight: 3}, initial)
+	assert.NilError(s.t, err, "seed %d", s.seed)
+	h.node = node
+	h.kv = maps.Clone(h.disk.data)
+	if h.kv == nil {
+		h.kv = map[string]string{}
+	}
+	h.applied = h.disk.snapshot.GetIndex()
+	h.incoming = map[uint64]map[string]string{}
+	h.writes, h.reads, h.due = map[uint64]*op{}, map[uint64]*op{}, nil
+	h.diskBusy, h.idleTicks, h.suspect = s.now, 0, 0
+	h.nextTick = s.now + s.rng.Int64N(h.tickLen)
+}
+
+// crash stops the replica; writes that have not ended are lost.
+func (s *sim) crash(h *host) {
+	h.node, h.queued = nil, nil
+	h.epoch++
+}
+
+// onHost runs a step of the replica now, or when the host is no longer frozen.
+// Overdue ticks come first.
+func (s *sim) onHost(h *host, epoch int, run func()) {
+	if h.node == nil || h.epoch != epoch {
+		return
+	}
+	if s.now < h.frozenUntil {
+		s.after(h.frozenUntil-s.now, func() { s.onHost(h, epoch, run) })
+		return
+	}
+	s.overdueTicks(h)
+	run()
+	s.pump(h)
+	s.check.replica(h)
+}
+
+func (s *sim) overdueTicks(h *host) {
+	for h.nextTick <= s.now {
+		h.nextTick += h.tickLen
+		h.node.Tick()
+		s.watchLeader(h)
+	}
+}
+
+// watchLeader plays the host-to-host liveness that wakes quiesced followers.
+func (s *sim) watchLeader(h *host) {
+	if !h.node.Quiesced() {
+		h.idleTicks, h.suspect = 0, 0
+		return
+	}
+	h.idleTicks++
+	leader := s.hosts[s.slotOf[h.node.Status().Leader]]
+	h.suspect++
+	if leader.node != nil && s.now >= leader.frozenUntil && !s.cuts[[2]int{leader.slot, h.slot}] {
+		h.suspect = 0
+	}
+	if h.suspect > 5 || s.rng.IntN(200) == 0 {
+		h.node.Wake(h.idleTicks-1, true)
+	}
+}
+
+func (s *sim) scheduleTick(h *host) {
+	s.after(max(h.nextTick-s.now, 1), func() {
+		s.onHost(h, h.epoch, func() {})
+		s.scheduleTick(h)
+	})
+}
+
+// pump is the host's loop of the package comment, with a slow disk.
+func (s *sim) pump(h *host) {
+	for h.node.HasReady() {
+		rd := h.node.Ready()
+		s.send(h, rd.Messages)
+		s.apply(h, rd.Committed)
+		s.serveReads(h, rd.ReadStates)
+		h.diskBusy = max(h.diskBusy, s.now+s.delay(diskDelay)) + 1
+		h.queued = append(h.queued, rd)
+		epoch := h.epoch
+		s.after(h.diskBusy-s.now, func() {
+			s.onHost(h, epoch, func() { s.persist(h) })
+		})
+	}
+}
+
+func (s *sim) delay(limit int64) int64 {
+	if s.rng.IntN(100) < s.late {
+		limit *= 30
+	}
+	return 1 + s.rng.Int64N(limit)
+}
+
+// persist ends the oldest write.
+func (s *sim) persist(h *host) {
+	rd, d := h.queued[0], &h.disk
+	h.queued = h.queued[1:]
+	if rd.Snapshot != nil {
+		d.snapshot, d.entries = rd.Snapshot, nil
+		d.data = h.incoming[rd.Snapshot.Index]
+		h.kv, h.applied = maps.Clone(d.data), rd.Snapshot.Index
+		h.node.Applied(h.applied)
+	}
+	if len(rd.Entries) > 0 {
+		first := rd.Entries[0].Index
+		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *raftpb.Entry) bool { return e.Index >= first })
+		d.entries = append(d.entries, rd.Entries...)
+		s.check.entries(rd.Entries)
+	}
+	if rd.HardState != nil {
+		d.hardState = rd.HardState
+	}
+	h.node.Persisted(rd.Receipt)
+	s.send(h, rd.MessagesAfterPersist)
+}
+
+func (s *sim) apply(h *host, entries []*raftpb.Entry) {
+	for _, e := range entries {
+		assert.Equal(s.t, e.Index, h.applied+1, "seed %d: entries applied out of order", s.seed)
+		h.applied = e.Index
+		s.check.applied(e)
+		if key, value, ok := strings.Cut(string(e.Data), "="); ok && e.Kind == raftpb.EntryKind_ENTRY_KIND_COMMAND {
+			h.kv[key] = value
+		}
+		if w := h.writes[e.Index]; w != nil && w.term == e.Term {
+			s.hist.finish(s, w, "")
+		}
+		delete(h.writes, e.Index)
+	}
+	h.node.Applied(h.applied)
+	if h.applied >= h.disk.snapshot.GetIndex()+compactEvery {
+		s.compact(h)
+	}
+	s.serveReads(h, nil)
+}
+
+func (s *sim) compact(h *host) {
+	meta, err := h.node.SnapshotMeta(h.applied)
+	assert.NilError(s.t, err)
+	h.disk.snapshot, h.disk.data = meta, maps.Clone(h.kv)
+	h.disk.entries = slices.DeleteFunc(slices.Clone(h.disk.entries), func(e *raftpb.Entry) bool { return e.Index <= meta.Index })
+	assert.NilError(s.t, h.node.Compact(meta, retainCount))
+}
+
+// send puts messages on the network: lost, late, doubled or out of order.
+func (s *sim) send(h *host, messages []*raftpb.Message) {
+	for _, m := range messages {
+		to := s.hosts[s.slotOf[m.To]]
+		copies := 1
+		if s.rng.IntN(100) < s.loss {
+			copies = s.rng.IntN(2) * 2
+		}
+		if m.Kind == raftpb.MessageKind_MESSAGE_KIND_SNAPSHOT {
+			s.stream(h, to, m, copies > 0)
+			continue
+		}
+		for range copies {
+			s.after(s.delay(netDelay), func() { s.deliver(h, to, m) })
+		}
+	}
+}
+
+func (s *sim) deliver(from, to *host, m *raftpb.Message) {
+	if !s.cuts[[2]int{from.slot, to.slot}] {
+		s.onHost(to, to.epoch, func() { _ = to.node.Step(m) })
+	}
+}
+
+// stream plays the host's transfer of snapshot data.
+func (s *sim) stream(from, to *host, m *raftpb.Message, arrives bool) {
+	data, epoch := maps.Clone(from.disk.data), from.epoch
+	s.after(s.delay(netDelay), func() {
+		ok := arrives && to.node != nil && !s.cuts[[2]int{from.slot, to.slot}]
+		if ok {
+			s.onHost(to, to.epoch, func() {
+				to.incoming[m.Snapshot.Index] = data
+				_ = to.node.Step(m)
+			})
+		}
+		s.onHost(from, epoch, func() { from.node.ReportSnapshot(m.To, ok) })
+	})
+}
+
+// leader returns the host that leads in the highest term, nil if there is none.
+func (s *sim) leader() *host {
+	var leader *host
+	for _, h := range s.hosts {
+		leads := h.node != nil && s.now >= h.frozenUntil && h.node.role == RoleLeader
+		if leads && (leader == nil || h.node.term > leader.node.term) {
+			leader = h
+		}
+	}
+	return leader
+}
--- /dev/null
+++ b/internal/raft/snapshot.go
@@ -0,0 +1,89 @@
+package raft
+
+import (
+	"fmt"
+
+	"ibistray.example/ibistray/proto/raftpb"
+)
+
+// SnapshotMeta returns the metadata of a snapshot of the state at index, which
+// must be applied and not compacted. Errors: ErrUnavailable, ErrCompacted.
+func (n *Node) SnapshotMeta(index uint64) (*raftpb.SnapshotMeta, error) {
+	if index > n.log.applied {
+		return nil, fmt.Errorf("%w: %d, applied up to %d", ErrUnavailable, index, n.log.applied)
+	}
+	if index < n.snapshot.Index {
+		return nil, fmt.Errorf("%w: %d, snapshot at %d", ErrCompacted, index, n.snapshot.Index)
+	}
+	term, _ := n.log.term(index)
+	return &raftpb.SnapshotMeta{Index: index, Term: term, Membership: n.membershipAt(index)}, nil
+}
+
+// Compact records that the host holds a durable snapshot with this metadata and
+// drops the entries up to its index from memory, but for the last retain ones,
+// which serve members that are a little behind. Errors: ErrUnavailable,
+// ErrCompacted (an older snapshot).
+func (n *Node) Compact(meta *raftpb.SnapshotMeta, retain uint64) error {
+	if meta.Index > n.log.applied {
+		return fmt.Errorf("%w: %d, applied up to %d", ErrUnavailable, meta.Index, n.log.applied)
+	}
+	if meta.Index < n.snapshot.Index {
+		return fmt.Errorf("%w: %d, snapshot at %d", ErrCompacted, meta.Index, n.snapshot.Index)
+	}
+	n.snapshot = meta
+	if meta.Index > retain {
+		n.log.compact(meta.Index - retain)
+	}
+	n.compactConfigs(meta.Index)
+	return nil
+}
+
+// sendSnapshot asks the host to stream the latest snapshot to a member.
+func (n *Node) sendSnapshot(p *progress) {
+	p.becomeSnapshot(n.snapshot.Index)
+	n.send(&raftpb.Message{
+		Kind:     raftpb.MessageKind_MESSAGE_KIND_SNAPSHOT,
+		To:       p.id,
+		Snapshot: n.snapshot,
+		Context:  uint64(n.round),
+	})
+}
+
+// ReportSnapshot reports the end of the stream of a snapshot to a member. The
+// host must call it once for each MESSAGE_KIND_SNAPSHOT message.
+func (n *Node) ReportSnapshot(id uint64, ok bool) {
+	p := n.peer(id)
+	if p == nil || p.state != stateSnapshot {
+		return
+	}
+	if ok {
+		p.becomeProbe(max(p.match, p.pendingSnapshot) + 1)
+		return
+	}
+	p.becomeProbe(p.match + 1)
+	p.probeSent = true // the next heartbeat reply lets it try again
+}
+
+// handleSnapshot takes a snapshot whose data the host has stored.
+func (n *Node) handleSnapshot(m *raftpb.Message) {
+	n.followLeader(m)
+	meta := m.Snapshot
+	switch {
+	case meta.Index <= n.log.commit:
+		n.acceptAppend(m, n.log.commit)
+	case n.log.matches(meta.Index, meta.Term):
+		n.log.commitTo(meta.Index)
+		n.acceptAppend(m, meta.Index)
+	default:
+		n.restore(meta)
+		n.acceptAppend(m, meta.Index)
+	}
+}
+
+// restore replaces the log by a snapshot.
+func (n *Node) restore(meta *raftpb.SnapshotMeta) {
+	n.log.restore(meta)
+	n.snapshot = meta
+	n.configs = []configAt{{index: meta.Index, membership: membership{normalize(meta.Membership)}}}
+	n.install = meta
+}
