raft: wake quiesced groups on a pre-vote; a hanging disk ends leadership

Cause: schedules with idle phases found three ways to stay without a leader. (3) A leader whose disk hung raised its term with each silent campaign and disturbed the elections of the others.

Ruled out: granting the pre-vote while quiesced, since the leader may be alive and hold a lease by then.

Change: a pre-vote wakes a quiesced follower without a grant. The package comment asks the host to treat a restart of the leader's host as suspicion and to wake quiesced replicas now and then; the simulated host does both. A leader resigns when a quorum of the others is ahead of its disk for ElectionTicks, and a replica whose disk is behind starts no election. QuiesceTicks is a setting.

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -74,6 +74,7 @@
 	MaxInflight          int // append messages to one member that wait for a reply
 	MaxUncommitted       int // uncommitted entries in the log of the leader
 
+	QuiesceTicks   int  // ticks without a request after which an idle group quiesces; 2*ElectionTicks by default
 	DisableQuiesce bool // keep heartbeats going in an idle group
 }
 
@@ -97,6 +98,7 @@
 	setDefault(&c.ElectionTicks, DefaultElectionTicks)
 	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	setDefault(&c.LeaseTicks, max(1, (c.ElectionTicks-1)*2/3))
+	setDefault(&c.QuiesceTicks, 2*c.ElectionTicks)
 	setDefault(&c.MaxEntriesPerMessage, DefaultMaxEntriesPerMessage)
 	setDefault(&c.MaxBytesPerMessage, DefaultMaxBytesPerMessage)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -64,11 +64,17 @@
 // outstanding, the leader tells its followers to quiesce and does so itself. A
 // quiesced group sends nothing and need not be ticked (Quiesced reports it; Tick
 // is then a no-op). The host watches its peers by its own host-to-host
-// heartbeats. It calls Wake(elapsed, true) on each quiesced follower whose
-// leader's host it suspects. A proposal, a read, a membership change and most
-// messages wake a group by themselves; the host then resumes ticking it, after
-// Step as well, so it checks Quiesced after each call. A quiesced leader holds
-// no lease: its first read after waking takes one round to a quorum.
+// heartbeats and calls Wake(elapsed, true) on each quiesced follower whose
+// leader's host it suspects or has seen restart. As a bound on what that may
+// miss, it calls Wake(elapsed, false) on each quiesced replica now and then, some
+// minutes apart; the answer costs one heartbeat round.
+//
+// A proposal, a read, a membership change and most messages wake a group by
+// themselves. A pre-vote wakes a quiesced follower too, without a grant, so that
+// a member that misses the leader ends the quiescence of the group. The host
+// resumes ticking a group that woke: it checks Quiesced after each call. A
+// quiesced leader holds no lease: its first read after waking takes one round to
+// a quorum.
 //
 // # Identity
 //
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -104,6 +104,13 @@
 	return n.quiesced || n.sinceLeader < n.cfg.ElectionTicks
 }
 
+// durable tells whether nothing waits for the local disk. A replica whose disk
+// hangs starts no election: it could not send its vote requests, and its growing
+// term would disturb the elections of the others.
+func (n *Node) durable() bool {
+	return n.savedTerm == n.term && n.log.stable == n.log.last()
+}
+
 // initialized is false for a replica that started empty and has not yet learnt
 // the membership. Its log says nothing about the group's.
 func (n *Node) initialized() bool { return len(n.membership().Members) > 0 }
@@ -120,8 +127,9 @@
 	}
 	if grant {
 		reply.Term = m.Term
-		n.quiesced = false
 	}
+	// A member that missed the leader may be right: watch for the leader again.
+	n.Wake(0, false)
 	if reply.Term == 0 && n.term == 0 {
 		return
 	}
@@ -199,6 +207,7 @@
 	n.leaderSince = n.tick
 	n.lastActive = n.tick
 	n.transfer = transfer{}
+	n.stalledTicks = 0
 	n.round = 0
 	n.peers = nil
 	n.syncPeers()
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -29,10 +29,11 @@
 	after   round // a round later than this one confirms the read
 }
 
-// tickLeader runs check-quorum, ends a transfer that takes too long and sends
+// tickLeader runs check-quorum, resigns if the local disk hangs, ends a transfer that takes too long and sends
 // the heartbeats that are due.
 func (n *Node) tickLeader() {
-	if n.tick-n.lastContact() >= uint64(n.cfg.ElectionTicks) {
+	lostQuorum := n.tick-n.lastContact() >= uint64(n.cfg.ElectionTicks)
+	if lostQuorum || n.diskStalled() {
 		n.becomeFollower(n.term, 0)
 		return
 	}
@@ -50,6 +51,21 @@
 	n.beginRound()
 }
 
+// diskStalled counts the ticks for which a quorum of the others was ahead of the
+// local disk. Such a leader cannot apply what the group commits.
+func (n *Node) diskStalled() bool {
+	if n.log.stable >= n.log.commit {
+		n.stalledTicks = 0
+		return false
+	}
+	if n.log.stable > n.stalledAt {
+		n.stalledAt = n.log.stable
+		n.stalledTicks = 0
+	}
+	n.stalledTicks++
+	return n.stalledTicks >= n.cfg.ElectionTicks
+}
+
 // beginRound sends a heartbeat round. No round begins when the numbers of this
 // tick are used up; the next tick that is due begins one.
 func (n *Node) beginRound() {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -46,6 +46,9 @@
 	reads       []pendingRead
 	transfer    transfer
 
+	stalledAt    uint64 // durable index when it last moved behind the commit index
+	stalledTicks int    // ticks since then
+
 	// Output since the last Ready.
 	softState  SoftState // last one handed out
 	install    *raftpb.SnapshotMeta
@@ -124,7 +127,7 @@
 	n.sinceLeader++
 	n.electionElapsed++
 	timedOut := n.electionElapsed >= n.electionTimeout && n.sinceLeader >= n.cfg.ElectionTicks
-	if timedOut && n.electable() {
+	if timedOut && n.electable() && n.durable() {
 		n.preCampaign()
 	}
 }
--- a/internal/raft/quiesce.go
+++ b/internal/raft/quiesce.go
@@ -1,9 +1,5 @@
 package raft
 
-// quiesceFactor is the number of election timeouts without a request after
-// which a leader lets its group quiesce.
-const quiesceFactor = 2
-
 // idle tells whether nothing is outstanding in the group and it has had no
 // request for a while.
 func (n *Node) idle() bool {
@@ -14,7 +10,7 @@
 	if len(n.reads) > 0 || n.transfer.target != 0 {
 		return false
 	}
-	if n.tick-n.lastActive < uint64(quiesceFactor*n.cfg.ElectionTicks) {
+	if n.tick-n.lastActive < uint64(n.cfg.QuiesceTicks) {
 		return false
 	}
 	for _, p := range n.peers {
--- a/internal/raft/schedule_test.go
+++ b/internal/raft/schedule_test.go
@@ -21,7 +21,8 @@
 	faultTime  = 60 * minTickLen // length of the part with faults
 	settleTime = 80 * maxTickLen // enough to repair and to elect a leader
 	faultEvery = 3 * minTickLen
-	opEvery    = minTickLen
+	opEvery    = minTickLen / 2
+	pauseTime  = 15 * minTickLen // clients pause for as long as they work
 	adminEvery = 4 * minTickLen
 )
 
@@ -64,6 +65,9 @@
 
 // clientOp starts a read or a write on a replica that may lead.
 func (s *sim) clientOp() {
+	if s.now/pauseTime%2 == int64(s.seed%2) {
+		return
+	}
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	if leader := s.leader(); leader != nil && s.rng.IntN(3) > 0 {
 		h = leader
@@ -116,8 +120,9 @@
 		case r.Index > h.applied:
 			h.due = append(h.due, r)
 		default:
-			o := h.reads[r.Context]
-			s.hist.finish(s, o, h.kv[o.key])
+			if o := h.reads[r.Context]; o != nil {
+				s.hist.finish(s, o, h.kv[o.key])
+			}
 		}
 	}
 }
@@ -132,7 +137,7 @@
 		h = leader
 	}
 	other := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(12) {
+	switch s.rng.IntN(13) {
 	case 0, 1:
 		s.cuts[[2]int{h.slot, other.slot}] = true
 	case 2:
@@ -149,11 +154,22 @@
 		h.frozenUntil = s.now + s.rng.Int64N(25*minTickLen)
 	case 10:
 		s.loseDisk(h)
-	case 11:
-		if h.node != nil {
-			target := other.id
-			s.onHost(h, h.epoch, func() { _ = h.node.TransferLeadership(target) })
-		}
+	case 11, 12:
+		s.handOver(other)
+	}
+}
+
+// handOver asks the leader to transfer leadership to a host, which may freeze
+// before it hears of it.
+func (s *sim) handOver(to *host) {
+	leader := s.leader()
+	if leader == nil {
+		return
+	}
+	target := to.id
+	s.onHost(leader, leader.epoch, func() { _ = leader.node.TransferLeadership(target) })
+	if to != leader && s.rng.IntN(2) == 0 {
+		to.frozenUntil = s.now + s.rng.Int64N(25*minTickLen)
 	}
 }
 
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -22,6 +22,7 @@
 	diskDelay    = 80
 	compactEvery = 20
 	retainCount  = 5
+	safetyWake   = 40 // ticks after which the host wakes a quiesced replica anyway
 )
 
 type event struct {
@@ -71,6 +72,7 @@
 	reads       map[uint64]*op               // by context
 	due         []ReadState                  // reads that wait for their index
 	idleTicks   int                          // since the node quiesced
+	leaderEpoch int                          // of the leader's host when the node quiesced
 	suspect     int                          // ticks without contact to the leader's host
 }
 
@@ -135,7 +137,7 @@
 // start runs the replica from what is on the host's disk.
 func (s *sim) start(h *host) {
 	initial := InitialState{HardState: h.disk.hardState, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)}
-	node, err := New(Config{Group: 1, ID: h.id, Seed: s.rng.Uint64(), MaxEntriesPerMessage: 4, MaxInflight: 3}, initial)
+	node, err := New(Config{Group: 1, ID: h.id, Seed: s.rng.Uint64(), MaxEntriesPerMessage: 4, MaxInflight: 3, QuiesceTicks: 5}, initial)
 	assert.NilError(s.t, err, "seed %d", s.seed)
 	h.node = node
 	h.kv = maps.Clone(h.disk.data)
@@ -191,8 +193,12 @@
 	if leader.node != nil && s.now >= leader.frozenUntil && !s.cuts[[2]int{leader.slot, h.slot}] {
 		h.suspect = 0
 	}
-	if h.suspect > 5 || s.rng.IntN(200) == 0 {
-		h.node.Wake(h.idleTicks-1, true)
+	if h.idleTicks == 1 {
+		h.leaderEpoch = leader.epoch
+	}
+	suspect := h.suspect > 5 || h.leaderEpoch != leader.epoch || s.rng.IntN(200) == 0
+	if suspect || h.idleTicks == safetyWake {
+		h.node.Wake(h.idleTicks-1, suspect)
 	}
 }
 
