replica: host that drives many groups with one write-ahead log

Cause: the consensus core has no I/O; something has to persist, send and apply what it hands out, for up to 1,024 groups on a host without a goroutine, a log file or a heartbeat per group.

--- /dev/null
+++ b/internal/replica/handover.go
@@ -0,0 +1,61 @@
+package replica
+
+import (
+	"context"
+
+	"ibistray.example/ibistray/internal/raft"
+)
+
+// handOver hands the leadership of all groups to other voters and waits until it
+// is done or ctx ends.
+func (h *Host) handOver(ctx context.Context) {
+	for ctx.Err() == nil && h.Err() == nil {
+		if h.requestTransfers() == 0 {
+			return
+		}
+		if sleep(ctx, h.opts.TickInterval) != nil {
+			return
+		}
+	}
+}
+
+// requestTransfers starts transfers and returns how many groups with another
+// voter are still led here.
+func (h *Host) requestTransfers() int {
+	led := 0
+	for _, g := range *h.groups.Load() {
+		view := g.view.Load()
+		if view.leads && len(view.addresses) > 0 {
+			led++
+			g.core.post(g.giveUpLeadership)
+		}
+	}
+	return led
+}
+
+// giveUpLeadership transfers the leadership to the voter that is most up to date.
+func (g *group) giveUpLeadership() {
+	if g.retired || g.leader.Role != raft.RoleLeader {
+		return
+	}
+	if target := transferTarget(g.node.Status()); target != 0 {
+		if err := g.node.TransferLeadership(target); err != nil {
+			g.logger.Debug("leadership not transferred", "to", target, "error", err)
+		}
+	}
+}
+
+// transferTarget returns the voter that answers and holds most of the log, 0 if
+// there is none.
+func transferTarget(status raft.Status) uint64 {
+	var target, match uint64
+	for _, member := range status.Members {
+		if member.Learner || member.LostState || member.SinceAck < 0 {
+			continue
+		}
+		if target == 0 || member.Match > match {
+			target, match = member.ID, member.Match
+		}
+	}
+	return target
+}
--- /dev/null
+++ b/internal/replica/host_test.go
@@ -0,0 +1,73 @@
+package replica_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/replica"
+)
+
+func TestReplicatesToAllHosts(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(testGroup)
+		result, err := c.nodes[leader].host.Propose(t.Context(), testGroup, []byte("x=1"))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Result, "")
+		result, err = c.nodes[leader].host.Propose(t.Context(), testGroup, []byte("x=2"))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Result, "1")
+		for _, address := range c.addresses() {
+			c.waitValue(address, "x", "2")
+			assert.Equal(t, c.nodes[address].host.Leader(testGroup), leader)
+		}
+	})
+}
+
+func TestRequestsToFollowerAreRefused(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		host := c.nodes[c.follower()].host
+		_, err := host.Propose(t.Context(), testGroup, []byte("x=1"))
+		assert.ErrorIs(t, err, replica.ErrNotLeader)
+		assert.ErrorIs(t, host.ReadBarrier(t.Context(), testGroup), replica.ErrNotLeader)
+		_, err = host.Propose(t.Context(), 99, nil)
+		assert.ErrorIs(t, err, replica.ErrUnknownGroup)
+		assert.ErrorIs(t, host.ReadBarrier(t.Context(), 99), replica.ErrUnknownGroup)
+		assert.Equal(t, host.Leader(99), "")
+		assert.ErrorIs(t, host.AddGroup(testGroup, nil, newKV()), replica.ErrGroupExists)
+	})
+}
+
+func TestRestartOfAllHostsKeepsState(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.putMany("before", 20)
+		for _, address := range c.addresses() {
+			c.kill(address)
+		}
+		for _, address := range c.addresses() {
+			c.start(address, testGroup)
+		}
+		c.put(testGroup, "after", "1")
+		for _, address := range c.addresses() {
+			c.waitValue(address, "after", "1")
+			assert.Equal(t, c.nodes[address].machines[testGroup].size(), 21)
+		}
+	})
+}
+
+func TestStopHandsLeadershipOver(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(testGroup)
+		ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+		defer cancel()
+		assert.NilError(t, c.nodes[leader].host.Stop(ctx))
+		_, err := c.nodes[leader].host.Propose(t.Context(), testGroup, []byte("x=1"))
+		assert.ErrorIs(t, err, replica.ErrStopped)
+		c.network.detach(leader)
+		c.nodes[leader].host = nil
+		next := c.tryLeader(testGroup, nil)
+		assert.Assert(t, next != "", "no leader right after the stop")
+		c.put(testGroup, "x", "2")
+	})
+}
--- /dev/null
+++ b/internal/replica/kv_test.go
@@ -0,0 +1,58 @@
+package replica_test
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+)
+
+// kv is a state machine of keys and values. A command is "key=value".
+type kv struct {
+	mu      sync.Mutex
+	values  map[string]string
+	applied []uint64 // indexes
+}
+
+func newKV() *kv {
+	return &kv{values: make(map[string]string)}
+}
+
+func (s *kv) Apply(index uint64, data []byte) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key, value, _ := strings.Cut(string(data), "=")
+	before := s.values[key]
+	s.values[key] = value
+	s.applied = append(s.applied, index)
+	return before
+}
+
+func (s *kv) Snapshot(w io.Writer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return json.NewEncoder(w).Encode(s.values)
+}
+
+func (s *kv) Restore(r io.Reader) error {
+	values := make(map[string]string)
+	if err := json.NewDecoder(r).Decode(&values); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values = values
+	return nil
+}
+
+func (s *kv) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+func (s *kv) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.values)
+}
--- /dev/null
+++ b/internal/replica/mailbox.go
@@ -0,0 +1,121 @@
+package replica
+
+import "sync"
+
+// runQueue runs mailboxes on a fixed number of goroutines.
+type runQueue struct {
+	mu      sync.Mutex
+	wake    *sync.Cond
+	ready   []*mailbox
+	closed  bool
+	workers sync.WaitGroup
+}
+
+func newRunQueue(workers int) *runQueue {
+	q := new(runQueue)
+	q.wake = sync.NewCond(&q.mu)
+	for range workers {
+		q.workers.Go(q.work)
+	}
+	return q
+}
+
+func (q *runQueue) push(m *mailbox) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return
+	}
+	q.ready = append(q.ready, m)
+	q.wake.Signal()
+}
+
+func (q *runQueue) pop() *mailbox {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.ready) == 0 && !q.closed {
+		q.wake.Wait()
+	}
+	if q.closed {
+		return nil
+	}
+	m := q.ready[0]
+	q.ready = q.ready[1:]
+	return m
+}
+
+func (q *runQueue) work() {
+	for m := q.pop(); m != nil; m = q.pop() {
+		m.run()
+	}
+}
+
+// close stops the workers and waits for them. Queued mailboxes are not run.
+func (q *runQueue) close() {
+	q.mu.Lock()
+	q.closed = true
+	q.ready = nil
+	q.wake.Broadcast()
+	q.mu.Unlock()
+	q.workers.Wait()
+}
+
+// mailbox holds the work of one group. It runs on one worker at a time.
+type mailbox struct {
+	queue   *runQueue
+	process func(items []func())
+
+	mu        sync.Mutex
+	items     []func()
+	scheduled bool
+}
+
+// post adds an item.
+func (m *mailbox) post(item func()) {
+	m.postLimited(item, 0)
+}
+
+// postLimited adds an item unless limit items wait already; 0 stands for no
+// limit. It reports whether the item was added.
+func (m *mailbox) postLimited(item func(), limit int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if limit > 0 && len(m.items) >= limit {
+		return false
+	}
+	m.items = append(m.items, item)
+	m.schedule()
+	return true
+}
+
+// wakeUp runs the mailbox, also without items.
+func (m *mailbox) wakeUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.schedule()
+}
+
+// schedule queues the mailbox. The caller holds the mutex.
+func (m *mailbox) schedule() {
+	if m.scheduled {
+		return
+	}
+	m.scheduled = true
+	m.queue.push(m)
+}
+
+func (m *mailbox) run() {
+	m.mu.Lock()
+	items := m.items
+	m.items = nil
+	m.mu.Unlock()
+
+	m.process(items)
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scheduled = false
+	if len(m.items) > 0 {
+		m.schedule()
+	}
+}
--- /dev/null
+++ b/internal/replica/outbox.go
@@ -0,0 +1,112 @@
+package replica
+
+import (
+	"sync"
+
+	"ibistray.example/ibistray/proto/raftpb"
+)
+
+const (
+	maxBatchMessages = 4096
+	maxBatchBytes    = 4 << 20 // bytes of entry data
+)
+
+// outbox collects the messages of all groups by host. What is queued while a
+// batch is handed to the transport goes into the next one.
+type outbox struct {
+	transport Transport
+	metrics   *metrics
+	stopped   chan struct{}
+
+	mu      sync.Mutex
+	wake    *sync.Cond
+	queued  map[string][]*raftpb.Message
+	closed  bool
+	waiting int // messages in queued
+}
+
+func newOutbox(transport Transport, m *metrics) *outbox {
+	o := &outbox{
+		transport: transport,
+		metrics:   m,
+		stopped:   make(chan struct{}),
+		queued:    make(map[string][]*raftpb.Message),
+	}
+	o.wake = sync.NewCond(&o.mu)
+	go o.run()
+	return o
+}
+
+// add queues a message. It never blocks. A message without an address is
+// dropped.
+func (o *outbox) add(address string, m *raftpb.Message) {
+	if address == "" {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return
+	}
+	o.queued[address] = append(o.queued[address], m)
+	o.waiting++
+	o.wake.Signal()
+}
+
+func (o *outbox) run() {
+	defer close(o.stopped)
+	for queued := o.take(); queued != nil; queued = o.take() {
+		for address, messages := range queued {
+			o.send(address, messages)
+		}
+	}
+}
+
+// take waits for messages. It returns nil when the outbox is closed and empty.
+func (o *outbox) take() map[string][]*raftpb.Message {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for o.waiting == 0 && !o.closed {
+		o.wake.Wait()
+	}
+	if o.waiting == 0 {
+		return nil
+	}
+	queued := o.queued
+	o.queued = make(map[string][]*raftpb.Message, len(queued))
+	o.waiting = 0
+	return queued
+}
+
+func (o *outbox) send(address string, messages []*raftpb.Message) {
+	for len(messages) > 0 {
+		n := batchLength(messages)
+		o.transport.Send(address, &raftpb.MessageBatch{Messages: messages[:n:n]})
+		o.metrics.batches.Inc()
+		o.metrics.messages.Add(float64(n))
+		messages = messages[n:]
+	}
+}
+
+// batchLength returns how many of the messages fit into one batch.
+func batchLength(messages []*raftpb.Message) int {
+	size := 0
+	for i, m := range messages {
+		for _, entry := range m.GetEntries() {
+			size += len(entry.GetData())
+		}
+		if i == maxBatchMessages || (i > 0 && size > maxBatchBytes) {
+			return i
+		}
+	}
+	return len(messages)
+}
+
+// close sends what is queued and stops.
+func (o *outbox) close() {
+	o.mu.Lock()
+	o.closed = true
+	o.wake.Signal()
+	o.mu.Unlock()
+	<-o.stopped
+}
