--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 		d.configuration = configclient.New(leaders)
 	}
 	if s.Has(settings.RoleControl) {
-		role, err := newControlRole(s, d.log.Named("control"), d.metrics, d.pool)
+		role, err := newControlRole(s, d.log.Named("control"), d.metrics, d.pool, d.fail)
 		if err != nil {
 			return err
 		}
@@ -209,7 +209,16 @@
 	}
 }
 
-// Failed gives the error of a listener that ended by itself.
+// fail ends the process after its storage failed: what was acknowledged is on
+// other replicas, and this one must not go on.
+func (d *Daemon) fail(err error) {
+	select {
+	case d.serveError <- err:
+	default:
+	}
+}
+
+// Failed gives the error of a listener that ended by itself, or of the storage.
 func (d *Daemon) Failed() <-chan error {
 	return d.serveError
 }
