Quarantine by the whole prompt, for services too; refusals by reason

Cause: the fingerprint covered the new messages only, so a common message such as "yes" could be quarantined for every program; service calls were no suspects. Change: the fingerprint is of model, history digest, new messages and parameters; both kinds of attempts join the crash watch in one place; a final refusal has its own reason and status (overloaded 429, no_backend_server 503, ...).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -80,7 +80,7 @@
 		HasHistory:          c.hasText,
 		Offset:              c.attachOffset(attachOnly),
 		AttachOnly:          attachOnly,
-		Fingerprint:         c.req.Fingerprint,
+		Fingerprint:         c.content[:],
 		Repeatable:          c.record.Repeatable,
 		AttainedTokens:      c.record.AttainedTokens,
 		EngineSharePermille: c.record.EngineSharePermille,
@@ -212,7 +212,7 @@
 	case rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DIED:
 		c.suspect = true
 	case rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED:
-		c.entry.recent.add(c.req.Fingerprint, time.Now())
+		c.entry.recent.add(c.content, time.Now())
 	}
 	failure := retry.Failure{
 		Kind:       refusalKind(r),
@@ -246,25 +246,30 @@
 	return retry.KindUnknown
 }
 
+// refusalFailures say how a final refusal of a sidecar is shown to the caller.
+var refusalFailures = map[rpcpb.RunRefusal]Failure{
+	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
+	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer},
+	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer},
+	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration},
+	rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT:             {Status: statusTimeout, Reason: reasonDeadlineExceeded},
+}
+
 // runFailure is what the caller sees when there is no further attempt.
 func (c *call) runFailure(r *rpcpb.RunRefused) *Failure {
-	f := &Failure{
-		Status:     statusBadGateway,
-		Reason:     reasonServerError,
-		Message:    r.Detail,
-		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
-	}
-	if r.Reason == rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT {
-		f.Status = statusTimeout
-		f.Reason = reasonDeadlineExceeded
-	}
 	if r.Reason == rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED {
 		return quarantinedFailure()
 	}
+	f, ok := refusalFailures[r.Reason]
+	if !ok {
+		f = Failure{Status: statusBadGateway, Reason: reasonServerError}
+	}
 	if r.Status >= statusBadRequest {
 		f.Status = int(r.Status)
 	}
-	return f
+	f.Message = r.Detail
+	f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	return &f
 }
 
 // loadHistory reads the program's earlier messages, for a sidecar that does not
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/policy/place"
+	"ibistray.example/ibistray/internal/policy/quarantine"
 	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -41,7 +42,8 @@
 	answer   *shardpb.Answer
 	stream   *transport.Stream // of an answer that is not acknowledged yet
 
-	suspect        bool // a backend server died while the call ran
+	content        quarantine.Fingerprint // of the whole prompt
+	suspect        bool                   // a backend server died while the call ran
 	retries        int
 	unknownRetries int
 	attachTries    int
@@ -120,6 +122,7 @@
 // adopt continues from what the shard has recorded.
 func (c *call) adopt(record *shardpb.BeginResult) callTrigger {
 	c.record = record
+	c.content = quarantine.Compute(c.offer(), record.HistoryDigest, c.req.Content)
 	c.attempt = record.Attempt
 	c.target = record.Target
 	switch record.State {
@@ -232,12 +235,12 @@
 // mustRunAlone reports whether the call is suspected of crashing servers, by what
 // this entry saw or by the configuration, which lags.
 func (c *call) mustRunAlone() bool {
-	return c.suspect || c.entry.members.holder.View().Suspect(c.req.Fingerprint)
+	return c.suspect || c.entry.members.holder.View().Suspect(c.content[:])
 }
 
 func (c *call) quarantined() bool {
-	return c.entry.members.holder.View().Quarantined(c.req.Fingerprint) ||
-		c.entry.recent.has(c.req.Fingerprint, time.Now())
+	return c.entry.members.holder.View().Quarantined(c.content[:]) ||
+		c.entry.recent.has(c.content, time.Now())
 }
 
 func quarantinedFailure() *Failure {
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -27,6 +27,8 @@
 	reasonInternal           = "internal"
 	reasonProgramBusy        = "program_busy"
 	reasonQuarantined        = "quarantined"
+	reasonOverloaded         = "overloaded"
+	reasonStaleConfiguration = "stale_configuration"
 )
 
 // HTTP statuses of failures.
--- a/internal/entry/recent.go
+++ b/internal/entry/recent.go
@@ -1,9 +1,10 @@
 package entry
 
 import (
-	"encoding/hex"
 	"sync"
 	"time"
+
+	"ibistray.example/ibistray/internal/policy/quarantine"
 )
 
 // recentRetention covers the time until the configuration brings what a sidecar
@@ -14,14 +15,14 @@
 // so that this entry knows at once. It is safe for concurrent use.
 type recentQuarantine struct {
 	mu   sync.Mutex
-	seen map[string]time.Time
+	seen map[quarantine.Fingerprint]time.Time
 }
 
 func newRecentQuarantine() *recentQuarantine {
-	return &recentQuarantine{seen: make(map[string]time.Time)}
+	return &recentQuarantine{seen: make(map[quarantine.Fingerprint]time.Time)}
 }
 
-func (r *recentQuarantine) add(fingerprint []byte, now time.Time) {
+func (r *recentQuarantine) add(fingerprint quarantine.Fingerprint, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for known, at := range r.seen {
@@ -29,12 +30,12 @@
 			delete(r.seen, known)
 		}
 	}
-	r.seen[hex.EncodeToString(fingerprint)] = now
+	r.seen[fingerprint] = now
 }
 
-func (r *recentQuarantine) has(fingerprint []byte, now time.Time) bool {
+func (r *recentQuarantine) has(fingerprint quarantine.Fingerprint, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at, ok := r.seen[hex.EncodeToString(fingerprint)]
+	at, ok := r.seen[fingerprint]
 	return ok && now.Sub(at) <= recentRetention
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -60,7 +60,8 @@
 	Timeout     time.Duration
 	Deadline    time.Time
 	Parent      string
-	Fingerprint []byte
+	Fingerprint []byte // of the request, for resends of its call ID
+	Content     []byte // what the backend server gets of it, for the quarantine
 	InputTokens uint64 // upper bound of the tokens of Body
 }
 
@@ -140,6 +141,7 @@
 	r.InputTokens = uint64(len(r.Body)) + tokensPerMessage*uint64(len(doc.Messages))
 	limit := strconv.FormatUint(r.MaxTokens, 10)
 	r.Fingerprint = fingerprint("model", r.Model, limit, string(r.Body), string(r.Parameters))
+	r.Content = append(append([]byte{}, r.Body...), r.Parameters...)
 	return nil
 }
 
@@ -161,6 +163,7 @@
 	r.Operation = operation
 	r.Body = compact.Bytes()
 	r.Fingerprint = fingerprint("service", service, operation, string(r.Body))
+	r.Content = fingerprint(operation, string(r.Body))
 	return r, nil
 }
 
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -20,24 +20,21 @@
 	cancelTimeout  = 2 * time.Second
 )
 
-// runModel runs one model call and keeps its output. A connection that breaks
-// or goes silent is resumed on a new one at the byte reached; the engine is
-// taken for dead only when that fails too.
-func (s *Sidecar) runModel(ctx context.Context, a *attempt) {
+// askModel runs one model call and keeps its output. A connection that breaks or
+// goes silent is resumed on a new one at the byte reached; the engine is taken
+// for dead only when that fails too.
+func (s *Sidecar) askModel(ctx context.Context, a *attempt) (*shardpb.Answer, error) {
 	chat, err := s.chatRequest(a.request)
 	if err != nil {
-		a.fail(refusal(rpcpb.RunRefusal_RUN_REFUSAL_BAD_ANSWER, true, err.Error()))
-		return
+		return nil, err
 	}
 	chat.RequestID = requestID(a)
-	group := s.crashes.join(a)
-	defer group.leave(a)
 	usage, err := s.chat(ctx, a, chat)
 	if err != nil {
-		a.fail(s.modelFailure(ctx, a, group, err))
-		return
+		return nil, err
 	}
-	s.finishModel(a, usage)
+	s.countUsage(a, usage)
+	return answerOf(a, usage)
 }
 
 // chat runs the call on the engine and reads its output to the end.
@@ -56,35 +53,6 @@
 	return usage, err
 }
 
-// modelFailure turns an error of the engine. When the engine died, the death is
-// on record before anybody can send the request to another server.
-func (s *Sidecar) modelFailure(ctx context.Context, a *attempt, group *crashGroup, err error) *rpcpb.RunRefused {
-	refused := serverFailure(ctx, err)
-	if refused.Reason != rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DIED {
-		return refused
-	}
-	if !s.engineDied(err) {
-		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_SERVER_ERROR
-		return refused
-	}
-	s.log.Warn("engine died", "running", group.size(), "request", requestID(a))
-	if group.report(a.request.Fingerprint) {
-		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED
-	}
-	return refused
-}
-
-// engineDied reports whether the engine that ran a request is gone: it does not
-// answer, or it has been started anew and does not know the request.
-func (s *Sidecar) engineDied(err error) bool {
-	if errors.Is(err, backend.ErrUnknownRequest) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	return s.backend.Health(ctx) != nil
-}
-
 func (s *Sidecar) chatRequest(req *rpcpb.RunRequest) (*backend.ChatRequest, error) {
 	id := callIDOf(req.Key).programID()
 	messages, err := s.messages(id, req)
@@ -182,31 +150,27 @@
 	return nil, cause
 }
 
-func (s *Sidecar) finishModel(a *attempt, usage *backend.Usage) {
-	text := string(a.state(0).text)
-	body, err := json.Marshal(message{Role: "assistant", Content: text})
+// answerOf returns the whole answer of a model call.
+func answerOf(a *attempt, usage *backend.Usage) (*shardpb.Answer, error) {
+	body, err := json.Marshal(message{Role: "assistant", Content: string(a.state(0).text)})
 	if err != nil {
-		a.fail(refusal(rpcpb.RunRefusal_RUN_REFUSAL_BAD_ANSWER, false, err.Error()))
-		return
+		return nil, fmt.Errorf("%w: %w", backend.ErrBadAnswer, err)
 	}
 	digest := sha256.Sum256(body)
-	cached := usage.PromptDetails.CachedTokens
-	s.countUsage(a, usage)
-	if a.alone {
-		s.clearSuspect(a)
-	}
-	a.finish(&shardpb.Answer{
+	return &shardpb.Answer{
 		Body: body,
 		Usage: &shardpb.Usage{
 			PromptTokens:     usage.PromptTokens,
-			CachedTokens:     cached,
+			CachedTokens:     usage.PromptDetails.CachedTokens,
 			CompletionTokens: usage.CompletionTokens,
 		},
-		Status: 200,
+		Status: statusOK,
 		Digest: digest[:],
-	})
+	}, nil
 }
 
+const statusOK = 200
+
 // message is a chat message of plain text.
 type message struct {
 	Role    string `json:"role"`
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/telemetry"
-	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
 )
 
@@ -32,26 +31,31 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	a.onStop(cancel)
-	if !s.slots.acquire(ctx, a) {
-		a.fail(refusal(waitRefusal(a), true, "the attempt was still waiting for the backend server"))
+	if refused := s.slots.acquire(ctx, a); refused != nil {
+		a.fail(refused)
 		return
 	}
 	defer s.slots.release(a)
-	switch a.request.Kind {
-	case shardpb.CallKind_CALL_KIND_SERVICE:
-		s.runService(ctx, a)
-	default:
-		s.runModel(ctx, a)
+	group := s.crashes.join(a)
+	defer group.leave(a)
+	answer, err := s.ask(ctx, a)
+	if err != nil {
+		a.fail(s.failure(ctx, a, group, err))
+		return
+	}
+	if a.alone {
+		s.clearSuspect(a)
 	}
+	a.finish(answer)
 }
 
-func waitRefusal(a *attempt) rpcpb.RunRefusal {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.cancelled {
-		return rpcpb.RunRefusal_RUN_REFUSAL_CANCELLED
+// ask runs an attempt on the backend server. Errors: those of the backend
+// package.
+func (s *Sidecar) ask(ctx context.Context, a *attempt) (*shardpb.Answer, error) {
+	if a.request.Kind == shardpb.CallKind_CALL_KIND_SERVICE {
+		return s.askService(ctx, a)
 	}
-	return rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT
+	return s.askModel(ctx, a)
 }
 
 const (
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -16,22 +16,50 @@
 	return a.id.customer + "/" + a.id.program + "/" + a.id.call + "#" + strconv.FormatUint(a.request.Attempt, 10)
 }
 
-// runService runs one operation of a plain service, once.
-func (s *Sidecar) runService(ctx context.Context, a *attempt) {
+// askService runs one operation of a plain service, once.
+func (s *Sidecar) askService(ctx context.Context, a *attempt) (*shardpb.Answer, error) {
 	req := a.request
 	answer, err := s.backend.CallService(ctx, req.Service, req.Operation, requestID(a), req.Body)
 	if err != nil {
-		a.fail(serverFailure(ctx, err))
-		return
+		return nil, err
 	}
 	digest := sha256.Sum256(answer.Body)
 	a.append(string(answer.Body))
-	a.finish(&shardpb.Answer{
+	return &shardpb.Answer{
 		Body:   answer.Body,
 		Usage:  &shardpb.Usage{},
 		Status: int32(answer.Status),
 		Digest: digest[:],
-	})
+	}, nil
+}
+
+// failure turns an error of the backend server. When the server died, the death
+// is on record before anybody can send the request to another one.
+func (s *Sidecar) failure(ctx context.Context, a *attempt, group *crashGroup, err error) *rpcpb.RunRefused {
+	refused := serverFailure(ctx, err)
+	if refused.Reason != rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DIED {
+		return refused
+	}
+	if !s.serverDied(err) {
+		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_SERVER_ERROR
+		return refused
+	}
+	s.log.Warn("backend server died", "running", group.size(), "request", requestID(a))
+	if group.report(a.request.Fingerprint) {
+		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED
+	}
+	return refused
+}
+
+// serverDied reports whether the server that ran a request is gone: it does not
+// answer, or it has been started anew and does not know the request.
+func (s *Sidecar) serverDied(err error) bool {
+	if errors.Is(err, backend.ErrUnknownRequest) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return s.backend.Health(ctx) != nil
 }
 
 // serverFailure turns an error of the backend server into a refusal. NotRun is
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -36,23 +36,38 @@
 	}
 }
 
-// acquire waits for a slot and reports whether it got one. It returns false
-// when the context ends, or at once when the queue is full or a call of higher
-// priority takes the place.
-func (s *slots) acquire(ctx context.Context, a *attempt) bool {
+// acquire waits for a slot; it returns nil when it got one. It refuses the
+// attempt at once when the queue is full or a call of higher priority takes the
+// place, and when the context ends before a slot is free. A refused attempt was
+// not run.
+func (s *slots) acquire(ctx context.Context, a *attempt) *rpcpb.RunRefused {
 	w := &waiter{alone: a.alone, granted: make(chan bool, 1)}
 	call := s.describe(a.request, a.alone)
 	if !s.enqueue(call, w) {
-		return false
+		return s.full("the queue of the backend server is full")
 	}
 	select {
 	case ok := <-w.granted:
-		return ok
+		if !ok {
+			return s.full("a call of higher priority took the place in the queue")
+		}
+		return nil
 	case <-ctx.Done():
-		return s.abandon(call.ID, w)
+		if s.abandon(call.ID, w) {
+			return nil
+		}
+		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT, true, "the attempt was still waiting for the backend server")
 	}
 }
 
+const fullRetryAfter = time.Second
+
+func (s *slots) full(detail string) *rpcpb.RunRefused {
+	r := refusal(rpcpb.RunRefusal_RUN_REFUSAL_FULL, true, detail)
+	r.RetryAfterMs = fullRetryAfter.Milliseconds()
+	return r
+}
+
 func (s *slots) describe(req *rpcpb.RunRequest, alone bool) order.Call {
 	id := callIDOf(req.Key)
 	return order.Call{
