Answers are kept until their shard has them; abandoned programs are released

Cause: a sidecar gave an answer up after 60 s without its shard and kept the attempt for good; the engine memory of abandoned programs waited for the idle limit. Change: ten tries of a minute, then the attempt is forgotten with an error in the log; the leader that expires a program tells the sidecar that ran it last.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -104,6 +104,20 @@
 	}}}
 }
 
+// releaseEnded tells the sidecars of abandoned programs to release their engine
+// memory. One that is not reached releases it by its own idle limit.
+func (s *Service) releaseEnded(ctx context.Context, ended []*shardpb.EndedProgram) {
+	for _, p := range ended {
+		if p.GetLastTarget().GetSidecar() == "" {
+			continue
+		}
+		req := &rpcpb.ReleaseRequest{Customer: p.Customer, Program: p.Program}
+		if err := s.pool.Call(ctx, p.LastTarget.Sidecar, transport.MethodRelease, req, new(rpcpb.Empty)); err != nil {
+			s.log.Debug("release not delivered", "program", p.Program, "server", p.LastTarget.Server, "error", err)
+		}
+	}
+}
+
 const (
 	expireInterval  = time.Second
 	expireBatch     = 64
@@ -140,6 +154,7 @@
 			s.log.Debug("expiry not applied", "group", group, "error", err)
 			return
 		}
+		s.releaseEnded(ctx, resp.Result.GetExpire().GetEnded())
 		if !resp.Result.GetExpire().GetMore() {
 			return
 		}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -26,17 +26,19 @@
 	shards    []*shard.State // by shard; nil where this host has no replica
 	directory *Directory
 	gate      *gate
+	pool      *transport.Pool
 	config    *Configuration
 }
 
 // New returns a service over the shards whose replicas are on this host.
-func New(log hclog.Logger, groups replica.Log, shards []*shard.State, configuration *Configuration) *Service {
+func New(log hclog.Logger, groups replica.Log, shards []*shard.State, pool *transport.Pool, configuration *Configuration) *Service {
 	return &Service{
 		log:       log,
 		groups:    groups,
 		shards:    shards,
 		directory: NewDirectory(configuration.grantor),
 		gate:      newGate(),
+		pool:      pool,
 		config:    configuration,
 	}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -74,7 +74,7 @@
 		}
 	}
 	configuration := control.NewConfiguration(r.host, configState, pool, s.Listen, addresses(s.ControlPeers))
-	r.service = control.New(log, r.host, shards, configuration)
+	r.service = control.New(log, r.host, shards, pool, configuration)
 	return nil
 }
 
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// endedRetention is how long an ended, committed attempt is kept for
-	// entries that attach late.
+	// endedRetention is how long an ended attempt is kept for entries that
+	// attach late.
 	endedRetention = 30 * time.Second
 	maxFences      = 200_000
 )
@@ -23,7 +23,7 @@
 type attempts struct {
 	mu      sync.Mutex
 	calls   map[callID]*attempt
-	ended   map[callID]time.Time // committed attempts by the time they ended
+	ended   map[callID]time.Time // attempts whose work is over, by the time it ended
 	fences  map[callID]uint64    // highest fenced attempt
 	epochs  map[programID]uint64 // highest epoch seen
 	running int
@@ -116,16 +116,16 @@
 }
 
 // end records that the work of an attempt is over.
-func (t *attempts) end(a *attempt, committed bool, now time.Time) {
+func (t *attempts) end(a *attempt, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running--
-	if committed && t.calls[a.id] == a {
+	if t.calls[a.id] == a {
 		t.ended[a.id] = now
 	}
 }
 
-// sweep forgets committed attempts after endedRetention. None of them can start
+// sweep forgets ended attempts after endedRetention. None of them can start
 // again: an entry asks once for the start of an attempt, and then only attaches.
 func (t *attempts) sweep(now time.Time) {
 	t.mu.Lock()
--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -113,12 +113,12 @@
 	})
 }
 
-func TestSweepForgetsCommittedAttemptsOnly(t *testing.T) {
+func TestSweepForgetsEndedAttemptsOnly(t *testing.T) {
 	table := newAttempts()
 	now := time.Now()
 	done := table.admit(runRequest("done", 1, 1), allowed).attempt
 	table.admit(runRequest("open", 1, 1), allowed)
-	table.end(done, true, now)
+	table.end(done, now)
 	table.sweep(now.Add(endedRetention))
 	assert.Equal(t, len(table.calls), 1)
 	assert.Equal(t, table.runningCount(), 1)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -17,8 +17,8 @@
 	s.work.Go(func() {
 		defer s.metrics.RunningCalls.Dec()
 		s.run(a)
-		committed := s.settle(a)
-		s.attempts.end(a, committed, time.Now())
+		s.settle(a)
+		s.attempts.end(a, time.Now())
 	})
 }
 
@@ -61,24 +61,25 @@
 const (
 	// commitWait is how long the sidecar leaves the commit of an answer to the
 	// entry before it commits the answer itself.
-	commitWait    = 2 * time.Second
-	commitTimeout = 60 * time.Second
+	commitWait = 2 * time.Second
+	// commitTries and commitTimeout bound how long an answer is kept for a
+	// shard that does not answer.
+	commitTries   = 10
+	commitTimeout = time.Minute
 )
 
-// settle returns when the answer of an attempt is durable. It reports whether
-// the attempt has a durable answer.
-func (s *Sidecar) settle(a *attempt) bool {
+// settle returns when the answer of an attempt is durable, or when the shard
+// does not want it any more.
+func (s *Sidecar) settle(a *attempt) {
 	if a.state(0).answer == nil {
-		return true
+		return
 	}
 	if !waitCommitted(a, commitWait) {
 		s.commit(a)
 	}
-	committed := a.state(0).committed
-	if committed {
+	if a.state(0).committed {
 		s.remember(a)
 	}
-	return committed
 }
 
 func waitCommitted(a *attempt, limit time.Duration) bool {
@@ -100,27 +101,34 @@
 // commit makes the answer durable in the customer's shard. A commit is
 // idempotent, so it does no harm when the entry commits at the same time.
 func (s *Sidecar) commit(a *attempt) {
+	log := s.log.With(telemetry.KeyProgram, a.id.program, telemetry.KeyCall, a.id.call, telemetry.KeyAttempt, a.request.Attempt)
+	for range commitTries {
+		result, err := s.commitOnce(a)
+		if err != nil {
+			log.Warn("answer not committed yet", telemetry.KeyError, err)
+			continue
+		}
+		if result.Refusal != nil {
+			log.Warn("answer was refused by the shard", "reason", result.Refusal.Reason.String(), "detail", result.Refusal.Detail)
+			return
+		}
+		log.Info("answer committed for an entry that did not")
+		a.markCommitted()
+		return
+	}
+	log.Error("answer dropped: its shard did not answer")
+}
+
+func (s *Sidecar) commitOnce(a *attempt) (*shardpb.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	req := a.request
 	cmd := &shardpb.Command{Op: &shardpb.Command_Commit{Commit: &shardpb.Commit{
-		Key:     req.Key,
-		Epoch:   req.Epoch,
-		Attempt: req.Attempt,
+		Key:     a.request.Key,
+		Epoch:   a.request.Epoch,
+		Attempt: a.request.Attempt,
 		Answer:  a.state(0).answer,
 	}}}
-	log := s.log.With(telemetry.KeyProgram, a.id.program, telemetry.KeyCall, a.id.call, telemetry.KeyAttempt, req.Attempt)
-	result, err := s.shards.Propose(ctx, a.id.customer, cmd, 0)
-	if err != nil {
-		log.Error("answer could not be committed", telemetry.KeyError, err)
-		return
-	}
-	if result.Refusal != nil {
-		log.Warn("answer was refused by the shard", "reason", result.Refusal.Reason.String(), "detail", result.Refusal.Detail)
-		return
-	}
-	log.Info("answer committed for an entry that did not")
-	a.markCommitted()
+	return s.shards.Propose(ctx, a.id.customer, cmd, 0)
 }
 
 // remember keeps what the next call of the program needs.
