place: recompute a prefix elsewhere only for a long wait, four choices

Cause: at load 0.95 and 1.5 calls left their prefix too early; each recomputed prefix delays the calls beside it. Change: MoveFactor 2 to 8, Choices 2 to 4.

--- a/internal/policy/place/view.go
+++ b/internal/policy/place/view.go
@@ -35,7 +35,7 @@
 
 // DefaultParams returns the constants that the benchmark supports.
 func DefaultParams() Params {
-	return Params{MeanOutputTokens: 200, MoveFactor: 2, Choices: 2}
+	return Params{MeanOutputTokens: 200, MoveFactor: 8, Choices: 4}
 }
 
 type subset [subsetSize]int32 // indexes into View.servers, -1: none
