retry: a refusal for overload is final and goes to the caller at once

Ruled out: trying once elsewhere; placement had already compared servers. Change: KindRefused, ClassRefused, StopRefused; a shed call is of that class too.

--- a/internal/policy/retry/failure.go
+++ b/internal/policy/retry/failure.go
@@ -22,6 +22,7 @@
 	KindLeaving                 // the server takes no new work
 	KindQueueFull               // the queue in front of the server is full
 	KindShed                    // the call gave way to one of higher priority
+	KindRefused                 // admission refused the call
 	KindFenced                  // a newer attempt or epoch is known
 	KindOtherIncarnation        // the sidecar has restarted
 	KindBadAnswer               // the answer is not whole or belongs to another request
@@ -52,6 +53,7 @@
 	ClassTransient              // likely to succeed later or elsewhere
 	ClassPermanent              // fails the same way each time
 	ClassQuota                  // a limit of the customer; retrying only adds load
+	ClassRefused                // overload: the caller is told when to come back
 )
 
 // Reason names a failure for counters.
@@ -73,6 +75,7 @@
 	ReasonLeaving            Reason = "leaving"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonShed               Reason = "shed"
+	ReasonRefused            Reason = "refused"
 	ReasonFenced             Reason = "fenced"
 	ReasonOtherIncarnation   Reason = "other_incarnation"
 	ReasonBadAnswer          Reason = "bad_answer"
@@ -102,7 +105,8 @@
 	KindOtherIncarnation:   {ClassTransient, ReasonOtherIncarnation, false},
 	KindBadAnswer:          {ClassTransient, ReasonBadAnswer, true},
 	KindStaleConfiguration: {ClassTransient, ReasonStaleConfiguration, true},
-	KindShed:               {ClassPermanent, ReasonShed, false},
+	KindShed:               {ClassRefused, ReasonShed, false},
+	KindRefused:            {ClassRefused, ReasonRefused, false},
 	KindFenced:             {ClassPermanent, ReasonFenced, false},
 	KindCancelled:          {ClassPermanent, ReasonCancelled, false},
 	KindQuarantined:        {ClassPermanent, ReasonQuarantined, false},
--- a/internal/policy/retry/policy.go
+++ b/internal/policy/retry/policy.go
@@ -42,6 +42,7 @@
 	StopNone           Stop = ""
 	StopPermanent      Stop = "permanent"
 	StopQuota          Stop = "quota"
+	StopRefused        Stop = "refused"
 	StopAborted        Stop = "aborted"
 	StopOutputReleased Stop = "output_released"
 	StopNotRepeatable  Stop = "not_repeatable"
@@ -104,6 +105,8 @@
 		return StopPermanent
 	case v.Class == ClassQuota:
 		return StopQuota
+	case v.Class == ClassRefused:
+		return StopRefused
 	case c.OutputReleased && !c.CanResume:
 		return StopOutputReleased
 	case !c.Repeatable && !f.NotRun:
