admit: few new programs under overload, none into a full memory

Cause: at 1.5 load programs that had begun lost their prefixes to new ones. Ruled out: NewProgramShare alone: enough where the memory holds the programs that fill the engines, not with half of it. Change: NewProgramShare 0.25 to 0.05, NewProgramMemory 0.9 (lowest priority 0.75), MinRetryAfter 10 s.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -14,6 +14,7 @@
 	ReasonQueueFull Reason = "queue_full" // as many calls wait as may
 	ReasonOverload  Reason = "overload"   // the wait is too long for this priority
 	ReasonDeadline  Reason = "deadline"   // the call cannot end before its deadline
+	ReasonMemory    Reason = "memory"     // the engine's memory is taken by other programs
 )
 
 // topPriority is the highest priority of a contract.
@@ -32,6 +33,12 @@
 	// program: under overload, programs that have begun are finished before
 	// new ones begin.
 	NewProgramShare float64
+	// NewProgramMemory is the share of the engine's memory up to which the first
+	// call of a program of the highest priority is admitted; 0: no bound. The
+	// lowest priority is admitted up to LowestMemory, those between in
+	// proportion. It keeps programs that have begun from losing their prefixes.
+	NewProgramMemory float64
+	LowestMemory     float64
 	// Deadlines refuses calls that cannot end in time.
 	Deadlines bool
 	// MinRetryAfter and MaxRetryAfter bound the hint when to come back.
@@ -42,13 +49,15 @@
 // DefaultPolicy returns the bounds that the benchmark supports.
 func DefaultPolicy() Policy {
 	return Policy{
-		Capacity:        256,
-		MaxWait:         60 * time.Second,
-		LowestShare:     0.25,
-		NewProgramShare: 0.25,
-		Deadlines:       true,
-		MinRetryAfter:   time.Second,
-		MaxRetryAfter:   time.Minute,
+		Capacity:         256,
+		MaxWait:          60 * time.Second,
+		LowestShare:      0.25,
+		NewProgramShare:  0.05,
+		NewProgramMemory: 0.9,
+		LowestMemory:     0.75,
+		Deadlines:        true,
+		MinRetryAfter:    10 * time.Second,
+		MaxRetryAfter:    time.Minute,
 	}
 }
 
@@ -64,6 +73,7 @@
 type Load struct {
 	Waiting int           // calls in the queue
 	Wait    time.Duration // expected wait of a new call of this priority
+	Memory  float64       // share of the engine's memory that prefixes hold
 }
 
 // Decision admits a call or refuses it with the time after which the caller
@@ -82,6 +92,9 @@
 	if p.Capacity > 0 && load.Waiting >= p.Capacity {
 		return p.refuse(ReasonQueueFull, load.Wait)
 	}
+	if p.memoryShort(req, load) {
+		return p.refuse(ReasonMemory, load.Wait+req.RunTime)
+	}
 	bound := p.bound(req)
 	if p.MaxWait > 0 && load.Wait > bound {
 		return p.refuse(ReasonOverload, load.Wait-bound)
@@ -89,9 +102,22 @@
 	return Decision{Admit: true}
 }
 
+// rank maps the priority to 0 (lowest) to 1 (highest).
+func (r Request) rank() float64 {
+	return float64(min(max(r.Priority, 0), topPriority)) / topPriority
+}
+
+func (p Policy) memoryShort(req Request, load Load) bool {
+	if !req.NewProgram || p.NewProgramMemory == 0 {
+		return false
+	}
+	rank := req.rank()
+	return load.Memory >= rank*p.NewProgramMemory+(1-rank)*p.LowestMemory
+}
+
 // bound returns the longest expected wait at which the call is admitted.
 func (p Policy) bound(req Request) time.Duration {
-	rank := float64(min(max(req.Priority, 0), topPriority)) / topPriority
+	rank := req.rank()
 	share := rank + (1-rank)*p.LowestShare
 	if req.NewProgram {
 		share *= p.NewProgramShare
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -11,6 +11,7 @@
 func TestDecide(t *testing.T) {
 	policy := Policy{
 		Capacity: 10, MaxWait: 100 * time.Second, LowestShare: 0.1, NewProgramShare: 0.5, Deadlines: true,
+		NewProgramMemory: 0.9, LowestMemory: 0.5,
 		MinRetryAfter: time.Second, MaxRetryAfter: 30 * time.Second,
 	}
 	tests := []struct {
@@ -27,6 +28,9 @@
 		{"high priority", Request{Priority: 9}, Load{Wait: 100 * time.Second}, ReasonNone, 0},
 		{"new program", Request{Priority: 9, NewProgram: true}, Load{Wait: 90 * time.Second}, ReasonOverload, 30 * time.Second},
 		{"priority above the range", Request{Priority: 50}, Load{Wait: 101 * time.Second}, ReasonOverload, time.Second},
+		{"memory", Request{NewProgram: true, RunTime: 4 * time.Second}, Load{Memory: 0.5}, ReasonMemory, 4 * time.Second},
+		{"memory for high priority", Request{Priority: 9, NewProgram: true}, Load{Memory: 0.89}, ReasonNone, 0},
+		{"memory of a program that has begun", Request{}, Load{Memory: 1}, ReasonNone, 0},
 		{"deadline", Request{Deadline: 13 * time.Second, RunTime: 4 * time.Second}, Load{Wait: 7 * time.Second}, ReasonDeadline, time.Second},
 		{"deadline can be met", Request{Deadline: 14 * time.Second, RunTime: 4 * time.Second}, Load{Wait: 7 * time.Second}, ReasonNone, 0},
 		{"deadline passed", Request{Deadline: 1}, Load{}, ReasonDeadline, time.Second},
