--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -65,7 +65,6 @@
 type Request struct {
 	Priority   int32         // of the contract, 0 to 9
 	NewProgram bool          // the program's first call
-	OverShare  bool          // the customer holds more than its contract's share
 	RunTime    time.Duration // expected time from start to end
 	Deadline   time.Duration // 0: none
 }
@@ -103,12 +102,8 @@
 	return Decision{Admit: true}
 }
 
-// rank maps the priority to 0 (lowest) to 1 (highest). A new program of a
-// customer above its share counts as of the lowest priority.
+// rank maps the priority to 0 (lowest) to 1 (highest).
 func (r Request) rank() float64 {
-	if r.NewProgram && r.OverShare {
-		return 0
-	}
 	return float64(min(max(r.Priority, 0), topPriority)) / topPriority
 }
 
--- a/internal/policybench/cache.go
+++ b/internal/policybench/cache.go
@@ -12,10 +12,8 @@
 	capacity int64
 	used     int64
 	entries  map[*client]*cacheEntry
-	// byCustomer counts the tokens of each customer.
-	byCustomer map[string]int64
-	idle       *list.List // of *cacheEntry, least recently used first
-	evicted    func(*client)
+	idle     *list.List // of *cacheEntry, least recently used first
+	evicted  func(*client)
 	// vain counts token-seconds of prefixes that were not used again.
 	vain float64
 }
@@ -31,7 +29,7 @@
 }
 
 func newPrefixCache(sim *simulator, capacity int64) *prefixCache {
-	return &prefixCache{sim: sim, capacity: capacity, entries: make(map[*client]*cacheEntry), idle: list.New(), byCustomer: make(map[string]int64)}
+	return &prefixCache{sim: sim, capacity: capacity, entries: make(map[*client]*cacheEntry), idle: list.New()}
 }
 
 // acquire marks the program's prefix as busy, makes room for the whole call and
@@ -48,7 +46,7 @@
 	}
 	e.busy++
 	cached := e.tokens
-	c.add(cl, max(total-e.tokens, 0))
+	c.used += max(total-e.tokens, 0)
 	e.tokens = max(total, e.tokens)
 	c.makeRoom()
 	return cached
@@ -69,11 +67,6 @@
 	return e
 }
 
-func (c *prefixCache) add(cl *client, tokens int64) {
-	c.used += tokens
-	c.byCustomer[cl.program.customer.name] += tokens
-}
-
 func (c *prefixCache) makeRoom() {
 	for c.used > c.capacity && c.idle.Len() > 0 {
 		e := c.idle.Front().Value.(*cacheEntry)
@@ -90,7 +83,7 @@
 	e := &cacheEntry{client: cl, tokens: tokens, lastUse: c.sim.now, keepUntil: c.sim.now + moveKeep}
 	e.position = c.idle.PushBack(e)
 	c.entries[cl] = e
-	c.add(cl, tokens)
+	c.used += tokens
 	return true
 }
 
@@ -99,7 +92,7 @@
 	c.vain += float64(e.tokens) * (c.sim.now - e.lastUse).Seconds()
 	c.idle.Remove(e.position)
 	delete(c.entries, e.client)
-	c.add(e.client, -e.tokens)
+	c.used -= e.tokens
 }
 
 // take drops a prefix that goes on living elsewhere.
@@ -112,7 +105,6 @@
 	c.entries = make(map[*client]*cacheEntry)
 	c.idle.Init()
 	c.used = 0
-	clear(c.byCustomer)
 }
 
 // settle counts what is held in vain when the run ends: prefixes of programs
--- a/internal/policybench/sidecar.go
+++ b/internal/policybench/sidecar.go
@@ -126,19 +126,11 @@
 	return admit.Request{
 		Priority:   a.call.priority(),
 		NewProgram: a.call.index == 0 && a.call.client.parent == nil,
-		OverShare:  sc.sys.variant.fairAdmit && sc.overShare(a.call.client.program.customer),
 		RunTime:    sc.meanRun,
 		Deadline:   a.call.deadline,
 	}
 }
 
-// overShare reports whether the customer's programs hold more of the memory
-// than its contract says.
-func (sc *sidecar) overShare(customer customerMix) bool {
-	cache := sc.engine.cache
-	return cache.byCustomer[customer.name]*permille > cache.capacity*int64(customer.share)
-}
-
 // load estimates the wait of a new call of the priority.
 func (sc *sidecar) load(priority int32) admit.Load {
 	cache := sc.engine.cache
--- a/internal/policybench/variant.go
+++ b/internal/policybench/variant.go
@@ -21,16 +21,15 @@
 
 // variant is one row of the table: a set of policies.
 type variant struct {
-	name      string
-	order     order.Policy
-	place     place.Params
-	admit     admit.Policy
-	retain    *retain.Policy // nil: the engine's own eviction only
-	retry     retry.Policy
-	budget    float64 // share of traffic for retries; 0: no bound
-	shares    sharesRule
-	fairAdmit bool       // new programs of customers above their share are refused first
-	refusal   retry.Kind // how a sidecar reports that it did not admit a call
+	name    string
+	order   order.Policy
+	place   place.Params
+	admit   admit.Policy
+	retain  *retain.Policy // nil: the engine's own eviction only
+	retry   retry.Policy
+	budget  float64 // share of traffic for retries; 0: no bound
+	shares  sharesRule
+	refusal retry.Kind // how a sidecar reports that it did not admit a call
 }
 
 // baseline is the order of arrival, the least loaded server and no retention.
--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -45,9 +45,6 @@
 	kinds    []programKind
 }
 
-// permille is the unit of a contract's share.
-const permille = 1000
-
 // moveKeep is how long a moved prefix is kept if no call uses it.
 const moveKeep = 2 * time.Minute
 
