Sidecar admits, orders and retains by the measured policies

Cause: the sidecar had a plain queue and a fixed idle limit. Change: admission with a hint when to come back, slots as many as the engine batches, prefixes kept for learnt pauses within the contract's share; the mean run time is learnt. A refusal for overload reaches the caller at once.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -237,6 +237,8 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: retry.KindStaleConfiguration,
 	rpcpb.RunRefusal_RUN_REFUSAL_BAD_ANSWER:          retry.KindBadAnswer,
 	rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED:         retry.KindQuarantined,
+	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        retry.KindRefused,
+	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                retry.KindShed,
 }
 
 func refusalKind(r *rpcpb.RunRefused) retry.Kind {
@@ -249,6 +251,8 @@
 // refusalFailures say how a final refusal of a sidecar is shown to the caller.
 var refusalFailures = map[rpcpb.RunRefusal]Failure{
 	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
+	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        {Status: statusTooManyRequests, Reason: reasonOverloaded},
+	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer},
 	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer},
 	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration},
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"ibistray.example/ibistray/internal/backend"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
@@ -39,6 +40,7 @@
 		s.log.Debug("no load report", "error", err)
 		return
 	}
+	s.slots.observe(s.slotLimit(load.BatchLimit), memoryUse(load))
 	s.load.Store(&rpcpb.Load{
 		Running:                load.Running,
 		Waiting:                load.Waiting,
@@ -51,6 +53,22 @@
 	})
 }
 
+// slotLimit returns how many attempts may run together: as many as the engine
+// batches, so that the order of the others is decided here.
+func (s *Sidecar) slotLimit(batch uint32) int {
+	if batch == 0 {
+		return s.cfg.MaxRunning
+	}
+	return min(s.cfg.MaxRunning, int(batch))
+}
+
+func memoryUse(load backend.Load) float64 {
+	if load.CacheCapacityTokens == 0 {
+		return 0
+	}
+	return float64(load.CacheUsedTokens) / float64(load.CacheCapacityTokens)
+}
+
 // announce tells each control process what this server offers, all at the same
 // time: one that is silent does not delay the others.
 func (s *Sidecar) announce(ctx context.Context) {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
@@ -45,7 +46,8 @@
 type attempt struct {
 	id      callID
 	request *rpcpb.RunRequest
-	alone   bool // suspected of crashing servers: runs with nothing else
+	alone   bool      // suspected of crashing servers: runs with nothing else
+	started time.Time // when it got its slot
 
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced on each change
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.countUsage(a, usage)
+	s.countUsage(usage)
 	return answerOf(a, usage)
 }
 
@@ -177,11 +177,10 @@
 	Content string `json:"content"`
 }
 
-func (s *Sidecar) countUsage(a *attempt, usage *backend.Usage) {
+func (s *Sidecar) countUsage(usage *backend.Usage) {
 	s.metrics.PromptTokens.Add(float64(usage.PromptTokens))
 	s.metrics.CachedTokens.Add(float64(usage.PromptDetails.CachedTokens))
 	s.metrics.OutputTokens.Add(float64(usage.CompletionTokens))
-	s.holds.touch(a.id.programID(), usage.PromptTokens+usage.CompletionTokens, time.Now())
 }
 
 // cancelRequest stops a request that this sidecar has given up on.
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -31,6 +31,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	a.onStop(cancel)
+	s.holds.begin(a.id.programID(), a.request)
+	defer func() { s.holds.end(a.id.programID(), prefixTokens(a)) }()
 	if refused := s.slots.acquire(ctx, a); refused != nil {
 		a.fail(refused)
 		return
@@ -49,6 +51,13 @@
 	a.finish(answer)
 }
 
+// prefixTokens returns the length of the prefix that an attempt left in the
+// engine's cache, 0 when it has no answer.
+func prefixTokens(a *attempt) int64 {
+	usage := a.state(0).answer.GetUsage()
+	return int64(usage.GetPromptTokens() + usage.GetCompletionTokens())
+}
+
 // ask runs an attempt on the backend server. Errors: those of the backend
 // package.
 func (s *Sidecar) ask(ctx context.Context, a *attempt) (*shardpb.Answer, error) {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -65,8 +65,11 @@
 	if !s.healthy.Load() {
 		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN, true, "the backend server does not answer")
 	}
-	if s.attempts.full() || !s.slots.hasRoom() {
-		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_FULL, true, "too many attempts wait for the backend server")
+	if s.attempts.full() {
+		return refuseUntil(rpcpb.RunRefusal_RUN_REFUSAL_FULL, "the sidecar remembers too many fenced attempts", fullRetryAfter)
+	}
+	if d := s.slots.admission(req); !d.Admit {
+		return refuseUntil(rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED, "not admitted: "+string(d.Reason), d.RetryAfter)
 	}
 	if s.needsHistory(req) {
 		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_NEED_HISTORY, false, "the program's history is not known here")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -81,7 +81,7 @@
 		attempts:    newAttempts(),
 		programs:    newProgramTexts(),
 		slots:       newSlots(cfg.MaxRunning),
-		holds:       newHolds(),
+		holds:       newHolds(cfg.RetainIdle),
 		holder:      configlease.NewHolder(),
 	}
 	s.lifecycle = newLifecycle(s.log)
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -6,17 +6,21 @@
 	"sync"
 	"time"
 
+	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/order"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
-// slots bounds the attempts that run on the backend server and queues the
-// others in the order of the policy. It is safe for concurrent use.
+// slots bounds the attempts that run on the backend server, admits those that may
+// wait and queues them in the order of the policy. It is safe for concurrent use.
 type slots struct {
-	limit int
 	start time.Time
+	admit admit.Policy
 
 	mu      sync.Mutex
+	limit   int
+	memory  float64       // share of the engine's cache that is used
+	meanRun time.Duration // of an attempt, from start to end
 	running int
 	alone   int // waiting attempts that must run alone
 	queue   *order.Queue[*waiter]
@@ -28,14 +32,57 @@
 	granted chan bool // true: a slot is held; false: the wait ended without one
 }
 
+const (
+	// initialRun is the assumed run time of an attempt before any has ended.
+	initialRun = 6 * time.Second
+	// runWeight is the weight of the newest attempt in the mean run time.
+	runWeight = 0.05
+)
+
 func newSlots(limit int) *slots {
 	return &slots{
-		limit: limit,
-		start: time.Now(),
-		queue: order.NewQueue[*waiter](order.DefaultPolicy()),
+		start:   time.Now(),
+		admit:   admit.DefaultPolicy(),
+		limit:   limit,
+		meanRun: initialRun,
+		queue:   order.NewQueue[*waiter](order.DefaultPolicy()),
 	}
 }
 
+// observe takes the engine's report: how many calls it runs together, and the
+// share of its cache that is used.
+func (s *slots) observe(limit int, memory float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+	s.memory = memory
+	s.grant()
+}
+
+// admission decides whether an attempt may wait here.
+func (s *slots) admission(req *rpcpb.RunRequest) admit.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Since(s.start)
+	request := admit.Request{
+		Priority:   req.Priority,
+		NewProgram: req.HistoryTurns == 0,
+		RunTime:    s.meanRun,
+		Deadline:   now + time.Duration(req.TimeoutMs)*time.Millisecond,
+	}
+	return s.admit.Decide(request, s.waitOf(req.Priority), now)
+}
+
+// waitOf estimates the wait of a new attempt. The caller holds mu.
+func (s *slots) waitOf(priority int32) admit.Load {
+	load := admit.Load{Waiting: s.queue.Len(), Memory: s.memory}
+	if s.running >= s.limit {
+		ahead := s.queue.Ahead(priority) + 1
+		load.Wait = s.meanRun * time.Duration(ahead) / time.Duration(s.limit)
+	}
+	return load
+}
+
 // acquire waits for a slot; it returns nil when it got one. It refuses the
 // attempt at once when the queue is full or a call of higher priority takes the
 // place, and when the context ends before a slot is free. A refused attempt was
@@ -44,16 +91,18 @@
 	w := &waiter{alone: a.alone, granted: make(chan bool, 1)}
 	call := s.describe(a.request, a.alone)
 	if !s.enqueue(call, w) {
-		return s.full("the queue of the backend server is full")
+		return refuseUntil(rpcpb.RunRefusal_RUN_REFUSAL_FULL, "the queue of the backend server is full", fullRetryAfter)
 	}
 	select {
 	case ok := <-w.granted:
 		if !ok {
-			return s.full("a call of higher priority took the place in the queue")
+			return refuseUntil(rpcpb.RunRefusal_RUN_REFUSAL_SHED, "a call of higher priority took the place in the queue", fullRetryAfter)
 		}
+		a.started = time.Now()
 		return nil
 	case <-ctx.Done():
 		if s.abandon(call.ID, w) {
+			a.started = time.Now()
 			return nil
 		}
 		return refusal(rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT, true, "the attempt was still waiting for the backend server")
@@ -62,9 +111,10 @@
 
 const fullRetryAfter = time.Second
 
-func (s *slots) full(detail string) *rpcpb.RunRefused {
-	r := refusal(rpcpb.RunRefusal_RUN_REFUSAL_FULL, true, detail)
-	r.RetryAfterMs = fullRetryAfter.Milliseconds()
+// refuseUntil refuses an attempt that was not run and says when to come back.
+func refuseUntil(reason rpcpb.RunRefusal, detail string, retryAfter time.Duration) *rpcpb.RunRefused {
+	r := refusal(reason, true, detail)
+	r.RetryAfterMs = retryAfter.Milliseconds()
 	return r
 }
 
@@ -127,6 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	s.meanRun += time.Duration(runWeight * float64(time.Since(a.started)-s.meanRun))
 	if a.alone {
 		s.holder = nil
 	}
@@ -161,14 +212,6 @@
 	})
 }
 
-// hasRoom reports whether another call may wait. A call of a higher priority
-// than a waiting one may be taken all the same by enqueue.
-func (s *slots) hasRoom() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.queue.Len() < order.DefaultPolicy().Capacity
-}
-
 // counts returns the running and the waiting attempts.
 func (s *slots) counts() (running, waiting int) {
 	s.mu.Lock()
