A call that was not run may be begun again; an attempt has one sender

Cause: (1) a call refused for overload stayed failed for its call ID, so the caller that came back as told got the old refusal; (2) Dispatch was idempotent for attempt and target, so two entries could each hold the right to send an attempt: one that was frozen for longer than the sidecar remembers could run a booking a second time. Ruled out: forgetting the record of a refused call (attempt numbers would start anew below the sidecars' fences); a sender's name in Dispatch (the attach path covers a lost result already). Change: Begin reopens the program's last call when it was proven not run, with the numbers of its attempts going on; an answer of an attempt that was proven not run is refused; a second Dispatch of an attempt is stale. Tests replaced: the outcome of a failed call was read through a resend, which now begins it again; the tests read it through Fail, and through a resend after the program went on, which is as strict. Measured: without the check in Commit TestBegunAgainWithoutServer fails, without the order rule in reopenable TestFailedOutcomes fails. Conclusion: "not run" is an invitation to come back, and one that holds.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -378,10 +378,10 @@
 	return triggerGiveUp
 }
 
-// neverStarted reports whether no attempt of the call can have run: none was
-// dispatched, or the only one was fenced before it started.
+// neverStarted reports whether the newest attempt of the call is proven not to
+// have run, and never will. What is known of earlier ones is in the shard.
 func (c *call) neverStarted() bool {
-	return c.attempt == 0 || (c.attempt == 1 && c.fenced == 1)
+	return c.fenced == c.attempt
 }
 
 // deliverUnfinished ends this request but not the call, which a later request
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -136,6 +136,7 @@
 		}
 		return triggerFollow
 	default:
+		c.fenced = record.Attempt // a call that is begun only was never run
 		return triggerNew
 	}
 }
@@ -306,9 +307,11 @@
 		c.failure.NotRun = false
 		return c.deliverFailure(c.failure)
 	}
-	if state := result.GetFail().State; state == shardpb.CallState_CALL_STATE_UNKNOWN {
-		return c.deliverFailure(recordedFailure(state, result.GetFail().Failure))
+	recorded := result.GetFail()
+	if recorded.State == shardpb.CallState_CALL_STATE_UNKNOWN {
+		return c.deliverFailure(recordedFailure(recorded.State, recorded.Failure))
 	}
+	c.failure.NotRun = recorded.Failure.GetNotRun()
 	return c.deliverFailure(c.failure)
 }
 
--- a/internal/shard/admit.go
+++ b/internal/shard/admit.go
@@ -40,6 +40,27 @@
 	return admission{repeatable: repeatable, reserve: reserve}, nil
 }
 
+// readmit checks a call that was proven not run and is begun again, and reserves
+// its budget as the last step. Its place in the program and its turn are counted
+// already.
+func (s *State) readmit(p *program, op *shardpb.Begin) (uint64, *shardpb.Refusal) {
+	c := p.customer
+	if _, refusal := allowed(c.contract, op); refusal != nil {
+		return 0, refusal
+	}
+	refusal := first(
+		s.checkTime(c, op),
+		s.checkProgram(c, p, op),
+		checkProgramTokens(c, p, op),
+		checkConcurrency(c),
+	)
+	if refusal != nil {
+		return 0, refusal
+	}
+	reserve := worstCase(p, op)
+	return reserve, c.budget.reserve(c.contract.GetBudget(), reserve, s.nowMs)
+}
+
 // allowed checks the model or operation and returns whether it is repeatable.
 func allowed(terms *shardpb.Contract, op *shardpb.Begin) (bool, *shardpb.Refusal) {
 	if op.GetKind() == shardpb.CallKind_CALL_KIND_MODEL {
--- a/internal/shard/begin.go
+++ b/internal/shard/begin.go
@@ -14,10 +14,10 @@
 		return &shardpb.Result{Refusal: refusal}
 	}
 	p := c.programs[key.GetProgram()]
+	c.budget.roll(c.contract.GetBudget(), s.nowMs)
 	if known := p.find(key.GetCall()); known != nil {
 		return s.resentBegin(p, known, op)
 	}
-	c.budget.roll(c.contract.GetBudget(), s.nowMs)
 	plan, refusal := s.admit(c, p, op)
 	if refusal != nil {
 		return &shardpb.Result{Refusal: refusal}
@@ -29,12 +29,38 @@
 	return beginOutcome(s.beginResult(p, p.openRecord(), true))
 }
 
-// resentBegin answers a Begin whose call ID is recorded.
+// resentBegin answers a Begin whose call ID is recorded. A call that was proven
+// not run is begun again, so that its caller can come back after a refusal.
 func (s *State) resentBegin(p *program, known *call, op *shardpb.Begin) *shardpb.Result {
 	if string(known.fingerprint[:]) != string(op.GetFingerprint()) {
 		return refused(shardpb.Reason_REASON_CALL_ID_REUSED, "call ID %q was used for another request", known.id)
 	}
-	return beginOutcome(s.beginResult(p, known, false))
+	if !reopenable(p, known) {
+		return beginOutcome(s.beginResult(p, known, false))
+	}
+	reserve, refusal := s.readmit(p, op)
+	if refusal != nil {
+		return &shardpb.Result{Refusal: refusal}
+	}
+	s.reopen(p, known, op, reserve)
+	return beginOutcome(s.beginResult(p, known, true))
+}
+
+// reopenable reports whether a call may be begun again: it was proven not run,
+// and the program has made no call since.
+func reopenable(p *program, c *call) bool {
+	return c == p.lastCall() && c.state == stateFailed && c.failure.GetNotRun() && !p.ended()
+}
+
+// reopen makes the last call of the program the open one again. Its attempts
+// keep their numbers: each of them is fenced.
+func (s *State) reopen(p *program, c *call, op *shardpb.Begin, reserve uint64) {
+	c.state = stateBegun
+	c.failure = nil
+	if c.kind == kindModel {
+		c.input = s.putBody(op.GetBody())
+	}
+	s.open(p, c, op, reserve)
 }
 
 // record adds the call to its program as the open one.
@@ -49,8 +75,15 @@
 	if c.kind == kindModel {
 		c.input = s.putBody(op.GetBody())
 	}
+	p.appendCall(c)
+	s.open(p, p.lastCall(), op, plan.reserve)
+	s.countTurn(p)
+}
+
+// open makes a call, which is the program's last one, its open one.
+func (s *State) open(p *program, c *call, op *shardpb.Begin, reserve uint64) {
 	p.open = &openCall{
-		reserved:          plan.reserve,
+		reserved:          reserve,
 		period:            p.customer.budget.period,
 		newInputTokensMax: op.GetNewInputTokensMax(),
 		maxOutputTokens:   op.GetMaxOutputTokens(),
@@ -60,12 +93,10 @@
 	}
 	if op.GetTarget() != nil {
 		c.state = stateDispatched
-		c.attempt = 1
+		c.attempt++
 		p.open.target = op.GetTarget()
 	}
-	p.appendCall(c)
 	p.customer.openCalls++
-	s.countTurn(p)
 	s.touch(p)
 }
 
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -30,7 +30,7 @@
 
 // checkNewest refuses outcomes of any attempt but the newest one.
 func checkNewest(c *call, attempt uint64) *shardpb.Refusal {
-	if attempt != uint64(c.attempt) || attempt == 0 {
+	if attempt != uint64(c.attempt) || c.state == stateBegun {
 		return refuse(shardpb.Reason_REASON_STALE_ATTEMPT, "attempt %d, the newest is %d", attempt, c.attempt)
 	}
 	return nil
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -1,13 +1,13 @@
 package shard
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	"ibistray.example/ibistray/proto/shardpb"
 )
 
-// dispatch records that an attempt is about to be sent. It is idempotent for
-// the same attempt and target.
+// dispatch records that an attempt is about to be sent. It is not idempotent:
+// whoever gets the result is the only one to send the attempt. A sender that
+// lost the result begins the call again and attaches to the attempt, which fences
+// it where it has not started.
 func (s *State) dispatch(op *shardpb.Dispatch) *shardpb.Result {
 	p, c, refusal := s.lookup(op.GetKey())
 	if refusal != nil {
@@ -19,9 +19,6 @@
 	if c.final() {
 		return refused(shardpb.Reason_REASON_CALL_FINAL, "the call has a final outcome")
 	}
-	if op.GetAttempt() == uint64(c.attempt) && proto.Equal(op.GetTarget(), p.open.target) {
-		return dispatchOutcome(c)
-	}
 	if refusal := s.checkAttempt(p, c, op); refusal != nil {
 		return &shardpb.Result{Refusal: refusal}
 	}
@@ -30,12 +27,13 @@
 }
 
 // checkAttempt lets exactly the next attempt through. A non-repeatable call
-// needs the proof that its newest attempt has not started and never will.
+// needs the proof that its newest attempt has not started and never will; for a
+// call that was begun again the proof is on record.
 func (s *State) checkAttempt(p *program, c *call, op *shardpb.Dispatch) *shardpb.Refusal {
 	if op.GetAttempt() != uint64(c.attempt)+1 {
 		return refuse(shardpb.Reason_REASON_STALE_ATTEMPT, "attempt %d, the newest is %d", op.GetAttempt(), c.attempt)
 	}
-	if !c.repeatable && op.GetFencedAttempt() != uint64(c.attempt) {
+	if !c.repeatable && mayRun(c, op) {
 		return refuse(shardpb.Reason_REASON_NOT_FENCED, "attempt %d of a non-repeatable call is not fenced", c.attempt)
 	}
 	if p.open.deadlineMs != 0 && p.open.deadlineMs <= s.nowMs {
@@ -44,8 +42,13 @@
 	return nil
 }
 
+// mayRun reports whether the newest attempt may have started or may yet start.
+func mayRun(c *call, op *shardpb.Dispatch) bool {
+	return c.state == stateDispatched && op.GetFencedAttempt() != uint64(c.attempt)
+}
+
 func (s *State) startAttempt(p *program, c *call, op *shardpb.Dispatch) {
-	if c.attempt != 0 && op.GetFencedAttempt() != uint64(c.attempt) {
+	if mayRun(c, op) {
 		p.open.mayHaveRun = true
 	}
 	c.attempt++
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -101,8 +101,13 @@
 	untilMs int64
 }
 
-// openRecord returns the record of the open call.
+// openRecord returns the record of the open call, which is the last one.
 func (p *program) openRecord() *call {
+	return p.lastCall()
+}
+
+// lastCall returns the record of the newest call.
+func (p *program) lastCall() *call {
 	return &p.calls[len(p.calls)-1]
 }
 
