--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -143,6 +143,19 @@
 	c.stopNow(n)
 }
 
+// killAll ends all processes at the same time.
+func (c *cluster) killAll() {
+	c.t.Helper()
+	disks := make(map[string]*waltest.FS)
+	for _, address := range c.addresses() {
+		disks[address] = c.nodes[address].fs.Crash(waltest.LoseUnsynced)
+	}
+	for _, address := range c.addresses() {
+		c.kill(address)
+		c.nodes[address].fs = disks[address]
+	}
+}
+
 func (c *cluster) stopNow(n *node) {
 	c.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/internal/wal/waltest"
@@ -31,14 +32,17 @@
 	})
 }
 
-// TestPowerFailureOfAllHosts loses the unsynced data of all hosts at once.
+// TestPowerFailureOfAllHosts loses the unsynced data of all hosts at the moment of
+// an acknowledgement. Slow disks make an early acknowledgement show.
 func TestPowerFailureOfAllHosts(t *testing.T) {
 	runCluster(t, func(t *testing.T, c *cluster) {
 		for _, key := range []string{"one", "two", "three"} {
-			assert.NilError(t, c.tryPut(c.leader(testGroup), testGroup, key, "1"))
-			for _, address := range c.addresses() {
-				c.kill(address)
+			leader := c.leader(testGroup)
+			for _, n := range c.nodes {
+				n.fs.SetFault(waltest.Fault{SyncTime: 5 * linkDelay})
 			}
+			assert.NilError(t, c.tryPut(leader, testGroup, key, "1"))
+			c.killAll()
 			for _, address := range c.addresses() {
 				c.start(address, testGroup)
 			}
@@ -181,6 +185,38 @@
 	})
 }
 
+// TestIdleGroupNoticesLeaderWithoutReplica restarts the host of the leader of an
+// idle group, which answers heartbeats but does not run the group any more.
+func TestIdleGroupNoticesLeaderWithoutReplica(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.addGroups(2)
+		old := c.leader(testGroup)
+		c.waitQuiesced(testGroup)
+		c.kill(old)
+		c.start(old, 2)
+		c.put(testGroup, "x", "1", old)
+	})
+}
+
+// TestReadWaitsForStateMachine elects a leader whose state machine is behind.
+func TestReadWaitsForStateMachine(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		old := c.leader(testGroup)
+		for _, address := range c.addresses() {
+			if address != old {
+				defer c.nodes[address].machines[testGroup].hold()()
+			}
+		}
+		assert.NilError(t, c.tryPut(old, testGroup, "x", "1"))
+		c.kill(old)
+		c.eventually("leader", func() bool { return c.believedLeader() != "" })
+		n := c.nodes[c.believedLeader()]
+		ctx, cancel := context.WithTimeout(t.Context(), 5*electionTimeout)
+		defer cancel()
+		assert.ErrorIs(t, n.host.ReadBarrier(ctx, testGroup), context.DeadlineExceeded)
+	})
+}
+
 // TestFrozenLeaderReadsNothingStale stops the leader like a paused process. When
 // it goes on it must not confirm a read by the lease that it had.
 func TestFrozenLeaderReadsNothingStale(t *testing.T) {
@@ -416,6 +452,17 @@
 	return ""
 }
 
+// believedLeader returns a running host that takes itself for the leader.
+func (c *cluster) believedLeader() string {
+	for _, address := range c.addresses() {
+		n := c.nodes[address]
+		if n.host != nil && c.status(address, testGroup).Role == raft.RoleLeader {
+			return address
+		}
+	}
+	return ""
+}
+
 func (c *cluster) onlyRunning() string {
 	for _, address := range c.addresses() {
 		if c.nodes[address].host != nil {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -17,6 +17,11 @@
 	// maxOverdueElections bounds the ticks that are made up for after a pause, in
 	// election timeouts. All leases have run out by then.
 	maxOverdueElections = 4
+	// maxApplyBacklog bounds the committed entries that wait for the state machine
+	// of a leader that takes proposals.
+	maxApplyBacklog = 8192
+	// noDisk is the disk ID of a replica that was removed from this host.
+	noDisk = 0
 )
 
 // group is the replica of one group. The core mailbox drives the raft core, the
@@ -87,8 +92,10 @@
 // start prepares the replica from what the data folder holds. The caller holds
 // the mutex of the host.
 func (g *group) start(state *wal.GroupState, members []*raftpb.Member) error {
+	removed := false
 	for _, binding := range bindingsOf(state) {
 		g.bindings[binding.ReplicaID] = binding.DiskID
+		removed = removed || binding.DiskID == noDisk
 		if binding.DiskID == g.host.diskID {
 			g.replicaID = binding.ReplicaID
 		}
@@ -96,7 +103,7 @@
 	switch {
 	case g.replicaID != 0:
 		return g.resume(state)
-	case len(members) > 0:
+	case len(members) > 0 && !removed:
 		return g.beginBootstrap(members)
 	default:
 		return g.beginJoin()
--- /dev/null
+++ b/internal/replica/groups_test.go
@@ -0,0 +1,154 @@
+package replica_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/wal/waltest"
+	"ibistray.example/ibistray/proto/raftpb"
+)
+
+const manyGroups = uint64(64)
+
+func (c *cluster) addGroups(last uint64) {
+	c.t.Helper()
+	for group := testGroup + 1; group <= last; group++ {
+		for _, address := range c.addresses() {
+			assert.NilError(c.t, c.addGroup(address, group))
+		}
+	}
+}
+
+// TestGroupsShareSyncs proposes to many groups at once while the disks are slow.
+func TestGroupsShareSyncs(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.addGroups(manyGroups)
+		for group := testGroup; group <= manyGroups; group++ {
+			c.put(group, "x", "1")
+		}
+		leaders := make(map[uint64]string)
+		for group := testGroup; group <= manyGroups; group++ {
+			leaders[group] = c.leader(group)
+		}
+		var before int
+		for _, n := range c.nodes {
+			n.fs.SetFault(waltest.Fault{SyncTime: linkDelay})
+			before += n.fs.Syncs()
+		}
+		var clients sync.WaitGroup
+		for group := testGroup; group <= manyGroups; group++ {
+			clients.Go(func() { assert.Check(t, c.tryPut(leaders[group], group, "x", "2")) })
+		}
+		clients.Wait()
+		after := 0
+		for _, n := range c.nodes {
+			after += n.fs.Syncs()
+		}
+		assert.Assert(t, after-before <= 12, "%d syncs", after-before)
+	})
+}
+
+// TestIdleGroupsSendNothing counts messages when all groups are quiesced: only
+// the heartbeats between hosts are left, and their number does not depend on
+// the number of groups.
+func TestIdleGroupsSendNothing(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.addGroups(manyGroups)
+		for group := testGroup; group <= manyGroups; group++ {
+			c.leader(group)
+		}
+		for group := testGroup; group <= manyGroups; group++ {
+			c.waitQuiesced(group)
+		}
+		time.Sleep(2 * linkDelay)
+		grouped := c.network.grouped.Load()
+		before := c.network.messages.Load()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, c.network.grouped.Load(), grouped)
+		beats := int64(3 * 2 * time.Second / (2 * tick))
+		sent := c.network.messages.Load() - before
+		assert.Assert(t, sent <= beats+6, "%d messages, want %d", sent, beats)
+	})
+}
+
+// TestLaggingGroupReleasesLog lets one group write much and another little: the
+// little one must not hold the log.
+func TestLaggingGroupReleasesLog(t *testing.T) {
+	small := func(opts *replica.Options) {
+		opts.SegmentSize = 1 << 10
+		opts.MaxSegments = 4
+		opts.SnapshotEntries = 50
+	}
+	runClusterWith(t, small, func(t *testing.T, c *cluster) {
+		c.addGroups(2)
+		c.put(2, "little", "1")
+		for i := range 300 {
+			c.put(testGroup, fmt.Sprintf("much-%d", i), "value")
+		}
+		c.eventually("segments removed", func() bool {
+			for _, n := range c.nodes {
+				if len(n.fs.Files(".wal")) > 8 {
+					return false
+				}
+			}
+			return true
+		})
+		for _, address := range c.addresses() {
+			c.kill(address)
+		}
+		for _, address := range c.addresses() {
+			c.start(address, testGroup, 2)
+		}
+		leader := c.leader(2)
+		assert.Equal(t, c.nodes[leader].machines[2].get("little"), "1")
+		leader = c.leader(testGroup)
+		assert.Equal(t, c.nodes[leader].machines[testGroup].size(), 300)
+	})
+}
+
+// TestRemovedReplicaDoesNotReturn removes a replica and adds the group again
+// under the first settings: it must not come back as its earlier self.
+func TestRemovedReplicaDoesNotReturn(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.put(testGroup, "x", "1")
+		gone := c.follower()
+		oldID := c.memberID(gone)
+		assert.NilError(t, c.nodes[c.leader(testGroup)].host.RemoveMember(t.Context(), testGroup, oldID))
+		host := c.nodes[gone].host
+		assert.NilError(t, host.RemoveGroup(testGroup))
+		assert.ErrorIs(t, host.RemoveGroup(testGroup), replica.ErrUnknownGroup)
+		assert.NilError(t, c.addGroup(gone, testGroup))
+		assert.Assert(t, c.status(gone, testGroup).ID != oldID)
+
+		assert.NilError(t, host.RemoveGroup(testGroup))
+		c.kill(gone)
+		c.start(gone, testGroup)
+		assert.Assert(t, c.status(gone, testGroup).ID != oldID)
+		time.Sleep(10 * electionTimeout)
+		assert.Equal(t, c.nodes[gone].machines[testGroup].get("x"), "")
+	})
+}
+
+// TestSingleMember runs a group with one member.
+func TestSingleMember(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		const group = 7
+		machine := newKV()
+		host := c.nodes["b"].host
+		assert.NilError(t, host.AddGroup(group, []*raftpb.Member{{Id: 5, Address: "b"}}, machine))
+		c.eventually("leader", func() bool { return host.Leader(group) == "b" })
+		_, err := host.Propose(t.Context(), group, []byte("x=1"))
+		assert.NilError(t, err)
+		assert.NilError(t, host.ReadBarrier(t.Context(), group))
+		assert.Equal(t, machine.get("x"), "1")
+		err = host.AddGroup(8, []*raftpb.Member{{Id: 5, Address: "elsewhere"}}, machine)
+		assert.ErrorIs(t, err, replica.ErrConfig)
+	})
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -34,10 +34,11 @@
 	// groups is replaced as a whole when a group is added or removed.
 	groups atomic.Pointer[map[uint64]*group]
 
+	stopping atomic.Bool // new requests are refused
+
 	mu        sync.Mutex // guards what follows
 	recovered map[uint64]*wal.GroupState
 	random    *rand.Rand
-	stopping  bool
 	failure   error
 
 	ctx     context.Context // ends when the host stops
@@ -125,7 +126,7 @@
 func (h *Host) AddGroup(id uint64, members []*raftpb.Member, sm StateMachine) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.stopping {
+	if h.stopping.Load() {
 		return ErrStopped
 	}
 	if _, err := h.lookup(id); err == nil {
@@ -142,19 +143,30 @@
 }
 
 // RemoveGroup ends the replica of a group on this host and deletes its state.
-// The replica must not be a member of the group any longer.
+// The replica must not be a member of the group any longer. A replica that is
+// added here later joins under a new ID.
 func (h *Host) RemoveGroup(id uint64) error {
 	g, err := h.takeGroup(id)
 	if err != nil {
 		return err
 	}
 	g.retire()
-	if err := h.log.Append([]wal.Update{{Group: id, Remove: true}}); err != nil {
+	tombstone := wal.Binding{ReplicaID: g.view.Load().replicaID, DiskID: noDisk}
+	updates := []wal.Update{{Group: id, Remove: true}, {Group: id, Bindings: []wal.Binding{tombstone}}}
+	if err := h.log.Append(updates); err != nil {
 		return fmt.Errorf("%w: remove group %d: %w", ErrStorage, id, err)
 	}
+	h.forgetRecovered(id, tombstone)
 	return h.snapshots.removeBefore(id, noSnapshotIndex)
 }
 
+// forgetRecovered replaces the state that a later AddGroup would continue from.
+func (h *Host) forgetRecovered(id uint64, tombstone wal.Binding) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.recovered[id] = &wal.GroupState{Bindings: []wal.Binding{tombstone}}
+}
+
 func (h *Host) takeGroup(id uint64) (*group, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -211,8 +223,8 @@
 		h.failure = fmt.Errorf("%w: %w", ErrStorage, cause)
 	}
 	err := h.failure
-	h.stopping = true
 	h.mu.Unlock()
+	h.stopping.Store(true)
 	if !first {
 		return
 	}
@@ -239,9 +251,7 @@
 // When ctx ends first, the host stops without waiting for the handover. Callers
 // that still wait get ErrStopped or ErrUncertain.
 func (h *Host) Stop(ctx context.Context) error {
-	h.mu.Lock()
-	h.stopping = true
-	h.mu.Unlock()
+	h.stopping.Store(true)
 	h.handOver(ctx)
 	h.shutdown()
 	<-h.done
@@ -251,13 +261,6 @@
 	return nil
 }
 
-// isStopping reports whether new requests are refused.
-func (h *Host) isStopping() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.stopping
-}
-
 // shutdown ends all goroutines.
 func (h *Host) shutdown() {
 	h.halt.Do(func() {
--- a/internal/replica/kv_test.go
+++ b/internal/replica/kv_test.go
@@ -9,22 +9,40 @@
 
 // kv is a state machine of keys and values. A command is "key=value".
 type kv struct {
-	mu      sync.Mutex
-	values  map[string]string
-	applied []uint64 // indexes
+	mu     sync.Mutex
+	values map[string]string
+	gate   chan struct{} // not nil: Apply waits until it is closed
+}
+
+// hold makes Apply wait until the result is called.
+func (s *kv) hold() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gate := make(chan struct{})
+	s.gate = gate
+	return func() { close(gate) }
+}
+
+func (s *kv) wait() {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
 }
 
 func newKV() *kv {
 	return &kv{values: make(map[string]string)}
 }
 
-func (s *kv) Apply(index uint64, data []byte) any {
+func (s *kv) Apply(_ uint64, data []byte) any {
+	s.wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key, value, _ := strings.Cut(string(data), "=")
 	before := s.values[key]
 	s.values[key] = value
-	s.applied = append(s.applied, index)
 	return before
 }
 
--- a/internal/replica/network_test.go
+++ b/internal/replica/network_test.go
@@ -30,7 +30,7 @@
 	messages  atomic.Int64
 	bytes     atomic.Int64
 	snapshots atomic.Int64
-	heard     func(from, to string, batch *raftpb.MessageBatch) // nil: not called
+	grouped   atomic.Int64 // messages that belong to a group
 }
 
 func newNetwork() *network {
@@ -104,8 +104,10 @@
 	if err := proto.Unmarshal(data, batch); err != nil {
 		panic(err)
 	}
-	if e.network.heard != nil {
-		e.network.heard(e.address, to, batch)
+	for _, m := range batch.GetMessages() {
+		if m.GetGroup() != 0 {
+			e.network.grouped.Add(1)
+		}
 	}
 	host.Receive(batch)
 }
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return Applied{}, err
 	}
-	if h.isStopping() {
+	if h.stopping.Load() {
 		return Applied{}, ErrStopped
 	}
 	p := &proposal{result: make(chan outcome, 1)}
@@ -80,7 +80,7 @@
 
 // propose appends an entry to the log of the leader.
 func (g *group) propose(p *proposal, propose proposeFunc) {
-	if g.retired || g.node == nil {
+	if g.retired || g.node == nil || g.progress.backlog() > maxApplyBacklog {
 		p.finish(Applied{}, g.notTaken(ErrUnavailable))
 		return
 	}
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	if h.isStopping() {
+	if h.stopping.Load() {
 		return ErrStopped
 	}
 	result := make(chan error, 1)
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -107,6 +107,7 @@
 	for i, entry := range entries {
 		commands[i] = command{entry: entry, proposal: g.takeProposal(entry)}
 		g.progress.bytes += len(entry.GetData())
+		g.progress.handed = entry.GetIndex()
 	}
 	g.apply.post(func() { g.applyAll(commands) })
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -11,11 +11,17 @@
 // snapshotProgress says when the next snapshot of a group is due.
 type snapshotProgress struct {
 	index   uint64 // of the latest durable snapshot
+	handed  uint64 // last index given to the state machine
 	applied uint64 // index that the state machine holds
 	bytes   int    // of commands since the latest snapshot
 	taking  bool
 }
 
+// backlog returns how many entries wait for the state machine.
+func (p *snapshotProgress) backlog() uint64 {
+	return p.handed - min(p.handed, p.applied)
+}
+
 func (p *snapshotProgress) due(opts *Options) bool {
 	return p.applied-p.index >= opts.SnapshotEntries || p.bytes >= opts.SnapshotBytes
 }
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -58,14 +59,19 @@
 	if err != nil {
 		return err
 	}
-	if h.isStopping() {
+	if h.stopping.Load() {
 		return ErrStopped
 	}
 	if err := g.checkSnapshot(ctx, m); err != nil {
 		return err
 	}
 	index := m.GetSnapshot().GetIndex()
-	if err := h.snapshots.receive(g.id, index, data); err != nil {
+	err = h.snapshots.receive(g.id, index, data)
+	if errors.Is(err, ErrSnapshotDamaged) {
+		return err
+	}
+	if err != nil {
+		h.fail(err)
 		return err
 	}
 	h.metrics.snapshots.WithLabelValues("received").Inc()
--- a/internal/wal/atomicfile.go
+++ b/internal/wal/atomicfile.go
@@ -20,6 +20,7 @@
 // writers of the same file that may run at the same time.
 func WriteFileAtomicVia(fs FS, name, temp string, write func(io.Writer) error) error {
 	if err := writeSynced(fs, temp, write); err != nil {
+		_ = fs.Remove(temp) // the next start removes it otherwise
 		return fmt.Errorf("wal: write %s: %w", temp, err)
 	}
 	if err := fs.Rename(temp, name); err != nil {
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -76,15 +77,12 @@
 		fs := waltest.New()
 		log, _ := open(t, fs)
 		defer closeLog(t, log)
-		block := make(chan struct{})
-		fs.SetFault(waltest.Fault{BlockSync: block})
+		fs.SetFault(waltest.Fault{SyncTime: time.Millisecond})
 		before := fs.Syncs()
 		var done sync.WaitGroup
 		for group := uint64(1); group <= 100; group++ {
 			done.Go(func() { appendAll(t, log, entries(group, 1, 1, 1)) })
 		}
-		synctest.Wait()
-		close(block)
 		done.Wait()
 		assert.Assert(t, fs.Syncs()-before <= 2, "%d syncs", fs.Syncs()-before)
 	})
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"ibistray.example/ibistray/internal/wal"
 )
@@ -35,9 +36,9 @@
 
 // Fault says which errors the file system returns.
 type Fault struct {
-	FailSync  bool // File.Sync returns ErrSync
-	NoSpace   bool // File.Write writes half of the data and returns ErrNoSpace
-	BlockSync <-chan struct{}
+	FailSync bool          // File.Sync returns ErrSync
+	NoSpace  bool          // File.Write writes half of the data and returns ErrNoSpace
+	SyncTime time.Duration // how long File.Sync takes
 }
 
 // content is the data of a file.
@@ -254,11 +255,9 @@
 
 func (f *file) Sync() error {
 	f.fs.mu.Lock()
-	block := f.fs.fault.BlockSync
+	duration := f.fs.fault.SyncTime
 	f.fs.mu.Unlock()
-	if block != nil {
-		<-block
-	}
+	time.Sleep(duration)
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if f.fs.fault.FailSync {
