--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/telemetry"
-	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
 )
 
@@ -18,8 +17,8 @@
 	s.work.Go(func() {
 		defer s.metrics.RunningCalls.Dec()
 		s.run(a)
-		committed := s.settle(a)
-		s.attempts.end(a, committed, time.Now())
+		s.settle(a)
+		s.attempts.end(a, time.Now())
 	})
 }
 
@@ -32,49 +31,55 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	a.onStop(cancel)
-	if !s.slots.acquire(ctx, a) {
-		a.fail(refusal(waitRefusal(a), true, "the attempt was still waiting for the backend server"))
+	if refused := s.slots.acquire(ctx, a); refused != nil {
+		a.fail(refused)
 		return
 	}
 	defer s.slots.release(a)
-	switch a.request.Kind {
-	case shardpb.CallKind_CALL_KIND_SERVICE:
-		s.runService(ctx, a)
-	default:
-		s.runModel(ctx, a)
+	group := s.crashes.join(a)
+	defer group.leave(a)
+	answer, err := s.ask(ctx, a)
+	if err != nil {
+		a.fail(s.failure(ctx, a, group, err))
+		return
 	}
+	if a.alone {
+		s.clearSuspect(a)
+	}
+	a.finish(answer)
 }
 
-func waitRefusal(a *attempt) rpcpb.RunRefusal {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.cancelled {
-		return rpcpb.RunRefusal_RUN_REFUSAL_CANCELLED
+// ask runs an attempt on the backend server. Errors: those of the backend
+// package.
+func (s *Sidecar) ask(ctx context.Context, a *attempt) (*shardpb.Answer, error) {
+	if a.request.Kind == shardpb.CallKind_CALL_KIND_SERVICE {
+		return s.askService(ctx, a)
 	}
-	return rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT
+	return s.askModel(ctx, a)
 }
 
 const (
 	// commitWait is how long the sidecar leaves the commit of an answer to the
 	// entry before it commits the answer itself.
-	commitWait    = 2 * time.Second
-	commitTimeout = 60 * time.Second
+	commitWait = 2 * time.Second
+	// commitTries and commitTimeout bound how long an answer is kept for a
+	// shard that does not answer.
+	commitTries   = 10
+	commitTimeout = time.Minute
 )
 
-// settle returns when the answer of an attempt is durable. It reports whether
-// the attempt has a durable answer.
-func (s *Sidecar) settle(a *attempt) bool {
+// settle returns when the answer of an attempt is durable, or when the shard
+// does not want it any more.
+func (s *Sidecar) settle(a *attempt) {
 	if a.state(0).answer == nil {
-		return true
+		return
 	}
 	if !waitCommitted(a, commitWait) {
 		s.commit(a)
 	}
-	committed := a.state(0).committed
-	if committed {
+	if a.state(0).committed {
 		s.remember(a)
 	}
-	return committed
 }
 
 func waitCommitted(a *attempt, limit time.Duration) bool {
@@ -96,27 +101,34 @@
 // commit makes the answer durable in the customer's shard. A commit is
 // idempotent, so it does no harm when the entry commits at the same time.
 func (s *Sidecar) commit(a *attempt) {
+	log := s.log.With(telemetry.KeyProgram, a.id.program, telemetry.KeyCall, a.id.call, telemetry.KeyAttempt, a.request.Attempt)
+	for range commitTries {
+		result, err := s.commitOnce(a)
+		if err != nil {
+			log.Warn("answer not committed yet", telemetry.KeyError, err)
+			continue
+		}
+		if result.Refusal != nil {
+			log.Warn("answer was refused by the shard", "reason", result.Refusal.Reason.String(), "detail", result.Refusal.Detail)
+			return
+		}
+		log.Info("answer committed for an entry that did not")
+		a.markCommitted()
+		return
+	}
+	log.Error("answer dropped: its shard did not answer")
+}
+
+func (s *Sidecar) commitOnce(a *attempt) (*shardpb.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	req := a.request
 	cmd := &shardpb.Command{Op: &shardpb.Command_Commit{Commit: &shardpb.Commit{
-		Key:     req.Key,
-		Epoch:   req.Epoch,
-		Attempt: req.Attempt,
+		Key:     a.request.Key,
+		Epoch:   a.request.Epoch,
+		Attempt: a.request.Attempt,
 		Answer:  a.state(0).answer,
 	}}}
-	log := s.log.With(telemetry.KeyProgram, a.id.program, telemetry.KeyCall, a.id.call, telemetry.KeyAttempt, req.Attempt)
-	result, err := s.shards.Propose(ctx, a.id.customer, cmd, 0)
-	if err != nil {
-		log.Error("answer could not be committed", telemetry.KeyError, err)
-		return
-	}
-	if result.Refusal != nil {
-		log.Warn("answer was refused by the shard", "reason", result.Refusal.Reason.String(), "detail", result.Refusal.Detail)
-		return
-	}
-	log.Info("answer committed for an entry that did not")
-	a.markCommitted()
+	return s.shards.Propose(ctx, a.id.customer, cmd, 0)
 }
 
 // remember keeps what the next call of the program needs.
