Hosts that stop together do not hand leadership to and fro

Cause: two hosts that got SIGTERM at the same time, the third gone before, passed the leadership of each group to each other every 50 ms: 47 terms in 2.4 s. Change: a stopping host ignores the order to campaign, and the handover ends after two election timeouts.

--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -2,13 +2,21 @@
 
 import (
 	"context"
+	"time"
 
 	"ibistray.example/ibistray/internal/raft"
 )
 
+// handOverElections bounds the time for a handover, in election timeouts: the
+// other voters may be stopping too.
+const handOverElections = 2
+
 // handOver hands the leadership of all groups to other voters and waits until it
-// is done or ctx ends.
+// is done, ctx ends or nobody has taken it for handOverElections.
 func (h *Host) handOver(ctx context.Context) {
+	limit := time.Duration(handOverElections*h.opts.Raft.ElectionTicks) * h.opts.TickInterval
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	for ctx.Err() == nil && h.Err() == nil {
 		if h.requestTransfers() == 0 {
 			return
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -206,6 +206,11 @@
 			h.peers.receive(m, h.ticks())
 			continue
 		}
+		if m.GetKind() == raftpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW && h.stopping.Load() {
+			// Two hosts that stop together would hand leadership to and fro.
+			h.metrics.dropped.WithLabelValues("stopping").Inc()
+			continue
+		}
 		g, err := h.lookup(m.GetGroup())
 		if err != nil {
 			h.metrics.dropped.WithLabelValues("unknown_group").Inc()
