Demo: print only warnings and errors of a failed run's logs

Cause: the last lines of each log were calls that were answered, and hid the problem. Ruled out: printing whole logs. Conclusion: the cause of a failure stands at the end of the output.

--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -101,8 +102,9 @@
 	return nil
 }
 
-// lastLines returns the end of the process's log.
-func (p *process) lastLines(n int) []string {
+// lastProblems returns the last lines of the process's log that are not below
+// the level of warnings; lines that are not JSON are the text of a crash.
+func (p *process) lastProblems(n int) []string {
 	file, err := os.Open(p.log)
 	if err != nil {
 		return nil
@@ -110,6 +112,9 @@
 	defer file.Close()
 	var lines []string
 	for scanner := bufio.NewScanner(file); scanner.Scan(); {
+		if !isProblem(scanner.Bytes()) {
+			continue
+		}
 		lines = append(lines, scanner.Text())
 		if len(lines) > n {
 			lines = lines[1:]
@@ -118,6 +123,17 @@
 	return lines
 }
 
+// isProblem reports whether a line of a log is a warning, an error or no JSON.
+func isProblem(line []byte) bool {
+	var entry struct {
+		Level string `json:"@level"`
+	}
+	if json.Unmarshal(line, &entry) != nil {
+		return true
+	}
+	return entry.Level == "warn" || entry.Level == "error"
+}
+
 // logPath returns the log file of a process in the data folder.
 func logPath(dataDir, name string) string {
 	return filepath.Join(dataDir, name+".log")
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeLimit-stopReserve)
 	defer cancel()
 	if err := play(ctx, c, config); err != nil {
-		c.printLogs(config.Out)
+		c.printProblems(config.Out)
 		fmt.Fprintf(config.Out, "the logs and data are kept in %s\n", dataDir)
 		return err
 	}
@@ -141,11 +141,15 @@
 	return results, err
 }
 
-// printLogs prints the end of each process's log.
-func (c *cluster) printLogs(out io.Writer) {
+// printProblems prints the last warnings and errors of each process.
+func (c *cluster) printProblems(out io.Writer) {
 	for _, p := range c.processes() {
+		lines := p.lastProblems(logLines)
+		if len(lines) == 0 {
+			continue
+		}
 		fmt.Fprintf(out, "--- %s\n", p.log)
-		for _, line := range p.lastLines(logLines) {
+		for _, line := range lines {
 			fmt.Fprintln(out, line)
 		}
 	}
