--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -237,6 +237,8 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: retry.KindStaleConfiguration,
 	rpcpb.RunRefusal_RUN_REFUSAL_BAD_ANSWER:          retry.KindBadAnswer,
 	rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED:         retry.KindQuarantined,
+	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        retry.KindRefused,
+	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                retry.KindShed,
 }
 
 func refusalKind(r *rpcpb.RunRefused) retry.Kind {
@@ -249,6 +251,8 @@
 // refusalFailures say how a final refusal of a sidecar is shown to the caller.
 var refusalFailures = map[rpcpb.RunRefusal]Failure{
 	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
+	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        {Status: statusTooManyRequests, Reason: reasonOverloaded},
+	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer},
 	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer},
 	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration},
@@ -374,10 +378,10 @@
 	return triggerGiveUp
 }
 
-// neverStarted reports whether no attempt of the call can have run: none was
-// dispatched, or the only one was fenced before it started.
+// neverStarted reports whether the newest attempt of the call is proven not to
+// have run, and never will. What is known of earlier ones is in the shard.
 func (c *call) neverStarted() bool {
-	return c.attempt == 0 || (c.attempt == 1 && c.fenced == 1)
+	return c.fenced == c.attempt
 }
 
 // deliverUnfinished ends this request but not the call, which a later request
