Fencing numbers grow for the whole program; streams have an idle limit

Cause: (1) the fencing number fell from one call to the next after a retried call, so an engine that checks refused each later call and the entry read the record again every 50 ms until the deadline; (2) escaped slashes in cache paths were sent plain, so no engine memory was ever released; (3) the HTTP library's read timeout is one deadline for the whole answer, so each stream was cut after 5 s. Ruled out: a counter in the sidecar (a restarted one would begin anew). Change: the fencing number is the log index of the command that recorded the attempt; an entry reads a record again once for each refused attempt; path normalizing is off; silence is measured between the events of a stream.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
@@ -108,44 +109,72 @@
 
 func (c *Client) stream(ctx context.Context, req *protocol.Request, resp *protocol.Response, requestID string, offset uint64) (*Stream, error) {
 	if err := c.open(ctx, req, resp); err != nil {
-		release(req, resp)
 		return nil, err
 	}
-	reader, err := sse.NewReader(resp)
+	reader, err := openReader(resp)
 	if err != nil {
 		release(req, resp)
-		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+		return nil, err
 	}
-	reader.SetMaxBufferSize(maxEventBytes)
 	return &Stream{requestID: requestID, req: req, resp: resp, reader: reader, offset: offset}, nil
 }
 
+// open sends a request and waits for the header of its answer, for at most
+// silenceLimit. It releases request and response when it fails.
 func (c *Client) open(ctx context.Context, req *protocol.Request, resp *protocol.Response) error {
-	if err := c.http.Do(ctx, req, resp); err != nil {
-		return transportError(err)
+	req.SetOptions(readTimeoutOption(ctx))
+	done := make(chan error, 1)
+	go func() { done <- c.http.Do(ctx, req, resp) }()
+	silent := time.NewTimer(silenceLimit)
+	defer silent.Stop()
+	select {
+	case err := <-done:
+		if err != nil {
+			release(req, resp)
+			return transportError(err)
+		}
+		return nil
+	case <-silent.C:
+		go func() {
+			<-done
+			release(req, resp)
+		}()
+		return fmt.Errorf("%w: no answer for %s", ErrBroken, silenceLimit)
 	}
+}
+
+// openReader checks the status of a streamed answer.
+func openReader(resp *protocol.Response) (*sse.Reader, error) {
 	switch resp.StatusCode() {
 	case consts.StatusOK:
-		return nil
 	case consts.StatusNotFound:
-		return ErrUnknownRequest
+		return nil, ErrUnknownRequest
 	case consts.StatusConflict:
-		return ErrFenced
+		return nil, ErrFenced
+	default:
+		body, err := resp.BodyE()
+		if err != nil {
+			return nil, transportError(err)
+		}
+		return nil, statusError(resp, body)
 	}
-	body, err := resp.BodyE()
+	reader, err := sse.NewReader(resp)
 	if err != nil {
-		return transportError(err)
+		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
-	return statusError(resp, body)
+	reader.SetMaxBufferSize(maxEventBytes)
+	return reader, nil
 }
 
-// Next returns the next chunk. It returns io.EOF only after the end marker and
+// Next returns the next chunk; it waits for at most silenceLimit. It returns io.EOF only after the end marker and
 // the usage were seen; a stream that ends without them is ErrBroken, a chunk
 // of another request or at another offset ErrBadAnswer.
 func (s *Stream) Next() (Chunk, error) {
 	event := sse.NewEvent()
 	defer event.Release()
+	silent := time.AfterFunc(silenceLimit, s.Abort)
 	err := s.reader.Read(event)
+	silent.Stop()
 	if errors.Is(err, io.EOF) {
 		return Chunk{}, fmt.Errorf("%w: stream ended without its end marker", ErrBroken)
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -17,8 +17,8 @@
 
 const (
 	dialTimeout = time.Second
-	// silenceLimit is the longest time without a byte from the server before
-	// the connection is taken for lost and probed on a new one.
+	// silenceLimit is the longest time without an event of a stream before its
+	// connection is taken for lost and probed on a new one.
 	silenceLimit   = 5 * time.Second
 	requestTimeout = 5 * time.Second
 	maxConns       = 8192
@@ -45,9 +45,9 @@
 	h, err := client.NewClient(
 		client.WithDialer(standard.NewDialer()),
 		client.WithDialTimeout(dialTimeout),
-		client.WithClientReadTimeout(silenceLimit),
 		client.WithMaxConnsPerHost(maxConns),
 		client.WithKeepAlive(false),
+		client.WithDisablePathNormalizing(true), // program names hold escaped slashes
 		client.WithResponseBodyStream(true),
 		client.WithRetryConfig(retry.WithMaxAttemptTimes(1)),
 	)
@@ -225,9 +225,7 @@
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		req.SetOptions(readTimeoutOption(time.Until(deadline)))
-	}
+	req.SetOptions(readTimeoutOption(ctx))
 	if err := c.http.Do(ctx, req, resp); err != nil {
 		return transportError(err)
 	}
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -8,10 +9,18 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 )
 
-// readTimeoutOption bounds the wait for each part of the answer. The library
-// takes 0 for "no limit", so the shortest bound is a millisecond.
-func readTimeoutOption(d time.Duration) config.RequestOption {
-	return config.WithReadTimeout(max(d, time.Millisecond))
+// maxReadTimeout bounds an answer whose context has no deadline.
+const maxReadTimeout = time.Hour
+
+// readTimeoutOption bounds the whole answer: the library sets one deadline when
+// it begins to read. It takes 0 for "no limit", so the shortest bound is a
+// millisecond.
+func readTimeoutOption(ctx context.Context) config.RequestOption {
+	limit := maxReadTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(deadline))
+	}
+	return config.WithReadTimeout(max(limit, time.Millisecond))
 }
 
 func ignoreNotFound(err error) error {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -85,6 +85,7 @@
 		AttainedTokens:      c.record.AttainedTokens,
 		EngineSharePermille: c.record.EngineSharePermille,
 		Alone:               c.mustRunAlone(),
+		Fence:               c.fence,
 	}
 }
 
@@ -208,7 +209,10 @@
 	case rpcpb.RunRefusal_RUN_REFUSAL_NEED_HISTORY:
 		return c.loadHistory(ctx)
 	case rpcpb.RunRefusal_RUN_REFUSAL_FENCED:
-		return c.reload(ctx)
+		if c.reloaded != c.attempt {
+			c.reloaded = c.attempt
+			return c.reload(ctx)
+		}
 	case rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DIED:
 		c.suspect = true
 	case rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED:
@@ -226,6 +230,7 @@
 
 var refusalKinds = map[rpcpb.RunRefusal]retry.Kind{
 	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             retry.KindLeaving,
+	rpcpb.RunRefusal_RUN_REFUSAL_FENCED:              retry.KindConnect, // nobody else took the call over
 	rpcpb.RunRefusal_RUN_REFUSAL_OTHER_INCARNATION:   retry.KindOtherIncarnation,
 	rpcpb.RunRefusal_RUN_REFUSAL_UNKNOWN_ATTEMPT:     retry.KindConnect,
 	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                retry.KindQueueFull,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -33,7 +33,9 @@
 	record   *shardpb.BeginResult
 	attempt  uint64 // newest attempt that this entry knows
 	target   *shardpb.Target
+	fence    uint64 // fencing number of the attempt
 	fenced   uint64
+	reloaded uint64   // attempt after whose refusal the record was read again
 	excluded []string // servers on which this call failed
 	history  []byte   // JSON array of earlier messages, once the sidecar asked for it
 	hasText  bool     // history is set
@@ -125,6 +127,7 @@
 	c.content = quarantine.Compute(c.offer(), record.HistoryDigest, c.req.Content)
 	c.attempt = record.Attempt
 	c.target = record.Target
+	c.fence = record.Fence
 	switch record.State {
 	case shardpb.CallState_CALL_STATE_FINISHED:
 		return c.deliverAnswer(record.Answer)
@@ -217,6 +220,7 @@
 	}
 	c.attempt++
 	c.target = target
+	c.fence = result.GetDispatch().Fence
 	return triggerSend
 }
 
--- a/internal/shard/begin.go
+++ b/internal/shard/begin.go
@@ -16,7 +16,7 @@
 	p := c.programs[key.GetProgram()]
 	c.budget.roll(c.contract.GetBudget(), s.nowMs)
 	if known := p.find(key.GetCall()); known != nil {
-		return s.resentBegin(p, known, op)
+		return s.resentBegin(index, p, known, op)
 	}
 	plan, refusal := s.admit(c, p, op)
 	if refusal != nil {
@@ -26,12 +26,12 @@
 		p = s.createProgram(c, index, op)
 	}
 	s.record(p, op, plan)
-	return beginOutcome(s.beginResult(p, p.openRecord(), true))
+	return s.begun(index, p, p.openRecord())
 }
 
 // resentBegin answers a Begin whose call ID is recorded. A call that was proven
 // not run is begun again, so that its caller can come back after a refusal.
-func (s *State) resentBegin(p *program, known *call, op *shardpb.Begin) *shardpb.Result {
+func (s *State) resentBegin(index uint64, p *program, known *call, op *shardpb.Begin) *shardpb.Result {
 	if string(known.fingerprint[:]) != string(op.GetFingerprint()) {
 		return refused(shardpb.Reason_REASON_CALL_ID_REUSED, "call ID %q was used for another request", known.id)
 	}
@@ -43,7 +43,17 @@
 		return &shardpb.Result{Refusal: refusal}
 	}
 	s.reopen(p, known, op, reserve)
-	return beginOutcome(s.beginResult(p, known, true))
+	return s.begun(index, p, known)
+}
+
+// begun returns the result of a command that made a call the open one. The log
+// index grows with each command, so it is the fencing number of the attempt.
+func (s *State) begun(index uint64, p *program, c *call) *shardpb.Result {
+	result := s.beginResult(p, c, true)
+	if c.state == stateDispatched {
+		result.Fence = index
+	}
+	return beginOutcome(result)
 }
 
 // reopenable reports whether a call may be begun again: it was proven not run,
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -8,7 +8,7 @@
 // whoever gets the result is the only one to send the attempt. A sender that
 // lost the result begins the call again and attaches to the attempt, which fences
 // it where it has not started.
-func (s *State) dispatch(op *shardpb.Dispatch) *shardpb.Result {
+func (s *State) dispatch(index uint64, op *shardpb.Dispatch) *shardpb.Result {
 	p, c, refusal := s.lookup(op.GetKey())
 	if refusal != nil {
 		return &shardpb.Result{Refusal: refusal}
@@ -23,7 +23,7 @@
 		return &shardpb.Result{Refusal: refusal}
 	}
 	s.startAttempt(p, c, op)
-	return dispatchOutcome(c)
+	return dispatchOutcome(index, c)
 }
 
 // checkAttempt lets exactly the next attempt through. A non-repeatable call
@@ -57,7 +57,7 @@
 	s.touch(p)
 }
 
-func dispatchOutcome(c *call) *shardpb.Result {
-	result := &shardpb.DispatchResult{Attempt: uint64(c.attempt)}
+func dispatchOutcome(index uint64, c *call) *shardpb.Result {
+	result := &shardpb.DispatchResult{Attempt: uint64(c.attempt), Fence: index}
 	return &shardpb.Result{Outcome: &shardpb.Result_Dispatch{Dispatch: result}}
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -77,7 +77,7 @@
 	case *shardpb.Command_Begin:
 		return s.begin(index, op.Begin)
 	case *shardpb.Command_Dispatch:
-		return s.dispatch(op.Dispatch)
+		return s.dispatch(index, op.Dispatch)
 	case *shardpb.Command_Commit:
 		return s.commit(op.Commit)
 	case *shardpb.Command_Fail:
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	return &backend.ChatRequest{
-		Fencing:    req.Epoch<<20 | req.Attempt,
+		Fencing:    req.Fence,
 		Model:      req.Model,
 		Parameters: req.Parameters,
 		Messages:   messages,
