retry: ten retries with delays up to a minute; the budget counts repeated work

Change: BaseDelay 1 s and MaxDelay 1 min in place of 250 ms and 15 s; the budget is not charged for attempts proven not run; share 0.5, burst 50.

--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -2,6 +2,12 @@
 
 import "sync/atomic"
 
+// Constants of the budget that the benchmark supports, for one process.
+const (
+	DefaultBudgetShare = 0.5 // retries for each first attempt
+	DefaultBudgetBurst = 50  // retries at once
+)
+
 // millitokens is the unit of a Budget: one retry costs 1,000.
 const millitokens = 1000
 
--- a/internal/policy/retry/policy.go
+++ b/internal/policy/retry/policy.go
@@ -16,8 +16,8 @@
 	return Policy{
 		MaxRetries:        10,
 		MaxUnknownRetries: 1,
-		BaseDelay:         250 * time.Millisecond,
-		MaxDelay:          15 * time.Second,
+		BaseDelay:         time.Second,
+		MaxDelay:          time.Minute,
 		ElapsedCap:        2 * time.Minute,
 	}
 }
@@ -66,8 +66,9 @@
 }
 
 // Next decides on a failed call. Budget is shared by all calls and may be nil
-// for none; it is charged only if the decision is to retry. Rnd chooses the
-// delay.
+// for none. It is charged only if the decision is to retry an attempt that may
+// have run: repeating one that did not run costs no server time, and the number
+// of retries and their delays bound it. Rnd chooses the delay.
 func (p Policy) Next(c Call, f Failure, budget *Budget, rnd uint64, now time.Duration) Decision {
 	v := Classify(f)
 	d := Decision{Elsewhere: v.Elsewhere, Class: v.Class, Reason: v.Reason, Err: f.Err}
@@ -80,7 +81,7 @@
 	if d.Stop != StopNone {
 		return d
 	}
-	if budget != nil && !budget.TrySpend() {
+	if budget != nil && !f.NotRun && !budget.TrySpend() {
 		d.Stop = StopBudget
 		return d
 	}
--- a/internal/policy/retry/policy_test.go
+++ b/internal/policy/retry/policy_test.go
@@ -158,13 +158,17 @@
 	assert.Assert(t, spent.Load() >= workers*tries/10)
 }
 
-func TestBudgetChargesOnlyRetries(t *testing.T) {
+func TestBudgetChargesOnlyRetriesThatMayRepeatWork(t *testing.T) {
 	b := NewBudget(0, 1)
 	policy := DefaultPolicy()
 	d := policy.Next(Call{Repeatable: true}, Failure{Kind: KindQuota}, b, 0, 0)
 	assert.Equal(t, d.Stop, StopQuota)
-	d = policy.Next(Call{Repeatable: true}, Failure{Kind: KindConnect}, b, 0, 0)
+	for range 3 {
+		d = policy.Next(Call{Repeatable: true}, Failure{Kind: KindConnect, NotRun: true}, b, 0, 0)
+		assert.Assert(t, d.Retry)
+	}
+	d = policy.Next(Call{Repeatable: true}, Failure{Kind: KindServerDied}, b, 0, 0)
 	assert.Assert(t, d.Retry)
-	d = policy.Next(Call{Repeatable: true}, Failure{Kind: KindConnect}, b, 0, 0)
+	d = policy.Next(Call{Repeatable: true}, Failure{Kind: KindServerDied}, b, 0, 0)
 	assert.Equal(t, d.Stop, StopBudget)
 }
