--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,8 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
+bench-policy:
+	go run ./internal/policybench
+
 clean:
 	rm -rf bin .tools demo-data
--- a/internal/policybench/client.go
+++ b/internal/policybench/client.go
@@ -81,10 +81,11 @@
 
 // refused handles the final answer to a call that failed. The caller comes back
 // when the answer says so, as long as its patience lasts.
-func (cl *client) refused(c *call, f retry.Failure, d retry.Decision) {
+func (cl *client) refused(f retry.Failure, d retry.Decision) {
 	s := cl.sys
 	s.metrics.stops[string(d.Stop)]++
-	if f.RetryAfter > 0 && s.sim.now+f.RetryAfter < cl.asked+patience {
+	comesBack := s.faults.outage.length == 0 && f.RetryAfter > 0
+	if comesBack && s.sim.now+f.RetryAfter < cl.asked+patience {
 		delay := float64(f.RetryAfter) * (1 + comeBackJitter*s.rng.Float64())
 		s.sim.after(time.Duration(delay), cl.submit)
 		return
--- a/internal/policybench/faults.go
+++ b/internal/policybench/faults.go
@@ -28,7 +28,9 @@
 
 // faultState injects faults into a system.
 type faultState struct {
-	sys *system
+	sys    *system
+	outage outage
+	lost   float64 // engine seconds
 }
 
 // plan schedules each fault once.
@@ -36,18 +38,41 @@
 	sim := f.sys.sim
 	n := len(f.sys.sidecars)
 	sim.after(crashAt, func() { f.crash(f.sys.sidecars[0], crashDown) })
+	f.lost += (1 - slowSpeed) * slowFor.Seconds()
 	sim.after(slowAt, func() { f.sys.sidecars[1%n].engine.setSpeed(slowSpeed) })
 	sim.after(slowAt+slowFor, func() { f.sys.sidecars[1%n].engine.setSpeed(1) })
 	sim.after(stopAt, func() { f.stop(f.sys.sidecars[2%n]) })
+	f.lost += burstFor.Seconds() * float64((n+overloadShare-1)/overloadShare)
 	sim.after(burstAt, func() { f.overload(true) })
 	sim.after(burstAt+burstFor, func() { f.overload(false) })
 	sim.after(hungAt, func() { f.sys.services.hung = 0 })
 	sim.after(hungAt+hungFor, func() { f.sys.services.hung = -1 })
 }
 
+// outageAt is the start of an outage of all engines.
+const outageAt = 8 * time.Minute
+
+// planOutage makes engines fail for a while.
+func (f *faultState) planOutage(o outage) {
+	f.outage = o
+	f.sys.sim.after(outageAt, func() { f.setOutage(true) })
+	f.sys.sim.after(outageAt+o.length, func() { f.setOutage(false) })
+}
+
+func (f *faultState) setOutage(on bool) {
+	for i, sc := range f.sys.sidecars {
+		if f.outage.lossy {
+			sc.losing = on && i%overloadShare == 0
+		} else {
+			sc.overloaded = on
+		}
+	}
+}
+
 // crash ends a server with everything on it.
 func (f *faultState) crash(sc *sidecar, down time.Duration) {
 	sc.state = place.StateDown
+	f.lost += down.Seconds()
 	lost := sc.engine.clear()
 	clear(sc.running)
 	clear(sc.waiting)
@@ -67,6 +92,7 @@
 // stop announces a planned stop: running and waiting calls end, caches move.
 func (f *faultState) stop(sc *sidecar) {
 	sc.state = place.StateLeaving
+	f.lost += stopNotice.Seconds()
 	f.moveCaches(sc)
 	f.sys.sim.after(stopNotice, func() { f.crash(sc, stopDown) })
 }
--- a/internal/policybench/main.go
+++ b/internal/policybench/main.go
@@ -1,41 +1,60 @@
-// Command policybench measures the decision packages in virtual time.
+// Command policybench measures the decision packages in virtual time. It runs
+// the real policies against small fakes, prints tables and ends with status 1
+// if a bound is broken. Equal flags give equal output.
 package main
 
 import (
 	"flag"
 	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
 	"strings"
-	"time"
 )
 
+// fullSeeds is the number of seeds of a full run.
+const fullSeeds = 10
+
+// gcPercent trades memory for time; a run is short.
+const gcPercent = 400
+
 func main() {
-	filter := flag.String("rows", "", "")
-	loads := flag.String("loads", "0.95 1.5", "")
+	quick := flag.Bool("quick", false, "one seed, baseline and combined policies only")
+	rows := flag.String("rows", "", "print only rows whose name contains this, and check no bound")
+	known := flag.String("known-red", "KNOWN-RED.txt", "file that lists the bounds known to be broken")
 	flag.Parse()
-	start := time.Now()
-	for _, d := range deployments() {
-		for _, l := range strings.Fields(*loads) {
-			var load float64
-			fmt.Sscan(l, &load)
-			var scs []scenario
-			for _, v := range variants() {
-				if strings.Contains(v.name, *filter) {
-					scs = append(scs, scenario{d, v, load, false}, scenario{d, v, load, true})
-				}
-			}
-			ms := simulateAll(scs, 2)
-			for i := range ms {
-				if i%2 == 0 {
-					fmt.Printf("%s %.2f %-28.28s", d.name, load, scs[i].variant.name)
-				}
-				m := ms[i]
-				f := func(x time.Duration) string { return fmt.Sprintf("%4.0f", x.Seconds()) }
-				fmt.Printf(" | %s %s %s %s rec %6.1f vain %5.0f good %.3f j %.2f rpc %.3f f %4d", f(m.quantile(.95, 0)), f(m.quantile(.95, 1)), f(m.quantile(.95, 2)), f(m.quantile(.95, 0, 1, 2)), m.recomputed/1e6, m.vain/1e6, m.goodput(), m.jain(), m.retriesPerCall(), m.failed)
-				if i%2 == 1 {
-					fmt.Println()
-				}
-			}
+	debug.SetGCPercent(gcPercent)
+	if err := run(os.Stdout, *quick, *rows, *known); err != nil {
+		fmt.Fprintln(os.Stderr, "policybench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(w io.Writer, quick bool, rows, knownFile string) error {
+	seeds, names := fullSeeds, variants()
+	if quick {
+		seeds, names = 1, []variant{baseline(), combined()}
+	}
+	results := measure(selectRows(names, rows), seeds, quick)
+	printTable(w, results)
+	if rows != "" {
+		return nil
+	}
+	trial := measureRetries(seeds, quick)
+	printRetries(w, trial)
+	known, err := readKnownRed(knownFile)
+	if err != nil {
+		return err
+	}
+	return report(w, append(checkResults(results), checkRetries(trial)...), known)
+}
+
+func selectRows(all []variant, name string) []variant {
+	var selected []variant
+	for _, v := range all {
+		if strings.Contains(v.name, name) {
+			selected = append(selected, v)
 		}
 	}
-	fmt.Println(time.Since(start))
+	return selected
 }
--- a/internal/policybench/metrics.go
+++ b/internal/policybench/metrics.go
@@ -42,6 +42,7 @@
 
 // metrics collects one run, or several once merged.
 type metrics struct {
+	runs       int
 	records    []*record
 	latencies  [classCount][]time.Duration
 	calls      int
@@ -102,9 +103,11 @@
 
 func (m *metrics) abandon(r *record) { r.done = true }
 
-// close sums up a run on the given number of engines.
-func (m *metrics) close(engines int) {
-	m.available = float64(engines) * (arrivalEnd - warmUp).Seconds()
+// close sums up a run on the given number of engines, of which faults took the
+// given engine seconds.
+func (m *metrics) close(engines int, lost float64) {
+	m.runs = 1
+	m.available = float64(engines)*(arrivalEnd-warmUp).Seconds() - lost
 	for _, r := range m.records {
 		if !r.failed {
 			m.work += r.work
@@ -121,6 +124,7 @@
 	for c := range m.latencies {
 		m.latencies[c] = append(m.latencies[c], other.latencies[c]...)
 	}
+	m.runs += other.runs
 	m.calls += other.calls
 	m.retries += other.retries
 	m.failed += other.failed
@@ -156,6 +160,9 @@
 
 func (m *metrics) retriesPerCall() float64 { return float64(m.retries) / float64(max(m.calls, 1)) }
 
+// lostShare returns the share of the programs that got no answer.
+func (m *metrics) lostShare() float64 { return float64(m.failed) / float64(max(m.programs, 1)) }
+
 // jain returns the mean of Jain's index over the runs.
 func (m *metrics) jain() float64 {
 	sum := 0.0
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -12,6 +12,7 @@
 	variant variant
 	load    float64 // share of the engines' capacity
 	faults  bool
+	outage  outage // length 0: none
 }
 
 // simulate runs a scenario with one seed.
@@ -28,6 +29,9 @@
 			}
 		})
 	}
+	if sc.outage.length > 0 {
+		s.faults.planOutage(sc.outage)
+	}
 	if sc.faults {
 		s.faults.plan()
 	}
@@ -36,7 +40,7 @@
 		sidecar.engine.cache.settle(sidecar.id)
 		s.metrics.vain += sidecar.engine.cache.vain
 	}
-	s.metrics.close(sc.deploy.engines)
+	s.metrics.close(sc.deploy.engines, s.faults.lost)
 	return s.metrics
 }
 
--- a/internal/policybench/sidecar.go
+++ b/internal/policybench/sidecar.go
@@ -23,6 +23,7 @@
 	times      *retain.ToolTimes
 	state      place.State
 	overloaded bool          // the engine answers 529
+	losing     bool          // the engine runs calls, but their answers get lost
 	meanRun    time.Duration // of a call, from start to end
 }
 
@@ -83,7 +84,7 @@
 		a.failed(retry.Failure{Kind: retry.KindLeaving, NotRun: true})
 		return
 	case sc.overloaded:
-		a.failed(retry.Failure{Kind: retry.KindStatus, Status: 529, NotRun: true, RetryAfter: time.Second})
+		a.failed(retry.Failure{Kind: retry.KindStatus, Status: statusOverloaded, NotRun: true, RetryAfter: sc.sys.overloadHint()})
 		return
 	}
 	d := sc.sys.variant.admit.Decide(sc.admission(a), sc.load(a.call.priority()), sc.sys.sim.now)
@@ -197,6 +198,12 @@
 	sc.running[c.client.program.customer.name]--
 	run := sc.sys.sim.now - a.started
 	sc.meanRun += time.Duration(runWeight * float64(run-sc.meanRun))
+	if sc.losing {
+		sc.engine.cache.finish(c.client, true)
+		a.failed(retry.Failure{Kind: retry.KindConnectionLost})
+		sc.pump()
+		return
+	}
 	a.own.End()
 	c.over = true
 	c.client.cachedOn, c.client.cachedTokens = sc.id, c.prompt+c.output
--- a/internal/policybench/system.go
+++ b/internal/policybench/system.go
@@ -10,17 +10,16 @@
 )
 
 const (
-	entryCount       = 3
-	reportPeriod     = time.Second            // of load reports
-	reportLag        = 500 * time.Millisecond // from a report to the entries' view
-	leaseTime        = 3 * time.Second        // of an announcement
-	arrivalEnd       = 20 * time.Minute       // no program starts later
-	warmUp           = 4 * time.Minute        // programs that start earlier are not measured
-	runEnd           = 35 * time.Minute
-	cacheEventLag    = 2 * time.Second // at most
-	cacheEventLoss   = 0.05
-	retainPeriod     = 2 * time.Second
-	retryBudgetBurst = 20
+	entryCount     = 3
+	reportPeriod   = time.Second            // of load reports
+	reportLag      = 500 * time.Millisecond // from a report to the entries' view
+	leaseTime      = 3 * time.Second        // of an announcement
+	arrivalEnd     = 20 * time.Minute       // no program starts later
+	warmUp         = 4 * time.Minute        // programs that start earlier are not measured
+	runEnd         = 35 * time.Minute
+	cacheEventLag  = 2 * time.Second // at most
+	cacheEventLoss = 0.05
+	retainPeriod   = 2 * time.Second
 )
 
 // system is one simulated deployment under one variant.
@@ -97,7 +96,7 @@
 func newEntry(s *system) *entry {
 	e := &entry{sys: s, own: make(map[string]*place.InFlight)}
 	if s.variant.budget > 0 {
-		e.budget = retry.NewBudget(s.variant.budget, retryBudgetBurst)
+		e.budget = retry.NewBudget(s.variant.budget, s.variant.burst)
 	}
 	var servers []place.Server
 	for _, sc := range s.sidecars {
@@ -182,7 +181,7 @@
 	}, f, e.budget, sys.rng.Uint64(), sys.sim.now)
 	if !d.Retry {
 		c.over = true
-		c.client.refused(c, f, d)
+		c.client.refused(f, d)
 		return
 	}
 	c.retries++
@@ -195,3 +194,14 @@
 	}
 	sys.sim.after(d.Delay, func() { e.dispatch(c) })
 }
+
+// statusOverloaded is the answer of an engine that takes no call for a while.
+const statusOverloaded = 529
+
+// overloadHint is the time to come back that goes with it.
+func (s *system) overloadHint() time.Duration {
+	if s.faults.outage.length > 0 {
+		return 0
+	}
+	return time.Second
+}
--- a/internal/policybench/variant.go
+++ b/internal/policybench/variant.go
@@ -28,22 +28,27 @@
 	retain  *retain.Policy // nil: the engine's own eviction only
 	retry   retry.Policy
 	budget  float64 // share of traffic for retries; 0: no bound
+	burst   int     // retries that the budget of one entry allows at once
 	shares  sharesRule
 	refusal retry.Kind // how a sidecar reports that it did not admit a call
 }
 
+// Names of the rows that bounds compare.
+const (
+	baselineName = "baseline"
+	combinedName = "combined"
+)
+
 // baseline is the order of arrival, the least loaded server and no retention.
 func baseline() variant {
 	return variant{
-		name:    "baseline",
+		name:    baselineName,
 		refusal: retry.KindRefused,
 		place:   place.Params{MeanOutputTokens: 200, Choices: 8, IgnorePrefix: true},
 		retry:   retry.Policy{MaxRetries: 3, MaxUnknownRetries: 3, BaseDelay: time.Second, MaxDelay: 30 * time.Second},
 	}
 }
 
-const combinedName = "combined"
-
 func combined() variant {
 	keep := retain.DefaultPolicy()
 	return variant{
@@ -53,7 +58,8 @@
 		admit:   admit.DefaultPolicy(),
 		retain:  &keep,
 		retry:   retry.DefaultPolicy(),
-		budget:  0.1,
+		budget:  retry.DefaultBudgetShare,
+		burst:   retry.DefaultBudgetBurst,
 		refusal: retry.KindRefused,
 	}
 }
@@ -71,33 +77,36 @@
 
 // variants returns the rows of the table, the baseline first.
 func variants() []variant {
-	base, all := baseline(), combined()
+	return append(candidates(baseline(), combined()), ablations(combined())...)
+}
+
+// candidates returns the baseline and single policies on top of it.
+func candidates(base, all variant) []variant {
 	return []variant{
 		base,
-		base.with("order: priority", func(v *variant) {
-			v.order = order.Policy{Priority: true}
-		}),
-		base.with("order: least attained", func(v *variant) {
-			v.order = order.Policy{LeastAttained: true}
-		}),
-		base.with("order: fair share", func(v *variant) {
-			v.order = order.Policy{FairShare: true}
-		}),
-		base.with("order: default", func(v *variant) { v.order = all.order }),
+		base.with("order: priority", func(v *variant) { v.order = order.Policy{Priority: true} }),
+		base.with("order: least attained", func(v *variant) { v.order = order.Policy{LeastAttained: true} }),
+		base.with("order: fair share", func(v *variant) { v.order = order.Policy{FairShare: true} }),
 		base.with("place: two choices", func(v *variant) { v.place.Choices = 2 }),
 		base.with("place: prefix", func(v *variant) { v.place = all.place }),
 		base.with("retain", func(v *variant) { v.retain = all.retain }),
 		base.with("admit", func(v *variant) { v.admit = all.admit }),
-		base.with("retry", func(v *variant) { v.retry, v.budget = all.retry, all.budget }),
+		base.with("retry", func(v *variant) { v.retry, v.budget, v.burst = all.retry, all.budget, all.burst }),
 		base.with("place + retain", func(v *variant) { v.place, v.retain = all.place, all.retain }),
+	}
+}
+
+// ablations returns all policies together, then each with one change.
+func ablations(all variant) []variant {
+	return []variant{
 		all,
 		all.with("combined, age weighted", func(v *variant) { v.order.AgeStep = 5 * time.Second }),
+		all.with("combined, least attained", func(v *variant) { v.order.LeastAttained = true }),
 		all.with("combined, no fair share", func(v *variant) { v.order.FairShare = false }),
-		all.with("combined, no least attained", func(v *variant) { v.order.LeastAttained = false }),
 		all.with("combined, move factor 1", func(v *variant) { v.place.MoveFactor = 1 }),
-		all.with("combined, move factor 4", func(v *variant) { v.place.MoveFactor = 4 }),
-		all.with("combined, 8 choices", func(v *variant) { v.place.Choices = 8 }),
+		all.with("combined, two choices", func(v *variant) { v.place.Choices = 2 }),
 		all.with("combined, no retention", func(v *variant) { v.retain = nil }),
 		all.with("combined, no admission", func(v *variant) { v.admit = admit.Policy{} }),
+		all.with("combined, hard shares", func(v *variant) { v.shares = sharesHard }),
 	}
 }
