raft: message tests, fuzz target and benchmarks of the core

Cause: random schedules do not name the mechanism that failed, and the costs of a proposal and of an idle group were not known.

FuzzStep feeds arbitrary messages to a follower and to a leader. Benchmarks of proposals, idle ticks and memory.

--- /dev/null
+++ b/internal/raft/bench_test.go
@@ -0,0 +1,129 @@
+package raft
+
+import (
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// benchGroup returns three replicas with a leader.
+func benchGroup(b *testing.B, cfg Config) []*Node {
+	var nodes []*Node
+	for id := range uint64(3) {
+		cfg.Group, cfg.ID = 1, id+1
+		n, err := New(cfg, Bootstrap(group(1, 2, 3)))
+		assert.NilError(b, err)
+		nodes = append(nodes, n)
+	}
+	for nodes[0].role != RoleLeader {
+		for _, n := range nodes[1:] {
+			n.sinceLeader = cfg.ElectionTicks + DefaultElectionTicks
+		}
+		nodes[0].Tick()
+		settle(b, nodes)
+	}
+	return nodes
+}
+
+// settle passes messages until there are none and compacts applied entries.
+func settle(b *testing.B, nodes []*Node) {
+	for busy := true; busy; {
+		busy = false
+		for _, n := range nodes {
+			if !n.HasReady() {
+				continue
+			}
+			busy = true
+			rd := n.Ready()
+			n.Persisted(rd.Receipt)
+			for _, m := range append(rd.Messages, rd.MessagesAfterPersist...) {
+				assert.NilError(b, nodes[m.To-1].Step(m))
+			}
+			n.Applied(n.log.released)
+		}
+	}
+}
+
+func compactAll(b *testing.B, nodes []*Node) {
+	for _, n := range nodes {
+		meta, err := n.SnapshotMeta(n.log.applied)
+		assert.NilError(b, err)
+		assert.NilError(b, n.Compact(meta, 0))
+	}
+}
+
+// BenchmarkProposeCommit is one command through three replicas, one at a time.
+func BenchmarkProposeCommit(b *testing.B) {
+	nodes := benchGroup(b, Config{})
+	data := make([]byte, 256)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		_, _, err := nodes[0].Propose(data)
+		assert.NilError(b, err)
+		settle(b, nodes)
+		if i%1000 == 999 {
+			compactAll(b, nodes)
+		}
+	}
+}
+
+// BenchmarkProposeCommitBatch64 is one command of a batch of 64.
+func BenchmarkProposeCommitBatch64(b *testing.B) {
+	nodes := benchGroup(b, Config{})
+	data := make([]byte, 256)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		_, _, err := nodes[0].Propose(data)
+		assert.NilError(b, err)
+		if i%64 == 63 {
+			settle(b, nodes)
+		}
+		if i%1024 == 1023 {
+			compactAll(b, nodes)
+		}
+	}
+}
+
+// BenchmarkIdleTick is one tick of all three replicas of an idle group.
+func BenchmarkIdleTick(b *testing.B) {
+	for name, cfg := range map[string]Config{"quiesced": {}, "heartbeats": {DisableQuiesce: true}} {
+		b.Run(name, func(b *testing.B) {
+			nodes := benchGroup(b, cfg)
+			tick := func() {
+				for _, n := range nodes {
+					n.Tick()
+				}
+				settle(b, nodes)
+			}
+			for range 100 {
+				tick()
+			}
+			assert.Equal(b, nodes[0].Quiesced(), !cfg.DisableQuiesce)
+			b.ReportAllocs()
+			for b.Loop() {
+				tick()
+			}
+		})
+	}
+}
+
+// BenchmarkIdleGroupMemory reports the bytes of one replica of an idle group
+// with a compacted log.
+func BenchmarkIdleGroupMemory(b *testing.B) {
+	const groups = 1000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		kept := make([][]*Node, groups)
+		for i := range kept {
+			kept[i] = benchGroup(b, Config{})
+			compactAll(b, kept[i])
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(3*groups), "bytes/replica")
+		runtime.KeepAlive(kept)
+	}
+}
--- /dev/null
+++ b/internal/raft/node_test.go
@@ -0,0 +1,426 @@
+package raft
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/raftpb"
+)
+
+const (
+	kindPreVote      = raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE
+	kindVote         = raftpb.MessageKind_MESSAGE_KIND_VOTE
+	kindVoteReply    = raftpb.MessageKind_MESSAGE_KIND_VOTE_REPLY
+	kindAppend       = raftpb.MessageKind_MESSAGE_KIND_APPEND
+	kindAppendReply  = raftpb.MessageKind_MESSAGE_KIND_APPEND_REPLY
+	kindHeartbeat    = raftpb.MessageKind_MESSAGE_KIND_HEARTBEAT
+	kindPreVoteReply = raftpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY
+	kindTimeoutNow   = raftpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW
+)
+
+func group(ids ...uint64) *raftpb.Membership {
+	m := &raftpb.Membership{}
+	for _, id := range ids {
+		m.Members = append(m.Members, &raftpb.Member{Id: id})
+	}
+	return m
+}
+
+func newNode(t testing.TB, initial InitialState) *Node {
+	n, err := New(Config{Group: 1, ID: 1}, initial)
+	assert.NilError(t, err)
+	return n
+}
+
+func step(t testing.TB, n *Node, m *raftpb.Message) {
+	m.Group, m.To = 1, n.cfg.ID
+	if m.From == 0 {
+		m.From = 2
+	}
+	assert.NilError(t, n.Step(m))
+}
+
+// take returns the next Ready and reports it durable.
+func take(n *Node) Ready {
+	rd := n.Ready()
+	n.Persisted(rd.Receipt)
+	return rd
+}
+
+func ticks(n *Node, count int) {
+	for range count {
+		n.Tick()
+	}
+}
+
+func entries(first uint64, terms ...uint64) []*raftpb.Entry {
+	var es []*raftpb.Entry
+	for i, term := range terms {
+		es = append(es, &raftpb.Entry{Index: first + uint64(i), Term: term, Data: []byte(fmt.Sprint(term))})
+	}
+	return es
+}
+
+// withLog returns the state of a voter among 1, 2 and 3 with entries of these
+// terms.
+func withLog(commit uint64, terms ...uint64) InitialState {
+	initial := Bootstrap(group(1, 2, 3))
+	initial.Entries = entries(1, terms...)
+	initial.HardState = &raftpb.HardState{Term: terms[len(terms)-1], Commit: commit}
+	return initial
+}
+
+func TestVotesAndAcknowledgementsWaitForPersistence(t *testing.T) {
+	n := newNode(t, withLog(0, 1))
+	ticks(n, DefaultElectionTicks)
+	step(t, n, &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1})
+	step(t, n, &raftpb.Message{Kind: kindAppend, Term: 2, Index: 1, LogTerm: 1, Entries: entries(2, 2)})
+	rd := n.Ready()
+	assert.Equal(t, len(rd.Messages), 0)
+	assert.Equal(t, len(rd.MessagesAfterPersist), 2)
+	assert.Equal(t, rd.MessagesAfterPersist[0].Kind, kindVoteReply)
+	assert.Equal(t, rd.MessagesAfterPersist[1].Kind, kindAppendReply)
+	assert.Assert(t, rd.MustSync)
+	assert.Equal(t, rd.HardState.Vote, uint64(2))
+	assert.Equal(t, len(rd.Entries), 1)
+}
+
+func TestVoteOutlastsARestart(t *testing.T) {
+	n := newNode(t, withLog(0, 1))
+	ticks(n, DefaultElectionTicks)
+	step(t, n, &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1})
+	restarted := withLog(0, 1)
+	restarted.HardState = take(n).HardState
+	n = newNode(t, restarted)
+	ticks(n, DefaultElectionTicks)
+	step(t, n, &raftpb.Message{Kind: kindVote, From: 3, Term: 2, Index: 1, LogTerm: 1})
+	assert.Assert(t, take(n).MessagesAfterPersist[0].Reject)
+}
+
+func TestGrantOfVotes(t *testing.T) {
+	tests := map[string]struct {
+		ticks   int
+		initial InitialState
+		msg     *raftpb.Message
+		answers bool
+		granted bool
+	}{
+		"soon after a restart": {1, withLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, false, false},
+		"by transfer":          {1, withLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1, Transfer: true}, true, true},
+		"after the timeout":    {10, withLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
+		"shorter log":          {10, withLog(0, 1, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"longer log, old term": {10, withLog(0, 1, 2), &raftpb.Message{Kind: kindVote, Term: 3, Index: 9, LogTerm: 1}, true, false},
+		"old term":             {10, withLog(0, 1, 2), &raftpb.Message{Kind: kindVote, Term: 1, Index: 9, LogTerm: 2}, true, false},
+		"empty replica":        {10, InitialState{}, &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"pre-vote too soon":    {9, withLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"pre-vote":             {10, withLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
+		"pre-vote, same term":  {10, withLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 1, Index: 1, LogTerm: 1}, true, false},
+		"pre-vote, short log":  {10, withLog(0, 1, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t, test.initial)
+			n.electionTimeout = 100
+			ticks(n, test.ticks)
+			step(t, n, test.msg)
+			rd := n.Ready()
+			replies := append(rd.Messages, rd.MessagesAfterPersist...)
+			assert.Equal(t, len(replies) == 1, test.answers)
+			if test.answers {
+				assert.Equal(t, !replies[0].Reject, test.granted)
+			}
+		})
+	}
+}
+
+func TestSingleVoterCountsItselfOnlyWhenDurable(t *testing.T) {
+	n := newNode(t, Bootstrap(group(1)))
+	ticks(n, 2*DefaultElectionTicks)
+	assert.Equal(t, n.role, RoleCandidate)
+	take(n)
+	assert.Equal(t, n.role, RoleLeader)
+	index, term, err := n.Propose([]byte("x"))
+	assert.NilError(t, err)
+	rd := n.Ready()
+	assert.Equal(t, len(rd.Committed), 0)
+	n.Persisted(rd.Receipt)
+	committed := n.Ready().Committed
+	last := committed[len(committed)-1]
+	assert.Equal(t, last.Index, index)
+	assert.Equal(t, last.Term, term)
+	assert.Assert(t, n.LeaseValid())
+}
+
+// leads returns replica 1 of three as leader with an acknowledged first entry.
+func leads(t testing.TB, cfg Config) *Node {
+	cfg.Group, cfg.ID = 1, 1
+	n, err := New(cfg, Bootstrap(group(1, 2, 3)))
+	assert.NilError(t, err)
+	for n.role != RolePreCandidate {
+		n.Tick()
+	}
+	step(t, n, &raftpb.Message{Kind: kindPreVoteReply, Term: 1})
+	take(n)
+	step(t, n, &raftpb.Message{Kind: kindVoteReply, Term: 1})
+	assert.Equal(t, n.role, RoleLeader)
+	take(n)
+	acknowledge(t, n, 2, 1)
+	acknowledge(t, n, 3, 1)
+	take(n)
+	return n
+}
+
+func acknowledge(t testing.TB, n *Node, from, index uint64) {
+	step(t, n, &raftpb.Message{Kind: kindAppendReply, From: from, Term: n.term, Index: index, Context: uint64(n.round)})
+}
+
+func TestPipelineStopsAtTheInflightLimit(t *testing.T) {
+	n := leads(t, Config{MaxInflight: 2, MaxEntriesPerMessage: 1, MaxUncommitted: 5})
+	for range 5 {
+		_, _, err := n.Propose([]byte("x"))
+		assert.NilError(t, err)
+	}
+	_, _, err := n.Propose([]byte("x"))
+	assert.ErrorIs(t, err, ErrBusy)
+	assert.Equal(t, len(take(n).Messages), 4)
+	acknowledge(t, n, 2, 2)
+	assert.Equal(t, len(take(n).Messages), 1)
+	assert.Equal(t, n.log.commit, uint64(2))
+}
+
+func TestBatchesAreLimitedInBytes(t *testing.T) {
+	n := leads(t, Config{MaxBytesPerMessage: 10})
+	for range 4 {
+		_, _, err := n.Propose(make([]byte, 6))
+		assert.NilError(t, err)
+	}
+	for _, m := range take(n).Messages {
+		assert.Equal(t, len(m.Entries), 1)
+	}
+}
+
+func TestOldTermIsNotCommittedByCounting(t *testing.T) {
+	n := newNode(t, withLog(0, 1, 1))
+	ticks(n, 20)
+	step(t, n, &raftpb.Message{Kind: kindPreVoteReply, Term: 2})
+	take(n)
+	step(t, n, &raftpb.Message{Kind: kindVoteReply, Term: 2})
+	take(n)
+	acknowledge(t, n, 2, 2)
+	assert.Equal(t, n.log.commit, uint64(0))
+	assert.Equal(t, n.readIndex(), uint64(3))
+	acknowledge(t, n, 2, 3)
+	assert.Equal(t, n.log.commit, uint64(3))
+}
+
+func TestRejectHintSkipsWholeTerms(t *testing.T) {
+	tests := map[string]struct {
+		follower []uint64
+		rounds   int
+	}{
+		"missing entries":     {[]uint64{1, 1, 1, 4, 4, 5, 5}, 1},
+		"uncommitted entries": {[]uint64{1, 1, 1, 4, 4, 5, 5, 6, 6, 6, 6, 6}, 1},
+		"other terms":         {[]uint64{1, 1, 1, 2, 2, 2, 3, 3, 3, 3, 3}, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leader := newNode(t, withLog(0, 1, 1, 1, 4, 4, 5, 5, 6, 6, 6))
+			leader.campaign(false)
+			leader.becomeLeader()
+			f, err := New(Config{Group: 1, ID: 2}, withLog(0, test.follower...))
+			assert.NilError(t, err)
+			rejects := 0
+			for f.log.last() != leader.log.last() || f.log.lastTerm() != leader.term {
+				rejects += exchange(t, leader, f)
+				assert.Assert(t, rejects <= test.rounds)
+			}
+		})
+	}
+}
+
+// exchange passes the messages between two replicas once and counts rejections.
+func exchange(t *testing.T, a, b *Node) int {
+	rejects := 0
+	for _, n := range []*Node{a, b} {
+		rd := take(n)
+		for _, m := range append(rd.Messages, rd.MessagesAfterPersist...) {
+			to := map[uint64]*Node{a.cfg.ID: a, b.cfg.ID: b}[m.To]
+			if to == nil {
+				continue
+			}
+			assert.NilError(t, to.Step(m))
+			if m.Kind == kindAppendReply && m.Reject {
+				rejects++
+			}
+		}
+	}
+	return rejects
+}
+
+func TestReceiptFromBeforeATruncationIsIgnored(t *testing.T) {
+	n := newNode(t, withLog(1, 1))
+	step(t, n, &raftpb.Message{Kind: kindAppend, Term: 2, Index: 1, LogTerm: 1, Entries: entries(2, 2, 2)})
+	old := n.Ready()
+	step(t, n, &raftpb.Message{Kind: kindAppend, From: 3, Term: 3, Index: 1, LogTerm: 1, Entries: entries(2, 3)})
+	n.Persisted(old.Receipt)
+	assert.Equal(t, n.log.stable, uint64(1))
+	rd := take(n)
+	assert.Equal(t, len(rd.Entries), 1)
+	assert.Equal(t, rd.Entries[0].Term, uint64(3))
+	assert.Equal(t, old.Entries[0].Term, uint64(2), "entries handed out do not change")
+	assert.Equal(t, n.log.stable, uint64(2))
+}
+
+func TestStaleLeaderLearnsTheTerm(t *testing.T) {
+	n := newNode(t, withLog(0, 1, 3))
+	step(t, n, &raftpb.Message{Kind: kindHeartbeat, Term: 2, Context: 1})
+	rd := n.Ready()
+	assert.Equal(t, rd.Messages[0].Term, uint64(3))
+	assert.Equal(t, n.leader, uint64(0))
+}
+
+func TestMembershipChanges(t *testing.T) {
+	member := func(id uint64) *raftpb.Member { return &raftpb.Member{Id: id, Address: "a"} }
+	tests := map[string]struct {
+		change Change
+		want   error
+	}{
+		"ID in use":         {Change{ChangeAddLearner, member(2)}, ErrReplicaIDReused},
+		"unknown member":    {Change{ChangeRemove, member(9)}, ErrInvalidChange},
+		"unknown kind":      {Change{99, member(2)}, ErrInvalidChange},
+		"promote a voter":   {Change{ChangePromote, member(2)}, ErrInvalidChange},
+		"remove the leader": {Change{ChangeRemove, member(1)}, ErrRemoveLeader},
+		"address":           {Change{ChangeAddress, member(2)}, nil},
+		"remove":            {Change{ChangeRemove, member(3)}, nil},
+		"add":               {Change{ChangeAddLearner, member(7)}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := leads(t, Config{})
+			_, _, err := n.ProposeMembership(test.change)
+			if test.want != nil {
+				assert.ErrorIs(t, err, test.want)
+				return
+			}
+			assert.NilError(t, err)
+			_, _, err = n.ProposeMembership(test.change)
+			assert.ErrorIs(t, err, ErrChangePending)
+		})
+	}
+}
+
+func TestLearnerIsPromotedOnlyWhenCaughtUp(t *testing.T) {
+	n := leads(t, Config{})
+	_, _, err := n.ProposeMembership(Change{ChangeAddLearner, &raftpb.Member{Id: 4}})
+	assert.NilError(t, err)
+	take(n)
+	acknowledge(t, n, 2, 2)
+	assert.Equal(t, n.log.commit, uint64(2))
+	promote := Change{ChangePromote, &raftpb.Member{Id: 4}}
+	_, _, err = n.ProposeMembership(promote)
+	assert.ErrorIs(t, err, ErrLearnerBehind)
+	ticks(n, DefaultHeartbeatTicks)
+	acknowledge(t, n, 4, 1)
+	_, _, err = n.ProposeMembership(promote)
+	assert.ErrorIs(t, err, ErrLearnerBehind)
+	acknowledge(t, n, 4, 2)
+	assert.Assert(t, n.Status().Members[2].CaughtUp)
+	_, _, err = n.ProposeMembership(promote)
+	assert.NilError(t, err)
+	take(n)
+	acknowledge(t, n, 2, 3)
+	assert.Equal(t, n.log.commit, uint64(2), "the quorum is 3 of 4 at once")
+	acknowledge(t, n, 4, 3)
+	assert.Equal(t, n.log.commit, uint64(3))
+}
+
+func TestRemovedReplicaHelpsUntilItsRemovalIsCommitted(t *testing.T) {
+	initial := withLog(0, 1)
+	removal := &raftpb.Entry{Index: 2, Term: 1, Kind: raftpb.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: marshal(group(2, 3))}
+	initial.Entries = append(initial.Entries, removal)
+	n := newNode(t, initial)
+	assert.Assert(t, n.electable())
+	n.campaign(false)
+	n.becomeLeader()
+	take(n)
+	acknowledge(t, n, 2, 3)
+	assert.Equal(t, n.log.commit, uint64(0), "it does not count toward the quorum")
+	acknowledge(t, n, 3, 3)
+	assert.Equal(t, n.role, RoleFollower)
+	assert.Assert(t, !n.electable())
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	bad := withLog(0, 1)
+	bad.HardState.Commit = 2
+	gap := withLog(0, 1, 1, 1)
+	gap.Entries = append(gap.Entries[:1], gap.Entries[2])
+	ahead := withLog(1, 1)
+	ahead.Applied = 2
+	tests := map[string]struct {
+		cfg     Config
+		initial InitialState
+	}{
+		"no ID":                   {Config{}, InitialState{}},
+		"heartbeats too slow":     {Config{ID: 1, HeartbeatTicks: 10}, InitialState{}},
+		"lease too long":          {Config{ID: 1, LeaseTicks: 10}, InitialState{}},
+		"lost committed entries":  {Config{ID: 1}, bad},
+		"gap in the log":          {Config{ID: 1}, gap},
+		"applied beyond commit":   {Config{ID: 1}, ahead},
+		"hard state without term": {Config{ID: 1}, InitialState{Entries: entries(1, 1)}},
+	}
+	for name, test := range tests {
+		_, err := New(test.cfg, test.initial)
+		assert.ErrorIs(t, err, ErrConfig, name)
+	}
+}
+
+func TestSnapshotBounds(t *testing.T) {
+	initial := withLog(3, 1, 1, 1, 1)
+	initial.Applied = 3
+	n := newNode(t, initial)
+	_, err := n.SnapshotMeta(4)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	meta, err := n.SnapshotMeta(3)
+	assert.NilError(t, err)
+	assert.Assert(t, proto.Equal(meta, &raftpb.SnapshotMeta{Index: 3, Term: 1, Membership: normalize(group(1, 2, 3))}))
+	assert.NilError(t, n.Compact(meta, 1))
+	assert.Equal(t, n.Status().First, uint64(3))
+	_, err = n.SnapshotMeta(2)
+	assert.ErrorIs(t, err, ErrCompacted)
+	assert.ErrorIs(t, n.Compact(&raftpb.SnapshotMeta{Index: 2}, 0), ErrCompacted)
+	assert.ErrorIs(t, n.Compact(&raftpb.SnapshotMeta{Index: 4}, 0), ErrUnavailable)
+}
+
+// FuzzStep feeds arbitrary messages to a replica that runs: no message may make
+// it panic, take back a commit or hand out an entry twice.
+func FuzzStep(f *testing.F) {
+	for kind := range raftpb.MessageKind_name {
+		m := &raftpb.Message{Kind: raftpb.MessageKind(kind), Term: 2, Index: 1, LogTerm: 1, Entries: entries(2, 2), Commit: 2}
+		f.Add(marshal(&raftpb.MessageBatch{Messages: []*raftpb.Message{m, m}}), uint8(kind))
+	}
+	f.Fuzz(func(t *testing.T, data []byte, role uint8) {
+		batch := &raftpb.MessageBatch{}
+		if proto.Unmarshal(data, batch) != nil {
+			return
+		}
+		n := leads(t, Config{})
+		if role%2 == 0 {
+			n = newNode(t, withLog(1, 1, 1))
+			ticks(n, 10)
+		}
+		for _, m := range batch.Messages {
+			m.Group, m.To, m.From = 1, 1, 2+m.From%2
+			commit, applied := n.log.commit, n.log.released
+			_ = n.Step(m)
+			rd := take(n)
+			assert.Assert(t, n.log.commit >= commit)
+			for i, e := range rd.Committed {
+				assert.Equal(t, e.Index, max(applied, rd.Snapshot.GetIndex())+1+uint64(i))
+			}
+		}
+	})
+}
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -9,8 +9,8 @@
 )
 
 // elected returns a group without faults and its first leader.
-func elected(t *testing.T, size int) (*sim, *host) {
-	s := newSim(t, 7, size)
+func elected(t *testing.T) (*sim, *host) {
+	s := newSim(t, 7, 3)
 	s.ticks(40)
 	leader := s.leader()
 	assert.Assert(t, leader != nil)
@@ -34,7 +34,7 @@
 }
 
 func TestPreVoteKeepsTheTermOfTheGroup(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	term := leader.node.term
 	s.isolate(s.follower(leader))
 	s.ticks(100)
@@ -45,7 +45,7 @@
 }
 
 func TestCheckQuorumEndsTheLeadershipOfAnIsolatedLeader(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	s.isolate(leader)
 	assert.NilError(t, leader.node.ReadIndex(99))
 	s.ticks(15)
@@ -55,7 +55,7 @@
 }
 
 func TestPendingReadIsAbortedWithLeadership(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	s.isolate(leader)
 	s.ticks(7)
 	assert.Assert(t, !leader.node.LeaseValid(), "the lease outlives the contact to a quorum")
@@ -68,7 +68,7 @@
 }
 
 func TestLeaseServesReadIndexAtOnce(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	s.writes(3)
 	s.ticks(1)
 	index, ok := leader.node.LeaseRead()
@@ -79,7 +79,7 @@
 }
 
 func TestLeaderWithAStuckDiskResigns(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	leader.diskBusy = s.now + 60*maxTickLen
 	s.writes(2)
 	s.ticks(40)
@@ -95,7 +95,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			s, leader := elected(t, 3)
+			s, leader := elected(t)
 			f := s.follower(leader)
 			s.crash(f)
 			s.writes(test.missed)
@@ -112,7 +112,7 @@
 }
 
 func TestReplaceLostDiskThenLoseAnotherHost(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	s.writes(30)
 	first, second := s.follower(leader), s.hosts[(leader.slot+2)%3]
 	s.loseDisk(first)
@@ -128,7 +128,7 @@
 }
 
 func TestReplicaThatLostItsDiskUnderTheOldID(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	s.writes(5)
 	s.ticks(5)
 	f := s.follower(leader)
@@ -148,7 +148,7 @@
 }
 
 func TestTransferLeadership(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	f := s.follower(leader)
 	assert.ErrorIs(t, leader.node.TransferLeadership(leader.id), ErrInvalidTarget)
 	assert.ErrorIs(t, f.node.TransferLeadership(leader.id), ErrNotLeader)
@@ -160,7 +160,7 @@
 }
 
 func TestFailedTransferGivesUpTheLeaseAndTheTerm(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	f, term := s.follower(leader), leader.node.term
 	s.isolate(f)
 	s.onHost(leader, leader.epoch, func() { assert.NilError(t, leader.node.TransferLeadership(f.id)) })
@@ -175,7 +175,7 @@
 }
 
 func TestQuiesce(t *testing.T) {
-	s, leader := elected(t, 3)
+	s, leader := elected(t)
 	s.ticks(10)
 	for _, h := range s.hosts {
 		assert.Assert(t, h.node.Quiesced(), "replica %d", h.id)
