replica: proposals of a lost leadership are answered in an idle group too

Cause: a benchmark of 64 groups on a busy machine hung. Proposals of a lost leadership are given up after two election timeouts, but only by ticks, and a quiesced replica gets none; indexes that the next leader did not take again were never answered. Ruled out: the write-ahead log and the run queues (the same run passes without a leader change). Change: the group keeps its ticks until the proposals are given up; a leadership lost and won again between two Readies counts as lost. TestProposalsLostToIdleGroup hung before ("answers: not within 10s") and passes now.

--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -366,6 +366,31 @@
 	})
 }
 
+// TestProposalsLostToIdleGroup loses several proposals with the leadership; the
+// next leader writes less, so that not all of their indexes are taken again, and
+// the group becomes idle at once.
+func TestProposalsLostToIdleGroup(t *testing.T) {
+	quick := func(opts *replica.Options) { opts.Raft.QuiesceTicks = 1 }
+	runClusterWith(t, quick, func(t *testing.T, c *cluster) {
+		old := c.leader(testGroup)
+		c.network.isolate(old, c.addresses(), true, true)
+		const lost = 5
+		results := make(chan error, lost)
+		for range lost {
+			go func() {
+				_, err := c.nodes[old].host.Propose(t.Context(), testGroup, []byte("x=lost"))
+				results <- err
+			}()
+		}
+		c.leader(testGroup, old)
+		c.network.isolate(old, c.addresses(), false, false)
+		c.eventually("answers", func() bool { return len(results) == lost })
+		for range lost {
+			assert.ErrorIs(t, <-results, replica.ErrUncertain)
+		}
+	})
+}
+
 // TestBootstrapNeedsAllFirstMembers starts two of three first members.
 func TestBootstrapNeedsAllFirstMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -39,6 +39,7 @@
 	replicaID uint64
 	retired   bool
 	tick      uint64            // host tick up to which the node was ticked
+	quiesced  bool              // the node was quiesced at the end of the last run
 	addresses map[uint64]string // by replica ID: of the members and of senders
 	others    []string          // addresses of the other members; replaced as a whole
 	leader    raft.SoftState
@@ -62,7 +63,7 @@
 	replicaID     uint64
 	leads         bool
 	leaderAddress string
-	quiesced      bool
+	quiesced      bool // needs no ticks
 	addresses     []string // of the other members
 }
 
@@ -169,9 +170,20 @@
 		item()
 	}
 	g.flush()
+	g.followQuiescence()
 	g.publish()
 }
 
+// followQuiescence resumes the ticks of a node that has woken from the present
+// on: the time before was not ticked.
+func (g *group) followQuiescence() {
+	quiesced := g.node != nil && g.node.Quiesced()
+	if g.quiesced && !quiesced {
+		g.tick = g.host.ticks()
+	}
+	g.quiesced = quiesced
+}
+
 // advance ticks the node up to the present. While the node is quiesced the tick
 // at which it began stays, so that the elapsed time is known when it wakes.
 func (g *group) advance() {
@@ -179,6 +191,7 @@
 	if g.boot != nil {
 		g.sendIdentity(now)
 	}
+	g.expireProposals(now)
 	if g.node == nil || g.node.Quiesced() {
 		return
 	}
@@ -187,7 +200,6 @@
 		g.node.Tick()
 	}
 	g.tick = now
-	g.expireProposals(now)
 }
 
 // suspectLeader wakes an idle group whose leader's host does not answer.
@@ -234,13 +246,10 @@
 	last := g.view.Load()
 	next := view{replicaID: g.replicaID, quiesced: g.retired, addresses: g.others}
 	if g.node != nil && !g.retired {
-		next.quiesced = g.node.Quiesced()
+		next.quiesced = g.quiesced && g.expiry == 0
 		next.leads = g.leader.Role == raft.RoleLeader
 		next.leaderAddress = g.addresses[g.leader.Leader]
 	}
-	if last.quiesced && !next.quiesced {
-		g.tick = g.host.ticks()
-	}
 	if !next.equal(last) {
 		g.view.Store(&next)
 	}
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -57,7 +57,8 @@
 		g.host.metrics.leaderChanges.Inc()
 		g.logger.Info("leader changed", "leader", state.Leader, "term", state.Term)
 	}
-	if g.leader.Role == raft.RoleLeader && state.Role != raft.RoleLeader {
+	wasLeader := g.leader.Role == raft.RoleLeader
+	if wasLeader && (state.Role != raft.RoleLeader || state.Term != g.leader.Term) {
 		g.expireProposalsLater()
 	}
 	g.leader = *state
