replica: measurements of leaderless time and catch-up, benchmarks with files

Cause: the time without a leader and the cost of proposals, reads, idle groups and catch-up were not measured.

--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -30,7 +30,8 @@
 type benchCluster struct {
 	b          *testing.B
 	dir        string
-	hosts      [3]*replica.Host
+	hosts      [3]*replica.Host // of the processes; network follows changes
+	network    [3]atomic.Pointer[replica.Host]
 	registries [3]*prometheus.Registry
 	messages   atomic.Int64
 	bytes      atomic.Int64
@@ -54,7 +55,7 @@
 		c.links = append(c.links, queue)
 		go func() {
 			for batch := range queue {
-				c.hosts[i].Receive(batch)
+				c.network[i].Load().Receive(batch)
 			}
 		}()
 	}
@@ -71,9 +72,9 @@
 }
 
 func (t *benchTransport) SendSnapshot(ctx context.Context, address string, msg *raftpb.Message, data io.Reader) error {
-	for i, host := range t.cluster.hosts {
+	for i := range t.cluster.network {
 		if benchAddress(i) == address {
-			return host.ReceiveSnapshot(ctx, msg, data)
+			return t.cluster.network[i].Load().ReceiveSnapshot(ctx, msg, data)
 		}
 	}
 	return errors.New("no such host")
@@ -88,25 +89,34 @@
 		c.members = append(c.members, &raftpb.Member{Id: uint64(i + 1), Address: benchAddress(i)})
 	}
 	for i := range c.hosts {
-		c.registries[i] = prometheus.NewRegistry()
-		host, err := replica.NewHost(replica.Options{
-			Dir:        filepath.Join(c.dir, benchAddress(i)),
-			Address:    benchAddress(i),
-			Transport:  newBenchTransport(c),
-			Registerer: c.registries[i],
-		})
-		assert.NilError(b, err)
-		c.hosts[i] = host
+		c.open(i)
 	}
-	for group := uint64(1); group <= groups; group++ {
-		for _, host := range c.hosts {
-			assert.NilError(b, host.AddGroup(group, c.members, newCounterMachine()))
-		}
+	for i := range c.hosts {
+		c.addGroups(i, groups)
 	}
 	b.Cleanup(c.stop)
 	return c
 }
 
+func (c *benchCluster) open(i int) {
+	c.registries[i] = prometheus.NewRegistry()
+	host, err := replica.NewHost(replica.Options{
+		Dir:        filepath.Join(c.dir, benchAddress(i)),
+		Address:    benchAddress(i),
+		Transport:  newBenchTransport(c),
+		Registerer: c.registries[i],
+	})
+	assert.NilError(c.b, err)
+	c.hosts[i] = host
+	c.network[i].Store(host)
+}
+
+func (c *benchCluster) addGroups(i int, groups uint64) {
+	for group := uint64(1); group <= groups; group++ {
+		assert.NilError(c.b, c.hosts[i].AddGroup(group, c.members, newCounterMachine()))
+	}
+}
+
 func (c *benchCluster) stop() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -227,6 +237,53 @@
 	})
 }
 
+// BenchmarkCatchUp measures how long a restarted host takes to apply what it has
+// missed. The others drop entries that a snapshot covers.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, missed := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("entries=%d", missed), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				benchCatchUp(b, missed)
+			}
+		})
+	}
+}
+
+func benchCatchUp(b *testing.B, missed int) {
+	const behind = 2
+	c := newBenchCluster(b, 1)
+	c.leader(1)
+	ctx, cancel := context.WithTimeout(context.Background(), benchStart)
+	defer cancel()
+	assert.NilError(b, c.hosts[behind].Stop(ctx))
+	leader := c.leader(1)
+	var clients sync.WaitGroup
+	for range 100 {
+		clients.Go(func() {
+			for range missed / 100 {
+				_, err := leader.Propose(ctx, 1, make([]byte, benchCommandBytes))
+				assert.Check(b, err)
+			}
+		})
+	}
+	clients.Wait()
+	status, err := leader.Status(ctx, 1)
+	assert.NilError(b, err)
+	b.StartTimer()
+	c.open(behind)
+	c.addGroups(behind, 1)
+	for {
+		own, err := c.hosts[behind].Status(ctx, 1)
+		assert.NilError(b, err)
+		if own.Applied >= status.Commit {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.StopTimer()
+}
+
 // BenchmarkIdle reports what three hosts with idle groups cost in a second.
 func BenchmarkIdle(b *testing.B) {
 	for _, groups := range []uint64{1, 100, 1000} {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -63,7 +63,7 @@
 	replicaID     uint64
 	leads         bool
 	leaderAddress string
-	quiesced      bool // needs no ticks
+	quiesced      bool     // needs no ticks
 	addresses     []string // of the other members
 }
 
