Lost disks and hosts are repaired from announcements alone

Cause: a replica that lost its disk waited to be added by hand, and a lost host could not be replaced at all. Ruled out: the leader asking each peer for its replicas (a message for each group and interval, also while nothing is wrong).

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -136,7 +136,10 @@
 		return nil
 	case <-silent.C:
 		go func() {
-			<-done
+			if err := <-done; err == nil {
+				// The answer came too late: its connection is of no use.
+				_ = resp.CloseBodyStream()
+			}
 			release(req, resp)
 		}()
 		return fmt.Errorf("%w: no answer for %s", ErrBroken, silenceLimit)
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -133,6 +133,15 @@
 	return members, nil
 }
 
+// Replicas returns the replicas of all control processes.
+func (c *Client) Replicas(ctx context.Context) (*rpcpb.ReplicaReport, error) {
+	report := new(rpcpb.ReplicaReport)
+	if err := c.do(ctx, consts.MethodGet, "/admin/v1/replicas", nil, report); err != nil {
+		return nil, err
+	}
+	return report, nil
+}
+
 // Configuration returns the records of the configuration and the version that is
 // in force everywhere.
 func (c *Client) Configuration(ctx context.Context) (*rpcpb.ConfigStatus, error) {
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -79,6 +79,7 @@
 			contractCommand(),
 			programCommand(),
 			serverCommand(),
+			replicaCommand(),
 			stopCommand(),
 			quarantineCommand(),
 			keyCommand(),
--- a/internal/ctl/state.go
+++ b/internal/ctl/state.go
@@ -158,7 +158,12 @@
 	if err != nil {
 		return err
 	}
+	replicas, err := s.client.Replicas(ctx)
+	if err != nil {
+		return err
+	}
 	report := newStatusReport(members.Members, view)
+	report.addReplicas(replicas)
 	if s.json {
 		return report.printJSON(s.out)
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -17,6 +17,7 @@
 	Servers   int      `json:"servers"`
 	Ready     int      `json:"servers_ready"`
 	Customers int      `json:"customers"`
+	Processes int      `json:"control_processes"`
 	Programs  int      `json:"programs"`
 	OpenCalls int      `json:"open_calls"`
 	Problems  []string `json:"problems"`
@@ -65,6 +66,32 @@
 	}
 }
 
+// addReplicas names control processes that do not answer and groups that lack a
+// voter or a leader.
+func (r *statusReport) addReplicas(report *rpcpb.ReplicaReport) {
+	r.Processes = len(report.Processes)
+	for _, address := range report.Silent {
+		r.problem("control process %s does not answer", address)
+	}
+	for _, process := range report.Processes {
+		waiting, leaderless := 0, 0
+		for _, replica := range process.Replicas {
+			if replica.Waits {
+				waiting++
+			}
+			if replica.Leader == 0 {
+				leaderless++
+			}
+		}
+		if waiting > 0 {
+			r.problem("%d replicas of %s wait to be added to their groups", waiting, process.Address)
+		}
+		if leaderless > 0 {
+			r.problem("%s knows no leader of %d groups", process.Address, leaderless)
+		}
+	}
+}
+
 func (r *statusReport) addBudgets(view *rpcpb.ViewResponse) {
 	budgets := budgetsByCustomer(view)
 	for _, c := range view.Contracts {
@@ -88,6 +115,7 @@
 
 func (r *statusReport) print(out io.Writer) error {
 	fmt.Fprintf(out, "servers    %d ready of %d\n", r.Ready, r.Servers)
+	fmt.Fprintf(out, "control    %d processes answer\n", r.Processes)
 	fmt.Fprintf(out, "customers  %d\n", r.Customers)
 	fmt.Fprintf(out, "programs   %d, %d calls open\n", r.Programs, r.OpenCalls)
 	if len(r.Problems) == 0 {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"sync"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -27,6 +28,7 @@
 type controlRole struct {
 	host    *replica.Host
 	peers   *peer.Transport
+	repair  *control.Repair
 	service *control.Service
 }
 
@@ -48,6 +50,7 @@
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
 	r := &controlRole{host: host, peers: peers}
+	r.repair = control.NewRepair(repairConfig(s), log.Named("repair"), host, pool)
 	if err := r.addGroups(s, log, pool); err != nil {
 		return nil, errors.Join(err, r.stop(context.Background()))
 	}
@@ -58,18 +61,17 @@
 func (r *controlRole) addGroups(s *settings.Settings, log hclog.Logger, pool *transport.Pool) error {
 	hosts := placementHosts(s.ControlPeers)
 	configState := config.New()
-	if err := r.host.AddGroup(placement.ConfigGroup, membersOf(placement.ConfigGroup, hosts), configState); err != nil {
+	if err := r.host.AddGroup(placement.ConfigGroup, firstMembers(s, placement.ConfigGroup, hosts), configState); err != nil {
 		return fmt.Errorf("daemon: configuration group: %w", err)
 	}
 	shards := make([]*shard.State, s.Shards)
 	for i := range shards {
 		group := placement.GroupOf(uint32(i))
-		members := membersOf(group, hosts)
-		if !contains(members, s.Listen) {
+		if !contains(membersOf(group, hosts), s.Listen) {
 			continue
 		}
 		shards[i] = shard.New(shard.NewMemoryBodies())
-		if err := r.host.AddGroup(group, members, shards[i]); err != nil {
+		if err := r.host.AddGroup(group, firstMembers(s, group, hosts), shards[i]); err != nil {
 			return fmt.Errorf("daemon: shard %d: %w", i, err)
 		}
 	}
@@ -94,6 +96,25 @@
 	return members
 }
 
+// firstMembers returns the members with which a group begins; none for a process
+// that joins a group that exists.
+func firstMembers(s *settings.Settings, group uint64, hosts []placement.Host) []*raftpb.Member {
+	if s.Join {
+		return nil
+	}
+	return membersOf(group, hosts)
+}
+
+func repairConfig(s *settings.Settings) control.RepairConfig {
+	cfg := control.RepairConfig{Address: s.Listen, FailureDomain: s.FailureDomain, ReplicaID: s.ReplicaID}
+	for _, p := range s.ControlPeers {
+		if p.Address != s.Listen {
+			cfg.Peers = append(cfg.Peers, p.Address)
+		}
+	}
+	return cfg
+}
+
 func contains(members []*raftpb.Member, address string) bool {
 	return slices.ContainsFunc(members, func(m *raftpb.Member) bool { return m.Address == address })
 }
@@ -108,11 +129,15 @@
 
 func (r *controlRole) register(server *transport.Server) {
 	r.service.Register(server)
+	r.repair.Register(server)
 	peer.Register(server, r.host)
 }
 
 func (r *controlRole) run(ctx context.Context) {
-	r.service.Run(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { r.service.Run(ctx) })
+	loops.Go(func() { r.repair.Run(ctx) })
+	loops.Wait()
 }
 
 // stop hands leadership over and closes the log.
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -86,6 +86,7 @@
 	admin.PUT("/contracts/:customer", e.applyContract)
 	admin.GET("/programs/:customer", e.listPrograms)
 	admin.GET("/servers", e.listServers)
+	admin.GET("/replicas", e.listReplicas)
 	admin.GET("/configuration", e.showConfiguration)
 	admin.POST("/configuration", e.changeConfiguration)
 }
@@ -205,6 +206,22 @@
 	writeProto(rc, consts.StatusOK, resp)
 }
 
+// listReplicas joins the replicas of all control processes.
+func (e *Entry) listReplicas(ctx context.Context, rc *app.RequestContext) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	report := new(rpcpb.ReplicaReport)
+	for _, address := range e.cfg.Control {
+		status := new(rpcpb.ReplicaStatusResponse)
+		if err := e.pool.Call(ctx, address, transport.MethodReplicaStatus, &rpcpb.ReplicaStatusRequest{}, status); err != nil {
+			report.Silent = append(report.Silent, address)
+			continue
+		}
+		report.Processes = append(report.Processes, status)
+	}
+	writeProto(rc, consts.StatusOK, report)
+}
+
 // viewFailure turns an error of a read or an operator's change.
 func viewFailure(err error) *Failure {
 	var reported *transport.Error
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -28,6 +28,7 @@
 		LogLevel:        cmd.String(flagLogLevel),
 		DrainTimeout:    cmd.Duration(flagDrainTimeout),
 		DataDir:         cmd.String(flagDataDir),
+		Join:            cmd.Bool(flagJoin),
 		OperatorKeyFile: cmd.String(flagOperatorKeyFile),
 		Control:         splitList(cmd.String(flagControl)),
 		ServerID:        cmd.String(flagServerID),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	DataDir         string
 	ReplicaID       uint64
 	ControlPeers    []Peer
+	Join            bool // take the place of a lost process with ReplicaID
 	Shards          uint32
 	OperatorKeyFile string
 
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -13,6 +13,8 @@
 	MethodConfigStatus      = "config.status"
 	MethodReplicaMessages   = "replica.messages"
 	MethodReplicaSnapshot   = "replica.snapshot"
+	MethodReplicaPing       = "replica.ping"
+	MethodReplicaJoin       = "replica.join"
 	MethodReplicaStatus     = "replica.status"
 
 	// Sidecar role.
