--- a/internal/raft/invariants_test.go
+++ b/internal/raft/invariants_test.go
@@ -78,20 +78,15 @@
 
 // entries checks log matching: an index and a term stand for one entry that
 // always follows the same entry.
-func (c *checker) entries(entries []*raftpb.Entry) {
-	for i, e := range entries {
-		body := entryBody{data: string(e.Data)}
+func (c *checker) entries(prevTerm uint64, entries []*raftpb.Entry) {
+	for _, e := range entries {
+		body := entryBody{prevTerm: prevTerm, data: string(e.Data)}
 		key := entryID{e.Index, e.Term}
-		old, known := c.bodies[key]
-		if i > 0 {
-			body.prevTerm = entries[i-1].Term
-		} else {
-			body.prevTerm = old.prevTerm
-		}
-		if known && (old.data != body.data || (old.prevTerm != 0 && old.prevTerm != body.prevTerm)) {
+		if old, known := c.bodies[key]; known && old != body {
 			c.s.fail("entry %d of term %d differs between logs", e.Index, e.Term)
 		}
 		c.bodies[key] = body
+		prevTerm = e.Term
 	}
 }
 
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -203,6 +203,26 @@
 	assert.Equal(t, n.LeaseRemaining(), DefaultLeaseTicks)
 }
 
+func TestLeaderCountsItsOwnEntriesOnlyWhenDurable(t *testing.T) {
+	n := leads(t, Config{})
+	index, _, err := n.Propose([]byte("x"))
+	assert.NilError(t, err)
+	rd := n.Ready()
+	acknowledge(t, n, 2, index)
+	assert.Equal(t, n.log.commit, index-1)
+	n.Persisted(rd.Receipt)
+	assert.Equal(t, n.log.commit, index)
+}
+
+func TestPreVoteWakesAQuiescedFollower(t *testing.T) {
+	n := newNode(t, withLog(2, 1, 1))
+	step(t, n, &raftpb.Message{Kind: kindHeartbeat, Term: 1, Index: 2, LogTerm: 1, Commit: 2, Context: 1, Quiesce: true})
+	assert.Assert(t, n.Quiesced())
+	step(t, n, &raftpb.Message{Kind: kindPreVote, From: 3, Term: 2, Index: 2, LogTerm: 1})
+	assert.Assert(t, take(n).Messages[0].Reject)
+	assert.Assert(t, !n.Quiesced())
+}
+
 func TestBatchesAreLimitedInBytes(t *testing.T) {
 	n := leads(t, Config{MaxBytesPerMessage: 10})
 	for range 4 {
@@ -224,6 +244,8 @@
 	acknowledge(t, n, 2, 2)
 	assert.Equal(t, n.log.commit, uint64(0))
 	assert.Equal(t, n.readIndex(), uint64(3))
+	_, _, err := n.ProposeMembership(Change{ChangeRemove, &raftpb.Member{Id: 3}})
+	assert.ErrorIs(t, err, ErrChangePending)
 	acknowledge(t, n, 2, 3)
 	assert.Equal(t, n.log.commit, uint64(3))
 }
@@ -249,6 +271,9 @@
 				rejects += exchange(t, leader, f)
 				assert.Assert(t, rejects <= test.rounds)
 			}
+			for i, e := range leader.log.entries {
+				assert.Assert(t, proto.Equal(e, f.log.entries[i]), "entry %d", e.Index)
+			}
 		})
 	}
 }
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -245,8 +245,12 @@
 	if len(rd.Entries) > 0 {
 		first := rd.Entries[0].Index
 		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *raftpb.Entry) bool { return e.Index >= first })
+		prevTerm := d.snapshot.GetTerm()
+		if len(d.entries) > 0 {
+			prevTerm = d.entries[len(d.entries)-1].Term
+		}
 		d.entries = append(d.entries, rd.Entries...)
-		s.check.entries(rd.Entries)
+		s.check.entries(prevTerm, rd.Entries)
 	}
 	if rd.HardState != nil {
 		d.hardState = rd.HardState
