--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -329,6 +329,7 @@
 
 func heapBytes() int64 {
 	runtime.GC()
+	runtime.GC() // also what finalizers released
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -161,6 +161,9 @@
 
 func (g *group) finishBootstrap(initial raft.InitialState) {
 	g.boot = nil
+	if g.retired {
+		return
+	}
 	if err := g.startNode(initial); err != nil {
 		g.host.fail(err)
 	}
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -9,7 +9,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/internal/wal/waltest"
@@ -412,88 +411,3 @@
 		c.put(testGroup, "x", "1")
 	})
 }
-
-func (c *cluster) waitQuiesced(group uint64) {
-	c.t.Helper()
-	c.eventually("quiesced", func() bool {
-		for _, address := range c.addresses() {
-			if n := c.nodes[address]; n.host != nil && !c.status(address, group).Quiesced {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// memberID returns the replica ID of an address in the membership.
-func (c *cluster) memberID(address string) uint64 {
-	c.t.Helper()
-	members, err := c.nodes[c.leader(testGroup)].host.Members(c.t.Context(), testGroup)
-	assert.NilError(c.t, err)
-	for _, member := range members {
-		if member.GetAddress() == address {
-			return member.GetId()
-		}
-	}
-	c.t.Fatalf("%s is no member", address)
-	return 0
-}
-
-func (c *cluster) newMember(address string) *raftpb.Member {
-	c.t.Helper()
-	id, err := c.nodes[address].host.ReplicaID(testGroup)
-	assert.NilError(c.t, err)
-	return &raftpb.Member{Id: id, Address: address, FailureDomain: "domain-" + address}
-}
-
-// replace replaces a member by the replica of a host.
-func (c *cluster) replace(oldID uint64, address string) {
-	c.t.Helper()
-	ctx, cancel := context.WithTimeout(c.t.Context(), waitLimit)
-	defer cancel()
-	member := c.newMember(address)
-	c.eventually("replacement", func() bool {
-		leader := c.leader(testGroup)
-		err := c.nodes[leader].host.ReplaceMember(ctx, testGroup, oldID, member)
-		if err != nil {
-			c.t.Logf("replacement: %v", err)
-		}
-		return err == nil
-	})
-}
-
-// otherThan returns the first of the hosts a, b, c that is none of the given.
-func (c *cluster) otherThan(addresses ...string) string {
-	for _, member := range c.members {
-		found := false
-		for _, address := range addresses {
-			found = found || address == member.GetAddress()
-		}
-		if !found {
-			return member.GetAddress()
-		}
-	}
-	c.t.Fatal("no other host")
-	return ""
-}
-
-// believedLeader returns a running host that takes itself for the leader.
-func (c *cluster) believedLeader() string {
-	for _, address := range c.addresses() {
-		n := c.nodes[address]
-		if n.host != nil && c.status(address, testGroup).Role == raft.RoleLeader {
-			return address
-		}
-	}
-	return ""
-}
-
-func (c *cluster) onlyRunning() string {
-	for _, address := range c.addresses() {
-		if c.nodes[address].host != nil {
-			return address
-		}
-	}
-	c.t.Fatal("no host runs")
-	return ""
-}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -62,6 +62,7 @@
 type view struct {
 	replicaID     uint64
 	leads         bool
+	waiting       bool // proposals wait for an answer
 	leaderAddress string
 	quiesced      bool     // needs no ticks
 	addresses     []string // of the other members
@@ -187,6 +188,9 @@
 // advance ticks the node up to the present. While the node is quiesced the tick
 // at which it began stays, so that the elapsed time is known when it wakes.
 func (g *group) advance() {
+	if g.retired {
+		return
+	}
 	now := g.host.ticks()
 	if g.boot != nil {
 		g.sendIdentity(now)
@@ -247,6 +251,7 @@
 	next := view{replicaID: g.replicaID, quiesced: g.retired, addresses: g.others}
 	if g.node != nil && !g.retired {
 		next.quiesced = g.quiesced && g.expiry == 0
+		next.waiting = len(g.proposals) > 0
 		next.leads = g.leader.Role == raft.RoleLeader
 		next.leaderAddress = g.addresses[g.leader.Leader]
 	}
@@ -258,6 +263,7 @@
 func (v *view) equal(other *view) bool {
 	return v.replicaID == other.replicaID &&
 		v.leads == other.leads &&
+		v.waiting == other.waiting &&
 		v.leaderAddress == other.leaderAddress &&
 		v.quiesced == other.quiesced &&
 		slices.Equal(v.addresses, other.addresses)
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -7,7 +7,7 @@
 )
 
 // handOver hands the leadership of all groups to other voters and waits until it
-// is done or ctx ends.
+// is done and proposals are answered, or ctx ends.
 func (h *Host) handOver(ctx context.Context) {
 	for ctx.Err() == nil && h.Err() == nil {
 		if h.requestTransfers() == 0 {
@@ -19,18 +19,21 @@
 	}
 }
 
-// requestTransfers starts transfers and returns how many groups with another
-// voter are still led here.
+// requestTransfers starts transfers and returns how many groups are not finished:
+// they are led here and have another member, or have proposals without an answer.
 func (h *Host) requestTransfers() int {
-	led := 0
+	unfinished := 0
 	for _, g := range *h.groups.Load() {
 		view := g.view.Load()
-		if view.leads && len(view.addresses) > 0 {
-			led++
+		transferable := view.leads && len(view.addresses) > 0
+		if transferable {
 			g.core.post(g.giveUpLeadership)
 		}
+		if transferable || view.waiting {
+			unfinished++
+		}
 	}
-	return led
+	return unfinished
 }
 
 // giveUpLeadership transfers the leadership to the voter that is most up to date.
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -247,9 +247,10 @@
 	return h.done
 }
 
-// Stop hands the leadership of all groups to other replicas and ends the host.
-// When ctx ends first, the host stops without waiting for the handover. Callers
-// that still wait get ErrStopped or ErrUncertain.
+// Stop refuses new requests, hands the leadership of all groups to other replicas,
+// waits until the proposals that it took are answered and ends the host. When ctx
+// ends first, the host stops without waiting; callers that still wait then get
+// ErrStopped or ErrUncertain.
 func (h *Host) Stop(ctx context.Context) error {
 	h.stopping.Store(true)
 	h.handOver(ctx)
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/wal/waltest"
 )
 
 func TestReplicatesToAllHosts(t *testing.T) {
@@ -71,3 +75,33 @@
 		c.put(testGroup, "x", "2")
 	})
 }
+
+// TestStopAnswersProposals stops the leader while clients propose: what it has
+// taken is answered with its outcome.
+func TestStopAnswersProposals(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		const proposers = 20
+		leader := c.leader(testGroup)
+		host := c.nodes[leader].host
+		var clients sync.WaitGroup
+		for range proposers {
+			clients.Go(func() {
+				var err error
+				for err == nil {
+					_, err = host.Propose(t.Context(), testGroup, []byte("x=1"))
+				}
+				assert.Check(t, !errors.Is(err, replica.ErrUncertain), "%v", err)
+			})
+		}
+		time.Sleep(electionTimeout)
+		// The others can finish the proposals before this disk has them.
+		c.nodes[leader].fs.SetFault(waltest.Fault{SyncTime: 4 * tick})
+		time.Sleep(2 * tick)
+		ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+		defer cancel()
+		assert.NilError(t, host.Stop(ctx))
+		clients.Wait()
+		c.network.detach(leader)
+		c.nodes[leader].host = nil
+	})
+}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,12 +7,16 @@
 
 // Outcomes of proposals and reads in metrics.
 const (
-	outcomeApplied     = "applied"
-	outcomeNotLeader   = "not_leader"
-	outcomeUnavailable = "unavailable"
-	outcomeUncertain   = "uncertain"
-	readByLease        = "lease"
-	readByRound        = "round"
+	outcomeApplied      = "applied"
+	outcomeNotLeader    = "not_leader"
+	outcomeUnavailable  = "unavailable"
+	outcomeUncertain    = "uncertain"
+	outcomeRefused      = "refused"
+	outcomeStopped      = "stopped"
+	outcomeUnknownGroup = "unknown_group"
+	outcomeCanceled     = "canceled"
+	readByLease         = "lease"
+	readByRound         = "round"
 )
 
 type metrics struct {
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -155,12 +155,20 @@
 	switch {
 	case err == nil:
 		return outcomeApplied
-	case errors.Is(err, ErrNotLeader):
-		return outcomeNotLeader
 	case errors.Is(err, ErrUncertain):
 		return outcomeUncertain
+	case errors.Is(err, ErrNotLeader):
+		return outcomeNotLeader
+	case errors.Is(err, ErrRefused):
+		return outcomeRefused
+	case errors.Is(err, ErrStopped):
+		return outcomeStopped
+	case errors.Is(err, ErrUnknownGroup):
+		return outcomeUnknownGroup
+	case errors.Is(err, ErrUnavailable):
+		return outcomeUnavailable
 	}
-	return outcomeUnavailable
+	return outcomeCanceled
 }
 
 // dropProposals answers the proposals that a snapshot from the leader covers.
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -58,6 +58,14 @@
 // leader asks a quorum. It returns ErrUnavailable when the replica does not take
 // part yet, and the context's error.
 func (h *Host) ReadBarrier(ctx context.Context, id uint64) error {
+	err := h.readBarrier(ctx, id)
+	if err != nil {
+		h.metrics.reads.WithLabelValues(outcomeLabel(err)).Inc()
+	}
+	return err
+}
+
+func (h *Host) readBarrier(ctx context.Context, id uint64) error {
 	g, err := h.lookup(id)
 	if err != nil {
 		return err
@@ -91,7 +99,6 @@
 	}
 	g.reads.last++
 	if err := g.node.ReadIndex(g.reads.last); err != nil {
-		g.host.metrics.reads.WithLabelValues(outcomeNotLeader).Inc()
 		result <- g.notTaken(err)
 		return
 	}
