--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,11 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
+demo: build
+	./bin/demo
+
+bench-policy:
+	go run ./internal/policybench
+
 clean:
 	rm -rf bin .tools demo-data
--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -1,4 +1,127 @@
 // Command ibistrayd is the daemon: its roles are chosen by settings.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"ibistray.example/ibistray/internal/daemon"
+	"ibistray.example/ibistray/internal/httpserver"
+	"ibistray.example/ibistray/internal/settings"
+	"ibistray.example/ibistray/internal/telemetry"
+	"ibistray.example/ibistray/internal/version"
+)
+
+// Exit codes.
+const (
+	exitFailure      = 1
+	exitBadSetting   = 2
+	exitDrainTimeout = 3
+)
+
+func main() {
+	app := &cli.Command{
+		Name:    "ibistrayd",
+		Usage:   "scheduler for agent programs: entry, control and sidecar roles",
+		Version: version.String(),
+		Flags:   settings.Flags(),
+		Action:  run,
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return fmt.Errorf("%w; ibistrayd --help lists the settings", err)
+		},
+		Commands: []*cli.Command{{
+			Name:   "check-settings",
+			Usage:  "check the settings and exit",
+			Action: checkSettings,
+		}},
+	}
+	err := app.Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "ibistrayd:", err)
+	os.Exit(exitCode(err))
+}
+
+// runError is a failure after the settings were found valid.
+type runError struct {
+	err error
+}
+
+func (e *runError) Error() string { return e.err.Error() }
+func (e *runError) Unwrap() error { return e.err }
+
+// exitCode tells failures of a running process from a wrong command line, which
+// is anything that fails before.
+func exitCode(err error) int {
+	var running *runError
+	switch {
+	case !errors.As(err, &running):
+		return exitBadSetting
+	case errors.Is(err, context.DeadlineExceeded):
+		return exitDrainTimeout
+	default:
+		return exitFailure
+	}
+}
+
+func checkSettings(_ context.Context, cmd *cli.Command) error {
+	if _, err := settings.FromCommand(cmd); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+func run(_ context.Context, cmd *cli.Command) error {
+	s, err := settings.FromCommand(cmd)
+	if err != nil {
+		return err
+	}
+	if err := serve(s); err != nil {
+		return &runError{err: err}
+	}
+	return nil
+}
+
+// serve runs the process and stops it gracefully on SIGTERM or SIGINT. A second
+// signal ends the wait for running calls.
+func serve(s *settings.Settings) error {
+	log, err := telemetry.NewLogger("ibistrayd", s.LogLevel, os.Stderr)
+	if err != nil {
+		return err
+	}
+	log = log.With("node", s.NodeID)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	httpserver.RouteHTTPLog(log.Named("http"))
+	d, err := daemon.Start(s, log)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-signals:
+	case err := <-d.Failed():
+		return fmt.Errorf("listener ended: %w", err)
+	}
+	ctx, cancel := drainContext(s)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return d.Stop(ctx)
+}
+
+func drainContext(s *settings.Settings) (context.Context, context.CancelFunc) {
+	if s.DrainTimeout == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), s.DrainTimeout)
+}
--- a/internal/replica/cluster_members_test.go
+++ b/internal/replica/cluster_members_test.go
@@ -93,3 +93,19 @@
 	c.t.Fatal("no host runs")
 	return ""
 }
+
+// waitActive waits until the first members of all groups have confirmed each
+// other.
+func (c *cluster) waitActive(last uint64) {
+	c.t.Helper()
+	c.eventually("active", func() bool {
+		for group := testGroup; group <= last; group++ {
+			for _, address := range c.addresses() {
+				if !c.status(address, group).Active {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -2,38 +2,58 @@
 
 import (
 	"context"
+	"time"
 
 	"ibistray.example/ibistray/internal/raft"
 )
 
+// handOverElections bounds the time for a handover, in election timeouts: the
+// other voters may be stopping too.
+const handOverElections = 2
+
 // handOver hands the leadership of all groups to other voters and waits until it
-// is done and proposals are answered, or ctx ends.
+// is done, ctx ends or nobody has taken it for handOverElections.
 func (h *Host) handOver(ctx context.Context) {
-	for ctx.Err() == nil && h.Err() == nil {
-		if h.requestTransfers() == 0 {
-			return
+	limit := time.Duration(handOverElections*h.opts.Raft.ElectionTicks) * h.opts.TickInterval
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	h.poll(ctx, func() bool { return h.requestTransfers() == 0 })
+}
+
+// awaitAnswers waits until all proposals are answered or ctx ends. Proposals
+// whose leadership is gone are given up by themselves.
+func (h *Host) awaitAnswers(ctx context.Context) {
+	h.poll(ctx, func() bool {
+		for _, g := range *h.groups.Load() {
+			if g.view.Load().waiting {
+				return false
+			}
 		}
-		if sleep(ctx, h.opts.TickInterval) != nil {
+		return true
+	})
+}
+
+// poll waits until done returns true, ctx ends or the storage fails.
+func (h *Host) poll(ctx context.Context, done func() bool) {
+	for ctx.Err() == nil && h.Err() == nil {
+		if done() || sleep(ctx, h.opts.TickInterval) != nil {
 			return
 		}
 	}
 }
 
-// requestTransfers starts transfers and returns how many groups are not finished:
-// they are led here and have another member, or have proposals without an answer.
+// requestTransfers starts transfers and returns how many groups with another
+// member are still led here.
 func (h *Host) requestTransfers() int {
-	unfinished := 0
+	led := 0
 	for _, g := range *h.groups.Load() {
 		view := g.view.Load()
-		transferable := view.leads && len(view.addresses) > 0
-		if transferable {
+		if view.leads && len(view.addresses) > 0 {
+			led++
 			g.core.post(g.giveUpLeadership)
 		}
-		if transferable || view.waiting {
-			unfinished++
-		}
 	}
-	return unfinished
+	return led
 }
 
 // giveUpLeadership transfers the leadership to the voter that is most up to date.
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -105,3 +105,47 @@
 		c.nodes[leader].host = nil
 	})
 }
+
+// TestHostsThatStopTogether stops two of three hosts at once, the third being
+// gone, while both lead groups: they must not pass the leadership to and fro.
+func TestHostsThatStopTogether(t *testing.T) {
+	const last = 16
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.addGroups(last)
+		c.kill(c.follower())
+		before := c.terms(last)
+		ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+		defer cancel()
+		start := time.Now()
+		var stops sync.WaitGroup
+		for _, address := range c.addresses() {
+			if host := c.nodes[address].host; host != nil {
+				stops.Go(func() { assert.Check(t, host.Stop(ctx)) })
+			}
+		}
+		stops.Wait()
+		assert.Assert(t, time.Since(start) < waitLimit/2)
+		for _, address := range c.addresses() {
+			c.network.detach(address)
+			c.nodes[address].host = nil
+		}
+		for _, address := range c.addresses() {
+			c.start(address)
+			for group := testGroup; group <= last; group++ {
+				assert.NilError(t, c.addGroup(address, group))
+			}
+		}
+		grown := c.terms(last) - before
+		assert.Assert(t, grown <= 5*last, "%d terms in %d groups", grown, last)
+	})
+}
+
+// terms adds up the terms of groups, each of which has a leader then.
+func (c *cluster) terms(last uint64) uint64 {
+	c.t.Helper()
+	sum := uint64(0)
+	for group := testGroup; group <= last; group++ {
+		sum += c.status(c.leader(group), group).Term
+	}
+	return sum
+}
