--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -64,6 +64,7 @@
 		for _, address := range c.addresses() {
 			c.start(address, testGroup)
 		}
+		c.waitActive(testGroup)
 		c.leader(testGroup)
 		test(t, c)
 	})
