--- a/internal/shard/admit.go
+++ b/internal/shard/admit.go
@@ -81,7 +81,7 @@
 		return refuse(shardpb.Reason_REASON_PROGRAM_ENDED, "the program has ended")
 	}
 	if op.GetParentProgram() != p.parent {
-		return invalid("parent_program differs from the one of the program's first call")
+		return refuse(shardpb.Reason_REASON_UNKNOWN_PROGRAM, "parent_program differs from the one of the program's first call")
 	}
 	if p.parent != "" && s.parentOf(p) == nil {
 		return refuse(shardpb.Reason_REASON_PROGRAM_ENDED, "the parent program has ended")
--- a/internal/shard/begin_test.go
+++ b/internal/shard/begin_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -129,6 +130,32 @@
 	assertRefused(t, f.begin(again), shardpb.Reason_REASON_PROGRAM_ENDED)
 }
 
+func TestParentOfAProgramIsFixed(t *testing.T) {
+	f := newFixture(t)
+	f.exchange("p", "c1")
+	f.exchange("q", "c1")
+	other := modelCall("q", "c2")
+	other.ParentProgram = "p"
+	assertRefused(t, f.begin(other), shardpb.Reason_REASON_UNKNOWN_PROGRAM)
+}
+
+func TestSubAgentsAreNestedToALimit(t *testing.T) {
+	f := newFixture(t)
+	f.change("more turns", func(c *shardpb.Contract) { c.MaxTurns = 100 })
+	parent := ""
+	for depth := range maxProgramDepth + 1 {
+		op := modelCall(fmt.Sprintf("p%d", depth), "c1")
+		op.ParentProgram = parent
+		result := f.begin(op)
+		if depth == maxProgramDepth {
+			assertRefused(t, result, shardpb.Reason_REASON_TURN_LIMIT)
+			return
+		}
+		f.finish(result, op.GetKey(), testAnswer("a", 1, 1))
+		parent = op.GetKey().GetProgram()
+	}
+}
+
 func TestEndedProgramTakesNoCall(t *testing.T) {
 	f := newFixture(t)
 	f.exchange("p", "c1")
--- a/internal/shard/budget_test.go
+++ b/internal/shard/budget_test.go
@@ -86,6 +86,14 @@
 	assert.Equal(t, f.budget().GetReserved(), uint64(0))
 }
 
+func TestExpireStartsTheNextPeriod(t *testing.T) {
+	f := newFixture(t)
+	f.exchange("p", "c1")
+	f.nowMs += testPeriodMs
+	f.expire(0)
+	assert.Equal(t, f.budget().GetUsed(), uint64(0))
+}
+
 func TestNewPeriodLengthKeepsWhatIsUsed(t *testing.T) {
 	f := newFixture(t)
 	f.nowMs = 20_000*testPeriodMs + testPeriodMs/2
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -56,7 +56,6 @@
 
 // close settles the open call, whose outcome is final now.
 func (s *State) close(p *program, c *call, charge uint64) {
-	p.customer.budget.roll(p.customer.contract.GetBudget(), s.nowMs)
 	p.customer.budget.settle(p.open, charge)
 	p.customer.openCalls--
 	if c.kind == kindModel && p.open.target != nil {
--- a/internal/shard/expire.go
+++ b/internal/shard/expire.go
@@ -15,9 +15,13 @@
 	MaxOpenCallMs = 24 * 60 * 60 * 1000
 )
 
-// expire applies the time limits that are due, for at most max_programs
-// programs, in the order of their due times.
+// expire starts the budget periods that have come and applies the time limits
+// that are due, for at most max_programs programs, in the order of their due
+// times.
 func (s *State) expire(op *shardpb.Expire) *shardpb.Result {
+	for _, c := range s.customers {
+		c.budget.roll(c.contract.GetBudget(), s.nowMs)
+	}
 	result := new(shardpb.ExpireResult)
 	for range expireWork(op) {
 		p := s.due.first()
--- a/internal/shard/outcome_test.go
+++ b/internal/shard/outcome_test.go
@@ -158,6 +158,24 @@
 	assertRefused(t, f.dispatch(late), shardpb.Reason_REASON_CALL_FINAL)
 }
 
+func TestUndispatchedCallTakesNoAnswer(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.Target = nil
+	begun := f.mustBegin(op)
+	assertRefused(t, f.finish(begun, op.GetKey(), testAnswer("a", 1, 1)), shardpb.Reason_REASON_STALE_ATTEMPT)
+}
+
+func TestDispatchAfterTheDeadlineIsRefused(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.DeadlineMs = f.nowMs + 1000
+	begun := f.mustBegin(op).GetBegin()
+	f.nowMs += 1000
+	again := &shardpb.Dispatch{Key: op.GetKey(), Epoch: begun.GetEpoch(), Attempt: 2, Target: testTarget("engine-2")}
+	assertRefused(t, f.dispatch(again), shardpb.Reason_REASON_DEADLINE_EXCEEDED)
+}
+
 func TestFailOfOlderAttemptIsRefused(t *testing.T) {
 	f := newFixture(t)
 	begun := f.mustBegin(modelCall("p", "c1")).GetBegin()
