--- a/internal/shard/bodies.go
+++ b/internal/shard/bodies.go
@@ -21,8 +21,9 @@
 	Put(id uint64, body []byte) error
 	// Get returns a body that the caller must not change, or ErrNoBody.
 	Get(id uint64) ([]byte, error)
-	// Has reports whether Get would find the body.
-	Has(id uint64) bool
+	// Keep drops all bodies but the given ones. It returns ErrNoBody when one of
+	// them is missing.
+	Keep(ids []uint64) error
 	// Drop says that a body is no longer needed.
 	Drop(id uint64)
 	// Sync returns when all bodies that were put are durable.
@@ -124,12 +125,20 @@
 	return body, nil
 }
 
-// Has implements BodyStore.
-func (m *MemoryBodies) Has(id uint64) bool {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	_, ok := m.bodies[id]
-	return ok
+// Keep implements BodyStore.
+func (m *MemoryBodies) Keep(ids []uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept := make(map[uint64][]byte, len(ids))
+	for _, id := range ids {
+		body, ok := m.bodies[id]
+		if !ok {
+			return ErrNoBody
+		}
+		kept[id] = body
+	}
+	m.bodies = kept
+	return nil
 }
 
 // Drop implements BodyStore.
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -47,7 +47,10 @@
 	if err := s.readRecords(f); err != nil {
 		return err
 	}
-	return s.checkBodies()
+	if err := s.bodies.Keep(s.bodyIDs()); err != nil {
+		return fmt.Errorf("shard: restore: %w", err)
+	}
+	return nil
 }
 
 func (s *State) readRecords(f *frameReader) error {
@@ -81,16 +84,6 @@
 	}
 }
 
-// checkBodies makes sure that each body in use is there.
-func (s *State) checkBodies() error {
-	for _, id := range s.bodyIDs() {
-		if !s.bodies.Has(id) {
-			return fmt.Errorf("shard: restore: body %d: %w", id, ErrNoBody)
-		}
-	}
-	return nil
-}
-
 func (s *State) readCustomer(record *shardpb.CustomerRecord) error {
 	name := record.GetContract().GetCustomer()
 	if name == "" || s.customers[name] != nil {
