admit: the memory share must leave out programs that are gone

Ruled out: a lower bound for idle engines; it hides that the input is wrong. A caller must not pass the engine's raw used tokens.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -73,7 +73,11 @@
 type Load struct {
 	Waiting int           // calls in the queue
 	Wait    time.Duration // expected wait of a new call of this priority
-	Memory  float64       // share of the engine's memory that prefixes hold
+	// Memory is the share of the engine's memory that prefixes of running,
+	// waiting and paused programs hold; 0: not known. It must leave out
+	// programs that are gone: an engine that evicts only when it must is always
+	// full, and no new program would ever be admitted.
+	Memory float64
 }
 
 // Decision admits a call or refuses it with the time after which the caller
--- a/internal/policybench/variant.go
+++ b/internal/policybench/variant.go
@@ -21,6 +21,9 @@
 
 // variant is one row of the table: a set of policies.
 type variant struct {
+	// ablation marks a row that differs from the combined policies in one point.
+	ablation bool
+
 	name    string
 	order   order.Policy
 	place   place.Params
@@ -77,7 +80,12 @@
 
 // variants returns the rows of the table, the baseline first.
 func variants() []variant {
-	return append(candidates(baseline(), combined()), ablations(combined())...)
+	rows := append(candidates(baseline(), combined()), combined())
+	for _, v := range ablations(combined()) {
+		v.ablation = true
+		rows = append(rows, v)
+	}
+	return rows
 }
 
 // candidates returns the baseline and single policies on top of it.
@@ -96,10 +104,9 @@
 	}
 }
 
-// ablations returns all policies together, then each with one change.
+// ablations returns all policies together with one change each.
 func ablations(all variant) []variant {
 	return []variant{
-		all,
 		all.with("combined, age weighted", func(v *variant) { v.order.AgeStep = 5 * time.Second }),
 		all.with("combined, least attained", func(v *variant) { v.order.LeastAttained = true }),
 		all.with("combined, no fair share", func(v *variant) { v.order.FairShare = false }),
