retry: elapsed cap of ten minutes

Cause: the cap of 2 minutes ended calls with long deadlines in an outage of 3 minutes that would have got an answer. Ruled out: no cap; a call without a deadline could then be held open for long.

--- a/internal/policy/retry/policy.go
+++ b/internal/policy/retry/policy.go
@@ -18,7 +18,7 @@
 		MaxUnknownRetries: 1,
 		BaseDelay:         time.Second,
 		MaxDelay:          time.Minute,
-		ElapsedCap:        2 * time.Minute,
+		ElapsedCap:        10 * time.Minute,
 	}
 }
 
