retain: keep a prefix for at least 30 s

Cause: a call that fails comes back later than its tool's pauses; with faults its prefix had been released meanwhile. Ruled out: 60, 120 and 240 s: recomputed tokens fall by less than a tenth more, memory held in vain grows with the time. Change: Policy.MinKeep; a row of the benchmark without moves before a stop. Seen to fail first: KeepFor without the minimum. Conclusion: kept.

--- a/internal/policy/retain/plan.go
+++ b/internal/policy/retain/plan.go
@@ -16,7 +16,8 @@
 type Policy struct {
 	// KeepQuantile is the share of a tool's pauses that a prefix is kept for.
 	KeepQuantile float64
-	// MaxKeep bounds the time in which a prefix is kept.
+	// MinKeep and MaxKeep bound the time in which a prefix is kept.
+	MinKeep time.Duration
 	MaxKeep time.Duration
 	// HighShare is the share of the memory above which prefixes are released,
 	// down to LowShare.
@@ -28,6 +29,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		KeepQuantile: 0.995,
+		MinKeep:      30 * time.Second,
 		MaxKeep:      10 * time.Minute,
 		HighShare:    0.95,
 		LowShare:     0.90,
@@ -40,7 +42,7 @@
 	if !ok {
 		pause = unknownPause
 	}
-	return min(pause, p.MaxKeep)
+	return min(max(pause, p.MinKeep), p.MaxKeep)
 }
 
 // Hold is a program's prefix in the memory of one engine.
--- a/internal/policy/retain/retain_test.go
+++ b/internal/policy/retain/retain_test.go
@@ -70,6 +70,8 @@
 func TestKeepFor(t *testing.T) {
 	policy := DefaultPolicy()
 	assert.Equal(t, policy.KeepFor(NewToolTimes(), "fast"), unknownPause)
+	assert.Equal(t, policy.KeepFor(learnt(), "fast"), policy.MinKeep)
+	policy.MinKeep = 0
 	assert.Equal(t, policy.KeepFor(learnt(), "fast"), time.Second)
 	policy.MaxKeep = 10 * time.Second
 	assert.Equal(t, policy.KeepFor(learnt(), "slow"), 10*time.Second)
--- a/internal/policybench/faults.go
+++ b/internal/policybench/faults.go
@@ -99,7 +99,7 @@
 
 // moveCaches exports what pays to the server that has most room.
 func (f *faultState) moveCaches(sc *sidecar) {
-	if f.sys.variant.retain == nil {
+	if f.sys.variant.retain == nil || f.sys.variant.noMoves {
 		return
 	}
 	rates := retain.Rates{Transfer: transferRate, Prefill: sc.engine.spec.prefillRate}
--- a/internal/policybench/variant.go
+++ b/internal/policybench/variant.go
@@ -29,6 +29,7 @@
 	place   place.Params
 	admit   admit.Policy
 	retain  *retain.Policy // nil: the engine's own eviction only
+	noMoves bool           // no cache moves before a planned stop
 	retry   retry.Policy
 	budget  float64 // share of traffic for retries; 0: no bound
 	burst   int     // retries that the budget of one entry allows at once
@@ -113,6 +114,7 @@
 		all.with("combined, move factor 1", func(v *variant) { v.place.MoveFactor = 1 }),
 		all.with("combined, two choices", func(v *variant) { v.place.Choices = 2 }),
 		all.with("combined, no retention", func(v *variant) { v.retain = nil }),
+		all.with("combined, no moves", func(v *variant) { v.noMoves = true }),
 		all.with("combined, no admission", func(v *variant) { v.admit = admit.Policy{} }),
 		all.with("combined, hard shares", func(v *variant) { v.shares = sharesHard }),
 	}
