place: derive subsets from those of the view before

Cause: each change of membership computed all subsets again, 69 ms with 11,000 servers, while servers join and leave all the time. Ruled out: subsets computed on first use; the view would not be immutable. Change: a joined server is weighed against each subset, a server that left costs a new computation of the subsets that held it. Seen to fail first, each by a scratch edit: subsets that lost a server not computed again; joined servers left out.

--- a/internal/policy/place/choose_test.go
+++ b/internal/policy/place/choose_test.go
@@ -163,6 +163,25 @@
 	}
 }
 
+// A view that was changed step by step equals one made of the same servers.
+func TestSubsetsDoNotDependOnTheWayThere(t *testing.T) {
+	all := makeServers(40)
+	rapid.Check(t, func(t *rapid.T) {
+		v := view(nil)
+		for range rapid.IntRange(1, 5).Draw(t, "changes") {
+			var servers []Server
+			for _, s := range all {
+				if rapid.Bool().Draw(t, "listed") {
+					servers = append(servers, s)
+				}
+			}
+			v = v.WithServers(servers)
+			fresh := view(servers)
+			assert.Assert(t, slices.Equal(v.subsets, fresh.subsets))
+		}
+	})
+}
+
 func TestChooseDoesNotAllocate(t *testing.T) {
 	v := view(makeServers(100))
 	req := Request{Program: "c/p", CachedOn: "server-00001", CachedTokens: 100, Exclude: []string{"x"}}
@@ -185,6 +204,22 @@
 	}
 }
 
+func BenchmarkJoin(b *testing.B) {
+	servers := makeServers(11000)
+	v := view(servers[1:])
+	for b.Loop() {
+		v.WithServers(servers)
+	}
+}
+
+func BenchmarkLeave(b *testing.B) {
+	servers := makeServers(11000)
+	v := view(servers)
+	for b.Loop() {
+		v.WithServers(servers[1:])
+	}
+}
+
 func BenchmarkNewView(b *testing.B) {
 	servers := makeServers(11000)
 	for b.Loop() {
--- a/internal/policy/place/view.go
+++ b/internal/policy/place/view.go
@@ -58,7 +58,8 @@
 // WithServers returns a view that holds the given servers instead, with the
 // same parameters. Subsets of programs change only where a server joined or
 // left, and by no more than these servers. While the IDs stay the same it costs
-// one copy.
+// one copy; a server that joined costs one hash for each bucket, one that left
+// a new computation of the buckets that held it.
 func (v *View) WithServers(servers []Server) *View {
 	next := &View{params: v.params, servers: slices.Clone(servers)}
 	slices.SortFunc(next.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -67,10 +68,7 @@
 		return next
 	}
 	next.indexServers()
-	next.subsets = make([]subset, bucketCount)
-	for bucket := range next.subsets {
-		next.subsets[bucket] = next.computeSubset(bucket)
-	}
+	next.deriveSubsets(v)
 	return next
 }
 
@@ -120,14 +118,68 @@
 	}
 }
 
-// computeSubset returns the servers with the highest rendezvous weights for the
+// deriveSubsets computes the subsets from those of the view before.
+func (v *View) deriveSubsets(old *View) {
+	var joined []int32
+	for i := range v.servers {
+		if _, ok := old.byID[v.servers[i].ID]; !ok {
+			joined = append(joined, int32(i))
+		}
+	}
+	moved := v.indexesOf(old)
+	v.subsets = make([]subset, bucketCount)
+	for bucket := range v.subsets {
+		v.subsets[bucket] = v.deriveSubset(bucket, old, moved, joined)
+	}
+}
+
+// indexesOf returns the index in v of each server of the other view, -1 for
+// those that left.
+func (v *View) indexesOf(other *View) []int32 {
+	indexes := make([]int32, len(other.servers))
+	for i := range other.servers {
+		index, ok := v.byID[other.servers[i].ID]
+		if !ok {
+			index = -1
+		}
+		indexes[i] = index
+	}
+	return indexes
+}
+
+// deriveSubset returns the servers with the highest rendezvous weights for the
 // bucket, heaviest first.
-func (v *View) computeSubset(bucket int) subset {
+func (v *View) deriveSubset(bucket int, old *View, moved, joined []int32) subset {
+	seed := bucketSeed(bucket)
+	if len(old.servers) == 0 {
+		return v.heaviest(seed, joined)
+	}
+	var candidates []int32
+	for _, oldIndex := range old.subsets[bucket] {
+		if oldIndex < 0 {
+			break
+		}
+		if moved[oldIndex] < 0 {
+			return v.heaviest(seed, v.allIndexes())
+		}
+		candidates = append(candidates, moved[oldIndex])
+	}
+	return v.heaviest(seed, append(candidates, joined...))
+}
+
+func (v *View) allIndexes() []int32 {
+	indexes := make([]int32, len(v.servers))
+	for i := range indexes {
+		indexes[i] = int32(i)
+	}
+	return indexes
+}
+
+func (v *View) heaviest(seed uint64, indexes []int32) subset {
 	var weights [subsetSize]uint64
 	chosen := subset{-1, -1, -1, -1, -1, -1, -1, -1}
-	seed := bucketSeed(bucket)
-	for i := range v.servers {
-		insertHeaviest(&chosen, &weights, int32(i), mix(seed^v.servers[i].hash))
+	for _, index := range indexes {
+		insertHeaviest(&chosen, &weights, index, mix(seed^v.servers[index].hash))
 	}
 	return chosen
 }
