--- a/internal/blackboard/cell_test.go
+++ b/internal/blackboard/cell_test.go
@@ -73,3 +73,27 @@
 	default:
 	}
 }
+
+// BenchmarkLoad reads on all cores while one writer updates.
+func BenchmarkLoad(b *testing.B) {
+	c := NewCell(0)
+	done := make(chan struct{})
+	var writer sync.WaitGroup
+	writer.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				c.Update(func(old int) int { return old + 1 })
+			}
+		}
+	})
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_ = c.Load()
+		}
+	})
+	close(done)
+	writer.Wait()
+}
