--- a/internal/policybench/main.go
+++ b/internal/policybench/main.go
@@ -24,6 +24,7 @@
 func main() {
 	quick := flag.Bool("quick", false, "one seed, baseline and combined policies only")
 	rows := flag.String("rows", "", "print only rows whose name contains this, and check no bound")
+	load := flag.Float64("load", 0, "measure at this load only, and check no bound")
 	known := flag.String("known-red", "KNOWN-RED.txt", "file that lists the bounds known to be broken")
 	retriesOnly := flag.Bool("retries", false, "print the comparison of retries only, and check no bound")
 	flag.Parse()
@@ -32,6 +33,10 @@
 		printRetries(os.Stdout, measureRetries(retrySeeds, false))
 		return
 	}
+	if *load > 0 {
+		printTable(os.Stdout, measure(selectRows(variants(), *rows), fullSeeds, []float64{*load}))
+		return
+	}
 	if err := run(os.Stdout, *quick, *rows, *known); err != nil {
 		fmt.Fprintln(os.Stderr, "policybench:", err)
 		os.Exit(1)
@@ -39,11 +44,11 @@
 }
 
 func run(w io.Writer, quick bool, rows, knownFile string) error {
-	seeds, names := fullSeeds, variants()
+	seeds, names, loads := fullSeeds, variants(), []float64{0.5, 0.8, boundedLoad, overload}
 	if quick {
-		seeds, names = 1, []variant{baseline(), combined()}
+		seeds, names, loads = 1, []variant{baseline(), combined()}, loads[2:]
 	}
-	results := measure(selectRows(names, rows), seeds, quick)
+	results := measure(selectRows(names, rows), seeds, loads)
 	printTable(w, results)
 	if rows != "" {
 		return nil
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -12,13 +12,9 @@
 	m *metrics
 }
 
-// measure runs the variants on both deployments at all loads, with and without
-// faults. Ablations run at the bounded loads only, and so does a quick run.
-func measure(variants []variant, seeds int, quick bool) []result {
-	loads := []float64{0.5, 0.8, boundedLoad, overload}
-	if quick {
-		loads = []float64{boundedLoad, overload}
-	}
+// measure runs the variants on both deployments at the loads, with and without
+// faults. Ablations run at the bounded loads only.
+func measure(variants []variant, seeds int, loads []float64) []result {
 	var scenarios []scenario
 	for _, d := range deployments() {
 		for _, load := range loads {
