admit: an idle engine takes new programs whatever its memory holds

Cause: prefixes that nobody releases (a sidecar that restarted, raw figures of the engine) would keep all new programs out for good. Change: Load.Running; the memory bound holds only while the engine runs a call. A caller that leaves Running 0 gets no memory bound.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -72,11 +72,12 @@
 // Load is the state of the queue that the call would join.
 type Load struct {
 	Waiting int           // calls in the queue
+	Running int           // calls on the engine
 	Wait    time.Duration // expected wait of a new call of this priority
 	// Memory is the share of the engine's memory that prefixes of running,
 	// waiting and paused programs hold; 0: not known. It must leave out
 	// programs that are gone: an engine that evicts only when it must is always
-	// full, and no new program would ever be admitted.
+	// full, and new programs would be admitted only while it idles.
 	Memory float64
 }
 
@@ -111,8 +112,11 @@
 	return float64(min(max(r.Priority, 0), topPriority)) / topPriority
 }
 
+// memoryShort reports whether a new program must not begin because of the
+// memory. An engine that runs nothing takes it in any case, so that memory which
+// nobody releases cannot stop all work.
 func (p Policy) memoryShort(req Request, load Load) bool {
-	if !req.NewProgram || p.NewProgramMemory == 0 {
+	if !req.NewProgram || p.NewProgramMemory == 0 || load.Running == 0 {
 		return false
 	}
 	rank := req.rank()
--- a/internal/policybench/sidecar.go
+++ b/internal/policybench/sidecar.go
@@ -134,7 +134,7 @@
 
 // load estimates the wait of a new call of the priority.
 func (sc *sidecar) load(priority int32) admit.Load {
-	load := admit.Load{Waiting: sc.queue.Len()}
+	load := admit.Load{Waiting: sc.queue.Len(), Running: sc.engine.running()}
 	if cache := sc.engine.cache; sc.sys.variant.retain != nil {
 		load.Memory = float64(cache.used) / float64(cache.capacity)
 	}
