--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,8 @@
 demo: build
 	./bin/demo
 
+bench-policy:
+	go run ./internal/policybench
+
 clean:
 	rm -rf bin .tools demo-data
