--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -37,6 +37,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "bin", Usage: "folder of the built programs; default: the demo's own"},
 			&cli.StringFlag{Name: "contracts", Value: "examples/contracts", Usage: "folder of the contract documents"},
+			&cli.BoolFlag{Name: "serve", Usage: "run no programs: keep the processes running until interrupted"},
 		},
 		Action: run,
 	}
@@ -52,10 +53,17 @@
 		}
 		binDir = filepath.Dir(own)
 	}
-	config := demo.Config{BinDir: binDir, Contracts: cmd.String("contracts"), Out: os.Stdout}
+	config := demo.Config{
+		BinDir:    binDir,
+		Contracts: cmd.String("contracts"),
+		Out:       os.Stdout,
+		Serve:     cmd.Bool("serve"),
+	}
 	if err := demo.Run(ctx, config); err != nil {
 		return err
 	}
-	fmt.Println("demo ok")
+	if !config.Serve {
+		fmt.Println("demo ok")
+	}
 	return nil
 }
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -18,6 +18,7 @@
 	BinDir    string // folder of the built programs
 	Contracts string // folder of the contract documents
 	Out       io.Writer
+	Serve     bool // keep the processes running without programs until the context ends
 }
 
 const (
@@ -47,9 +48,11 @@
 		return err
 	}
 	defer c.killAll()
-	ctx, cancel := context.WithTimeout(ctx, timeLimit-stopReserve)
-	defer cancel()
 	if err := play(ctx, c, config); err != nil {
+		if ctx.Err() != nil { // interrupted: there is nothing to look into
+			c.killAll()
+			return errors.Join(err, os.RemoveAll(dataDir))
+		}
 		c.printProblems(config.Out)
 		fmt.Fprintf(config.Out, "the logs and data are kept in %s\n", dataDir)
 		return err
@@ -62,25 +65,42 @@
 
 // play starts the processes, runs the programs and checks what they did.
 func play(ctx context.Context, c *cluster, config Config) error {
+	limited, cancel := context.WithTimeout(ctx, timeLimit-stopReserve)
+	defer cancel()
 	p, err := newProbe()
 	if err != nil {
 		return err
 	}
 	defer p.http.CloseIdleConnections()
-	book := newLedger(config.Out, time.Now(), ctx.Done())
+	book := newLedger(config.Out, time.Now(), limited.Done())
 	book.say("starting %d processes in %s", len(c.processes()), c.dataDir)
-	if err := c.start(ctx, p); err != nil {
+	if err := c.start(limited, p); err != nil {
 		return err
 	}
 	book.say("%d entries are ready", len(c.nodes))
-	if err := applyContracts(ctx, c, config.Contracts, book); err != nil {
+	if err := applyContracts(limited, c, config.Contracts, book); err != nil {
 		return err
 	}
-	results, err := runUsers(ctx, c, p, book)
+	if config.Serve {
+		serve(ctx, c, book)
+		return nil
+	}
+	results, err := runUsers(limited, c, p, book)
 	if err != nil {
 		return err
 	}
-	return check(ctx, c, p, book, results)
+	return check(limited, c, p, book, results)
+}
+
+// serve prints how to reach the system and waits until the context ends.
+func serve(ctx context.Context, c *cluster, book *ledger) {
+	fmt.Fprintf(book.out, "\nentries        %s\n", strings.Join(c.bases(), " "))
+	fmt.Fprintf(book.out, "operator's key %s\n", c.keyFile())
+	for _, customer := range []string{customerRepair, customerWharf} {
+		fmt.Fprintf(book.out, "customer key   ik_%s%s\n", customer, keySuffix)
+	}
+	fmt.Fprintln(book.out, "interrupt to stop")
+	<-ctx.Done()
 }
 
 // applyContracts applies every contract document with the operators' tool. It
