Pages for operators and newcomers, checked against the code

Cause: a reader had two lines of README and no page on how to run the system or what its reasons and metrics mean. Ruled out: a wholly generated page (the reasons need a meaning and an action, which the code does not hold), and lists kept by hand only (they go stale in silence). Change: OPERATORS, GLOSSARY, a longer ARCHITECTURE, README, CONTRIBUTING, and internal/docsgen with "make docs". The settings table and the two state diagrams are generated; reasons, metrics, labels and exit codes are collected from the code, and a test fails when one has no line or a line has no source. Conclusion: what the code does not support yet (replacing a control host, backup) is said in the pages.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint bench bench-policy fuzz demo generate clean
+.PHONY: build test lint bench bench-policy fuzz demo docs generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,6 +29,9 @@
 demo: build
 	./bin/demo
 
+docs:
+	go run ./cmd/docsgen
+
 bench-policy:
 	go run ./internal/policybench
 
--- /dev/null
+++ b/cmd/docsgen/main.go
@@ -0,0 +1,36 @@
+// Command docsgen writes the generated sections of the pages. It is run in the
+// root of the module, by "make docs".
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"ibistray.example/ibistray/internal/docsgen"
+)
+
+const pageMode = 0o644
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "docsgen:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	pages, err := docsgen.Pages(".")
+	if err != nil {
+		return err
+	}
+	for _, page := range pages {
+		if !page.Stale() {
+			continue
+		}
+		if err := os.WriteFile(page.Path, []byte(page.Text), pageMode); err != nil {
+			return err
+		}
+		fmt.Println("wrote", page.Path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/docsgen/metrics.go
@@ -0,0 +1,43 @@
+package docsgen
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metric is a metric that a collector describes.
+type Metric struct {
+	Name   string
+	Labels []string // sorted
+}
+
+var descriptionPattern = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
+
+// Metrics returns the project's own metrics of a collector by name.
+func Metrics(collector prometheus.Collector) (map[string]Metric, error) {
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		collector.Describe(descriptions)
+		close(descriptions)
+	}()
+	metrics := make(map[string]Metric)
+	var err error
+	for d := range descriptions {
+		match := descriptionPattern.FindStringSubmatch(d.String())
+		if match == nil {
+			err = fmt.Errorf("docsgen: unknown form of a description: %s", d)
+			continue
+		}
+		if !strings.HasPrefix(match[1], "ibistray_") {
+			continue
+		}
+		labels := strings.FieldsFunc(match[2], func(r rune) bool { return r == ',' || r == ' ' })
+		slices.Sort(labels)
+		metrics[match[1]] = Metric{Name: match[1], Labels: labels}
+	}
+	return metrics, err
+}
--- /dev/null
+++ b/internal/docsgen/pages_test.go
@@ -0,0 +1,95 @@
+package docsgen
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/ctl"
+)
+
+const (
+	root          = "../.."
+	operatorsPage = "docs/OPERATORS.md"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(root, path))
+	assert.NilError(t, err)
+	return string(data)
+}
+
+// write makes a Go file for a test.
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "p.go")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestGeneratedSectionsAreUpToDate(t *testing.T) {
+	pages, err := Pages(root)
+	assert.NilError(t, err)
+	for _, page := range pages {
+		assert.Assert(t, !page.Stale(), "%s is stale: run make docs", page.Path)
+	}
+}
+
+func TestReplace(t *testing.T) {
+	page := "a\n<!-- begin x -->\nold\n<!-- end x -->\nb\n"
+	got, err := Replace(page, "x", "new\n")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "a\n<!-- begin x -->\n\nnew\n\n<!-- end x -->\nb\n")
+	again, err := Replace(got, "x", "new")
+	assert.NilError(t, err)
+	assert.Equal(t, again, got)
+	_, err = Replace(page, "y", "new")
+	assert.ErrorContains(t, err, `no line "<!-- begin y -->"`)
+}
+
+func TestDiagram(t *testing.T) {
+	path := write(t, `package p
+
+const (
+	off   state = "off"
+	on    state = "on"
+	press       = "press"
+)
+
+func f() {
+	m := stateless.NewStateMachine(off)
+	m.Configure(off).Permit(press, on).Ignore(hold)
+	m.Configure(on).PermitReentry(press)
+}
+`)
+	got, err := Diagram(path)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "```mermaid\nstateDiagram-v2\n    [*] --> off\n    off --> on: press\n    on --> on: press\n```\n")
+}
+
+func TestEachExitCodeHasALine(t *testing.T) {
+	text, err := Section(read(t, operatorsPage), "exit codes")
+	assert.NilError(t, err)
+	got := map[string]string{}
+	for _, row := range Rows(text) {
+		got[row[0]] += row[1]
+	}
+	daemon := "0"
+	for _, line := range strings.Split(read(t, "cmd/ibistrayd/main.go"), "\n") {
+		if name, code, ok := strings.Cut(line, "="); ok && strings.HasPrefix(strings.TrimSpace(name), "exit") {
+			daemon += strings.TrimSpace(code)
+		}
+	}
+	tool := ""
+	for _, code := range []int{
+		ctl.ExitOK, ctl.ExitFailure, ctl.ExitUsage, ctl.ExitConflict, ctl.ExitUnavailable, ctl.ExitUnauthenticated, ctl.ExitNotFound,
+	} {
+		tool += strconv.Itoa(code)
+	}
+	assert.DeepEqual(t, got, map[string]string{"ibistrayd": daemon, "ibistrayctl": tool})
+}
