--- a/internal/history/store_test.go
+++ b/internal/history/store_test.go
@@ -182,6 +182,7 @@
 	put(t, peer, 99, "of an earlier state")
 	assert.NilError(t, shard.New(peer).Restore(&whole))
 	assert.Equal(t, peer.Stats().Bodies, 1)
+	assert.Equal(t, peer.Stats().DiskBytes, peer.Stats().LiveBytes)
 }
 
 // begin applies a contract and the first call of a program.
--- a/internal/shard/begin_test.go
+++ b/internal/shard/begin_test.go
@@ -139,6 +139,22 @@
 	assertRefused(t, f.begin(other), shardpb.Reason_REASON_UNKNOWN_PROGRAM)
 }
 
+func TestSubAgentDoesNotJoinALaterParentOfTheSameName(t *testing.T) {
+	f := newFixture(t)
+	f.change("idle", func(c *shardpb.Contract) { c.ProgramIdleMs = 2 * EndedRetentionMs })
+	f.exchange("p", "c1")
+	child := modelCall("sub", "s1")
+	child.ParentProgram = "p"
+	f.finish(f.mustBegin(child), child.GetKey(), testAnswer("a", 1, 1))
+	f.end("p")
+	f.nowMs += EndedRetentionMs
+	f.expire(0)
+	f.exchange("p", "c1")
+	again := modelCall("sub", "s2")
+	again.ParentProgram = "p"
+	assertRefused(t, f.begin(again), shardpb.Reason_REASON_PROGRAM_ENDED)
+}
+
 func TestSubAgentsAreNestedToALimit(t *testing.T) {
 	f := newFixture(t)
 	f.change("more turns", func(c *shardpb.Contract) { c.MaxTurns = 100 })
--- a/internal/shard/expire_test.go
+++ b/internal/shard/expire_test.go
@@ -119,6 +119,9 @@
 	assert.Equal(t, hold("p", 600).GetRenewHold().GetUntilMs(), f.nowMs+5000)
 	assert.Assert(t, hold("p", 700).GetRefusal() == nil)
 	assertRefused(t, hold("q", 301), shardpb.Reason_REASON_HOLD_LIMIT)
+	stats, err := f.state.CustomerStats(testCustomer)
+	assert.NilError(t, err)
+	assert.Equal(t, stats.HeldTokens, uint64(700))
 	f.restart()
 	f.nowMs += 4999
 	f.expire(0)
