History bodies on disk

Cause: the bodies of calls and answers stayed in the memory of the control process; 98,000 programs of up to 250,000 tokens do not fit 256 MB. Change: each shard keeps them in segment files under the data folder; segments that hold mostly bodies of removed programs are rewritten every 10 minutes.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -5,13 +5,17 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/control"
+	"ibistray.example/ibistray/internal/history"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
@@ -22,13 +26,19 @@
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
-const dataDirMode = 0o700
+const (
+	dataDirMode     = 0o700
+	bodiesFolder    = "bodies"
+	compactInterval = 10 * time.Minute
+)
 
 // controlRole is the replicated state of this process and the services on it.
 type controlRole struct {
+	log     hclog.Logger
 	host    *replica.Host
 	peers   *peer.Transport
 	repair  *control.Repair
+	bodies  []*history.Store
 	service *control.Service
 }
 
@@ -49,7 +59,7 @@
 		peers.Close()
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	r := &controlRole{host: host, peers: peers}
+	r := &controlRole{log: log, host: host, peers: peers}
 	r.repair = control.NewRepair(repairConfig(s), log.Named("repair"), host, pool)
 	if err := r.addGroups(s, log, pool); err != nil {
 		return nil, errors.Join(err, r.stop(context.Background()))
@@ -70,7 +80,12 @@
 		if !contains(membersOf(group, hosts), s.Listen) {
 			continue
 		}
-		shards[i] = shard.New(shard.NewMemoryBodies())
+		bodies, err := history.Open(filepath.Join(s.DataDir, bodiesFolder, strconv.Itoa(i)))
+		if err != nil {
+			return fmt.Errorf("daemon: bodies of shard %d: %w", i, err)
+		}
+		r.bodies = append(r.bodies, bodies)
+		shards[i] = shard.New(bodies)
 		if err := r.host.AddGroup(group, firstMembers(s, group, hosts), shards[i]); err != nil {
 			return fmt.Errorf("daemon: shard %d: %w", i, err)
 		}
@@ -137,9 +152,28 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { r.service.Run(ctx) })
 	loops.Go(func() { r.repair.Run(ctx) })
+	loops.Go(func() { r.compactBodies(ctx) })
 	loops.Wait()
 }
 
+// compactBodies rewrites segments that hold mostly bodies of removed programs.
+func (r *controlRole) compactBodies(ctx context.Context) {
+	ticker := time.NewTicker(compactInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, store := range r.bodies {
+			if err := store.Compact(); err != nil {
+				r.log.Error("bodies not compacted", "error", err)
+			}
+		}
+	}
+}
+
 // stop hands leadership over and closes the log.
 func (r *controlRole) stop(ctx context.Context) error {
 	err := r.host.Stop(ctx)
