replica: a first member is confirmed only when its disk ID is durable

Cause: the disk ID of a first member was put into memory when its write was queued, so a second question during a slow fsync was answered before the record was durable; a crash then would have lost the record. Found by review. Change: the answer waits for the write; questions meanwhile are asked again by the sender.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -119,22 +119,32 @@
 }
 
 // confirm answers a first member. The disk on which it was seen first is durable
-// here before the answer.
+// here before the answer; questions that come meanwhile are asked again.
 func (g *group) confirm(m *raftpb.Message) {
 	id, diskID := m.GetFrom(), m.GetContext()
 	if known, found := g.bindings[id]; found {
 		g.replyIdentity(m, known != diskID)
 		return
 	}
-	g.bindings[id] = diskID
+	if g.binding[id] {
+		return
+	}
+	g.binding[id] = true
 	update := wal.Update{Group: g.id, Bindings: []wal.Binding{{ReplicaID: id, DiskID: diskID}}}
 	g.host.log.AppendAsync([]wal.Update{update}, func(err error) {
 		if err == nil {
-			g.core.post(func() { g.replyIdentity(m, false) })
+			g.core.post(func() { g.bound(m) })
 		}
 	})
 }
 
+// bound answers a first member whose disk is recorded.
+func (g *group) bound(m *raftpb.Message) {
+	delete(g.binding, m.GetFrom())
+	g.bindings[m.GetFrom()] = m.GetContext()
+	g.replyIdentity(m, false)
+}
+
 func (g *group) replyIdentity(m *raftpb.Message, reject bool) {
 	g.host.outbox.add(g.addresses[m.GetFrom()], &raftpb.Message{
 		Kind:    kindIdentityReply,
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -390,6 +390,26 @@
 	})
 }
 
+// TestFirstMemberAnswersWhenDurable lets the disks of first members hang: they
+// must not confirm each other before the answer is durable, however often it is
+// asked for.
+func TestFirstMemberAnswersWhenDurable(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		const group = 2
+		before := c.network.confirmed.Load()
+		for _, address := range c.addresses() {
+			c.nodes[address].fs.SetFault(waltest.Fault{SyncTime: 3 * electionTimeout})
+			assert.NilError(t, c.addGroup(address, group))
+		}
+		time.Sleep(2 * electionTimeout)
+		assert.Equal(t, c.network.confirmed.Load(), before)
+		for _, address := range c.addresses() {
+			c.nodes[address].fs.SetFault(waltest.Fault{})
+		}
+		c.waitActive(group)
+	})
+}
+
 // TestBootstrapNeedsAllFirstMembers starts two of three first members.
 func TestBootstrapNeedsAllFirstMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -44,7 +44,8 @@
 	others    []string          // addresses of the other members; replaced as a whole
 	leader    raft.SoftState
 	boot      *bootstrap        // not nil while first members confirm
-	bindings  map[uint64]uint64 // disk ID by replica ID
+	bindings  map[uint64]uint64 // durable: disk ID by replica ID
+	binding   map[uint64]bool   // replica IDs whose disk ID is being written
 	lostDisk  bool
 	writes    []*write
 	hardState *raftpb.HardState // not yet written: a higher commit index
@@ -76,6 +77,7 @@
 		logger:    h.opts.Logger.With("group", id),
 		addresses: make(map[uint64]string),
 		bindings:  make(map[uint64]uint64),
+		binding:   make(map[uint64]bool),
 		proposals: make(map[uint64]*proposal),
 	}
 	g.reads.init()
--- a/internal/replica/network_test.go
+++ b/internal/replica/network_test.go
@@ -31,6 +31,7 @@
 	bytes     atomic.Int64
 	snapshots atomic.Int64
 	grouped   atomic.Int64 // messages that belong to a group
+	confirmed atomic.Int64 // answers of first members
 }
 
 func newNetwork() *network {
@@ -108,6 +109,9 @@
 		if m.GetGroup() != 0 {
 			e.network.grouped.Add(1)
 		}
+		if m.GetKind() == replica.KindIdentityReply {
+			e.network.confirmed.Add(1)
+		}
 	}
 	host.Receive(batch)
 }
