--- a/internal/shard/snapshot_test.go
+++ b/internal/shard/snapshot_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"sync"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -67,6 +69,47 @@
 	<-changed
 }
 
+func TestWatchersAreBounded(t *testing.T) {
+	f := newFixture(t)
+	firstChannel := f.state.Watch(testCustomer, "first")
+	for i := range maxWatchers {
+		f.state.Watch(testCustomer, fmt.Sprint(i))
+	}
+	<-firstChannel
+	assert.Equal(t, len(f.state.watchers), 1)
+}
+
+// TestReadersRunBesideApply is for the race detector.
+func TestReadersRunBesideApply(t *testing.T) {
+	f := newFixture(t)
+	f.change("wide", func(c *shardpb.Contract) { c.MaxTurns, c.Budget.Tokens = 1000, 1<<30 })
+	stop := make(chan struct{})
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() { readUntil(f.state, stop) })
+	}
+	for i := range 100 {
+		f.exchange("p", fmt.Sprint("c", i))
+	}
+	close(stop)
+	readers.Wait()
+}
+
+func readUntil(state *State, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		_, _ = state.History(testCustomer, "p", 0)
+		_, _ = state.Budget(testCustomer)
+		_ = state.Programs(testCustomer)
+		_ = state.Contracts()
+		_ = state.Watch(testCustomer, "p")
+	}
+}
+
 func TestBadCommandsChangeNothing(t *testing.T) {
 	f := newFixture(t)
 	f.mustBegin(modelCall("p", "c1"))
--- a/internal/shard/watch.go
+++ b/internal/shard/watch.go
@@ -1,16 +1,25 @@
 package shard
 
-// Watch returns a channel that is closed at the program's next change. A
-// caller that waits for a condition takes the channel first and then checks.
+// maxWatchers is how many programs are watched at a time. One more closes all
+// channels, so that programs that never change do not fill the memory.
+const maxWatchers = 16384
+
+// Watch returns a channel that is closed at the program's next change, or
+// earlier without one. A caller that waits for a condition takes the channel
+// first, then checks, and starts again when the channel is closed.
 func (s *State) Watch(customer, program string) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := programID{customer: customer, program: program}
 	ch, ok := s.watchers[id]
-	if !ok {
-		ch = make(chan struct{})
-		s.watchers[id] = ch
+	if ok {
+		return ch
+	}
+	if len(s.watchers) >= maxWatchers {
+		s.notifyAll()
 	}
+	ch = make(chan struct{})
+	s.watchers[id] = ch
 	return ch
 }
 
