--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint bench bench-policy fuzz demo generate clean
+.PHONY: build test lint bench bench-policy fuzz demo docs generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -26,5 +26,14 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
+demo: build
+	./bin/demo
+
+docs:
+	go run ./cmd/docsgen
+
+bench-policy:
+	go run ./internal/policybench
+
 clean:
 	rm -rf bin .tools demo-data
