--- a/internal/shard/begin_test.go
+++ b/internal/shard/begin_test.go
@@ -34,6 +34,14 @@
 	assert.Equal(t, again.GetTurn(), uint64(1))
 }
 
+func TestRecordedCalls(t *testing.T) {
+	f := newFixture(t)
+	f.exchange("p", "c1")
+	assert.Assert(t, f.state.Recorded(testCall("p", "c1")))
+	assert.Assert(t, !f.state.Recorded(testCall("p", "c2")))
+	assert.Assert(t, !f.state.Recorded(testCall("q", "c1")))
+}
+
 func TestBeginRefusesReusedCallID(t *testing.T) {
 	f := newFixture(t)
 	f.exchange("p", "c1")
--- a/internal/shard/fail.go
+++ b/internal/shard/fail.go
@@ -54,7 +54,8 @@
 }
 
 // provenNotRun reports whether no attempt of the call has run: it was never
-// dispatched (or only before it was proven not run and begun again), or its newest attempt is proven not run and each one before it
+// dispatched (or only before it was proven not run and begun again), or its
+// newest attempt is proven not run and each one before it
 // was fenced.
 func provenNotRun(p *program, c *call, failure *shardpb.Failure) bool {
 	if c.state == stateBegun {
--- a/internal/shard/outcome_test.go
+++ b/internal/shard/outcome_test.go
@@ -76,6 +76,15 @@
 	return digest
 }
 
+func TestChainDigestCoversAllExchanges(t *testing.T) {
+	a, b := []byte("a"), []byte("b")
+	ab := ChainDigest(ChainDigest(nil, a, a), b, b)
+	ba := ChainDigest(ChainDigest(nil, b, b), a, a)
+	assert.Assert(t, string(ab) != string(ba))
+	assert.Assert(t, string(ab) != string(ChainDigest(nil, b, b)))
+	assert.Assert(t, string(ChainDigest(nil, a, b)) != string(ChainDigest(nil, b, a)))
+}
+
 func TestServiceCallsStayOutOfTheHistory(t *testing.T) {
 	f := newFixture(t)
 	begun := f.mustBegin(serviceCall("p", "t1", "create"))
--- a/internal/shard/view.go
+++ b/internal/shard/view.go
@@ -100,6 +100,15 @@
 	return refusal == nil
 }
 
+// Recorded reports whether a call has a record: a Begin of it is a resend and
+// need not wait for its turn.
+func (s *State) Recorded(key *shardpb.CallKey) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	p, err := s.findProgram(key.GetCustomer(), key.GetProgram())
+	return err == nil && p.find(key.GetCall()) != nil
+}
+
 // Program returns the view of one program.
 func (s *State) Program(customer, program string) (*shardpb.ProgramView, error) {
 	s.mu.RLock()
