--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -49,8 +49,17 @@
 	effects string // log file of the services' effects
 }
 
+// tuning changes the engines of a cluster.
+type tuning struct {
+	speed      float64 // factor on the engines' rates
+	batchLimit int     // requests that decode together
+}
+
+// demoTuning is the tuning of the demo.
+var demoTuning = tuning{speed: 1, batchLimit: 8}
+
 // newCluster lays out the processes without starting them.
-func newCluster(binDir, dataDir string) (*cluster, error) {
+func newCluster(binDir, dataDir string, t tuning) (*cluster, error) {
 	const addressesPerNode, addressesPerServer = 2, 3
 	free, err := freeAddresses(nodeCount*addressesPerNode + (engineCount+1)*addressesPerServer)
 	if err != nil {
@@ -71,7 +80,7 @@
 		n.process = c.process(n.name, "ibistrayd", c.nodeArgs(i))
 	}
 	for i := range engineCount {
-		c.engines = append(c.engines, c.engine(i+1, next(), next(), next()))
+		c.engines = append(c.engines, c.engine(t, i+1, next(), next(), next()))
 	}
 	c.service = c.newService(next(), next(), next())
 	return c, nil
@@ -137,7 +146,7 @@
 	}
 }
 
-func (c *cluster) engine(number int, backend, listen, http string) *server {
+func (c *cluster) engine(t tuning, number int, backend, listen, http string) *server {
 	name := "engine-" + strconv.Itoa(number)
 	s := &server{name: name, url: "http://" + backend}
 	backendArgs := []string{
@@ -148,6 +157,8 @@
 		"--cache-event-delay", "200ms",
 		"--cache-event-gap-every", "7",
 		"--load-lag", "200ms",
+		"--speed", strconv.FormatFloat(t.speed, 'g', -1, 64),
+		"--batch-limit", strconv.Itoa(t.batchLimit),
 	}
 	sidecarArgs := c.sidecarArgs(name, listen, http, failureDomain(number), s.url)
 	sidecarArgs = append(sidecarArgs, "--backend-kind", "engine", "--models", demoModels)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -103,7 +103,7 @@
 }
 
 func TestClusterLayout(t *testing.T) {
-	c, err := newCluster("bin", t.TempDir())
+	c, err := newCluster("bin", t.TempDir(), demoTuning)
 	assert.NilError(t, err)
 	assert.Equal(t, len(c.processes()), nodeCount+2*(engineCount+1))
 	names := make([]string, 0, len(c.processes()))
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return fmt.Errorf("make the data folder: %w", err)
 	}
-	c, err := newCluster(config.BinDir, dataDir)
+	c, err := newCluster(config.BinDir, dataDir, demoTuning)
 	if err != nil {
 		return err
 	}
