--- a/internal/policybench/variant.go
+++ b/internal/policybench/variant.go
@@ -21,11 +21,15 @@
 
 // variant is one row of the table: a set of policies.
 type variant struct {
+	// ablation marks a row that differs from the combined policies in one point.
+	ablation bool
+
 	name    string
 	order   order.Policy
 	place   place.Params
 	admit   admit.Policy
 	retain  *retain.Policy // nil: the engine's own eviction only
+	noMoves bool           // no cache moves before a planned stop
 	retry   retry.Policy
 	budget  float64 // share of traffic for retries; 0: no bound
 	burst   int     // retries that the budget of one entry allows at once
@@ -77,7 +81,12 @@
 
 // variants returns the rows of the table, the baseline first.
 func variants() []variant {
-	return append(candidates(baseline(), combined()), ablations(combined())...)
+	rows := append(candidates(baseline(), combined()), combined())
+	for _, v := range ablations(combined()) {
+		v.ablation = true
+		rows = append(rows, v)
+	}
+	return rows
 }
 
 // candidates returns the baseline and single policies on top of it.
@@ -96,16 +105,16 @@
 	}
 }
 
-// ablations returns all policies together, then each with one change.
+// ablations returns all policies together with one change each.
 func ablations(all variant) []variant {
 	return []variant{
-		all,
 		all.with("combined, age weighted", func(v *variant) { v.order.AgeStep = 5 * time.Second }),
 		all.with("combined, least attained", func(v *variant) { v.order.LeastAttained = true }),
 		all.with("combined, no fair share", func(v *variant) { v.order.FairShare = false }),
 		all.with("combined, move factor 1", func(v *variant) { v.place.MoveFactor = 1 }),
 		all.with("combined, two choices", func(v *variant) { v.place.Choices = 2 }),
 		all.with("combined, no retention", func(v *variant) { v.retain = nil }),
+		all.with("combined, no moves", func(v *variant) { v.noMoves = true }),
 		all.with("combined, no admission", func(v *variant) { v.admit = admit.Policy{} }),
 		all.with("combined, hard shares", func(v *variant) { v.shares = sharesHard }),
 	}
--- a/internal/replica/groups_test.go
+++ b/internal/replica/groups_test.go
@@ -23,6 +23,7 @@
 			assert.NilError(c.t, c.addGroup(address, group))
 		}
 	}
+	c.waitActive(last)
 }
 
 // TestGroupsShareSyncs proposes to many groups at once while the disks are slow.
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/wal/waltest"
 )
 
 func TestReplicatesToAllHosts(t *testing.T) {
@@ -71,3 +75,77 @@
 		c.put(testGroup, "x", "2")
 	})
 }
+
+// TestStopAnswersProposals stops the leader while clients propose: what it has
+// taken is answered with its outcome.
+func TestStopAnswersProposals(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		const proposers = 20
+		leader := c.leader(testGroup)
+		host := c.nodes[leader].host
+		var clients sync.WaitGroup
+		for range proposers {
+			clients.Go(func() {
+				var err error
+				for err == nil {
+					_, err = host.Propose(t.Context(), testGroup, []byte("x=1"))
+				}
+				assert.Check(t, !errors.Is(err, replica.ErrUncertain), "%v", err)
+			})
+		}
+		time.Sleep(electionTimeout)
+		// The others can finish the proposals before this disk has them.
+		c.nodes[leader].fs.SetFault(waltest.Fault{SyncTime: 4 * tick})
+		time.Sleep(2 * tick)
+		ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+		defer cancel()
+		assert.NilError(t, host.Stop(ctx))
+		clients.Wait()
+		c.network.detach(leader)
+		c.nodes[leader].host = nil
+	})
+}
+
+// TestHostsThatStopTogether stops two of three hosts at once, the third being
+// gone, while both lead groups: they must not pass the leadership to and fro.
+func TestHostsThatStopTogether(t *testing.T) {
+	const last = 16
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.addGroups(last)
+		c.kill(c.follower())
+		before := c.terms(last)
+		ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+		defer cancel()
+		start := time.Now()
+		var stops sync.WaitGroup
+		for _, address := range c.addresses() {
+			if host := c.nodes[address].host; host != nil {
+				stops.Go(func() { assert.Check(t, host.Stop(ctx)) })
+			}
+		}
+		stops.Wait()
+		assert.Assert(t, time.Since(start) < waitLimit/2)
+		for _, address := range c.addresses() {
+			c.network.detach(address)
+			c.nodes[address].host = nil
+		}
+		for _, address := range c.addresses() {
+			c.start(address)
+			for group := testGroup; group <= last; group++ {
+				assert.NilError(t, c.addGroup(address, group))
+			}
+		}
+		grown := c.terms(last) - before
+		assert.Assert(t, grown <= 5*last, "%d terms in %d groups", grown, last)
+	})
+}
+
+// terms adds up the terms of groups, each of which has a leader then.
+func (c *cluster) terms(last uint64) uint64 {
+	c.t.Helper()
+	sum := uint64(0)
+	for group := testGroup; group <= last; group++ {
+		sum += c.status(c.leader(group), group).Term
+	}
+	return sum
+}
