Streams without output send keep-alives; message kinds of the host have names

Cause: a caller could not tell a long wait from a lost connection; three message kinds stood as bare numbers beside the protocol. Change: a comment after each 5 s without an event; the kinds are in raft.proto.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"time"
 	"unicode/utf8"
 
@@ -38,9 +39,9 @@
 	}
 	var out output = &jsonOutput{rc: rc, call: req.Key.Call}
 	if req.Stream {
-		out = &sseOutput{rc: rc, call: req.Key.Call}
+		out = newSSEOutput(rc, req.Key.Call)
 	}
-	e.serveCall(ctx, rc, req, out)
+	e.serveCall(ctx, req, out)
 }
 
 func (e *Entry) serveService(ctx context.Context, rc *app.RequestContext) {
@@ -50,12 +51,13 @@
 		e.refuse(rc, failure)
 		return
 	}
-	e.serveCall(ctx, rc, req, &serviceOutput{rc: rc})
+	e.serveCall(ctx, req, &serviceOutput{rc: rc})
 }
 
-func (e *Entry) serveCall(ctx context.Context, rc *app.RequestContext, req *Request, out output) {
+func (e *Entry) serveCall(ctx context.Context, req *Request, out output) {
 	if !e.enter() {
-		e.refuse(rc, stoppingFailure())
+		e.metrics.Refusals.WithLabelValues(reasonStopping).Inc()
+		out.fail(stoppingFailure())
 		return
 	}
 	defer e.running.Done()
@@ -130,14 +132,73 @@
 	writeFailure(o.rc, f)
 }
 
-// sseOutput streams a model's answer as server-sent events. Before the first
-// text a failure is a plain HTTP error; after it, an error event.
+// keepAliveInterval is how often a stream without output sends a comment, so
+// that a caller can tell a long wait from a connection that is lost.
+const keepAliveInterval = 5 * time.Second
+
+// sseOutput streams a model's answer as server-sent events. Until the first event
+// a failure is a plain HTTP error; after it, an error event.
 type sseOutput struct {
 	rc      *app.RequestContext
 	call    string
-	writer  *sse.Writer
 	pending []byte // start of a character whose rest has not arrived
-	gone    bool   // the caller does not read any more
+
+	mu     sync.Mutex // guards what follows
+	writer *sse.Writer
+	quiet  bool // nothing was written since the last keep-alive tick
+	gone   bool // the caller does not read any more
+	ended  chan struct{}
+}
+
+func newSSEOutput(rc *app.RequestContext, call string) *sseOutput {
+	o := &sseOutput{rc: rc, call: call, ended: make(chan struct{})}
+	go o.keepAlive()
+	return o
+}
+
+// keepAlive sends a comment after each interval without an event.
+func (o *sseOutput) keepAlive() {
+	ticker := time.NewTicker(keepAliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.ended:
+			return
+		case <-ticker.C:
+			o.tick()
+		}
+	}
+}
+
+func (o *sseOutput) tick() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case <-o.ended:
+		return
+	default:
+	}
+	if o.quiet && !o.gone {
+		o.gone = o.open().WriteKeepAlive() != nil
+	}
+	o.quiet = true
+}
+
+// open returns the writer; the first call begins the answer with status 200. The
+// caller holds mu.
+func (o *sseOutput) open() *sse.Writer {
+	if o.writer == nil {
+		o.writer = sse.NewWriter(o.rc)
+	}
+	return o.writer
+}
+
+// finish ends the keep-alives and reports whether the answer has begun.
+func (o *sseOutput) finish() (begun bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(o.ended)
+	return o.writer != nil
 }
 
 const doneData = "[DONE]"
@@ -181,14 +242,15 @@
 		Proof:   proofOf(e),
 	})
 	o.write("", []byte(doneData))
+	o.finish()
 }
 
 func (o *sseOutput) fail(f *Failure) {
-	if o.writer == nil {
-		writeFailure(o.rc, f)
+	if o.finish() {
+		o.send("error", errorOf(f))
 		return
 	}
-	o.send("error", errorOf(f))
+	writeFailure(o.rc, f)
 }
 
 func (o *sseOutput) send(event string, document any) {
@@ -200,13 +262,13 @@
 }
 
 func (o *sseOutput) write(event string, data []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.quiet = false
 	if o.gone {
 		return
 	}
-	if o.writer == nil {
-		o.writer = sse.NewWriter(o.rc)
-	}
-	if err := o.writer.WriteEvent("", event, data); err != nil {
+	if err := o.open().WriteEvent("", event, data); err != nil {
 		o.gone = true
 	}
 }
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -13,8 +13,8 @@
 // other. Context is the disk ID of the asking replica. A reply with Reject says
 // that the replica was seen on another disk.
 const (
-	kindIdentity      raftpb.MessageKind = 65
-	kindIdentityReply raftpb.MessageKind = 66
+	kindIdentity      = raftpb.MessageKind_MESSAGE_KIND_IDENTITY
+	kindIdentityReply = raftpb.MessageKind_MESSAGE_KIND_IDENTITY_REPLY
 )
 
 const (
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -10,7 +10,7 @@
 // group. Context is the tick of the sender, Index is the latest tick that the
 // sender has received from the other host, and Snapshot.Membership has the
 // sender's address as its only member.
-const kindHostHeartbeat raftpb.MessageKind = 64
+const kindHostHeartbeat = raftpb.MessageKind_MESSAGE_KIND_HOST_HEARTBEAT
 
 // peerTable watches the other hosts. A host is suspected when it has not
 // answered the heartbeats of the last election timeout, so a link that is cut in
