--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -4,10 +4,11 @@
 // dies under it then, it is quarantined, and if it ends, it is cleared.
 //
 // A request that runs on one server at a time costs at most MaxServersLost
-// servers: one before it is known, one while it runs alone. Each further server
-// on which the same content runs already when the first one dies costs one
-// more. That holds at each process once the record has reached it. Other
-// requests of the batch are cleared by their own run.
+// servers: one before it is known, one while it runs alone. If the same content
+// runs n times at once, for example because its caller resends it under new call
+// IDs, it costs at most n times as many. That holds for starts that know the
+// record; each start at a process that it has not reached may cost one more.
+// Other requests of the batch are cleared by their own run.
 package quarantine
 
 import (
@@ -17,8 +18,8 @@
 	"time"
 )
 
-// MaxServersLost is the bound on servers lost to a request that runs on one
-// server at a time.
+// MaxServersLost is the bound on servers lost to a request, for each of its
+// copies that run at once.
 const MaxServersLost = 2
 
 // suspicionLifetime ends the suspicion of a request that never came back.
@@ -118,8 +119,9 @@
 }
 
 // MayStart reports whether a request of the given status may start on a server
-// that runs the given number of other requests, of which one may run alone. It
-// holds both ways: a suspect starts on an empty server only, and nothing joins it.
+// that runs the given number of other requests; suspectRunning says that one of
+// them is a suspect. A suspect starts on an empty server only, and nothing joins
+// it.
 func MayStart(status Status, running int, suspectRunning bool) bool {
 	switch status {
 	case StatusQuarantined:
