--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,12 +31,6 @@
 	OperatorKeys    *OperatorKeys
 }
 
-const (
-	// retryShare and retryBurst bound the retries of all calls together.
-	retryShare = 0.1
-	retryBurst = 100
-)
-
 // Entry is the entry role of one process. It is safe for concurrent use.
 type Entry struct {
 	cfg     Config
@@ -66,7 +60,7 @@
 		config:  configuration,
 		members: newMembership(pool, cfg.Control, cfg.Name, metrics),
 		retries: retry.DefaultPolicy(),
-		budget:  retry.NewBudget(retryShare, retryBurst),
+		budget:  retry.NewBudget(retry.DefaultBudgetShare, retry.DefaultBudgetBurst),
 		recent:  newRecentQuarantine(),
 	}
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -56,8 +56,9 @@
 
 func (e *Entry) serveCall(ctx context.Context, req *Request, out output) {
 	if !e.enter() {
-		e.metrics.Refusals.WithLabelValues(reasonStopping).Inc()
-		out.fail(stoppingFailure())
+		f := stoppingFailure()
+		e.metrics.Refusals.WithLabelValues(f.Reason).Inc()
+		out.fail(f)
 		return
 	}
 	defer e.running.Done()
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"ibistray.example/ibistray/internal/backend"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
@@ -40,7 +39,7 @@
 		s.log.Debug("no load report", "error", err)
 		return
 	}
-	s.slots.observe(s.slotLimit(load.BatchLimit), memoryUse(load))
+	s.slots.observe(s.slotLimit(load.BatchLimit), s.memoryUse(load.CacheCapacityTokens))
 	s.load.Store(&rpcpb.Load{
 		Running:                load.Running,
 		Waiting:                load.Waiting,
@@ -62,11 +61,13 @@
 	return min(s.cfg.MaxRunning, int(batch))
 }
 
-func memoryUse(load backend.Load) float64 {
-	if load.CacheCapacityTokens == 0 {
+// memoryUse returns the share of the engine's cache that programs hold. What the
+// engine keeps beyond that it gives up by itself.
+func (s *Sidecar) memoryUse(capacity uint64) float64 {
+	if capacity == 0 {
 		return 0
 	}
-	return float64(load.CacheUsedTokens) / float64(load.CacheCapacityTokens)
+	return float64(s.holds.heldTokens()) / float64(capacity)
 }
 
 // announce tells each control process what this server offers, all at the same
--- a/internal/sidecar/holds.go
+++ b/internal/sidecar/holds.go
@@ -86,6 +86,17 @@
 	held.keepUntil = held.pausedAt + h.policy.KeepFor(h.times, held.model)
 }
 
+// heldTokens returns the tokens that all programs hold together.
+func (h *holds) heldTokens() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := int64(0)
+	for _, held := range h.programs {
+		total += held.tokens
+	}
+	return total
+}
+
 func (h *holds) drop(id programID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -19,7 +19,7 @@
 
 	mu      sync.Mutex
 	limit   int
-	memory  float64       // share of the engine's cache that is used
+	memory  float64       // share of the engine's cache that programs hold
 	meanRun time.Duration // of an attempt, from start to end
 	running int
 	alone   int // waiting attempts that must run alone
@@ -49,8 +49,8 @@
 	}
 }
 
-// observe takes the engine's report: how many calls it runs together, and the
-// share of its cache that is used.
+// observe takes how many calls the engine runs together, and the share of its
+// cache that programs hold.
 func (s *slots) observe(limit int, memory float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,7 +75,7 @@
 
 // waitOf estimates the wait of a new attempt. The caller holds mu.
 func (s *slots) waitOf(priority int32) admit.Load {
-	load := admit.Load{Waiting: s.queue.Len(), Memory: s.memory}
+	load := admit.Load{Running: s.running, Waiting: s.queue.Len(), Memory: s.memory}
 	if s.running >= s.limit {
 		ahead := s.queue.Ahead(priority) + 1
 		load.Wait = s.meanRun * time.Duration(ahead) / time.Duration(s.limit)
