One rule for crash suspects

Cause: the rule stood twice, in policy/quarantine and in the configuration group, and the latter never ended a suspicion.

--- a/internal/config/crash.go
+++ b/internal/config/crash.go
@@ -2,37 +2,73 @@
 
 import (
 	"slices"
+	"time"
 
+	"ibistray.example/ibistray/internal/policy/quarantine"
 	"ibistray.example/ibistray/proto/configpb"
 )
 
 // maxServers is how many dead backend servers a record of a request names.
 const maxServers = 8
 
-// reportCrash makes each request that ran on a dead backend server a suspect.
-// Suspects are run alone. A suspect that ran alone on a server that died is
-// quarantined: so a request that kills each server that runs it costs two
-// servers, plus one for each copy of it that ran elsewhere in the meantime.
+// reportCrash records what follows from the death of a backend server for the
+// requests that ran on it: suspects, and the one that is quarantined. A request
+// that kills each server that runs it costs two servers, plus one for each copy of
+// it that ran elsewhere in the meantime.
 func (s *State) reportCrash(op *configpb.ReportCrash) *configpb.Result {
-	fingerprints := unique(op.GetFingerprints())
+	result := new(configpb.Result)
 	s.beginChange()
-	if len(fingerprints) == 1 && s.canQuarantine(fingerprints[0]) {
-		record := s.quarantine(fingerprints[0], op.GetServer())
-		s.endChange()
-		return &configpb.Result{Records: []*configpb.Record{record}}
-	}
-	for _, fingerprint := range fingerprints {
+	for _, change := range quarantine.ServerDied(s.runsOf(op), s.now()) {
+		fingerprint := change.Fingerprint[:]
+		if change.Record.Status == quarantine.StatusQuarantined && s.canQuarantine(fingerprint) {
+			result.Records = append(result.Records, s.quarantine(fingerprint, op.GetServer()))
+			continue
+		}
 		s.suspect(fingerprint, op.GetServer())
 	}
 	s.evictSuspects()
 	s.endChange()
-	return new(configpb.Result)
+	return result
+}
+
+// runsOf returns the requests of a report with what is known of each.
+func (s *State) runsOf(op *configpb.ReportCrash) []quarantine.Run {
+	var runs []quarantine.Run
+	for _, fingerprint := range unique(op.GetFingerprints()) {
+		runs = append(runs, quarantine.Run{
+			Fingerprint: quarantine.Fingerprint(fingerprint),
+			Known:       s.statusOf(fingerprint),
+		})
+	}
+	return runs
+}
+
+// statusOf returns what is known of a request now.
+func (s *State) statusOf(fingerprint []byte) quarantine.Status {
+	if s.live(QuarantineKey(fingerprint)) != nil {
+		return quarantine.StatusQuarantined
+	}
+	suspect := s.live(SuspectKey(fingerprint)).GetSuspect()
+	if suspect == nil {
+		return quarantine.StatusClear
+	}
+	record := quarantine.Record{Status: quarantine.StatusSuspect, Since: milliseconds(suspect.GetSinceMs())}
+	return record.At(s.now())
+}
+
+// now is the state's time since the Unix epoch.
+func (s *State) now() time.Duration {
+	return milliseconds(s.nowMs)
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
 }
 
-// canQuarantine reports whether a request is a suspect and there is room for
-// its quarantine.
+// canQuarantine reports whether a request is not quarantined yet and there is
+// room for its quarantine.
 func (s *State) canQuarantine(fingerprint []byte) bool {
-	return s.isSuspect(fingerprint) && s.counts[kindQuarantine] < limits[kindQuarantine]
+	return s.live(QuarantineKey(fingerprint)) == nil && s.counts[kindQuarantine] < limits[kindQuarantine]
 }
 
 func (s *State) isSuspect(fingerprint []byte) bool {
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -8,6 +8,7 @@
 
 	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/order"
+	"ibistray.example/ibistray/internal/policy/quarantine"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -188,10 +189,7 @@
 // alone waits, nothing else is started, so that the server becomes free for it.
 // The caller holds mu.
 func (s *slots) grant() {
-	for s.running < s.limit && s.holder == nil {
-		if s.alone > 0 && s.running > 0 {
-			return
-		}
+	for s.running < s.limit {
 		item, ok := s.next()
 		if !ok {
 			return
@@ -206,9 +204,13 @@
 }
 
 func (s *slots) next() (order.Item[*waiter], bool) {
-	mustBeAlone := s.alone > 0
+	aloneFirst := s.alone > 0
 	return s.queue.PopIf(time.Since(s.start), func(c *order.Call) bool {
-		return !mustBeAlone || c.Alone
+		status := quarantine.StatusClear
+		if c.Alone {
+			status = quarantine.StatusSuspect
+		}
+		return c.Alone == aloneFirst && quarantine.MayStart(status, s.running, s.holder != nil)
 	})
 }
 
