Holders keep the configuration's own copy type

Cause: the copy of the configuration stood twice, in config and in configlease. Change: configlease holds config.Copy; resends of any recorded call skip the line of waiting calls, not only those of the open one. Nothing measured; tests pass. Conclusion: one copy type.

--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -55,13 +55,13 @@
 
 // beginInTurn proposes a Begin when it is the program's turn to make this call:
 // waiting calls go on in the order of their sequence numbers, those without one
-// in the order of arrival.
+// in the order of arrival. A resend of a call that is recorded does not wait.
 func (s *Service) beginInTurn(ctx context.Context, state *shard.State, group uint64, req *rpcpb.ShardRequest) (*rpcpb.ShardResponse, error) {
 	begin := req.Command.GetBegin()
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxBeginWait)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	if isOpenCall(state, begin.Key) {
+	if state.Recorded(begin.Key) {
 		return s.apply(ctx, group, req.Command)
 	}
 	turn := s.gate.join(begin.Key.GetCustomer(), begin.Key.GetProgram(), begin.Sequence)
@@ -81,13 +81,6 @@
 	}
 }
 
-// isOpenCall reports whether the key is of the program's running call: its
-// resend does not wait.
-func isOpenCall(state *shard.State, key *shardpb.CallKey) bool {
-	program, err := state.Program(key.GetCustomer(), key.GetProgram())
-	return err == nil && program.OpenCall == key.GetCall()
-}
-
 func mayWait(result *shardpb.Result) bool {
 	switch result.GetRefusal().GetReason() {
 	case shardpb.Reason_REASON_PROGRAM_BUSY, shardpb.Reason_REASON_SEQUENCE_GAP:
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -240,7 +240,7 @@
 // mustRunAlone reports whether the call is suspected of crashing servers, by what
 // this entry saw or by the configuration, which lags.
 func (c *call) mustRunAlone() bool {
-	return c.suspect || c.entry.members.holder.View().Suspect(c.content[:])
+	return c.suspect || c.entry.members.holder.View().Suspected(c.content[:])
 }
 
 func (c *call) quarantined() bool {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -102,7 +102,7 @@
 		Viewer:       m.viewer,
 		Limit:        membersLimit,
 
-		ConfigurationVersion: m.holder.View().Version,
+		ConfigurationVersion: m.holder.View().Version(),
 	}
 	resp := new(rpcpb.MembersResponse)
 	if err := m.pool.Call(ctx, address, transport.MethodDirectoryMembers, req, resp); err != nil {
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -108,7 +108,7 @@
 	if s.stopping.Load() {
 		return
 	}
-	if s.holder.View().Stopped(s.cfg.Server, s.cfg.Host, s.cfg.FailureDomain) {
+	if s.holder.View().Stop(s.cfg.Server, s.cfg.Host, s.cfg.FailureDomain) != nil {
 		s.lifecycle.fire(triggerLeave)
 		return
 	}
@@ -130,7 +130,7 @@
 		Load:          s.currentLoad(),
 		LeaseMs:       announceLease.Milliseconds(),
 
-		ConfigurationVersion: s.holder.View().Version,
+		ConfigurationVersion: s.holder.View().Version(),
 	}
 }
 
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -36,7 +36,7 @@
 		return s.refuse(stream, admitted.refused)
 	}
 	if admitted.started {
-		admitted.attempt.alone = req.Alone || s.holder.View().Suspect(req.Fingerprint)
+		admitted.attempt.alone = req.Alone || s.holder.View().Suspected(req.Fingerprint)
 		s.start(admitted.attempt)
 	}
 	return s.follow(ctx, stream, admitted.attempt, req.Offset)
