--- a/internal/configlease/grantor.go
+++ b/internal/configlease/grantor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/config"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -46,16 +47,7 @@
 
 // Run renews the lease until the context ends.
 func (g *Grantor) Run(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
-	for {
-		g.renew(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	loop.Every(ctx, renewInterval, g.renew)
 }
 
 func (g *Grantor) renew(ctx context.Context) {
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -10,6 +10,7 @@
 
 	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/configlease"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
@@ -55,7 +56,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { c.grantor.Run(ctx) })
 	loops.Go(func() {
-		every(ctx, leadershipInterval, func(ctx context.Context) { _ = c.lead(ctx) })
+		loop.Every(ctx, leadershipInterval, func(ctx context.Context) { _ = c.lead(ctx) })
 	})
 	loops.Wait()
 }
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
@@ -78,7 +79,7 @@
 
 // Run announces the replicas that wait until the context ends.
 func (r *Repair) Run(ctx context.Context) {
-	every(ctx, joinInterval, r.announce)
+	loop.Every(ctx, joinInterval, r.announce)
 	r.work.Wait()
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/shard"
@@ -56,8 +57,10 @@
 // Run does the periodic work until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { every(ctx, directorySweepInterval, func(context.Context) { s.directory.sweep(time.Now()) }) })
-	loops.Go(func() { every(ctx, expireInterval, s.expireShards) })
+	loops.Go(func() {
+		loop.Every(ctx, directorySweepInterval, func(context.Context) { s.directory.sweep(time.Now()) })
+	})
+	loops.Go(func() { loop.Every(ctx, expireInterval, s.expireShards) })
 	loops.Go(func() { s.config.run(ctx) })
 	loops.Wait()
 }
@@ -98,17 +101,3 @@
 		return fmt.Errorf("control: group %d: %w", group, err)
 	}
 }
-
-// every calls f once for each interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f(ctx)
-		}
-	}
-}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -16,6 +16,7 @@
 	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/control"
 	"ibistray.example/ibistray/internal/history"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
@@ -158,20 +159,13 @@
 
 // compactBodies rewrites segments that hold mostly bodies of removed programs.
 func (r *controlRole) compactBodies(ctx context.Context) {
-	ticker := time.NewTicker(compactInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	loop.Every(ctx, compactInterval, func(context.Context) {
 		for _, store := range r.bodies {
 			if err := store.Compact(); err != nil {
 				r.log.Error("bodies not compacted", "error", err)
 			}
 		}
-	}
+	})
 }
 
 // stop hands leadership over and closes the log.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -319,7 +320,7 @@
 	if c.attachTries <= attachTries && ctx.Err() == nil {
 		c.entry.metrics.Retries.WithLabelValues("attach").Inc()
 		c.entry.pool.Reset(c.target.Sidecar)
-		if c.attachTries > 1 && !sleep(ctx, attachPause) {
+		if c.attachTries > 1 && !loop.Sleep(ctx, attachPause) {
 			return c.giveUp(c.deadlineFailure())
 		}
 		return triggerFollow
@@ -357,7 +358,7 @@
 		c.excluded = append(c.excluded, server)
 	}
 	c.attachTries = 0
-	if !sleep(ctx, decision.Delay) {
+	if !loop.Sleep(ctx, decision.Delay) {
 		return c.giveUp(c.deadlineFailure())
 	}
 	return triggerRetry
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/place"
 	"ibistray.example/ibistray/internal/policy/quarantine"
 	"ibistray.example/ibistray/internal/policy/retry"
@@ -260,7 +261,7 @@
 
 // reload reads the record again after someone else changed it.
 func (c *call) reload(ctx context.Context) callTrigger {
-	if !sleep(ctx, reloadPause) {
+	if !loop.Sleep(ctx, reloadPause) {
 		return c.deliverFailure(c.deadlineFailure())
 	}
 	return triggerReload
@@ -411,14 +412,3 @@
 	}
 	return "model"
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,11 +11,11 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/configclient"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -67,16 +67,7 @@
 
 // Run does the periodic work until the context ends.
 func (e *Entry) Run(ctx context.Context) {
-	ticker := time.NewTicker(membersInterval)
-	defer ticker.Stop()
-	for {
-		e.members.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	loop.Every(ctx, membersInterval, e.members.refresh)
 }
 
 // Ready reports whether the entry accepts calls.
--- a/internal/leaderclient/client.go
+++ b/internal/leaderclient/client.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
@@ -81,7 +82,7 @@
 		if hinted && try < len(c.addresses) {
 			continue
 		}
-		if !sleep(ctx, backoff(try)) {
+		if !loop.Sleep(ctx, backoff(try)) {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 	}
@@ -134,14 +135,3 @@
 	ceiling := min(backoffBase<<min(try, 10), backoffMax)
 	return rand.N(ceiling) + time.Millisecond
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/security/keys.go
+++ b/internal/security/keys.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"ibistray.example/ibistray/internal/loop"
 )
 
 // Errors of this package.
@@ -110,16 +112,7 @@
 // Watch reads the files again when they change, until the context ends. Files
 // that cannot be used leave the current ones in place.
 func (k *Keys) Watch(ctx context.Context) {
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.reloadIfChanged()
-		}
-	}
+	loop.Every(ctx, reloadInterval, func(context.Context) { k.reloadIfChanged() })
 }
 
 func (k *Keys) reloadIfChanged() {
--- a/internal/sidecar/model.go
+++ b/internal/sidecar/model.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/backend"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
 )
@@ -143,7 +144,7 @@
 		if ctx.Err() != nil {
 			return nil, cause
 		}
-		if !sleep(ctx, resumeInterval) {
+		if !loop.Sleep(ctx, resumeInterval) {
 			return nil, cause
 		}
 	}
@@ -191,14 +192,3 @@
 		s.log.Debug("request could not be cancelled", "request", id, "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"ibistray.example/ibistray/internal/backend"
 	"ibistray.example/ibistray/internal/configclient"
 	"ibistray.example/ibistray/internal/configlease"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -107,11 +108,11 @@
 // Run does the periodic work until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { every(ctx, probeInterval, s.probe) })
-	loops.Go(func() { every(ctx, announceInterval, s.announce) })
-	loops.Go(func() { every(ctx, sweepInterval, s.sweep) })
+	loops.Go(func() { loop.Every(ctx, probeInterval, s.probe) })
+	loops.Go(func() { loop.Every(ctx, announceInterval, s.announce) })
+	loops.Go(func() { loop.Every(ctx, sweepInterval, s.sweep) })
 	if s.cfg.Kind == rpcpb.ServerKind_SERVER_KIND_ENGINE {
-		loops.Go(func() { every(ctx, holdInterval, s.reviewHolds) })
+		loops.Go(func() { loop.Every(ctx, holdInterval, s.reviewHolds) })
 	}
 	loops.Wait()
 }
@@ -139,17 +140,3 @@
 func (s *Sidecar) sweep(context.Context) {
 	s.attempts.sweep(time.Now())
 }
-
-// every calls f at once and then once for each interval.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
