--- /dev/null
+++ b/internal/pathbench/process.go
@@ -0,0 +1,175 @@
+package pathbench
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	stopTimeout = 5 * time.Second
+	// clockTick is the unit of processor times in /proc.
+	clockTick = 10 * time.Millisecond
+	// Fields of /proc/PID/stat after the program's name.
+	statUserField   = 11
+	statSystemField = 12
+)
+
+// Process is one process of the benchmark.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// Usage is what a process has used since its start, and its memory now.
+type Usage struct {
+	CPU        time.Duration // user and system
+	ReadBytes  int64         // read by system calls, sockets and files together
+	WriteBytes int64         // written by system calls, sockets and files together
+	Resident   int64         // bytes
+	Peak       int64         // bytes, most resident memory ever
+}
+
+// Sub returns the growth since an earlier reading; Peak is kept.
+func (u Usage) Sub(before Usage) Usage {
+	return Usage{
+		CPU:        u.CPU - before.CPU,
+		ReadBytes:  u.ReadBytes - before.ReadBytes,
+		WriteBytes: u.WriteBytes - before.WriteBytes,
+		Resident:   u.Resident - before.Resident,
+		Peak:       u.Peak,
+	}
+}
+
+// Add returns the sum of two usages.
+func (u Usage) Add(other Usage) Usage {
+	return Usage{
+		CPU:        u.CPU + other.CPU,
+		ReadBytes:  u.ReadBytes + other.ReadBytes,
+		WriteBytes: u.WriteBytes + other.WriteBytes,
+		Resident:   u.Resident + other.Resident,
+		Peak:       u.Peak + other.Peak,
+	}
+}
+
+// startProcess runs a program. It dies with the thread that started it, so the
+// caller must have locked its thread.
+func startProcess(dir, name, path string, args []string) (*Process, error) {
+	file, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	defer file.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout = file
+	cmd.Stderr = file
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func (p *Process) terminate() {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+}
+
+func (p *Process) waitEnd(timeout <-chan time.Time) {
+	select {
+	case <-p.done:
+	case <-timeout:
+		p.Kill()
+	}
+}
+
+// Usage reads what the process has used.
+func (p *Process) Usage() (Usage, error) {
+	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
+	var u Usage
+	err := errors.Join(u.readCPU(dir), u.readIO(dir), u.readMemory(dir))
+	if err != nil {
+		return Usage{}, fmt.Errorf("usage of %s: %w", p.Name, err)
+	}
+	return u, nil
+}
+
+func (u *Usage) readCPU(dir string) error {
+	data, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return err
+	}
+	text := string(data)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	if len(fields) <= statSystemField {
+		return errors.New("stat is too short")
+	}
+	user, err := strconv.ParseInt(fields[statUserField], 10, 64)
+	if err != nil {
+		return err
+	}
+	system, err := strconv.ParseInt(fields[statSystemField], 10, 64)
+	if err != nil {
+		return err
+	}
+	u.CPU = time.Duration(user+system) * clockTick
+	return nil
+}
+
+func (u *Usage) readIO(dir string) error {
+	values, err := readNumbers(filepath.Join(dir, "io"))
+	if err != nil {
+		return err
+	}
+	u.ReadBytes = values["rchar"]
+	u.WriteBytes = values["wchar"]
+	return nil
+}
+
+func (u *Usage) readMemory(dir string) error {
+	const kibibyte = 1024
+	values, err := readNumbers(filepath.Join(dir, "status"))
+	if err != nil {
+		return err
+	}
+	u.Resident = values["VmRSS"] * kibibyte
+	u.Peak = values["VmHWM"] * kibibyte
+	return nil
+}
+
+// readNumbers reads the lines "name: number" of a file of /proc.
+func readNumbers(path string) (map[string]int64, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string]int64)
+	for line := range strings.Lines(string(data)) {
+		name, rest, _ := strings.Cut(line, ":")
+		fields := strings.Fields(rest)
+		if len(fields) == 0 {
+			continue
+		}
+		if n, err := strconv.ParseInt(fields[0], 10, 64); err == nil {
+			values[name] = n
+		}
+	}
+	return values, nil
+}
