--- /dev/null
+++ b/internal/capacity/table.go
@@ -0,0 +1,4 @@
+package capacity
+
+// Tables stub.
+func Tables(*Document) (string, error) { return "", nil }
--- a/internal/pathbench/cluster.go
+++ b/internal/pathbench/cluster.go
@@ -17,8 +17,11 @@
 	// Model is the model that the fake engines serve.
 	Model = "bench-1b"
 	// fastRate makes the fake engine produce an answer in one step.
-	fastRate      = 1e9
-	batchLimit    = 1024
+	fastRate   = 1e9
+	batchLimit = 1024
+	// cacheTokens is enough for all programs of a run, so that none is refused
+	// because an engine has no memory left.
+	cacheTokens   = 1_000_000_000
 	readyInterval = 50 * time.Millisecond
 )
 
@@ -166,6 +169,7 @@
 		"--batch-limit", strconv.Itoa(batchLimit),
 		"--decode-rate", strconv.FormatFloat(rate, 'f', -1, 64),
 		"--prefill-rate", strconv.FormatFloat(fastRate, 'f', -1, 64),
+		"--cache-tokens", strconv.Itoa(cacheTokens),
 	})
 	if err != nil {
 		return err
--- a/internal/pathbench/cost.go
+++ b/internal/pathbench/cost.go
@@ -57,6 +57,9 @@
 
 func printComparison(out io.Writer, c Comparison) {
 	fmt.Fprintf(out, "%d in flight, %d calls each way, %d errors\n", c.InFlight, c.Calls, c.Errors)
+	for _, err := range c.FirstErrors {
+		fmt.Fprintf(out, "  error: %v\n", err)
+	}
 	fmt.Fprintf(out, "  %-14s %10s %10s %10s %10s\n", "", "system", "direct", "added", "ratio")
 	printRow(out, "first p50", c.System.First.P50, c.Direct.First.P50)
 	printRow(out, "first p99", c.System.First.P99, c.Direct.First.P99)
--- a/internal/pathbench/latency.go
+++ b/internal/pathbench/latency.go
@@ -20,6 +20,7 @@
 	latencyTokens    = 16
 	latencyCustomers = 50
 	warmCalls        = 200
+	shownErrors      = 3
 )
 
 // Quantiles are latencies of many calls.
@@ -40,6 +41,7 @@
 	Calls          int // each way
 	System, Direct PathLatency
 	Errors         int
+	FirstErrors    []error
 }
 
 // batch is the calls of one way, over all rounds.
@@ -126,6 +128,8 @@
 		System:   system.latency(),
 		Direct:   direct.latency(),
 		Errors:   len(errs),
+
+		FirstErrors: errs[:min(len(errs), shownErrors)],
 	}, nil
 }
 
