--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint bench bench-policy fuzz demo generate clean
+.PHONY: build test lint bench bench-policy bench-path capacity capacity-measure fuzz demo generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,5 +32,17 @@
 bench-policy:
 	go run ./internal/policybench
 
+# Latency of the path beside the direct one; bounded to 90 s.
+bench-path: build
+	./bin/pathbench
+
+# Prints the tables of docs/CAPACITY.md from the committed slopes.
+capacity:
+	go run ./cmd/capacity table
+
+# Measures the slopes anew; takes some minutes.
+capacity-measure: build
+	./bin/capacity measure
+
 clean:
 	rm -rf bin .tools demo-data
--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -215,12 +215,13 @@
 const callMethod = "3 control, 1 entry, 4 sidecars, 40 calls in flight; processor time of a call over its events, idle share taken off; "
 
 func callSlopes(sizes, control, entry, sidecar []float64) []Slope {
-	entryLine, sidecarLine := Fit(sizes, entry), Fit(sizes, sidecar)
+	controlLine, entryLine, sidecarLine := Fit(sizes, control), Fit(sizes, entry), Fit(sizes, sidecar)
 	slope := func(name Name, value float64, readings []float64, what string) Slope {
 		return Slope{Name: name, Unit: unitMicros, Value: value, Sizes: sizes, Readings: readings, Method: callMethod + what}
 	}
 	return []Slope{
-		slope(ControlCallCPU, median(control), control, "median over the sizes, three processes together"),
+		slope(ControlCallCPU, controlLine.Intercept, control, "intercept, three processes together"),
+		slope(ControlTokenCPU, controlLine.Slope, control, "slope, three processes together"),
 		slope(EntryCallCPU, entryLine.Intercept, entry, "intercept"),
 		slope(EntryChunkCPU, entryLine.Slope, entry, "slope"),
 		slope(SidecarCallCPU, sidecarLine.Intercept, sidecar, "intercept"),
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	slopesFile  = "../../docs/capacity-slopes.json"
+	pageFile    = "../../docs/CAPACITY.md"
+	tablesBegin = "<!-- tables: begin, printed by \"make capacity\" -->\n\n"
+	tablesEnd   = "<!-- tables: end -->"
+)
+
+func TestPageHoldsTheTablesOfTheSlopes(t *testing.T) {
+	document, err := Load(slopesFile)
+	assert.NilError(t, err)
+	want, err := Tables(document)
+	assert.NilError(t, err)
+	page, err := os.ReadFile(pageFile)
+	assert.NilError(t, err)
+	_, rest, found := strings.Cut(string(page), tablesBegin)
+	assert.Assert(t, found, "the page lacks the line that begins the tables")
+	got, _, found := strings.Cut(rest, tablesEnd)
+	assert.Assert(t, found, "the page lacks the line that ends the tables")
+	assert.Equal(t, got, want)
+}
+
+func TestTablesNeedEachSlope(t *testing.T) {
+	_, err := Tables(new(Document))
+	assert.ErrorIs(t, err, ErrNoSlope)
+	assert.ErrorContains(t, err, string(ControlCallCPU))
+}
+
+func TestFit(t *testing.T) {
+	line := Fit([]float64{1, 2, 4}, []float64{5, 7, 11})
+	assert.Equal(t, line, Line{Slope: 2, Intercept: 3})
+}
+
+func TestMedianAndQuartiles(t *testing.T) {
+	assert.Equal(t, median([]float64{9, 1, 5}), 5.0)
+	assert.Equal(t, median(nil), 0.0)
+	assert.DeepEqual(t, quartiles([]float64{5, 4, 3, 2, 1}), []float64{1, 2, 3, 4, 5})
+}
+
+func TestBoundedRowSaysWhatDoesNotFit(t *testing.T) {
+	assert.Equal(t, bounded("memory", bytesOf(1024), 2048, "").fits, "yes")
+	over := bounded("memory", bytesOf(4096), 2048, "")
+	assert.Equal(t, over.fits, "**no**, 2.00 times the limit")
+	assert.Equal(t, over.value, "4.00 KB")
+}
+
+func TestMemoryStateTakesCalls(t *testing.T) {
+	m := newMemoryState()
+	assert.NilError(t, m.contract(0))
+	assert.NilError(t, m.programs(2, 3))
+	assert.ErrorContains(t, m.contract(0), "refused")
+}
+
+func TestSaveAndLoad(t *testing.T) {
+	path := t.TempDir() + "/slopes.json"
+	want := &Document{Date: "2026-01-01", Slopes: []Slope{{Name: Leaderless, Value: 3, Sizes: []float64{1}}}}
+	assert.NilError(t, want.Save(path))
+	got, err := Load(path)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -3,6 +3,7 @@
 // The slopes. Processor times of control are sums over the three replicas.
 const (
 	ControlCallCPU      Name = "control.call.cpu"       // begin, dispatch record and commit, whole processes
+	ControlTokenCPU     Name = "control.token.cpu"      // for each event of the answer that a commit carries
 	ControlCallDisk     Name = "control.call.disk"      // written to the three logs
 	ControlCallSyncs    Name = "control.call.syncs"     // of the three logs
 	ControlCallWire     Name = "control.call.wire"      // between the replicas
@@ -12,7 +13,9 @@
 	ControlIdleMemory   Name = "control.idle.memory"
 	ControlChangeCPU    Name = "control.change.cpu"
 	ControlChangeBytes  Name = "control.change.bytes"
-	ChangeInForce       Name = "change.in_force" // time until a change was in force everywhere
+	ControlRecordCPU    Name = "control.change.record.cpu"   // of one change, for each record in force
+	ControlRecordBytes  Name = "control.change.record.bytes" // of one change, for each record in force
+	ChangeInForce       Name = "change.in_force"             // time until a change was in force everywhere
 	ControlAnnounceCPU  Name = "control.announcement.cpu"
 	AnnounceBytes       Name = "announcement.bytes"
 	ControlServerMemory Name = "control.server.memory"
--- a/internal/capacity/open.go
+++ b/internal/capacity/open.go
@@ -74,21 +74,27 @@
 		return nil, err
 	}
 	defer s.cluster.Stop()
-	var sizes, cpu, bytes, times []float64
+	var records, cpu, bytes, times []float64
+	standing := 0.0
 	for _, size := range []int{40, 80, 160} {
 		run, err := s.runChanges(ctx, size)
 		if err != nil {
 			return nil, err
 		}
-		sizes = append(sizes, float64(size))
-		cpu = append(cpu, run.cpu)
-		bytes = append(bytes, run.bytes)
+		changes := float64(size)
+		records = append(records, standing+changes/2)
+		standing += changes
+		cpu = append(cpu, run.cpu/changes)
+		bytes = append(bytes, run.bytes/changes)
 		times = append(times, run.times...)
 	}
-	const method = "3 control, 1 entry, 2 sidecars; stops of servers that don't exist, 20 at a time, idle share taken off; slope, all three processes"
+	const method = "3 control, 1 entry, 2 sidecars; stops of servers that don't exist, 20 at a time, idle share taken off; all three processes, one change over the records in force; "
+	cpuLine, bytesLine := Fit(records, cpu), Fit(records, bytes)
 	return []Slope{
-		{Name: ControlChangeCPU, Unit: unitMicros, Value: Fit(sizes, cpu).Slope, Sizes: sizes, Readings: cpu, Method: method},
-		{Name: ControlChangeBytes, Unit: unitBytes, Value: Fit(sizes, bytes).Slope, Sizes: sizes, Readings: bytes, Method: method},
+		{Name: ControlChangeCPU, Unit: unitMicros, Value: cpuLine.Intercept, Sizes: records, Readings: cpu, Method: method + "intercept"},
+		{Name: ControlRecordCPU, Unit: unitMicros, Value: cpuLine.Slope, Sizes: records, Readings: cpu, Method: method + "slope"},
+		{Name: ControlChangeBytes, Unit: unitBytes, Value: bytesLine.Intercept, Sizes: records, Readings: bytes, Method: method + "intercept"},
+		{Name: ControlRecordBytes, Unit: unitBytes, Value: bytesLine.Slope, Sizes: records, Readings: bytes, Method: method + "slope"},
 		{
 			Name: ChangeInForce, Unit: unitMillis, Value: median(times), Sizes: []float64{float64(len(times))}, Readings: quartiles(times),
 			Method: "from the request to the answer that the change is in force at each process; median; readings: least, quarter, half, three quarters, most",
