--- a/internal/capacity/directory.go
+++ b/internal/capacity/directory.go
@@ -110,7 +110,7 @@
 // measureDirectory measures announcements and reads of the directory.
 func measureDirectory(ctx context.Context, binDir, dir string) ([]Slope, error) {
 	s, err := startSystem(ctx, pathbench.Layout{
-		BinDir: binDir, Dir: filepath.Join(dir, "directory"), Control: 3, Entries: 1, Shards: 16,
+		BinDir: binDir, Dir: filepath.Join(dir, "directory"), Control: 3, Entries: 1, Engines: 1, Shards: 16,
 	}, 0)
 	if err != nil {
 		return nil, err
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -41,7 +41,7 @@
 	replicasPerShard     = 3.0
 	snapshotEntries      = 4096.0
 	snapshotCommandBytes = 4 << 20
-	entriesPerCall       = 2.0 // Begin with its dispatch record, and Commit
+	entriesPerCall       = 3.0 // Begin, Dispatch and Commit
 	secondsPerDay        = 86_400.0
 	microsPerSecond      = 1e6
 )
