capacity: processor time from the process clock, sidecars by control processes told

/proc/PID/stat counts in steps of 10 ms: an idle sidecar read as 0 or 1 step a window. The per-process clock of the kernel has nanoseconds. schedstat of the threads was ruled out: this kernel does not have it.

--- /dev/null
+++ b/internal/capacity/announcing.go
@@ -0,0 +1,37 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"ibistray.example/ibistray/internal/pathbench"
+)
+
+// announcingSidecars is the number of sidecars whose mean is taken.
+const announcingSidecars = 3
+
+// measureAnnouncing measures idle sidecars by the control processes they tell.
+func measureAnnouncing(ctx context.Context, binDir, dir string) ([]Slope, error) {
+	sizes := []float64{3, 5, 9}
+	var cpu, bytes []float64
+	for _, size := range sizes {
+		s, err := startSystem(ctx, pathbench.Layout{
+			BinDir: binDir, Dir: filepath.Join(dir, fmt.Sprintf("announcing-%.0f", size)),
+			Control: int(size), Entries: 1, Engines: announcingSidecars, Shards: 16,
+		}, 0)
+		if err != nil {
+			return nil, err
+		}
+		s.cluster.Stop()
+		cpu = append(cpu, s.idle.sidecarCPU)
+		bytes = append(bytes, s.idle.sidecarBytes)
+	}
+	const method = "3 idle sidecars that tell 3, 5 and 9 control processes; mean of the sidecars; "
+	cpuLine := Fit(sizes, cpu)
+	return []Slope{
+		{Name: SidecarProbeCPU, Unit: unitMicrosPerSecond, Value: cpuLine.Intercept, Sizes: sizes, Readings: cpu, Method: method + "intercept"},
+		{Name: SidecarToldCPU, Unit: unitMicrosPerSecond, Value: cpuLine.Slope, Sizes: sizes, Readings: cpu, Method: method + "slope"},
+		{Name: SidecarToldBytes, Unit: unitBytesPerSecond, Value: Fit(sizes, bytes).Slope, Sizes: sizes, Readings: bytes, Method: method + "slope, bytes written"},
+	}, nil
+}
--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -16,7 +16,7 @@
 	callRepeats    = 3
 	callDecodeRate = 500 // tokens a second: one event for each step of the fake engine
 	clusterTimeout = 40 * time.Second
-	usageWindow    = 6 * time.Second
+	usageWindow    = 4 * time.Second
 	usageRepeats   = 3
 )
 
@@ -230,7 +230,7 @@
 }
 
 func (s *system) idleSlopes() []Slope {
-	const method = "3 control, 1 entry, 4 sidecars, no calls; one process, median of three windows of 6 s"
+	const method = "3 control, 1 entry, 4 sidecars, no calls; one process, median of three windows of 4 s"
 	slope := func(name Name, unit string, value float64) Slope {
 		return Slope{Name: name, Unit: unit, Value: value, Sizes: []float64{1}, Readings: []float64{value}, Method: method}
 	}
--- a/internal/capacity/directory.go
+++ b/internal/capacity/directory.go
@@ -118,7 +118,7 @@
 	defer s.cluster.Stop()
 	f := &fakeServers{pool: transport.NewPool(transport.DialTCP)}
 	defer f.pool.Close()
-	sizes := []float64{160, 640, 2500, 5000}
+	sizes := []float64{160, 320, 640, 2500, 5000}
 	var readings []directoryReading
 	for _, size := range sizes {
 		r, err := s.readDirectory(ctx, f, int(size))
@@ -243,14 +243,14 @@
 	for i := range inView {
 		inView[i] = min(inView[i], directoryModels*viewLimit)
 	}
-	known := 2 // sizes that the view holds whole
+	known := 3 // sizes that the view holds whole
 	return []Slope{
 		{Name: ControlAnnounceCPU, Unit: unitMicros, Value: median(announce), Sizes: sizes, Readings: announce, Method: method + "median over the sizes, one exchange"},
 		{Name: AnnounceBytes, Unit: unitBytes, Value: float64(proto.Size(sample)), Sizes: []float64{1}, Readings: []float64{float64(proto.Size(sample))}, Method: "encoded announcement"},
 		{Name: ControlReadCPU, Unit: unitMicros, Value: Fit(sizes, reads).Slope, Sizes: sizes, Readings: reads, Method: method + "a whole read of at most 64 servers a model; slope over the servers in the directory"},
 		{Name: ControlServerMemory, Unit: unitBytes, Value: Fit(sizes, memory).Slope, Sizes: sizes, Readings: memory, Method: method + "resident memory, slope"},
 		{Name: ReadMemberBytes, Unit: unitBytes, Value: median(member), Sizes: sizes, Readings: member, Method: method + "answer's bytes for each member"},
-		{Name: EntryServerCPU, Unit: unitMicrosPerSecond, Value: Fit(inView[:known], entryCPU[:known]).Slope, Sizes: inView, Readings: entryCPU, Method: method + "entry, for each server in its view, each announced once a second; slope between the two sizes that the view holds whole"},
-		{Name: EntryServerMemory, Unit: unitBytes, Value: Fit(inView[:known], entryMemory[:known]).Slope, Sizes: inView, Readings: entryMemory, Method: method + "entry's resident memory for each server in its view; slope between the two sizes that the view holds whole"},
+		{Name: EntryServerCPU, Unit: unitMicrosPerSecond, Value: Fit(inView[:known], entryCPU[:known]).Slope, Sizes: inView, Readings: entryCPU, Method: method + "entry, for each server in its view, each announced once a second; slope over the sizes that the view holds whole"},
+		{Name: EntryServerMemory, Unit: unitBytes, Value: Fit(inView[:known], entryMemory[:known]).Slope, Sizes: inView, Readings: entryMemory, Method: method + "entry's resident memory for each server in its view; slope over the sizes that the view holds whole"},
 	}
 }
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -30,6 +30,7 @@
 		{"leaderless", func(ctx context.Context) ([]Slope, error) { return measureLeaderless(ctx, c.Dir) }},
 		{"ceiling", func(ctx context.Context) ([]Slope, error) { return measureCeiling(ctx, c.Dir) }},
 		{"calls", func(ctx context.Context) ([]Slope, error) { return measureCalls(ctx, c.BinDir, c.Dir) }},
+		{"announcing", func(ctx context.Context) ([]Slope, error) { return measureAnnouncing(ctx, c.BinDir, c.Dir) }},
 		{"open calls", func(ctx context.Context) ([]Slope, error) { return measureOpenCalls(ctx, c.BinDir, c.Dir) }},
 		{"changes", func(ctx context.Context) ([]Slope, error) { return measureChanges(ctx, c.BinDir, c.Dir) }},
 		{"directory", func(ctx context.Context) ([]Slope, error) { return measureDirectory(ctx, c.BinDir, c.Dir) }},
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -40,6 +40,9 @@
 	SidecarOpenMemory   Name = "sidecar.open_call.memory"
 	SidecarIdleCPU      Name = "sidecar.idle.cpu"
 	SidecarIdleBytes    Name = "sidecar.idle.bytes"
+	SidecarProbeCPU     Name = "sidecar.probe.cpu" // of an idle sidecar that tells no control process
+	SidecarToldCPU      Name = "sidecar.told.cpu"  // for each control process that it tells
+	SidecarToldBytes    Name = "sidecar.told.bytes"
 	SidecarIdleMemory   Name = "sidecar.idle.memory"
 )
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -80,13 +80,17 @@
 }
 
 func sidecarControlRows(s *slopes) []row {
-	bytes := s.get(AnnounceBytes)
+	told := s.get(SidecarToldCPU)
+	toldBytes := s.get(SidecarToldBytes)
+	cpu := func(controls float64) quantity {
+		return percent((s.get(SidecarProbeCPU) + controls*told) / microsPerSecond * 100)
+	}
 	return []row{
-		bounded("processor, three control processes told", percent(s.get(SidecarIdleCPU)/microsPerSecond*100), targetNodeCPU, "probes each 500 ms and announcements each second").as(kindMeasured),
+		bounded("processor, today", cpu(targetControlHosts), targetNodeCPU, "probes each 500 ms, and 45 control processes told each second"),
+		bounded("processor, two of its region told", cpu(assumedAnnounceTo), targetNodeCPU, "not built"),
 		bounded("memory", bytesOf(s.get(SidecarIdleMemory)), targetNodeMemory, "idle process").as(kindMeasured),
-		bounded("network, today", bytesEach(targetControlHosts*assumedAnnounceRate*bytes), targetNodeBytes, "an announcement to each of 45 control processes each second"),
-		bounded("network, two of its region told", bytesEach(assumedAnnounceTo*assumedAnnounceRate*bytes), targetNodeBytes, "not built"),
-		bounded("network, three told, with probes", bytesEach(s.get(SidecarIdleBytes)), targetNodeBytes, "written by an idle process, probes of the backend server on the same host included").as(kindMeasured),
+		bounded("network, today", bytesEach(targetControlHosts*toldBytes), targetNodeBytes, "written, 45 control processes told each second"),
+		bounded("network, two of its region told", bytesEach(assumedAnnounceTo*toldBytes), targetNodeBytes, "not built"),
 	}
 }
 
@@ -106,7 +110,7 @@
 func controlRows(s *slopes) []row {
 	announce := s.get(ControlAnnounceCPU) / microsPerSecond
 	announced := targetWorkers * assumedAnnounceTo / targetControlHosts
-	reads := assumedEntries * assumedWitnessReads / targetControlHosts
+	reads := assumedEntries * assumedReadRate / targetControlHosts
 	read := reads * s.get(ControlReadCPU) / microsPerSecond
 	changes := targetChanges / secondsPerDay * assumedChangePeak
 	changeCPU := changes * s.get(ControlChangeCPU) / microsPerSecond
@@ -114,7 +118,7 @@
 	recordCPU := changes * assumedRecords * s.get(ControlRecordCPU) / microsPerSecond
 	recordBytes := changes * assumedRecords * s.get(ControlRecordBytes)
 	server := s.get(ControlServerMemory)
-	answers := reads * viewServers / assumedWitnessReads * s.get(ReadMemberBytes)
+	answers := reads * viewServers / assumedReadRate * s.get(ReadMemberBytes)
 	return []row{
 		derived("processor, idle", percent(s.get(ControlIdleCPU)/microsPerSecond*100), "16 shards, three control processes").as(kindMeasured),
 		derived("processor, idle replicas", percent(replicasPerHost*s.get(GroupIdleCPU)/microsPerSecond*100), "`control.replica.idle.cpu`"),
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -31,7 +31,7 @@
 	assumedChangePeak    = 10.0    // peak of changes over their daily mean
 	assumedRecords       = 2_000.0 // of the configuration in force at a time
 	assumedHosts         = targetNodes + targetWorkers
-	assumedWitnessReads  = 2.0 // reads of the directory a second, by each entry
+	assumedReadRate      = 2.0 // reads of the directory a second, by each entry
 	assumedAnnounceRate  = 1.0 // announcements a second to each control process that is told
 	assumedAnnounceTo    = 2.0 // control processes that a sidecar tells at the target
 	assumedLoadBytes     = 24.0
--- a/internal/pathbench/process.go
+++ b/internal/pathbench/process.go
@@ -10,15 +10,12 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	stopTimeout = 5 * time.Second
-	// clockTick is the unit of processor times in /proc.
-	clockTick = 10 * time.Millisecond
-	// Fields of /proc/PID/stat after the program's name.
-	statUserField   = 11
-	statSystemField = 12
 )
 
 // Process is one process of the benchmark.
@@ -104,32 +101,24 @@
 func (p *Process) Usage() (Usage, error) {
 	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
 	var u Usage
-	err := errors.Join(u.readCPU(dir), u.readIO(dir), u.readMemory(dir))
+	err := errors.Join(u.readCPU(p.cmd.Process.Pid), u.readIO(dir), u.readMemory(dir))
 	if err != nil {
 		return Usage{}, fmt.Errorf("usage of %s: %w", p.Name, err)
 	}
 	return u, nil
 }
 
-func (u *Usage) readCPU(dir string) error {
-	data, err := os.ReadFile(filepath.Join(dir, "stat"))
-	if err != nil {
-		return err
-	}
-	text := string(data)
-	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
-	if len(fields) <= statSystemField {
-		return errors.New("stat is too short")
-	}
-	user, err := strconv.ParseInt(fields[statUserField], 10, 64)
-	if err != nil {
-		return err
-	}
-	system, err := strconv.ParseInt(fields[statSystemField], 10, 64)
-	if err != nil {
-		return err
+// readCPU reads the processor time of a process from its clock, which is finer
+// than the 10 ms steps of /proc.
+func (u *Usage) readCPU(pid int) error {
+	// The kernel's number of the clock of a process: the inverted process ID,
+	// and the kind of clock in the three lowest bits.
+	const schedulerClock = 2
+	var now unix.Timespec
+	if err := unix.ClockGettime(int32(^pid<<3|schedulerClock), &now); err != nil { //nolint:gosec // process IDs are below 2^22
+		return fmt.Errorf("clock of process %d: %w", pid, err)
 	}
-	u.CPU = time.Duration(user+system) * clockTick
+	u.CPU = time.Duration(now.Nano())
 	return nil
 }
 
