--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -37,7 +37,7 @@
 	peers := peer.New(pool, log.Named("peer"))
 	host, err := replica.NewHost(replica.Options{
 		Dir:        s.DataDir,
-		Address:    s.Listen,
+		Address:    s.Advertise,
 		Transport:  peers,
 		Logger:     log.Named("replica"),
 		Registerer: metrics.Registry,
@@ -65,7 +65,7 @@
 	for i := range shards {
 		group := placement.GroupOf(uint32(i))
 		members := membersOf(group, hosts)
-		if !contains(members, s.Listen) {
+		if !contains(members, s.Advertise) {
 			continue
 		}
 		shards[i] = shard.New(shard.NewMemoryBodies())
@@ -73,7 +73,7 @@
 			return fmt.Errorf("daemon: shard %d: %w", i, err)
 		}
 	}
-	configuration := control.NewConfiguration(r.host, configState, pool, s.Listen, addresses(s.ControlPeers))
+	configuration := control.NewConfiguration(r.host, configState, pool, s.Advertise, addresses(s.ControlPeers))
 	r.service = control.New(log, r.host, shards, pool, configuration)
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,7 +177,7 @@
 	cfg := sidecar.Config{
 		Server:        s.ServerID,
 		Host:          s.NodeID,
-		Address:       s.Listen,
+		Address:       s.Advertise,
 		Region:        s.Region,
 		FailureDomain: s.FailureDomain,
 		Kind:          kind,
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -13,6 +13,7 @@
 	flagRoles           = "roles"
 	flagNodeID          = "node-id"
 	flagListen          = "listen"
+	flagAdvertise       = "advertise"
 	flagHTTP            = "http"
 	flagRegion          = "region"
 	flagFailureDomain   = "failure-domain"
@@ -84,6 +85,7 @@
 		str(flagRoles, "", "roles of the process, comma-separated: entry, control, sidecar"),
 		str(flagNodeID, "", "unique name of the process"),
 		str(flagListen, "", "IP address and port for the system's own processes"),
+		str(flagAdvertise, "", "IP address and port at which the system's own processes reach --listen; default: the same"),
 		str(flagHTTP, "", "IP address and port for callers, operators and metrics"),
 		str(flagRegion, "local", "region of the host"),
 		str(flagFailureDomain, "local", "failure domain of the host"),
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"net"
 	"net/url"
 	"os"
@@ -22,6 +23,7 @@
 	s := &Settings{
 		NodeID:          cmd.String(flagNodeID),
 		Listen:          cmd.String(flagListen),
+		Advertise:       cmp.Or(cmd.String(flagAdvertise), cmd.String(flagListen)),
 		HTTP:            cmd.String(flagHTTP),
 		Region:          cmd.String(flagRegion),
 		FailureDomain:   cmd.String(flagFailureDomain),
@@ -216,6 +218,9 @@
 	if err := checkAddress(flagListen, s.Listen); err != nil {
 		return err
 	}
+	if err := checkAddress(flagAdvertise, s.Advertise); err != nil {
+		return err
+	}
 	return checkAddress(flagHTTP, s.HTTP)
 }
 
@@ -233,8 +238,8 @@
 	if i < 0 {
 		return invalid(flagReplicaID, "add it to --"+flagControlPeers, "replica ID %d is not among the control peers", s.ReplicaID)
 	}
-	if s.ControlPeers[i].Address != s.Listen {
-		return invalid(flagListen, "make both the same", "--%s says %s for this replica, not %s", flagControlPeers, s.ControlPeers[i].Address, s.Listen)
+	if s.ControlPeers[i].Address != s.Advertise {
+		return invalid(flagListen, "make both the same", "--%s says %s for this replica, not %s", flagControlPeers, s.ControlPeers[i].Address, s.Advertise)
 	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	Roles         []Role
 	NodeID        string
 	Listen        string // address for the system's own processes
+	Advertise     string // address at which the system's own processes reach Listen
 	HTTP          string // address for callers, operators and metrics
 	Region        string
 	FailureDomain string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,6 +69,8 @@
 		{sidecarArgs, []string{"--node-id", "Upper Case"}, flagNodeID},
 		{sidecarArgs, []string{"--listen", "localhost:7001"}, flagListen},
 		{sidecarArgs, []string{"--http", "127.0.0.1:0"}, flagHTTP},
+		{sidecarArgs, []string{"--advertise", "sidecar.example:7001"}, flagAdvertise},
+		{controlArgs, []string{"--advertise", "127.0.0.1:7003"}, flagListen},
 		{sidecarArgs, []string{"--log-level", "loud"}, flagLogLevel},
 		{sidecarArgs, []string{"--drain-timeout", "-1s"}, flagDrainTimeout},
 		{sidecarArgs, []string{"--shards", "0"}, flagShards},
