localcluster: the demo's processes, for tests as well

Cause: the handling of processes was part of the demo. Change: internal/localcluster starts, freezes, kills and restarts the programs, asks for their states and can put relays in front of nodes and sidecars. Each cluster has its own loopback IP number: one run of the demo in the first form failed with no effect on file while other clusters ran on the machine; the cause was not proven, a port taken by another cluster fits it.

--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -8,14 +8,15 @@
 
 	"ibistray.example/ibistray/internal/backendtest"
 	"ibistray.example/ibistray/internal/load"
+	"ibistray.example/ibistray/internal/localcluster"
 )
 
 // check prints program latency and wasted cache, and checks the effects of the
 // services. In order and whole were checked with each answer.
-func check(ctx context.Context, c *cluster, p *probe, book *ledger, results []result) error {
+func check(ctx context.Context, c *localcluster.Cluster, book *ledger, results []result) error {
 	printResults(book, results)
-	printHeld(ctx, c, p, book)
-	effects, err := backendtest.ReadEffects(c.effects)
+	printHeld(ctx, c, book)
+	effects, err := backendtest.ReadEffects(c.EffectsFile())
 	if err != nil {
 		return err
 	}
@@ -40,18 +41,18 @@
 }
 
 // printHeld prints the engine memory that ended programs still hold.
-func printHeld(ctx context.Context, c *cluster, p *probe, book *ledger) {
-	for _, s := range c.engines {
-		cached, err := p.cachedPrograms(ctx, s)
+func printHeld(ctx context.Context, c *localcluster.Cluster, book *ledger) {
+	for _, s := range c.Engines {
+		cached, err := c.Probe.CachedPrograms(ctx, s)
 		if err != nil {
-			fmt.Fprintf(book.out, "%s: cache unknown: %v\n", s.name, err)
+			fmt.Fprintf(book.out, "%s: cache unknown: %v\n", s.Name, err)
 			continue
 		}
 		tokens := 0
 		for _, n := range cached {
 			tokens += n
 		}
-		fmt.Fprintf(book.out, "%s: %d tokens of %d ended programs are still cached\n", s.name, tokens, len(cached))
+		fmt.Fprintf(book.out, "%s: %d tokens of %d ended programs are still cached\n", s.Name, tokens, len(cached))
 	}
 	fmt.Fprintln(book.out)
 }
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,34 @@
+package demo
+
+import "ibistray.example/ibistray/internal/localcluster"
+
+const (
+	engineCount = 2
+	// fencingEngine is the number of the engine that refuses old fencing
+	// numbers; the others ignore them.
+	fencingEngine = 1
+	serviceDelay  = "1s"
+	// retainIdleLimit is longer than every pause of the demo's programs.
+	retainIdleLimit = "4s"
+)
+
+// newCluster lays out the processes of the demo without starting them.
+func newCluster(binDir, dataDir string) (*localcluster.Cluster, error) {
+	return localcluster.New(localcluster.Options{
+		BinDir:        binDir,
+		DataDir:       dataDir,
+		Engines:       engineCount,
+		FencingEngine: fencingEngine,
+		Models:        "diagnosis-70b,quote-70b,berth-plan-70b,shipping-agent-70b",
+		Services:      "stock,tickets,manifests,berths",
+		EngineArgs: []string{
+			"--decode-rate", "300",
+			"--prefill-rate", "20000",
+			"--cache-event-delay", "200ms",
+			"--cache-event-gap-every", "7",
+			"--load-lag", "200ms",
+		},
+		ServiceArgs: []string{"--delay", serviceDelay},
+		SidecarArgs: []string{"--retain-idle-limit", retainIdleLimit},
+	})
+}
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -84,32 +83,3 @@
 		assert.Equal(t, calls, sequenceBeforeBooking)
 	}
 }
-
-func TestFreeAddressesDiffer(t *testing.T) {
-	addresses, err := freeAddresses(20)
-	assert.NilError(t, err)
-	slices.Sort(addresses)
-	assert.Equal(t, len(slices.Compact(addresses)), 20)
-}
-
-func TestKilledProcessHasEnded(t *testing.T) {
-	p := &process{name: "sleep", path: "/bin/sleep", args: []string{"60"}, log: filepath.Join(t.TempDir(), "log")}
-	assert.Assert(t, !p.running())
-	assert.NilError(t, p.start())
-	assert.Assert(t, p.running())
-	p.kill()
-	assert.Assert(t, !p.running())
-	assert.ErrorContains(t, p.waitEnd(nil), "killed")
-}
-
-func TestClusterLayout(t *testing.T) {
-	c, err := newCluster("bin", t.TempDir())
-	assert.NilError(t, err)
-	assert.Equal(t, len(c.processes()), nodeCount+2*(engineCount+1))
-	names := make([]string, 0, len(c.processes()))
-	for _, p := range c.processes() {
-		names = append(names, p.name)
-	}
-	slices.Sort(names)
-	assert.Equal(t, len(slices.Compact(names)), len(c.processes()))
-}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
+
+	"ibistray.example/ibistray/internal/localcluster"
 )
 
 // Config configures a run of the demo.
@@ -25,8 +25,6 @@
 	timeLimit = 45 * time.Second
 	// stopReserve is the part of it that is kept for stopping the processes.
 	stopReserve = 10 * time.Second
-	// applyInterval is the time between two tries to apply a contract.
-	applyInterval = 200 * time.Millisecond
 	// logLines is the number of lines of each log that a failure prints.
 	logLines = 15
 )
@@ -44,79 +42,57 @@
 	if err != nil {
 		return err
 	}
-	defer c.killAll()
+	defer c.Close()
 	ctx, cancel := context.WithTimeout(ctx, timeLimit-stopReserve)
 	defer cancel()
 	if err := play(ctx, c, config); err != nil {
-		c.printProblems(config.Out)
+		c.PrintProblems(config.Out, logLines)
 		fmt.Fprintf(config.Out, "the logs and data are kept in %s\n", dataDir)
 		return err
 	}
-	for _, err := range c.stop() {
+	for _, err := range c.Stop() {
 		fmt.Fprintf(config.Out, "warning: %v\n", err)
 	}
 	return os.RemoveAll(dataDir)
 }
 
 // play starts the processes, runs the programs and checks what they did.
-func play(ctx context.Context, c *cluster, config Config) error {
-	p, err := newProbe()
-	if err != nil {
-		return err
-	}
+func play(ctx context.Context, c *localcluster.Cluster, config Config) error {
 	book := newLedger(config.Out, time.Now(), ctx.Done())
-	book.say("starting %d processes in %s", len(c.processes()), c.dataDir)
-	if err := c.start(ctx, p); err != nil {
+	book.say("starting %d processes in %s", len(c.Processes()), c.DataDir())
+	if err := c.Start(ctx); err != nil {
 		return err
 	}
-	book.say("%d entries are ready", len(c.nodes))
+	book.say("%d entries are ready", len(c.Nodes))
 	if err := applyContracts(ctx, c, config.Contracts, book); err != nil {
 		return err
 	}
-	results, err := runUsers(ctx, c, p, book)
+	results, err := runUsers(ctx, c, book)
 	if err != nil {
 		return err
 	}
-	return check(ctx, c, p, book, results)
+	return check(ctx, c, book, results)
 }
 
 // applyContracts applies every contract document with the operators' tool. It
 // tries again while no entry can take a change.
-func applyContracts(ctx context.Context, c *cluster, folder string, book *ledger) error {
+func applyContracts(ctx context.Context, c *localcluster.Cluster, folder string, book *ledger) error {
 	files, err := filepath.Glob(filepath.Join(folder, "*.yaml"))
 	if err != nil || len(files) == 0 {
 		return fmt.Errorf("no contracts in %s", folder)
 	}
 	for _, file := range files {
-		if err := applyContract(ctx, c, file, book); err != nil {
+		text, err := c.ApplyContract(ctx, file)
+		if err != nil {
 			return err
 		}
+		book.say("%s", text)
 	}
 	return nil
 }
 
-func applyContract(ctx context.Context, c *cluster, file string, book *ledger) error {
-	for {
-		cmd := exec.CommandContext(ctx, filepath.Join(c.binDir, "ibistrayctl"),
-			"--server", strings.Join(c.bases(), ","),
-			"--operator-key-file", c.keyFile(),
-			"contract", "apply", "--change-id", filepath.Base(file), file)
-		output, err := cmd.CombinedOutput()
-		text := strings.TrimSpace(string(output))
-		if err == nil {
-			book.say("%s", text)
-			return nil
-		}
-		select {
-		case <-time.After(applyInterval):
-		case <-ctx.Done():
-			return fmt.Errorf("apply %s: %w: %s", file, err, text)
-		}
-	}
-}
-
 // runUsers runs all programs side by side and kills processes meanwhile.
-func runUsers(ctx context.Context, c *cluster, p *probe, book *ledger) ([]result, error) {
+func runUsers(ctx context.Context, c *localcluster.Cluster, book *ledger) ([]result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	all := users()
@@ -124,13 +100,13 @@
 	var wg sync.WaitGroup
 	for i, u := range all {
 		wg.Go(func() {
-			results[i] = u.run(ctx, c.bases(), book)
+			results[i] = u.run(ctx, c.Bases(), book)
 			if err := results[i].outcome.Err; err != nil {
 				cancel(err)
 			}
 		})
 	}
-	err := injectFaults(ctx, c, p, book)
+	err := injectFaults(ctx, c, c.Probe, book)
 	if err != nil {
 		cancel(err)
 	}
@@ -140,17 +116,3 @@
 	}
 	return results, err
 }
-
-// printProblems prints the last warnings and errors of each process.
-func (c *cluster) printProblems(out io.Writer) {
-	for _, p := range c.processes() {
-		lines := p.lastProblems(logLines)
-		if len(lines) == 0 {
-			continue
-		}
-		fmt.Fprintf(out, "--- %s\n", p.log)
-		for _, line := range lines {
-			fmt.Fprintln(out, line)
-		}
-	}
-}
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -1,236 +1,349 @@
-package demo
+package localcluster
 
 import (
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
+
+	"ibistray.example/ibistray/internal/backendtest"
 )
 
 const (
-	nodeCount   = 3
-	engineCount = 2
-	// fencingEngine is the number of the engine that refuses old fencing
-	// numbers; the others ignore them.
-	fencingEngine = 1
-	serviceDelay  = "1s"
-	// retainIdleLimit is longer than every pause of the demo's programs.
-	retainIdleLimit = "4s"
-	operatorKey     = "demo-operator-key-0123456789abcdef"
-	demoModels      = "diagnosis-70b,quote-70b,berth-plan-70b,shipping-agent-70b"
-	demoServices    = "stock,tickets,manifests,berths"
+	defaultNodes = 3
+	operatorKey  = "local-operator-key-0123456789abcdef"
+	region       = "mx-gulf"
+	dirMode      = 0o700
+	keyMode      = 0o600
 )
 
-// node is one entry and control process.
-type node struct {
-	process
-	listen string // between processes
-	http   string
+// Options configures a cluster.
+type Options struct {
+	BinDir        string   // folder of the built programs
+	DataDir       string   // folder of logs and durable state
+	Nodes         int      // processes with the roles entry and control; default 3
+	Engines       int      // engines, each with a sidecar
+	FencingEngine int      // number of the engine that refuses old fencing numbers; 0: none
+	Models        string   // models of each engine, comma-separated
+	Services      string   // services of the service's server, comma-separated
+	EngineArgs    []string // further arguments of each engine
+	ServiceArgs   []string // further arguments of the service's server
+	SidecarArgs   []string // further arguments of each sidecar
+	Relayed       bool     // nodes and sidecars are reached through relays
 }
 
-// server is a backend server and the sidecar beside it.
-type server struct {
-	name    string
-	url     string // of the backend server
-	backend process
-	sidecar process
+// Node is one entry and control process.
+type Node struct {
+	Process
+	Dir   string             // data folder
+	Relay *backendtest.Relay // in front of Listen; nil when the cluster is not relayed
+
+	listen    string // between processes
+	advertise string // at which other processes reach it
+	http      string
 }
 
-// cluster is all processes of the demo.
-type cluster struct {
-	binDir  string
-	dataDir string
-	nodes   []*node
-	engines []*server
-	service *server
-	effects string // log file of the services' effects
+// Base returns the base URL of the node's entry.
+func (n *Node) Base() string { return "http://" + n.http }
+
+// Server is a backend server and the sidecar beside it.
+type Server struct {
+	Name    string
+	URL     string // of the backend server
+	Backend Process
+	Sidecar Process
+	Relay   *backendtest.Relay // in front of the sidecar; nil when the cluster is not relayed
 }
 
-// newCluster lays out the processes without starting them.
-func newCluster(binDir, dataDir string) (*cluster, error) {
+// Cluster is a set of processes. Close ends it.
+type Cluster struct {
+	Nodes   []*Node
+	Engines []*Server
+	Service *Server
+	Probe   *Probe
+
+	options Options
+	relays  []*backendtest.Relay
+	free    []string // addresses that are not used yet
+}
+
+// New lays out the processes without starting them.
+func New(options Options) (*Cluster, error) {
+	if options.Nodes == 0 {
+		options.Nodes = defaultNodes
+	}
 	const addressesPerNode, addressesPerServer = 2, 3
-	free, err := freeAddresses(nodeCount*addressesPerNode + (engineCount+1)*addressesPerServer)
+	free, err := FreeAddresses(options.Nodes*addressesPerNode + (options.Engines+1)*addressesPerServer)
 	if err != nil {
 		return nil, err
 	}
-	next := func() string {
-		address := free[0]
-		free = free[1:]
-		return address
+	probe, err := NewProbe()
+	if err != nil {
+		return nil, err
 	}
-	c := &cluster{binDir: binDir, dataDir: dataDir, effects: filepath.Join(dataDir, "effects.log")}
-	for i := range nodeCount {
-		n := &node{listen: next(), http: next()}
-		n.name = "node-" + strconv.Itoa(i+1)
-		c.nodes = append(c.nodes, n)
+	c := &Cluster{options: options, free: free, Probe: probe}
+	if err := c.layOut(); err != nil {
+		c.Close()
+		return nil, err
 	}
-	for i, n := range c.nodes {
-		n.process = c.process(n.name, "ibistrayd", c.nodeArgs(i))
+	return c, nil
+}
+
+func (c *Cluster) layOut() error {
+	for i := range c.options.Nodes {
+		if err := c.addNode(i + 1); err != nil {
+			return err
+		}
 	}
-	for i := range engineCount {
-		c.engines = append(c.engines, c.engine(i+1, next(), next(), next()))
+	for i, n := range c.Nodes {
+		n.Process = c.process(n.Name, "ibistrayd", c.nodeArgs(i))
 	}
-	c.service = c.newService(next(), next(), next())
-	return c, nil
+	for i := range c.options.Engines {
+		if err := c.addEngine(i + 1); err != nil {
+			return err
+		}
+	}
+	return c.addService()
+}
+
+func (c *Cluster) nextAddress() string {
+	address := c.free[0]
+	c.free = c.free[1:]
+	return address
+}
+
+// relay puts a relay in front of an address where the cluster is relayed. It
+// returns the address at which other processes reach the target.
+func (c *Cluster) relay(target string) (*backendtest.Relay, string, error) {
+	if !c.options.Relayed {
+		return nil, target, nil
+	}
+	r, err := backendtest.NewRelay(target)
+	if err != nil {
+		return nil, "", err
+	}
+	c.relays = append(c.relays, r)
+	return r, r.Addr(), nil
+}
+
+func (c *Cluster) addNode(number int) error {
+	n := &Node{listen: c.nextAddress(), http: c.nextAddress()}
+	n.Name = "node-" + strconv.Itoa(number)
+	n.Dir = filepath.Join(c.options.DataDir, n.Name)
+	var err error
+	n.Relay, n.advertise, err = c.relay(n.listen)
+	c.Nodes = append(c.Nodes, n)
+	return err
 }
 
-func (c *cluster) process(name, program string, args []string) process {
-	return process{name: name, path: filepath.Join(c.binDir, program), args: args, log: logPath(c.dataDir, name)}
+func (c *Cluster) process(name, program string, args []string) Process {
+	return Process{
+		Name: name,
+		path: filepath.Join(c.options.BinDir, program),
+		args: args,
+		log:  filepath.Join(c.options.DataDir, name+".log"),
+	}
 }
 
-func (c *cluster) keyFile() string { return filepath.Join(c.dataDir, "operator.key") }
+// DataDir returns the folder of logs and durable state.
+func (c *Cluster) DataDir() string { return c.options.DataDir }
+
+// KeyFile returns the file with the operators' key.
+func (c *Cluster) KeyFile() string { return filepath.Join(c.options.DataDir, "operator.key") }
+
+// EffectsFile returns the log file of the services' effects.
+func (c *Cluster) EffectsFile() string { return filepath.Join(c.options.DataDir, "effects.log") }
 
 // controlPeers returns the first members of the control role.
-func (c *cluster) controlPeers() string {
-	peers := make([]string, len(c.nodes))
-	for i, n := range c.nodes {
-		peers[i] = fmt.Sprintf("%d=%s@%s", i+1, n.listen, failureDomain(i))
+func (c *Cluster) controlPeers() string {
+	peers := make([]string, len(c.Nodes))
+	for i, n := range c.Nodes {
+		peers[i] = fmt.Sprintf("%d=%s@%s", i+1, n.advertise, failureDomain(i))
 	}
 	return strings.Join(peers, ",")
 }
 
-func (c *cluster) control() string {
-	addresses := make([]string, len(c.nodes))
-	for i, n := range c.nodes {
-		addresses[i] = n.listen
+func (c *Cluster) control() string {
+	addresses := make([]string, len(c.Nodes))
+	for i, n := range c.Nodes {
+		addresses[i] = n.advertise
 	}
 	return strings.Join(addresses, ",")
 }
 
 // failureDomain spreads the hosts over three failure domains.
 func failureDomain(i int) string {
-	return "fd-" + string(rune('a'+i%nodeCount))
+	const failureDomains = 3
+	return "fd-" + string(rune('a'+i%failureDomains))
 }
 
-func (c *cluster) nodeArgs(i int) []string {
-	n := c.nodes[i]
+func (c *Cluster) nodeArgs(i int) []string {
+	n := c.Nodes[i]
 	return []string{
 		"--roles", "entry,control",
-		"--node-id", n.name,
+		"--node-id", n.Name,
 		"--listen", n.listen,
+		"--advertise", n.advertise,
 		"--http", n.http,
-		"--region", "mx-gulf",
+		"--region", region,
 		"--failure-domain", failureDomain(i),
-		"--data-dir", filepath.Join(c.dataDir, n.name),
+		"--data-dir", n.Dir,
 		"--replica-id", strconv.Itoa(i + 1),
 		"--control-peers", c.controlPeers(),
 		"--control", c.control(),
-		"--operator-key-file", c.keyFile(),
+		"--operator-key-file", c.KeyFile(),
 	}
 }
 
-func (c *cluster) sidecarArgs(name, listen, http, domain, url string) []string {
-	return []string{
+// addServer returns a server with the arguments that every sidecar has.
+func (c *Cluster) addServer(name, domain string) (s *Server, backend string, args []string, err error) {
+	backend = c.nextAddress()
+	listen := c.nextAddress()
+	s = &Server{Name: name, URL: "http://" + backend}
+	relay, advertise, err := c.relay(listen)
+	if err != nil {
+		return nil, "", nil, err
+	}
+	s.Relay = relay
+	args = []string{
 		"--roles", "sidecar",
 		"--node-id", name + "-sidecar",
 		"--server-id", name,
 		"--listen", listen,
-		"--http", http,
-		"--region", "mx-gulf",
+		"--advertise", advertise,
+		"--http", c.nextAddress(),
+		"--region", region,
 		"--failure-domain", domain,
 		"--control", c.control(),
-		"--backend-url", url,
-		"--retain-idle-limit", retainIdleLimit,
+		"--backend-url", s.URL,
 	}
+	return s, backend, append(args, c.options.SidecarArgs...), nil
 }
 
-func (c *cluster) engine(number int, backend, listen, http string) *server {
-	name := "engine-" + strconv.Itoa(number)
-	s := &server{name: name, url: "http://" + backend}
-	backendArgs := []string{
-		"--listen", backend,
-		"--models", demoModels,
-		"--decode-rate", "300",
-		"--prefill-rate", "20000",
-		"--cache-event-delay", "200ms",
-		"--cache-event-gap-every", "7",
-		"--load-lag", "200ms",
-	}
-	sidecarArgs := c.sidecarArgs(name, listen, http, failureDomain(number), s.url)
-	sidecarArgs = append(sidecarArgs, "--backend-kind", "engine", "--models", demoModels)
-	if number == fencingEngine {
-		backendArgs = append(backendArgs, "--check-fencing")
+func (c *Cluster) addEngine(number int) error {
+	s, backend, sidecarArgs, err := c.addServer("engine-"+strconv.Itoa(number), failureDomain(number))
+	if err != nil {
+		return err
+	}
+	args := append([]string{"--listen", backend, "--models", c.options.Models}, c.options.EngineArgs...)
+	sidecarArgs = append(sidecarArgs, "--backend-kind", "engine", "--models", c.options.Models)
+	if number == c.options.FencingEngine {
+		args = append(args, "--check-fencing")
 		sidecarArgs = append(sidecarArgs, "--backend-fencing")
 	}
-	s.backend = c.process(name, "fakebackend", backendArgs)
-	s.sidecar = c.process(name+"-sidecar", "ibistrayd", sidecarArgs)
-	return s
+	s.Backend = c.process(s.Name, "fakebackend", args)
+	s.Sidecar = c.process(s.Name+"-sidecar", "ibistrayd", sidecarArgs)
+	c.Engines = append(c.Engines, s)
+	return nil
 }
 
-func (c *cluster) newService(backend, listen, http string) *server {
-	const name = "service-1"
-	s := &server{name: name, url: "http://" + backend}
-	args := []string{"--listen", backend, "--effects", c.effects, "--delay", serviceDelay}
-	for service := range strings.SplitSeq(demoServices, ",") {
+func (c *Cluster) addService() error {
+	s, backend, sidecarArgs, err := c.addServer("service-1", failureDomain(0))
+	if err != nil {
+		return err
+	}
+	args := append([]string{"--listen", backend, "--effects", c.EffectsFile()}, c.options.ServiceArgs...)
+	for service := range strings.SplitSeq(c.options.Services, ",") {
 		args = append(args, "--service", service)
 	}
-	s.backend = c.process(name, "fakebackend", args)
-	sidecar := c.sidecarArgs(name, listen, http, failureDomain(0), s.url)
-	sidecar = append(sidecar, "--backend-kind", "service", "--services", demoServices)
-	s.sidecar = c.process(name+"-sidecar", "ibistrayd", sidecar)
-	return s
+	s.Backend = c.process(s.Name, "fakebackend", args)
+	sidecarArgs = append(sidecarArgs, "--backend-kind", "service", "--services", c.options.Services)
+	s.Sidecar = c.process(s.Name+"-sidecar", "ibistrayd", sidecarArgs)
+	c.Service = s
+	return nil
 }
 
-// servers returns all backend servers.
-func (c *cluster) servers() []*server {
-	return append(append([]*server{}, c.engines...), c.service)
+// Servers returns all backend servers.
+func (c *Cluster) Servers() []*Server {
+	return append(append([]*Server{}, c.Engines...), c.Service)
 }
 
-// processes returns all processes in the order in which they start.
-func (c *cluster) processes() []*process {
-	var all []*process
-	for _, n := range c.nodes {
-		all = append(all, &n.process)
+// Processes returns all processes in the order in which they start.
+func (c *Cluster) Processes() []*Process {
+	var all []*Process
+	for _, n := range c.Nodes {
+		all = append(all, &n.Process)
 	}
-	for _, s := range c.servers() {
-		all = append(all, &s.backend, &s.sidecar)
+	for _, s := range c.Servers() {
+		all = append(all, &s.Backend, &s.Sidecar)
 	}
 	return all
 }
 
-// bases returns the base URLs of the entries.
-func (c *cluster) bases() []string {
-	bases := make([]string, len(c.nodes))
-	for i, n := range c.nodes {
-		bases[i] = "http://" + n.http
+// Bases returns the base URLs of the entries.
+func (c *Cluster) Bases() []string {
+	bases := make([]string, len(c.Nodes))
+	for i, n := range c.Nodes {
+		bases[i] = n.Base()
 	}
 	return bases
 }
 
-// start starts every process and waits until each entry accepts calls.
-func (c *cluster) start(ctx context.Context, probe *probe) error {
-	if err := os.WriteFile(c.keyFile(), []byte(operatorKey+"\n"), 0o600); err != nil {
+// Start starts every process and waits until each entry accepts calls.
+func (c *Cluster) Start(ctx context.Context) error {
+	if err := os.MkdirAll(c.options.DataDir, dirMode); err != nil {
+		return fmt.Errorf("make the data folder: %w", err)
+	}
+	if err := os.WriteFile(c.KeyFile(), []byte(operatorKey+"\n"), keyMode); err != nil {
 		return fmt.Errorf("write the operator's key: %w", err)
 	}
-	for _, p := range c.processes() {
-		if err := p.start(); err != nil {
+	for _, p := range c.Processes() {
+		if err := p.Start(); err != nil {
 			return err
 		}
 	}
-	for _, base := range c.bases() {
-		if err := probe.waitReady(ctx, base); err != nil {
+	for _, base := range c.Bases() {
+		if err := c.Probe.WaitReady(ctx, base); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// stop asks every process to end, sidecars and entries first, and kills those
+// Ctl runs the operators' tool and returns its output without outer space.
+func (c *Cluster) Ctl(ctx context.Context, args ...string) (string, error) {
+	common := []string{"--server", strings.Join(c.Bases(), ","), "--operator-key-file", c.KeyFile()}
+	cmd := exec.CommandContext(ctx, filepath.Join(c.options.BinDir, "ibistrayctl"), append(common, args...)...)
+	output, err := cmd.CombinedOutput()
+	text := strings.TrimSpace(string(output))
+	if err != nil {
+		return text, fmt.Errorf("ibistrayctl %s: %w: %s", strings.Join(args, " "), err, text)
+	}
+	return text, nil
+}
+
+// ApplyContract applies a contract document. It tries again while no entry can
+// take a change.
+func (c *Cluster) ApplyContract(ctx context.Context, file string) (string, error) {
+	var text string
+	var err error
+	waited := c.Probe.WaitFor(ctx, "the contract "+file, func() bool {
+		text, err = c.Ctl(ctx, "contract", "apply", "--change-id", filepath.Base(file), file)
+		return err == nil
+	})
+	if waited != nil {
+		return "", fmt.Errorf("%w: %w", waited, err)
+	}
+	return text, nil
+}
+
+// Stop asks every process to end, sidecars and entries first, and kills those
 // that do not. The errors name the processes that did not end well.
-func (c *cluster) stop() []error {
+func (c *Cluster) Stop() []error {
 	var errs []error
 	daemons, backends := c.stopOrder()
-	for _, group := range [][]*process{daemons, backends} {
+	for _, group := range [][]*Process{daemons, backends} {
 		for _, p := range group {
-			p.terminate()
+			p.Terminate()
 		}
 		timeout := time.After(stopTimeout)
 		for _, p := range group {
-			wasRunning := p.running()
-			if err := p.waitEnd(timeout); err != nil && wasRunning {
+			wasRunning := p.Running()
+			if err := p.WaitEnd(timeout); err != nil && wasRunning {
 				errs = append(errs, err)
 			}
 		}
@@ -238,20 +351,26 @@
 	return errs
 }
 
-func (c *cluster) stopOrder() (daemons, backends []*process) {
-	for _, n := range c.nodes {
-		daemons = append(daemons, &n.process)
+func (c *Cluster) stopOrder() (daemons, backends []*Process) {
+	for _, n := range c.Nodes {
+		daemons = append(daemons, &n.Process)
 	}
-	for _, s := range c.servers() {
-		daemons = append(daemons, &s.sidecar)
-		backends = append(backends, &s.backend)
+	for _, s := range c.Servers() {
+		daemons = append(daemons, &s.Sidecar)
+		backends = append(backends, &s.Backend)
 	}
 	return daemons, backends
 }
 
-// killAll ends every process at once.
-func (c *cluster) killAll() {
-	for _, p := range c.processes() {
-		p.kill()
+// Close ends every process and relay at once.
+func (c *Cluster) Close() {
+	if c.Service != nil {
+		for _, p := range c.Processes() {
+			p.Kill()
+		}
+	}
+	for _, r := range c.relays {
+		r.Close()
 	}
+	c.Probe.Close()
 }
--- /dev/null
+++ b/internal/localcluster/localcluster_test.go
@@ -0,0 +1,39 @@
+package localcluster
+
+import (
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFreeAddressesDiffer(t *testing.T) {
+	addresses, err := FreeAddresses(20)
+	assert.NilError(t, err)
+	slices.Sort(addresses)
+	assert.Equal(t, len(slices.Compact(addresses)), 20)
+}
+
+func TestKilledProcessHasEnded(t *testing.T) {
+	p := &Process{Name: "sleep", path: "/bin/sleep", args: []string{"60"}, log: filepath.Join(t.TempDir(), "log")}
+	assert.Assert(t, !p.Running())
+	assert.NilError(t, p.Start())
+	assert.Assert(t, p.Running())
+	p.Kill()
+	assert.Assert(t, !p.Running())
+	assert.ErrorContains(t, p.WaitEnd(nil), "killed")
+}
+
+func TestClusterLayout(t *testing.T) {
+	c, err := New(Options{BinDir: "bin", DataDir: t.TempDir(), Engines: 2, Relayed: true})
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.Equal(t, len(c.Processes()), defaultNodes+2*(2+1))
+	names := make([]string, 0, len(c.Processes()))
+	for _, p := range c.Processes() {
+		names = append(names, p.Name)
+	}
+	slices.Sort(names)
+	assert.Equal(t, len(slices.Compact(names)), len(c.Processes()))
+}
--- a/internal/localcluster/ports.go
+++ b/internal/localcluster/ports.go
@@ -1,15 +1,19 @@
-package demo
+package localcluster
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 )
 
-// freeAddresses returns loopback addresses that no process listens on.
-func freeAddresses(n int) ([]string, error) {
+// FreeAddresses returns loopback addresses that no process listens on. They
+// share one random IP number of 127.0.0.0/8, so that neither another cluster on
+// this machine nor an outgoing connection takes one before it is used.
+func FreeAddresses(n int) ([]string, error) {
+	ip := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
 	addresses := make([]string, 0, n)
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 		if err != nil {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
--- a/internal/localcluster/probe.go
+++ b/internal/localcluster/probe.go
@@ -1,4 +1,4 @@
-package demo
+package localcluster
 
 import (
 	"context"
@@ -19,12 +19,13 @@
 	probeInterval = 50 * time.Millisecond
 )
 
-// probe reads states of the processes over HTTP.
-type probe struct {
+// Probe reads states of the processes over HTTP.
+type Probe struct {
 	http *client.Client
 }
 
-func newProbe() (*probe, error) {
+// NewProbe returns a probe. The caller closes it.
+func NewProbe() (*Probe, error) {
 	c, err := client.NewClient(
 		client.WithDialer(standard.NewDialer()),
 		client.WithDialTimeout(probeTimeout),
@@ -33,11 +34,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("new probe: %w", err)
 	}
-	return &probe{http: c}, nil
+	return &Probe{http: c}, nil
 }
 
-// get reads a JSON document; into may be nil.
-func (p *probe) get(ctx context.Context, url string, into any) error {
+// Close closes the idle connections.
+func (p *Probe) Close() { p.http.CloseIdleConnections() }
+
+// Get reads a JSON document; into may be nil.
+func (p *Probe) Get(ctx context.Context, url string, into any) error {
 	request := &protocol.Request{}
 	response := &protocol.Response{}
 	request.SetMethod(consts.MethodGet)
@@ -57,8 +61,8 @@
 	return nil
 }
 
-// waitFor asks until a condition holds; the error says what it waited for.
-func (p *probe) waitFor(ctx context.Context, what string, condition func() bool) error {
+// WaitFor asks until a condition holds; the error says what it waited for.
+func (p *Probe) WaitFor(ctx context.Context, what string, condition func() bool) error {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for !condition() {
@@ -71,16 +75,17 @@
 	return nil
 }
 
-func (p *probe) waitReady(ctx context.Context, base string) error {
-	return p.waitFor(ctx, base+" to be ready", func() bool {
-		return p.get(ctx, base+"/readyz", nil) == nil
+// WaitReady waits until an entry accepts calls.
+func (p *Probe) WaitReady(ctx context.Context, base string) error {
+	return p.WaitFor(ctx, base+" to be ready", func() bool {
+		return p.Get(ctx, base+"/readyz", nil) == nil
 	})
 }
 
-// effects returns the effects that the services had.
-func (p *probe) effects(ctx context.Context, c *cluster) ([]backendtest.Effect, error) {
+// Effects returns the effects that the services had.
+func (p *Probe) Effects(ctx context.Context, c *Cluster) ([]backendtest.Effect, error) {
 	var effects []backendtest.Effect
-	err := p.get(ctx, c.service.url+"/effects", &effects)
+	err := p.Get(ctx, c.Service.URL+"/effects", &effects)
 	return effects, err
 }
 
@@ -92,10 +97,10 @@
 	} `json:"programs"`
 }
 
-// cachedPrograms returns the cached tokens of one engine by program.
-func (p *probe) cachedPrograms(ctx context.Context, s *server) (map[string]int, error) {
+// CachedPrograms returns the cached tokens of one engine by program.
+func (p *Probe) CachedPrograms(ctx context.Context, s *Server) (map[string]int, error) {
 	var contents cacheContents
-	if err := p.get(ctx, s.url+"/v1/cache", &contents); err != nil {
+	if err := p.Get(ctx, s.URL+"/v1/cache", &contents); err != nil {
 		return nil, err
 	}
 	cached := make(map[string]int, len(contents.Programs))
@@ -105,8 +110,9 @@
 	return cached, nil
 }
 
-func (p *probe) stats(ctx context.Context, s *server) (backendtest.Stats, error) {
+// Stats returns the counters of an engine.
+func (p *Probe) Stats(ctx context.Context, s *Server) (backendtest.Stats, error) {
 	var stats backendtest.Stats
-	err := p.get(ctx, s.url+"/admin/stats", &stats)
+	err := p.Get(ctx, s.URL+"/admin/stats", &stats)
 	return stats, err
 }
--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -1,12 +1,12 @@
-package demo
+package localcluster
 
 import (
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -14,9 +14,9 @@
 // stopTimeout is the longest wait for a process to end by itself.
 const stopTimeout = 5 * time.Second
 
-// process is one process that the demo started.
-type process struct {
-	name string
+// Process is one process that this program starts.
+type Process struct {
+	Name string
 	path string // program
 	args []string
 	log  string // file of its standard output and standard error
@@ -26,12 +26,12 @@
 	err   error // of the wait; valid once ended is closed
 }
 
-// start runs the process. It dies with the demo: the kernel kills it when the
-// thread that started it ends, so start must be called from a locked thread.
-func (p *process) start() error {
+// Start runs the process. It dies with this program: the kernel kills it when the
+// thread that started it ends. A caller that ends threads must lock its own.
+func (p *Process) Start() error {
 	file, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
-		return fmt.Errorf("start %s: %w", p.name, err)
+		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
 	defer file.Close()
 	cmd := exec.Command(p.path, p.args...)
@@ -39,7 +39,7 @@
 	cmd.Stderr = file
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", p.name, err)
+		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
 	ended := make(chan struct{})
 	p.cmd = cmd
@@ -51,8 +51,8 @@
 	return nil
 }
 
-// running reports whether the process was started and has not ended.
-func (p *process) running() bool {
+// Running reports whether the process was started and has not ended.
+func (p *Process) Running() bool {
 	if p.cmd == nil {
 		return false
 	}
@@ -64,25 +64,35 @@
 	}
 }
 
-// kill ends the process at once and waits for its end.
-func (p *process) kill() {
-	if !p.running() {
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	if !p.Running() {
 		return
 	}
 	_ = p.cmd.Process.Kill()
 	<-p.ended
 }
 
-// terminate asks the process to end.
-func (p *process) terminate() {
-	if p.running() {
+// Terminate asks the process to end.
+func (p *Process) Terminate() {
+	if p.Running() {
 		_ = p.cmd.Process.Signal(syscall.SIGTERM)
 	}
 }
 
-// waitEnd waits for a process that was asked to end, and kills it when it does
+// Freeze stops the process without ending it, until Thaw.
+func (p *Process) Freeze() error {
+	return p.cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error {
+	return p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// WaitEnd waits for a process that was asked to end, and kills it when it does
 // not. The error says that it did not end well by itself.
-func (p *process) waitEnd(timeout <-chan time.Time) error {
+func (p *Process) WaitEnd(timeout <-chan time.Time) error {
 	if p.cmd == nil {
 		return nil
 	}
@@ -90,21 +100,21 @@
 	case <-p.ended:
 		return p.exitError()
 	case <-timeout:
-		p.kill()
-		return fmt.Errorf("%s did not stop within %s", p.name, stopTimeout)
+		p.Kill()
+		return fmt.Errorf("%s did not stop within %s", p.Name, stopTimeout)
 	}
 }
 
-func (p *process) exitError() error {
+func (p *Process) exitError() error {
 	if p.err != nil {
-		return fmt.Errorf("%s ended with: %w", p.name, p.err)
+		return fmt.Errorf("%s ended with: %w", p.Name, p.err)
 	}
 	return nil
 }
 
-// lastProblems returns the last lines of the process's log that are not below
+// LastProblems returns the last lines of the process's log that are not below
 // the level of warnings; lines that are not JSON are the text of a crash.
-func (p *process) lastProblems(n int) []string {
+func (p *Process) LastProblems(n int) []string {
 	file, err := os.Open(p.log)
 	if err != nil {
 		return nil
@@ -134,7 +144,16 @@
 	return entry.Level == "warn" || entry.Level == "error"
 }
 
-// logPath returns the log file of a process in the data folder.
-func logPath(dataDir, name string) string {
-	return filepath.Join(dataDir, name+".log")
+// PrintProblems prints the last warnings and errors of each process.
+func (c *Cluster) PrintProblems(out io.Writer, n int) {
+	for _, p := range c.Processes() {
+		lines := p.LastProblems(n)
+		if len(lines) == 0 {
+			continue
+		}
+		fmt.Fprintf(out, "--- %s\n", p.log)
+		for _, line := range lines {
+			fmt.Fprintln(out, line)
+		}
+	}
 }
