processtest: bookings, killed and frozen control processes, a lost disk

Change: tests with real processes. An entry and a sidecar are killed within a booking; each control process is killed once during a conversation; a disk is lost; each control process is frozen while operators race.

--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -157,3 +158,9 @@
 		}
 	}
 }
+
+// Logged reports whether the process's log holds a text.
+func (p *Process) Logged(text string) bool {
+	data, err := os.ReadFile(p.log)
+	return err == nil && strings.Contains(string(data), text)
+}
--- /dev/null
+++ b/internal/processtest/booking_test.go
@@ -0,0 +1,78 @@
+package processtest
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/load"
+	"ibistray.example/ibistray/internal/localcluster"
+)
+
+// slowService gives a test the time to end a process while a booking runs.
+var slowService = localcluster.Options{ServiceArgs: []string{"--delay", "1500ms"}}
+
+// sent is the outcome of a call that runs in the background.
+type sent struct {
+	answer *load.ServiceAnswer
+	err    error
+}
+
+// sendBooking sends a booking to one entry and returns once it has its effect.
+func (s *system) sendBooking(base string, call load.ServiceCall) <-chan sent {
+	s.t.Helper()
+	outcome := make(chan sent, 1)
+	go func() {
+		answer, err := s.once(base, call)
+		outcome <- sent{answer, err}
+	}()
+	s.wait("the effect of "+call.Call, func() bool { return s.effectsOf(call) > 0 })
+	return outcome
+}
+
+// TestEntryKilledDuringBooking kills the entry through which a booking runs. The
+// caller asks another entry and gets the answer of the one run.
+func TestEntryKilledDuringBooking(t *testing.T) {
+	s := startSystem(t, defaultContract(), slowService)
+	call := booking("plan", "convoy-7")
+	first := s.sendBooking(s.Nodes[0].Base(), call)
+	s.Nodes[0].Kill()
+	assert.Assert(t, (<-first).err != nil)
+	answer, err := s.client(s.Nodes[1].Base()).Service(s.ctx, call)
+	assert.NilError(t, err)
+	again, err := s.client(s.Nodes[2].Base()).Service(s.ctx, call)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again.Body), string(answer.Body))
+	assert.Equal(t, s.effectsOf(call), 1)
+}
+
+// TestSidecarKilledDuringBooking kills the sidecar of the service while a
+// booking runs. Nobody can tell its outcome any more: every resend says so, and
+// none runs it again.
+func TestSidecarKilledDuringBooking(t *testing.T) {
+	s := startSystem(t, defaultContract(), slowService)
+	call := booking("plan", "convoy-7")
+	first := s.sendBooking(s.Nodes[0].Base(), call)
+	s.Service.Sidecar.Kill()
+	assert.NilError(t, s.Service.Sidecar.Start())
+	assertUnknown(t, (<-first).err)
+	s.waitServers(s.Bases()...)
+	for _, base := range s.Bases() {
+		_, err := s.once(base, call)
+		assertUnknown(t, err)
+	}
+	assert.Equal(t, s.effectsOf(call), 1)
+	next := booking("plan", "convoy-8")
+	_, err := s.client(s.Bases()...).Service(s.ctx, next)
+	assert.NilError(t, err)
+	assert.Equal(t, s.effectsOf(next), 1)
+}
+
+func assertUnknown(t *testing.T, err error) {
+	t.Helper()
+	var failure *load.CallError
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	assert.Equal(t, failure.Reason, "outcome_unknown")
+	assert.Assert(t, !failure.NotRun)
+}
--- /dev/null
+++ b/internal/processtest/control_test.go
@@ -0,0 +1,165 @@
+package processtest
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/ctl"
+	"ibistray.example/ibistray/internal/localcluster"
+)
+
+// fastEngines answer a short call in a few hundredths of a second.
+func fastEngines(n int) localcluster.Options {
+	return localcluster.Options{
+		Engines:    n,
+		EngineArgs: []string{"--decode-rate", "400", "--prefill-rate", "40000"},
+	}
+}
+
+// TestControlProcessesKilledInTurn kills each entry and control process once
+// during a conversation and starts it again. The history stays whole and in
+// order, and the budget is charged what the answers used.
+func TestControlProcessesKilledInTurn(t *testing.T) {
+	s := startSystem(t, defaultContract(), fastEngines(2))
+	talk := &conversation{step: func(turn int) {
+		const every = 4
+		node := s.Nodes[(turn/every)%len(s.Nodes)]
+		switch {
+		case turn < every:
+		case turn%every == 0:
+			node.Kill()
+		case turn%every == 2:
+			assert.NilError(t, node.Start())
+		}
+	}}
+	const turns = 16
+	assert.NilError(t, s.converse("convoy", turns, 24, talk, s.Bases()...))
+	s.waitIdle()
+	assert.Equal(t, s.budget().GetUsed(), talk.usage)
+}
+
+// TestLostDisk deletes the data of a control process while it is down. Started
+// again it must not vote as its former self: with one of the other two processes
+// down, the system does not go on, since only one replica that has what was
+// acknowledged is left. When that process is back, everything is there.
+func TestLostDisk(t *testing.T) {
+	s := startSystem(t, defaultContract(), fastEngines(1))
+	var lost, down = s.Nodes[2], s.Nodes[1]
+	talk := &conversation{step: func(turn int) {
+		if turn != 3 {
+			return
+		}
+		lost.Kill()
+		assert.NilError(t, os.RemoveAll(lost.Dir))
+		assert.NilError(t, lost.Start())
+		s.wait("the refusal of the lost replica", func() bool {
+			return lost.Logged("replica was seen on another disk")
+		})
+	}}
+	assert.NilError(t, s.converse("convoy", 6, 24, talk, s.Nodes[0].Base(), down.Base()))
+	down.Kill()
+	_, err := s.admin(s.Nodes[0].Base()).ApplyContract(s.ctx, customer, defaultContract().document(), 1, "without-quorum")
+	var refused *ctl.ServerError
+	assert.Assert(t, errors.As(err, &refused), "one replica of three took a change: %v", err)
+	assert.Equal(t, refused.Reason, "control_unavailable")
+	assert.NilError(t, down.Start())
+	s.waitIdle()
+	assert.Equal(t, s.budget().GetUsed(), talk.usage)
+}
+
+// TestFrozenProcessAcknowledgesNothingStale freezes each entry and control process
+// in turn for longer than its lease, the leader among them. A change that it took before it woke
+// up must not be acknowledged against the one that was accepted meanwhile.
+func TestFrozenProcessAcknowledgesNothingStale(t *testing.T) {
+	s := startSystem(t, defaultContract(), localcluster.Options{})
+	version := uint64(1)
+	for i, frozen := range s.Nodes {
+		others := s.without(i)
+		s.race(&version, fmt.Sprintf("before-%d", i), frozen.Base(), others[0])
+		assert.NilError(t, frozen.Freeze())
+		stale := make(chan error, 1)
+		expected := version
+		go func() { stale <- s.change(expected, fmt.Sprintf("stale-%d", i), frozen.Base()) }()
+		s.race(&version, fmt.Sprintf("during-%d", i), others...)
+		assert.NilError(t, frozen.Thaw())
+		var conflict *ctl.ConflictError
+		err := <-stale
+		assert.Assert(t, errors.As(err, &conflict), "a change of version %d: %v", expected, err)
+		s.race(&version, fmt.Sprintf("after-%d", i), frozen.Base(), others[0])
+	}
+}
+
+func (s *system) without(i int) []string {
+	bases := s.Bases()
+	return append(append([]string{}, bases[:i]...), bases[i+1:]...)
+}
+
+// change applies a contract on top of a version. The ID of the change is sent
+// again until there is an answer: the answer of the first run counts.
+func (s *system) change(version uint64, id string, bases ...string) error {
+	terms := defaultContract()
+	terms.Concurrency += len(id) // each change differs from the one before
+	admin := s.admin(bases...)
+	var err error
+	waited := s.Probe.WaitFor(s.ctx, "an answer to change "+id, func() bool {
+		_, err = admin.ApplyContract(s.ctx, customer, terms.document(), version, id)
+		var server *ctl.ServerError
+		unclear := errors.Is(err, ctl.ErrUnreachable) || errors.As(err, &server) && server.Status >= 500
+		return !unclear
+	})
+	return errors.Join(waited, err)
+}
+
+// race lets two operators change the contract from the same version, each at
+// its own entry. Exactly one of them wins.
+func (s *system) race(version *uint64, id string, bases ...string) {
+	s.t.Helper()
+	outcomes := make(chan error, len(bases))
+	for i, base := range bases {
+		go func() { outcomes <- s.change(*version, fmt.Sprintf("%s-%d", id, i), base) }()
+	}
+	won := 0
+	for range bases {
+		err := <-outcomes
+		var conflict *ctl.ConflictError
+		switch {
+		case err == nil:
+			won++
+		case errors.As(err, &conflict):
+			assert.Equal(s.t, conflict.Winner.GetVersion(), *version+1)
+		default:
+			assert.NilError(s.t, err)
+		}
+	}
+	assert.Equal(s.t, won, 1, "race %s", id)
+	*version++
+	view, err := s.admin(bases...).Customer(s.ctx, customer)
+	assert.NilError(s.t, err)
+	assert.Equal(s.t, view.Contracts[0].Version, *version)
+}
+
+// TestResendOfAChangeGivesTheFirstResult resends a change after its answer was
+// lost, after later changes, through other entries and without its leader.
+func TestResendOfAChangeGivesTheFirstResult(t *testing.T) {
+	s := startSystem(t, defaultContract(), localcluster.Options{})
+	first, err := s.admin(s.Bases()...).ApplyContract(s.ctx, customer, defaultContract().document(), 1, "change-a")
+	assert.NilError(t, err)
+	version := first.Contract.Version
+	s.race(&version, "later", s.Nodes[1].Base(), s.Nodes[2].Base())
+	s.Nodes[0].Kill()
+	s.wait("the resend", func() bool {
+		again, err := s.admin(s.Nodes[1].Base()).ApplyContract(s.ctx, customer, defaultContract().document(), 1, "change-a")
+		if err != nil {
+			return false
+		}
+		assert.Equal(t, again.Contract.Version, first.Contract.Version)
+		return true
+	})
+	view, err := s.admin(s.Nodes[2].Base()).Customer(s.ctx, customer)
+	assert.NilError(t, err)
+	assert.Equal(t, view.Contracts[0].Version, version)
+}
--- /dev/null
+++ b/internal/processtest/main_test.go
@@ -0,0 +1,37 @@
+package processtest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"ibistray.example/ibistray/internal/httpserver"
+)
+
+// binDir is the folder of the programs, which are built once for all tests.
+var binDir string
+
+func TestMain(m *testing.M) {
+	httpserver.RouteHTTPLog(hclog.NewNullLogger())
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "ibistray-processtest-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "ibistray.example/ibistray/cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
