--- a/internal/processtest/booking_test.go
+++ b/internal/processtest/booking_test.go
@@ -47,6 +47,21 @@
 	assert.Equal(t, s.effectsOf(call), 1)
 }
 
+// TestSidecarCommitsForALostEntry kills the entry through which a booking runs and
+// does not ask again: the sidecar makes the answer durable.
+func TestSidecarCommitsForALostEntry(t *testing.T) {
+	s := startSystem(t, defaultContract(), slowService)
+	call := booking("plan", "convoy-7")
+	first := s.sendBooking(s.Nodes[0].Base(), call)
+	s.Nodes[0].Kill()
+	assert.Assert(t, (<-first).err != nil)
+	s.waitIdle()
+	answer, err := s.once(s.Nodes[1].Base(), call)
+	assert.NilError(t, err)
+	assert.Assert(t, len(answer.Body) > 0)
+	assert.Equal(t, s.effectsOf(call), 1)
+}
+
 // TestSidecarKilledDuringBooking kills the sidecar of the service while a
 // booking runs. Nobody can tell its outcome any more: every resend says so, and
 // none runs it again.
--- /dev/null
+++ b/internal/sidecar/slots_test.go
@@ -0,0 +1,115 @@
+package sidecar
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+// slotsModel makes random steps on slots and remembers what runs and waits.
+type slotsModel struct {
+	slots   *slots
+	next    int
+	waiting []*attempt
+	waiters map[*attempt]*waiter
+	running []*attempt
+}
+
+func (m *slotsModel) enqueue(alone bool) {
+	m.next++
+	a := newAttempt(runRequest(strconv.Itoa(m.next), 1, 1))
+	a.alone = alone
+	w := &waiter{alone: alone, granted: make(chan bool, 1)}
+	if m.slots.enqueue(m.slots.describe(a.request, alone), w) {
+		m.waiting = append(m.waiting, a)
+		m.waiters[a] = w
+	}
+	m.collect()
+}
+
+// collect moves what was granted a slot from the waiting to the running ones.
+func (m *slotsModel) collect() {
+	var still []*attempt
+	for _, a := range m.waiting {
+		select {
+		case ok := <-m.waiters[a].granted:
+			if ok {
+				m.running = append(m.running, a)
+			}
+		default:
+			still = append(still, a)
+		}
+	}
+	m.waiting = still
+}
+
+func (m *slotsModel) release(i int) {
+	a := m.running[i]
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	m.slots.release(a)
+	m.collect()
+}
+
+func (m *slotsModel) check(t *rapid.T, limit int) {
+	alone := 0
+	for _, a := range m.running {
+		if a.alone {
+			alone++
+		}
+	}
+	assert.Assert(t, len(m.running) <= limit)
+	assert.Assert(t, alone == 0 || len(m.running) == 1, "%d run beside a suspect", len(m.running)-1)
+	assert.Assert(t, len(m.running) > 0 || len(m.waiting) == 0, "%d wait for a free server", len(m.waiting))
+}
+
+// TestSuspectRunsAlone checks, over random orders of arrivals and ends, that an
+// attempt which may crash the server never shares it, and that nothing waits for
+// a free server.
+func TestSuspectRunsAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 4).Draw(t, "limit")
+		m := &slotsModel{slots: newSlots(limit), waiters: make(map[*attempt]*waiter)}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(m.running) > 0 && rapid.Bool().Draw(t, "release") {
+				m.release(rapid.IntRange(0, len(m.running)-1).Draw(t, "which"))
+			} else {
+				m.enqueue(rapid.IntRange(0, 3).Draw(t, "alone") == 0)
+			}
+			m.check(t, limit)
+		}
+		for len(m.running) > 0 {
+			m.release(0)
+			m.check(t, limit)
+		}
+		assert.Equal(t, len(m.waiting), 0)
+	})
+}
+
+// TestOneReportNamesAllSuspects checks that the attempts which were on the
+// engine together when it died are reported once and together.
+func TestOneReportNamesAllSuspects(t *testing.T) {
+	var reports [][][]byte
+	watch := newCrashWatch(func(fingerprints [][]byte) []byte {
+		reports = append(reports, fingerprints)
+		return []byte("a")
+	})
+	var members []*attempt
+	var group *crashGroup
+	for _, name := range []string{"a", "b", "c"} {
+		req := runRequest(name, 1, 1)
+		req.Fingerprint = []byte(name)
+		a := newAttempt(req)
+		members = append(members, a)
+		group = watch.join(a)
+	}
+	assert.Assert(t, group.report([]byte("a")), "a is quarantined")
+	assert.Assert(t, !group.report([]byte("b")), "b is not")
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, len(reports[0]), len(members))
+	later := watch.join(newAttempt(&rpcpb.RunRequest{Key: runRequest("d", 1, 1).Key}))
+	assert.Equal(t, later.size(), 1, "a new life of the engine has a new group")
+}
