processtest: answers in the stop tests last longer than the end of connections

Cause: without the wait for running calls TestSIGTERMCutsOffNoCall still passed: the HTTP server waits 5 s by itself, and the answer took 2 to 4 s. Change: the answer takes 6 to 11 s.

--- a/internal/processtest/stop_test.go
+++ b/internal/processtest/stop_test.go
@@ -12,17 +12,18 @@
 	"ibistray.example/ibistray/internal/localcluster"
 )
 
-// slowEngines take some seconds for a long answer.
+// slowEngines take several seconds for a long answer.
 func slowEngines(n int) localcluster.Options {
 	return localcluster.Options{
 		Engines:     n,
-		EngineArgs:  []string{"--decode-rate", "60", "--prefill-rate", "40000"},
+		EngineArgs:  []string{"--decode-rate", "35", "--prefill-rate", "40000"},
 		ServiceArgs: slowService.ServiceArgs,
 	}
 }
 
-// longTokens make an answer take two to four seconds on a slow engine.
-const longTokens = 240
+// longTokens make an answer take six to eleven seconds on a slow engine, longer
+// than a stopping process waits for anything but running calls.
+const longTokens = 400
 
 // modelSent is the outcome of a model call that runs in the background.
 type modelSent struct {
