--- a/cmd/ibistrayctl/main.go
+++ b/cmd/ibistrayctl/main.go
@@ -8,12 +8,16 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/hashicorp/go-hclog"
+
 	"ibistray.example/ibistray/internal/ctl"
+	"ibistray.example/ibistray/internal/httpserver"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	httpserver.RouteHTTPLog(hclog.NewNullLogger())
 	err := ctl.Command().Run(ctx, os.Args)
 	if err == nil {
 		return
