Begin names the server of the program's prefix

Cause: at 200 calls in flight each durable write took 26 to 30 ms (timed in a scratch copy), and a model call made three of them, one after the other. Ruled out: processor time (a node used a third of a core); placing the call in the shard (it knows no load). Change: an entry remembers where programs ran and names the server in Begin; the shard takes it as the first attempt where the program has no prefix or has it there, otherwise the entry dispatches as before. Without the rule in takesTarget TestModelCallTakesTheServerOfItsPrefix fails.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,6 +34,10 @@
 
 // execute sends the attempt, or attaches to it, and passes its output on.
 func (c *call) execute(ctx context.Context, attachOnly bool) callTrigger {
+	if !attachOnly && c.quarantined() {
+		c.fenced = c.attempt // nobody else may send it
+		return c.giveUp(quarantinedFailure())
+	}
 	stream, err := c.entry.pool.Open(ctx, c.target.Sidecar, transport.MethodRun)
 	if err != nil {
 		return c.unreachable(ctx, attachOnly, err)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -145,14 +145,20 @@
 	}
 }
 
-// firstTarget chooses the server of a service call, which needs no knowledge of
-// the program, so that one command records call and attempt. It returns nil
-// when no server is available: the call is recorded all the same.
+// firstTarget chooses a server by what this entry remembers of the program, so
+// that one command records call and attempt. It returns nil when no server is
+// available: the call is recorded all the same.
 func (c *call) firstTarget() *shardpb.Target {
-	if c.req.Kind != shardpb.CallKind_CALL_KIND_SERVICE || c.record != nil {
+	if c.record != nil {
 		return nil
 	}
-	target, err := c.choose(place.Request{Program: c.programName()})
+	last := c.entry.places.get(c.programName())
+	target, err := c.choose(place.Request{
+		Program:      c.programName(),
+		PromptTokens: last.tokens + int64(c.req.InputTokens),
+		CachedOn:     last.server,
+		CachedTokens: last.tokens,
+	})
 	if err != nil {
 		return nil
 	}
@@ -352,6 +358,7 @@
 		})
 	}
 	c.release(text[len(c.released):])
+	c.remember(answer.GetUsage())
 	c.entry.metrics.Calls.WithLabelValues(kindName(c.req.Kind), "answered").Inc()
 	c.entry.metrics.CallSeconds.WithLabelValues(kindName(c.req.Kind)).Observe((c.entry.members.now() - c.start).Seconds())
 	c.log.Info("call answered", telemetry.KeyAttempt, c.attempt, telemetry.KeyServer, c.target.GetServer(), "bytes", len(text))
@@ -359,6 +366,15 @@
 	return triggerDelivered
 }
 
+// remember keeps where the program's prefix is.
+func (c *call) remember(usage *shardpb.Usage) {
+	if c.req.Kind != shardpb.CallKind_CALL_KIND_MODEL || c.target == nil {
+		return
+	}
+	tokens := int64(usage.GetPromptTokens() + usage.GetCompletionTokens())
+	c.entry.places.set(c.programName(), programPlace{server: c.target.Server, tokens: tokens})
+}
+
 // release passes text on to the caller.
 func (c *call) release(text []byte) {
 	if len(text) == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	retries retry.Policy
 	budget  *retry.Budget
 	recent  *recentQuarantine
+	places  *places
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -62,6 +63,7 @@
 		retries: retry.DefaultPolicy(),
 		budget:  retry.NewBudget(retry.DefaultBudgetShare, retry.DefaultBudgetBurst),
 		recent:  newRecentQuarantine(),
+		places:  newPlaces(),
 	}
 }
 
--- a/internal/shard/begin.go
+++ b/internal/shard/begin.go
@@ -101,7 +101,7 @@
 		begunMs:           s.nowMs,
 		inputDigest:       sha256.Sum256(op.GetBody()),
 	}
-	if op.GetTarget() != nil {
+	if takesTarget(p, c.kind, op.GetTarget()) {
 		c.state = stateDispatched
 		c.attempt++
 		p.open.target = op.GetTarget()
@@ -110,6 +110,17 @@
 	s.touch(p)
 }
 
+// takesTarget reports whether a Begin's target is recorded as the first attempt. A
+// model call of a program with a history takes it only at the server of the
+// program's last call; elsewhere the sender is to choose again, knowing that
+// server.
+func takesTarget(p *program, kind callKind, target *shardpb.Target) bool {
+	if target == nil {
+		return false
+	}
+	return kind != kindModel || p.historyTokens == 0 || p.lastTarget.GetServer() == target.GetServer()
+}
+
 // countTurn counts a call to its program and to each program above it.
 func (s *State) countTurn(p *program) {
 	for p != nil {
--- a/internal/shard/begin_test.go
+++ b/internal/shard/begin_test.go
@@ -188,3 +188,27 @@
 	assertRefused(t, f.begin(modelCall("p", "c2")), shardpb.Reason_REASON_PROGRAM_ENDED)
 	assert.Assert(t, f.mustBegin(modelCall("p", "c1")).GetBegin().GetAnswer() != nil)
 }
+
+// TestModelCallTakesTheServerOfItsPrefix checks that a target in Begin is the
+// first attempt only where the program has no prefix, or has it there.
+func TestModelCallTakesTheServerOfItsPrefix(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.Target = testTarget("engine-1")
+	first := f.mustBegin(op)
+	assert.Equal(t, first.GetBegin().GetState(), shardpb.CallState_CALL_STATE_DISPATCHED)
+	assert.Assert(t, first.GetBegin().GetFence() != 0)
+	f.finish(first, op.GetKey(), testAnswer("one", 10, 10))
+
+	elsewhere := modelCall("p", "c2")
+	elsewhere.Target = testTarget("engine-2")
+	begun := f.mustBegin(elsewhere).GetBegin()
+	assert.Equal(t, begun.GetState(), shardpb.CallState_CALL_STATE_BEGUN)
+	assert.Equal(t, begun.GetFence(), uint64(0))
+	assert.Equal(t, begun.GetLastTarget().GetServer(), "engine-1")
+	f.fail(&shardpb.Fail{Key: elsewhere.GetKey(), Epoch: begun.GetEpoch(), Failure: &shardpb.Failure{Reason: "no_server"}})
+
+	there := modelCall("p", "c3")
+	there.Target = testTarget("engine-1")
+	assert.Equal(t, f.mustBegin(there).GetBegin().GetState(), shardpb.CallState_CALL_STATE_DISPATCHED)
+}
--- a/internal/shard/model_test.go
+++ b/internal/shard/model_test.go
@@ -136,7 +136,7 @@
 		epoch:      result.GetEpoch(),
 		attempt:    result.GetAttempt(),
 		repeatable: result.GetRepeatable(),
-		dispatched: op.GetTarget() != nil,
+		dispatched: result.GetState() == shardpb.CallState_CALL_STATE_DISPATCHED,
 		reserved:   reservedOf(op, result),
 		period:     w.period(op.GetKey().GetCustomer()),
 	}
@@ -152,7 +152,7 @@
 		assert.Assert(w.t, !known.dispatched && w.nowMs > known.begin.GetDeadlineMs(), "an open call began again")
 	}
 	attempt := known.attempt
-	if op.GetTarget() != nil {
+	if result.GetState() == shardpb.CallState_CALL_STATE_DISPATCHED {
 		attempt++
 	}
 	assert.Equal(w.t, result.GetAttempt(), attempt)
