--- a/internal/docsgen/pages_test.go
+++ b/internal/docsgen/pages_test.go
@@ -1,6 +1,7 @@
 package docsgen
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -93,3 +94,25 @@
 	}
 	assert.DeepEqual(t, got, map[string]string{"ibistrayd": daemon, "ibistrayctl": tool})
 }
+
+// Each package and each design note is named on the page that lists them.
+func TestPackagesAndNotesAreListed(t *testing.T) {
+	lists := []struct{ page, pattern, form string }{
+		{"docs/ARCHITECTURE.md", "internal/*", "`internal/%s`"},
+		{"docs/ARCHITECTURE.md", "internal/policy/*", "`internal/policy/%s`"},
+		{"docs/README.md", "docs/design/*.md", "(design/%s)"},
+	}
+	for _, list := range lists {
+		page := read(t, list.page)
+		paths, err := filepath.Glob(filepath.Join(root, list.pattern))
+		assert.NilError(t, err)
+		assert.Assert(t, len(paths) > 0)
+		for _, path := range paths {
+			name := filepath.Base(path)
+			if name == "policy" {
+				continue // its packages are listed
+			}
+			assert.Assert(t, strings.Contains(page, fmt.Sprintf(list.form, name)), "%s does not name %s", list.page, path)
+		}
+	}
+}
