--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -50,7 +50,7 @@
 	peers := peer.New(pool, log.Named("peer"))
 	host, err := replica.NewHost(replica.Options{
 		Dir:        s.DataDir,
-		Address:    s.Listen,
+		Address:    s.Advertise,
 		Transport:  peers,
 		Logger:     log.Named("replica"),
 		Registerer: metrics.Registry,
@@ -78,7 +78,7 @@
 	shards := make([]*shard.State, s.Shards)
 	for i := range shards {
 		group := placement.GroupOf(uint32(i))
-		if !contains(membersOf(group, hosts), s.Listen) {
+		if !contains(membersOf(group, hosts), s.Advertise) {
 			continue
 		}
 		bodies, err := history.Open(filepath.Join(s.DataDir, bodiesFolder, strconv.Itoa(i)))
@@ -91,7 +91,7 @@
 			return fmt.Errorf("daemon: shard %d: %w", i, err)
 		}
 	}
-	configuration := control.NewConfiguration(r.host, configState, pool, s.Listen, addresses(s.ControlPeers))
+	configuration := control.NewConfiguration(r.host, configState, pool, s.Advertise, addresses(s.ControlPeers))
 	r.service = control.New(log, r.host, shards, pool, configuration)
 	return nil
 }
@@ -122,9 +122,9 @@
 }
 
 func repairConfig(s *settings.Settings) control.RepairConfig {
-	cfg := control.RepairConfig{Address: s.Listen, FailureDomain: s.FailureDomain, ReplicaID: s.ReplicaID}
+	cfg := control.RepairConfig{Address: s.Advertise, FailureDomain: s.FailureDomain, ReplicaID: s.ReplicaID}
 	for _, p := range s.ControlPeers {
-		if p.Address != s.Listen {
+		if p.Address != s.Advertise {
 			cfg.Peers = append(cfg.Peers, p.Address)
 		}
 	}
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -9,14 +9,15 @@
 
 	"ibistray.example/ibistray/internal/backendtest"
 	"ibistray.example/ibistray/internal/load"
+	"ibistray.example/ibistray/internal/localcluster"
 )
 
 // check prints program latency and wasted cache, and checks the effects of the
 // services. In order and whole were checked with each answer.
-func check(ctx context.Context, c *cluster, p *probe, book *ledger, results []result) error {
+func check(ctx context.Context, c *localcluster.Cluster, book *ledger, results []result) error {
 	printResults(book, results)
-	printHeld(ctx, c, p, book)
-	effects, err := backendtest.ReadEffects(c.effects)
+	printHeld(ctx, c, book)
+	effects, err := backendtest.ReadEffects(c.EffectsFile())
 	if err != nil {
 		return err
 	}
@@ -42,13 +43,13 @@
 
 // printHeld prints the engine memory that ended programs still hold after the
 // time in which it should be released.
-func printHeld(ctx context.Context, c *cluster, p *probe, book *ledger) {
+func printHeld(ctx context.Context, c *localcluster.Cluster, book *ledger) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	began := time.Now()
-	held := heldTokens(ctx, c, p)
-	err := p.waitFor(ctx, "the release of engine memory", func() bool {
-		held = heldTokens(ctx, c, p)
+	held := heldTokens(ctx, c)
+	err := c.Probe.WaitFor(ctx, "the release of engine memory", func() bool {
+		held = heldTokens(ctx, c)
 		return held == 0
 	})
 	if err != nil {
@@ -59,10 +60,10 @@
 }
 
 // heldTokens returns the cached tokens of all engines.
-func heldTokens(ctx context.Context, c *cluster, p *probe) int {
+func heldTokens(ctx context.Context, c *localcluster.Cluster) int {
 	total := 0
-	for _, s := range c.engines {
-		cached, err := p.cachedPrograms(ctx, s)
+	for _, s := range c.Engines {
+		cached, err := c.Probe.CachedPrograms(ctx, s)
 		if err != nil {
 			continue
 		}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"time"
+
+	"ibistray.example/ibistray/internal/localcluster"
 )
 
 // Config configures a run of the demo.
@@ -25,11 +26,9 @@
 	// timeLimit bounds a run.
 	timeLimit = 45 * time.Second
 	// stopReserve is the part of it that is kept for stopping the processes.
-	stopReserve = 2 * stopTimeout
+	stopReserve = 10 * time.Second
 	// releaseTimeout bounds the wait for the engine memory of ended programs.
 	releaseTimeout = 5 * time.Second
-	// applyInterval is the time between two tries to apply a contract.
-	applyInterval = 200 * time.Millisecond
 	// logLines is the number of lines of each log that a failure prints.
 	logLines = 15
 )
@@ -43,41 +42,36 @@
 	if err != nil {
 		return fmt.Errorf("make the data folder: %w", err)
 	}
-	c, err := newCluster(config.BinDir, dataDir, demoTuning)
+	c, err := newCluster(config.BinDir, dataDir)
 	if err != nil {
 		return err
 	}
-	defer c.killAll()
+	defer c.Close()
 	if err := play(ctx, c, config); err != nil {
 		if ctx.Err() != nil { // interrupted: there is nothing to look into
-			c.killAll()
+			c.Close()
 			return errors.Join(err, os.RemoveAll(dataDir))
 		}
-		c.printProblems(config.Out)
+		c.PrintProblems(config.Out, logLines)
 		fmt.Fprintf(config.Out, "the logs and data are kept in %s\n", dataDir)
 		return err
 	}
-	for _, err := range c.stop() {
+	for _, err := range c.Stop() {
 		fmt.Fprintf(config.Out, "warning: %v\n", err)
 	}
 	return os.RemoveAll(dataDir)
 }
 
 // play starts the processes, runs the programs and checks what they did.
-func play(ctx context.Context, c *cluster, config Config) error {
+func play(ctx context.Context, c *localcluster.Cluster, config Config) error {
 	limited, cancel := context.WithTimeout(ctx, timeLimit-stopReserve)
 	defer cancel()
-	p, err := newProbe()
-	if err != nil {
-		return err
-	}
-	defer p.http.CloseIdleConnections()
 	book := newLedger(config.Out, time.Now(), limited.Done())
-	book.say("starting %d processes in %s", len(c.processes()), c.dataDir)
-	if err := c.start(limited, p); err != nil {
+	book.say("starting %d processes in %s", len(c.Processes()), c.DataDir())
+	if err := c.Start(limited); err != nil {
 		return err
 	}
-	book.say("%d entries are ready", len(c.nodes))
+	book.say("%d entries are ready", len(c.Nodes))
 	if err := applyContracts(limited, c, config.Contracts, book); err != nil {
 		return err
 	}
@@ -85,17 +79,17 @@
 		serve(ctx, c, book)
 		return nil
 	}
-	results, err := runUsers(limited, c, p, book)
+	results, err := runUsers(limited, c, book)
 	if err != nil {
 		return err
 	}
-	return check(limited, c, p, book, results)
+	return check(limited, c, book, results)
 }
 
 // serve prints how to reach the system and waits until the context ends.
-func serve(ctx context.Context, c *cluster, book *ledger) {
-	fmt.Fprintf(book.out, "\nentries        %s\n", strings.Join(c.bases(), " "))
-	fmt.Fprintf(book.out, "operator's key %s\n", c.keyFile())
+func serve(ctx context.Context, c *localcluster.Cluster, book *ledger) {
+	fmt.Fprintf(book.out, "\nentries        %s\n", strings.Join(c.Bases(), " "))
+	fmt.Fprintf(book.out, "operator's key %s\n", c.KeyFile())
 	for _, customer := range []string{customerRepair, customerWharf} {
 		fmt.Fprintf(book.out, "customer key   ik_%s%s\n", customer, keySuffix)
 	}
@@ -105,41 +99,23 @@
 
 // applyContracts applies every contract document with the operators' tool. It
 // tries again while no entry can take a change.
-func applyContracts(ctx context.Context, c *cluster, folder string, book *ledger) error {
+func applyContracts(ctx context.Context, c *localcluster.Cluster, folder string, book *ledger) error {
 	files, err := filepath.Glob(filepath.Join(folder, "*.yaml"))
 	if err != nil || len(files) == 0 {
 		return fmt.Errorf("no contracts in %s", folder)
 	}
 	for _, file := range files {
-		if err := applyContract(ctx, c, file, book); err != nil {
+		text, err := c.ApplyContract(ctx, file)
+		if err != nil {
 			return err
 		}
+		book.say("%s", text)
 	}
 	return nil
 }
 
-func applyContract(ctx context.Context, c *cluster, file string, book *ledger) error {
-	for {
-		cmd := exec.CommandContext(ctx, filepath.Join(c.binDir, "ibistrayctl"),
-			"--server", strings.Join(c.bases(), ","),
-			"--operator-key-file", c.keyFile(),
-			"contract", "apply", "--change-id", filepath.Base(file), file)
-		output, err := cmd.CombinedOutput()
-		text := strings.TrimSpace(string(output))
-		if err == nil {
-			book.say("%s", text)
-			return nil
-		}
-		select {
-		case <-time.After(applyInterval):
-		case <-ctx.Done():
-			return fmt.Errorf("apply %s: %w: %s", file, err, text)
-		}
-	}
-}
-
 // runUsers runs all programs side by side and kills processes meanwhile.
-func runUsers(ctx context.Context, c *cluster, p *probe, book *ledger) ([]result, error) {
+func runUsers(ctx context.Context, c *localcluster.Cluster, book *ledger) ([]result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	all := users()
@@ -147,13 +123,13 @@
 	var wg sync.WaitGroup
 	for i, u := range all {
 		wg.Go(func() {
-			results[i] = u.run(ctx, c.bases(), book)
+			results[i] = u.run(ctx, c.Bases(), book)
 			if err := results[i].outcome.Err; err != nil {
 				cancel(err)
 			}
 		})
 	}
-	err := injectFaults(ctx, c, p, book)
+	err := injectFaults(ctx, c, c.Probe, book)
 	if err != nil {
 		cancel(err)
 	}
@@ -163,17 +139,3 @@
 	}
 	return results, err
 }
-
-// printProblems prints the last warnings and errors of each process.
-func (c *cluster) printProblems(out io.Writer) {
-	for _, p := range c.processes() {
-		lines := p.lastProblems(logLines)
-		if len(lines) == 0 {
-			continue
-		}
-		fmt.Fprintf(out, "--- %s\n", p.log)
-		for _, line := range lines {
-			fmt.Fprintln(out, line)
-		}
-	}
-}
