--- /dev/null
+++ b/internal/docsgen/status_test.go
@@ -0,0 +1,59 @@
+package docsgen
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// numbers returns the values of a file's integer constants by name.
+func numbers(file *ast.File) map[string]string {
+	values := map[string]string{}
+	ast.Inspect(file, func(n ast.Node) bool {
+		if spec, ok := n.(*ast.ValueSpec); ok && len(spec.Names) == 1 && len(spec.Values) == 1 {
+			if lit, ok := spec.Values[0].(*ast.BasicLit); ok && lit.Kind == token.INT {
+				values[spec.Names[0].Name] = lit.Value
+			}
+		}
+		return true
+	})
+	return values
+}
+
+// The HTTP status of each refusal of a shard is the one of the entry's table.
+func TestStatusesOfRefusals(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, "internal/entry/failure.go"), nil, 0)
+	assert.NilError(t, err)
+	statuses := numbers(file)
+	text, err := Section(read(t, operatorsPage), "refusals")
+	assert.NilError(t, err)
+	documented := map[string]string{}
+	for _, row := range Rows(text) {
+		if len(row) == 4 {
+			documented[row[0]] = row[1]
+		}
+	}
+	checked := 0
+	ast.Inspect(file, func(n ast.Node) bool {
+		pair, ok := n.(*ast.KeyValueExpr)
+		if !ok {
+			return true
+		}
+		key, isSelector := pair.Key.(*ast.SelectorExpr)
+		value, isName := pair.Value.(*ast.Ident)
+		if !isSelector || !isName {
+			return true
+		}
+		reason := strings.ToLower(strings.TrimPrefix(key.Sel.Name, "Reason_REASON_"))
+		assert.Assert(t, strings.HasPrefix(documented[reason], statuses[value.Name]),
+			"%s: the page says %q, the entry answers %s", reason, documented[reason], statuses[value.Name])
+		checked++
+		return true
+	})
+	assert.Assert(t, checked > 0)
+}
