--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -22,7 +22,10 @@
 // measureTimeout bounds a whole measurement.
 const measureTimeout = 6 * time.Minute
 
-const flagSlopes = "slopes"
+const (
+	flagSlopes = "slopes"
+	flagOnly   = "only"
+)
 
 func main() {
 	// The kernel ends the measured processes with the thread that started them.
@@ -35,7 +38,10 @@
 		Usage: "measure slopes, and work out the target size from them",
 		Flags: []cli.Flag{slopes},
 		Commands: []*cli.Command{
-			{Name: "measure", Usage: "measure on this machine and write the slopes", Action: measure},
+			{
+				Name: "measure", Usage: "measure on this machine and write the slopes", Action: measure,
+				Flags: []cli.Flag{&cli.StringFlag{Name: flagOnly, Usage: "measure this part only and put it into the file: memory, groups, leaderless, ceiling, calls, announcing, open calls, changes or directory"}},
+			},
 			{Name: "table", Usage: "print the tables of docs/CAPACITY.md", Action: table},
 		},
 	}
@@ -58,8 +64,17 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	document := capacity.Measure(ctx, capacity.Config{BinDir: filepath.Dir(own), Dir: dir, Out: os.Stdout})
-	return document.Save(cmd.String(flagSlopes))
+	only := cmd.String(flagOnly)
+	document := capacity.Measure(ctx, capacity.Config{BinDir: filepath.Dir(own), Dir: dir, Out: os.Stdout, Only: only})
+	if only == "" {
+		return document.Save(cmd.String(flagSlopes))
+	}
+	earlier, err := capacity.Load(cmd.String(flagSlopes))
+	if err != nil {
+		return err
+	}
+	earlier.Merge(document)
+	return earlier.Save(cmd.String(flagSlopes))
 }
 
 func table(_ context.Context, cmd *cli.Command) error {
--- a/internal/capacity/announcing.go
+++ b/internal/capacity/announcing.go
@@ -13,12 +13,12 @@
 
 // measureAnnouncing measures idle sidecars by the control processes they tell.
 func measureAnnouncing(ctx context.Context, binDir, dir string) ([]Slope, error) {
-	sizes := []float64{3, 5, 9}
+	sizes := []float64{1, 2, 3}
 	var cpu, bytes []float64
 	for _, size := range sizes {
 		s, err := startSystem(ctx, pathbench.Layout{
 			BinDir: binDir, Dir: filepath.Join(dir, fmt.Sprintf("announcing-%.0f", size)),
-			Control: int(size), Entries: 1, Engines: announcingSidecars, Shards: 16,
+			Control: 3, Told: int(size), Entries: 1, Engines: announcingSidecars, Shards: 16,
 		}, 0)
 		if err != nil {
 			return nil, err
@@ -27,7 +27,7 @@
 		cpu = append(cpu, s.idle.sidecarCPU)
 		bytes = append(bytes, s.idle.sidecarBytes)
 	}
-	const method = "3 idle sidecars that tell 3, 5 and 9 control processes; mean of the sidecars; "
+	const method = "3 idle sidecars that tell 1, 2 and 3 control processes; mean of the sidecars; "
 	cpuLine := Fit(sizes, cpu)
 	return []Slope{
 		{Name: SidecarProbeCPU, Unit: unitMicrosPerSecond, Value: cpuLine.Intercept, Sizes: sizes, Readings: cpu, Method: method + "intercept"},
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
 	"strings"
 )
 
@@ -46,9 +48,12 @@
 func formatCores(v float64) string   { return formatNumber(v) + " cores" }
 func formatPercent(v float64) string { return formatNumber(v) + " % of a core" }
 
-// formatNumber writes three significant digits.
+// formatNumber writes whole numbers as they are, others with three significant
+// digits.
 func formatNumber(v float64) string {
 	switch {
+	case v == math.Trunc(v):
+		return strconv.FormatInt(int64(v), 10)
 	case v >= 100 || v <= -100:
 		return fmt.Sprintf("%.0f", v)
 	case v >= 10:
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -59,6 +59,17 @@
 	return os.WriteFile(path, append(data, '\n'), 0o600)
 }
 
+// Merge takes the slopes of a later measurement of some parts.
+func (d *Document) Merge(later *Document) {
+	kept := slices.DeleteFunc(d.Slopes, func(s Slope) bool {
+		_, err := later.Get(s.Name)
+		return err == nil
+	})
+	d.Slopes = append(kept, later.Slopes...)
+	d.NotMeasured = append(d.NotMeasured, later.NotMeasured...)
+	d.LoadAfter = later.LoadAfter
+}
+
 // Get returns the value of a slope, or ErrNoSlope.
 func (d *Document) Get(name Name) (float64, error) {
 	for _, s := range d.Slopes {
--- a/internal/pathbench/cluster.go
+++ b/internal/pathbench/cluster.go
@@ -32,6 +32,7 @@
 	Control    int     // control processes
 	Entries    int     // entry processes; 0: the control processes are entries too
 	Engines    int     // fake engines, each with a sidecar
+	Told       int     // control processes that a sidecar knows; 0: all
 	Shards     int     // customer shards
 	DecodeRate float64 // tokens a second of one stream; 0: an answer in one step
 }
@@ -110,7 +111,8 @@
 		args := append(c.common(name, roles, listen[i], http[i], i),
 			"--data-dir", filepath.Join(c.Layout.Dir, name),
 			"--replica-id", strconv.Itoa(i+1),
-			"--control-peers", strings.Join(peers, ","))
+			"--control-peers", strings.Join(peers, ","),
+			"--control", strings.Join(c.ControlAddresses, ","))
 		if c.Layout.Entries == 0 {
 			args = append(args, "--operator-key-file", c.keyFile())
 		}
@@ -133,7 +135,9 @@
 			return err
 		}
 		name := "entry-" + strconv.Itoa(i+1)
-		args := append(c.common(name, "entry", addresses[0], addresses[1], i), "--operator-key-file", c.keyFile())
+		args := append(c.common(name, "entry", addresses[0], addresses[1], i),
+			"--operator-key-file", c.keyFile(),
+			"--control", strings.Join(c.ControlAddresses, ","))
 		p, err := c.daemon(name, args)
 		if err != nil {
 			return err
@@ -184,6 +188,7 @@
 		"--backend-kind", "engine",
 		"--models", Model,
 		"--max-running", strconv.Itoa(batchLimit))
+	args = append(args, "--control", strings.Join(c.told(), ","))
 	p, err := c.daemon(sidecar, args)
 	if err != nil {
 		return err
@@ -201,10 +206,17 @@
 		"--failure-domain", failureDomain(i),
 		"--log-level", "warn",
 		"--shards", strconv.Itoa(c.Layout.Shards),
-		"--control", strings.Join(c.ControlAddresses, ","),
 	}
 }
 
+// told returns the control processes that a sidecar knows.
+func (c *Cluster) told() []string {
+	if c.Layout.Told == 0 {
+		return c.ControlAddresses
+	}
+	return c.ControlAddresses[:c.Layout.Told]
+}
+
 func (c *Cluster) daemon(name string, args []string) (*Process, error) {
 	return startProcess(c.Layout.Dir, name, filepath.Join(c.Layout.BinDir, "ibistrayd"), args)
 }
