--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -1,6 +1,10 @@
 package demo
 
-import "ibistray.example/ibistray/internal/localcluster"
+import (
+	"strconv"
+
+	"ibistray.example/ibistray/internal/localcluster"
+)
 
 const (
 	engineCount = 2
@@ -12,8 +16,17 @@
 	retainIdleLimit = "4s"
 )
 
+// tuning changes the engines of a cluster.
+type tuning struct {
+	speed      float64 // factor on the engines' rates
+	batchLimit int     // requests that decode together
+}
+
+// demoTuning is the tuning of the demo.
+var demoTuning = tuning{speed: 1, batchLimit: 8}
+
 // newCluster lays out the processes of the demo without starting them.
-func newCluster(binDir, dataDir string) (*localcluster.Cluster, error) {
+func newCluster(binDir, dataDir string, t tuning) (*localcluster.Cluster, error) {
 	return localcluster.New(localcluster.Options{
 		BinDir:        binDir,
 		DataDir:       dataDir,
@@ -27,6 +40,8 @@
 			"--cache-event-delay", "200ms",
 			"--cache-event-gap-every", "7",
 			"--load-lag", "200ms",
+			"--speed", strconv.FormatFloat(t.speed, 'g', -1, 64),
+			"--batch-limit", strconv.Itoa(t.batchLimit),
 		},
 		ServiceArgs: []string{"--delay", serviceDelay},
 		SidecarArgs: []string{"--retain-idle-limit", retainIdleLimit},
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -340,7 +340,7 @@
 		for _, p := range group {
 			p.Terminate()
 		}
-		timeout := time.After(stopTimeout)
+		timeout := time.After(StopTimeout)
 		for _, p := range group {
 			wasRunning := p.Running()
 			if err := p.WaitEnd(timeout); err != nil && wasRunning {
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -17,18 +17,33 @@
 	limit := time.Duration(handOverElections*h.opts.Raft.ElectionTicks) * h.opts.TickInterval
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for ctx.Err() == nil && h.Err() == nil {
-		if h.requestTransfers() == 0 {
-			return
+	h.poll(ctx, func() bool { return h.requestTransfers() == 0 })
+}
+
+// awaitAnswers waits until all proposals are answered or ctx ends. Proposals
+// whose leadership is gone are given up by themselves.
+func (h *Host) awaitAnswers(ctx context.Context) {
+	h.poll(ctx, func() bool {
+		for _, g := range *h.groups.Load() {
+			if g.view.Load().waiting {
+				return false
+			}
 		}
-		if sleep(ctx, h.opts.TickInterval) != nil {
+		return true
+	})
+}
+
+// poll waits until done returns true, ctx ends or the storage fails.
+func (h *Host) poll(ctx context.Context, done func() bool) {
+	for ctx.Err() == nil && h.Err() == nil {
+		if done() || sleep(ctx, h.opts.TickInterval) != nil {
 			return
 		}
 	}
 }
 
 // requestTransfers starts transfers and returns how many groups with another
-// voter are still led here.
+// member are still led here.
 func (h *Host) requestTransfers() int {
 	led := 0
 	for _, g := range *h.groups.Load() {
--- a/internal/shard/begin_test.go
+++ b/internal/shard/begin_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -33,6 +34,14 @@
 	assert.Equal(t, again.GetTurn(), uint64(1))
 }
 
+func TestRecordedCalls(t *testing.T) {
+	f := newFixture(t)
+	f.exchange("p", "c1")
+	assert.Assert(t, f.state.Recorded(testCall("p", "c1")))
+	assert.Assert(t, !f.state.Recorded(testCall("p", "c2")))
+	assert.Assert(t, !f.state.Recorded(testCall("q", "c1")))
+}
+
 func TestBeginRefusesReusedCallID(t *testing.T) {
 	f := newFixture(t)
 	f.exchange("p", "c1")
@@ -129,6 +138,48 @@
 	assertRefused(t, f.begin(again), shardpb.Reason_REASON_PROGRAM_ENDED)
 }
 
+func TestParentOfAProgramIsFixed(t *testing.T) {
+	f := newFixture(t)
+	f.exchange("p", "c1")
+	f.exchange("q", "c1")
+	other := modelCall("q", "c2")
+	other.ParentProgram = "p"
+	assertRefused(t, f.begin(other), shardpb.Reason_REASON_UNKNOWN_PROGRAM)
+}
+
+func TestSubAgentDoesNotJoinALaterParentOfTheSameName(t *testing.T) {
+	f := newFixture(t)
+	f.change("idle", func(c *shardpb.Contract) { c.ProgramIdleMs = 2 * EndedRetentionMs })
+	f.exchange("p", "c1")
+	child := modelCall("sub", "s1")
+	child.ParentProgram = "p"
+	f.finish(f.mustBegin(child), child.GetKey(), testAnswer("a", 1, 1))
+	f.end("p")
+	f.nowMs += EndedRetentionMs
+	f.expire(0)
+	f.exchange("p", "c1")
+	again := modelCall("sub", "s2")
+	again.ParentProgram = "p"
+	assertRefused(t, f.begin(again), shardpb.Reason_REASON_PROGRAM_ENDED)
+}
+
+func TestSubAgentsAreNestedToALimit(t *testing.T) {
+	f := newFixture(t)
+	f.change("more turns", func(c *shardpb.Contract) { c.MaxTurns = 100 })
+	parent := ""
+	for depth := range maxProgramDepth + 1 {
+		op := modelCall(fmt.Sprintf("p%d", depth), "c1")
+		op.ParentProgram = parent
+		result := f.begin(op)
+		if depth == maxProgramDepth {
+			assertRefused(t, result, shardpb.Reason_REASON_TURN_LIMIT)
+			return
+		}
+		f.finish(result, op.GetKey(), testAnswer("a", 1, 1))
+		parent = op.GetKey().GetProgram()
+	}
+}
+
 func TestEndedProgramTakesNoCall(t *testing.T) {
 	f := newFixture(t)
 	f.exchange("p", "c1")
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -8,6 +8,7 @@
 
 	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/order"
+	"ibistray.example/ibistray/internal/policy/quarantine"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -19,7 +20,7 @@
 
 	mu      sync.Mutex
 	limit   int
-	memory  float64       // share of the engine's cache that is used
+	memory  float64       // share of the engine's cache that programs hold
 	meanRun time.Duration // of an attempt, from start to end
 	running int
 	alone   int // waiting attempts that must run alone
@@ -49,8 +50,8 @@
 	}
 }
 
-// observe takes the engine's report: how many calls it runs together, and the
-// share of its cache that is used.
+// observe takes how many calls the engine runs together, and the share of its
+// cache that programs hold.
 func (s *slots) observe(limit int, memory float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,7 +76,7 @@
 
 // waitOf estimates the wait of a new attempt. The caller holds mu.
 func (s *slots) waitOf(priority int32) admit.Load {
-	load := admit.Load{Waiting: s.queue.Len(), Memory: s.memory}
+	load := admit.Load{Running: s.running, Waiting: s.queue.Len(), Memory: s.memory}
 	if s.running >= s.limit {
 		ahead := s.queue.Ahead(priority) + 1
 		load.Wait = s.meanRun * time.Duration(ahead) / time.Duration(s.limit)
@@ -188,10 +189,7 @@
 // alone waits, nothing else is started, so that the server becomes free for it.
 // The caller holds mu.
 func (s *slots) grant() {
-	for s.running < s.limit && s.holder == nil {
-		if s.alone > 0 && s.running > 0 {
-			return
-		}
+	for s.running < s.limit {
 		item, ok := s.next()
 		if !ok {
 			return
@@ -206,9 +204,13 @@
 }
 
 func (s *slots) next() (order.Item[*waiter], bool) {
-	mustBeAlone := s.alone > 0
+	aloneFirst := s.alone > 0
 	return s.queue.PopIf(time.Since(s.start), func(c *order.Call) bool {
-		return !mustBeAlone || c.Alone
+		status := quarantine.StatusClear
+		if c.Alone {
+			status = quarantine.StatusSuspect
+		}
+		return c.Alone == aloneFirst && quarantine.MayStart(status, s.running, s.holder != nil)
 	})
 }
 
