entry: a call may end at its deadline while it runs or attaches

Cause: a refusal as fenced makes the entry read the record again after a pause. When the deadline passes in the pause the final error is delivered in the states run and attach, in which the lifecycle did not permit 'delivered': the caller's output got a second ending (internal, status 500). Change: both states permit it. A test fires every trigger that a step may return. Seen to fail: TestLifecycleTakesEveryTriggerOfItsSteps before the change, 'delivered in state run'.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -51,6 +51,7 @@
 		Permit(triggerReload, stateBegin).
 		Permit(triggerGiveUp, stateFail).
 		Permit(triggerAbandon, stateAbandon).
+		Permit(triggerDelivered, stateDone).
 		PermitReentry(triggerSend)
 	m.Configure(stateAttach).
 		Permit(triggerAnswered, stateCommit).
@@ -58,6 +59,7 @@
 		Permit(triggerReload, stateBegin).
 		Permit(triggerGiveUp, stateFail).
 		Permit(triggerAbandon, stateAbandon).
+		Permit(triggerDelivered, stateDone).
 		PermitReentry(triggerFollow)
 	m.Configure(stateCommit).
 		Permit(triggerDelivered, stateDone).
