entry: refusals of a server that is down, leaving or without a lease say when to come back

Seen: TestOverload failed in 1 of 6 runs of the package: 'stale_configuration, not run' had no hint. Cause: the sidecar gives a hint for overload only, and the entry had no default. Change: one second, unless the sidecar names a time. internal/entry, 6 lines. Seen to fail: TestRefusalsSayWhenToComeBack before the change. Also seen to fail, in scratch copies: TestPartitionOfASidecar when a lost connection counts as not run (2 effects); TestOneWayPartitionOfAControlProcess without check-quorum. Without the time limit of one exchange with a control process and without heartbeats of sessions the latter still passed: other limits cover that.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -268,9 +268,9 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
-	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer},
-	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer},
-	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration},
+	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration, RetryAfter: time.Second},
 	rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT:             {Status: statusTimeout, Reason: reasonDeadlineExceeded},
 }
 
@@ -287,7 +287,9 @@
 		f.Status = int(r.Status)
 	}
 	f.Message = r.Detail
-	f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	if r.RetryAfterMs > 0 {
+		f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	}
 	return &f
 }
 
