--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint bench bench-policy fuzz demo docs generate clean
+.PHONY: build test lint bench bench-policy bench-path capacity capacity-measure fuzz demo docs generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,5 +35,31 @@
 bench-policy:
 	go run ./internal/policybench
 
+# Latency of the path beside the direct one; bounded to 90 s.
+bench-path: build
+	./bin/pathbench
+
+# Prints the tables of docs/CAPACITY.md from the committed slopes.
+capacity:
+	go run ./cmd/capacity table
+
+# Measures the slopes anew; takes some minutes.
+capacity-measure: build
+	./bin/capacity measure
+
+# Runs each fuzz target for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	@for package in $$(go list ./internal/...); do \
+		for target in $$(go test -list '^Fuzz' $$package | grep '^Fuzz'); do \
+			echo "$$package $$target"; \
+			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$package || exit 1; \
+		done; \
+	done
+
+# Generates the protocol's Go code; needs protoc and protoc-gen-go.
+generate:
+	go generate ./proto
+
 clean:
 	rm -rf bin .tools demo-data
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -26,7 +26,7 @@
 	// timeLimit bounds a run.
 	timeLimit = 45 * time.Second
 	// stopReserve is the part of it that is kept for stopping the processes.
-	stopReserve = 2 * localcluster.StopTimeout
+	stopReserve = 10 * time.Second
 	// releaseTimeout bounds the wait for the engine memory of ended programs.
 	releaseTimeout = 5 * time.Second
 	// logLines is the number of lines of each log that a failure prints.
@@ -42,7 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("make the data folder: %w", err)
 	}
-	c, err := newCluster(config.BinDir, dataDir, demoTuning)
+	c, err := newCluster(config.BinDir, dataDir)
 	if err != nil {
 		return err
 	}
