--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -43,6 +43,7 @@
 		return c.unreachable(ctx, attachOnly, err)
 	}
 	c.stream = stream
+	c.sender = !attachOnly
 	member := c.entry.members.cell.Load().members[c.target.Server]
 	if member != nil {
 		member.inFlight.Begin()
@@ -207,6 +208,9 @@
 func (c *call) refused(ctx context.Context, r *rpcpb.RunRefused) callTrigger {
 	c.closeStream()
 	c.log.Debug("attempt refused", telemetry.KeyAttempt, c.attempt, telemetry.KeyServer, c.target.Server, "reason", r.Reason.String(), "detail", r.Detail)
+	if c.missedIncarnation(r) {
+		r.NotRun = true
+	}
 	if r.NotRun {
 		c.fenced = c.attempt
 	}
@@ -233,6 +237,12 @@
 	return c.retryOrGiveUp(ctx, failure, c.target.Server)
 }
 
+// missedIncarnation reports whether the attempt itself reached a sidecar that was
+// started again. Attempts are sent once, so the former process never got it.
+func (c *call) missedIncarnation(r *rpcpb.RunRefused) bool {
+	return c.sender && r.Reason == rpcpb.RunRefusal_RUN_REFUSAL_OTHER_INCARNATION
+}
+
 var refusalKinds = map[rpcpb.RunRefusal]retry.Kind{
 	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             retry.KindLeaving,
 	rpcpb.RunRefusal_RUN_REFUSAL_FENCED:              retry.KindConnect, // nobody else took the call over
@@ -263,9 +273,9 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
-	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer},
-	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer},
-	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration},
+	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration, RetryAfter: time.Second},
 	rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT:             {Status: statusTimeout, Reason: reasonDeadlineExceeded},
 }
 
@@ -282,7 +292,9 @@
 		f.Status = int(r.Status)
 	}
 	f.Message = r.Detail
-	f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	if r.RetryAfterMs > 0 {
+		f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	}
 	return &f
 }
 
