--- a/internal/config/crash.go
+++ b/internal/config/crash.go
@@ -135,6 +135,9 @@
 
 // addServer returns a new list with the newest maxServers servers.
 func addServer(servers []string, server string) []string {
+	if slices.Contains(servers, server) {
+		return servers
+	}
 	list := append(slices.Clone(servers), server)
 	return list[max(len(list)-maxServers, 0):]
 }
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -39,6 +39,7 @@
 	Address       string
 	FailureDomain string
 	ReplicaID     uint64   // by the settings
+	Replaces      string   // address of a lost process whose place this one takes, or ""
 	Peers         []string // addresses of the other control processes
 }
 
@@ -97,6 +98,7 @@
 		Address:       r.cfg.Address,
 		FailureDomain: r.cfg.FailureDomain,
 		Replaces:      r.cfg.ReplicaID,
+		OldAddress:    r.cfg.Replaces,
 		Replicas:      waiting,
 	}
 	for _, peer := range r.cfg.Peers {
@@ -135,14 +137,22 @@
 
 // predecessor returns the member whose place this process's replica takes.
 func (r *Repair) predecessor(status replica.GroupStatus) *raftpb.Member {
-	return replaced(status, status.ID, r.cfg.Address, r.cfg.ReplicaID)
+	return replaced(status, status.ID, place{address: r.cfg.Address, oldAddress: r.cfg.Replaces, replica: r.cfg.ReplicaID})
+}
+
+// place is the place that a process takes in its groups.
+type place struct {
+	address    string // of the process
+	oldAddress string // of the process that it replaces, or ""
+	replica    uint64 // replica ID of the settings
 }
 
 // replaced returns the member that a new replica takes the place of: the other
-// one at its address, or the one with the ID that it names; nil if there is none.
-func replaced(status replica.GroupStatus, newID uint64, address string, replaces uint64) *raftpb.Member {
+// one at its address or at the address that it replaces, or the one with the ID
+// of its settings; nil if there is none.
+func replaced(status replica.GroupStatus, newID uint64, p place) *raftpb.Member {
 	for _, m := range status.Membership.GetMembers() {
-		if m.Id != newID && (m.Address == address || m.Id == replaces) {
+		if m.Id != newID && (m.Address == p.address || m.Address == p.oldAddress || m.Id == p.replica) {
 			return m
 		}
 	}
@@ -166,7 +176,7 @@
 		if err != nil || status.Role != raft.RoleLeader {
 			continue
 		}
-		old := replaced(status, waiting.ReplicaId, req.Address, req.Replaces)
+		old := replaced(status, waiting.ReplicaId, place{address: req.Address, oldAddress: req.OldAddress, replica: req.Replaces})
 		if old == nil || old.Id == status.ID || !r.begin(waiting.Group) {
 			continue
 		}
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -47,7 +47,9 @@
 func TestReplacedNamesTheOldMemberOnly(t *testing.T) {
 	lost := &raftpb.Member{Id: 3, Address: "c:1"}
 	status := statusOf(1, &raftpb.Member{Id: 1, Address: "a:1"}, lost, &raftpb.Member{Id: 77, Address: "c:1", Learner: true})
-	assert.Equal(t, replaced(status, 77, "c:1", 3), lost)
-	assert.Equal(t, replaced(status, 78, "d:1", 3), lost)
-	assert.Assert(t, replaced(status, 78, "d:1", 9) == nil)
+	assert.Equal(t, replaced(status, 77, place{address: "c:1", replica: 3}), lost)
+	assert.Equal(t, replaced(status, 78, place{address: "d:1", replica: 3}), lost)
+	// The old one had lost its disk before, so its ID is not that of the settings.
+	assert.Equal(t, replaced(status, 78, place{address: "d:1", oldAddress: "c:1", replica: 9}), lost)
+	assert.Assert(t, replaced(status, 78, place{address: "d:1", replica: 9}) == nil)
 }
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -132,13 +132,13 @@
 func NextStep(err error) string {
 	switch ExitCode(err) {
 	case ExitConflict:
-		return "read the contract again (ibistrayctl contract show) and apply the change to the version in force"
+		return "read what is in force (ibistrayctl contract show, stop list) and base the change on it; a resend keeps its --change-id"
 	case ExitUnavailable:
 		return "check the address (--server) and whether a majority of the control processes runs (ibistrayctl status); a change may be sent again with the same --change-id"
 	case ExitUnauthenticated:
 		return "check --operator-key-file; the entry reads its keys from its own --operator-key-file at start"
 	case ExitNotFound:
-		return "list what exists: ibistrayctl contract list"
+		return "list what exists: ibistrayctl contract list, server list, stop list, quarantine list"
 	default:
 		return ""
 	}
--- a/internal/ctl/contracts.go
+++ b/internal/ctl/contracts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -31,7 +30,7 @@
 				ArgsUsage: "<file>",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: flagChangeID, Usage: "ID of the change; a resend with the same ID returns the first result (default: random)"},
-					&cli.Int64Flag{Name: flagExpectedVersion, Value: -1, Usage: "version that the change is based on, 0 for a new contract (default: the one in force)"},
+					&cli.Int64Flag{Name: flagExpectedVersion, Value: -1, Usage: "version that the change is based on, 0 for a new contract (default: the version line of the file)"},
 				},
 				Action: withSession(applyContract),
 			},
@@ -91,9 +90,9 @@
 	if err != nil {
 		return &UsageError{Problem: fmt.Sprintf("%s: %s", path, err), Fix: "correct the file; nothing was changed"}
 	}
-	expected, err := expectedVersion(ctx, s, cmd, document.Customer)
-	if err != nil {
-		return err
+	expected := document.Version
+	if given := cmd.Int64(flagExpectedVersion); given >= 0 {
+		expected = uint64(given)
 	}
 	changeID := cmd.String(flagChangeID)
 	if changeID == "" {
@@ -110,22 +109,6 @@
 	return nil
 }
 
-// expectedVersion returns the version that a change is based on.
-func expectedVersion(ctx context.Context, s *session, cmd *cli.Command, customer string) (uint64, error) {
-	if given := cmd.Int64(flagExpectedVersion); given >= 0 {
-		return uint64(given), nil
-	}
-	view, err := s.client.Customer(ctx, customer)
-	var server *ServerError
-	if errors.As(err, &server) && server.Status == 404 {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	return view.Contracts[0].Version, nil
-}
-
 func showContract(ctx context.Context, s *session, cmd *cli.Command) error {
 	customer, err := oneArgument(cmd, "customer")
 	if err != nil {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
@@ -114,6 +115,7 @@
 }
 
 func (r *statusReport) print(out io.Writer) error {
+	slices.Sort(r.Problems)
 	fmt.Fprintf(out, "servers    %d ready of %d\n", r.Ready, r.Servers)
 	fmt.Fprintf(out, "control    %d processes answer\n", r.Processes)
 	fmt.Fprintf(out, "customers  %d\n", r.Customers)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -115,14 +115,14 @@
 // firstMembers returns the members with which a group begins; none for a process
 // that joins a group that exists.
 func firstMembers(s *settings.Settings, group uint64, hosts []placement.Host) []*raftpb.Member {
-	if s.Join {
+	if s.Replaces != "" {
 		return nil
 	}
 	return membersOf(group, hosts)
 }
 
 func repairConfig(s *settings.Settings) control.RepairConfig {
-	cfg := control.RepairConfig{Address: s.Advertise, FailureDomain: s.FailureDomain, ReplicaID: s.ReplicaID}
+	cfg := control.RepairConfig{Address: s.Advertise, FailureDomain: s.FailureDomain, ReplicaID: s.ReplicaID, Replaces: s.Replaces}
 	for _, p := range s.ControlPeers {
 		if p.Address != s.Advertise {
 			cfg.Peers = append(cfg.Peers, p.Address)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,7 +67,7 @@
 		keys:       keys,
 		pool:       transport.NewPool(dialFunc(keys)),
 		server:     transport.NewServer(log.Named("transport")),
-		serveError: make(chan error, 1),
+		serveError: make(chan error, 2),
 	}
 	if err := d.start(); err != nil {
 		d.close()
@@ -99,6 +99,7 @@
 	d.startLoops()
 	go func() { d.serveError <- d.server.Serve(listener) }()
 	d.http.Start()
+	go d.watchHTTP()
 	d.log.Info("started", "roles", d.settings.Roles, "listen", d.settings.Listen, "http", d.settings.HTTP)
 	return nil
 }
@@ -209,6 +210,11 @@
 	}
 }
 
+// watchHTTP ends the process when its HTTP listener ends by itself.
+func (d *Daemon) watchHTTP() {
+	d.fail(<-d.http.Failed())
+}
+
 // fail ends the process after its storage failed: what was acknowledged is on
 // other replicas, and this one must not go on.
 func (d *Daemon) fail(err error) {
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -95,7 +95,7 @@
 	key, ok := strings.CutPrefix(string(rc.GetHeader(headerAuthorization)), bearerPrefix)
 	if !ok || !e.cfg.OperatorKeys.valid(key) {
 		rc.Abort()
-		e.refuse(rc, &Failure{Status: statusUnauthorized, Reason: reasonUnauthenticated, Message: "an operator's key is needed"})
+		e.refuse(rc, &Failure{Status: statusUnauthorized, Reason: reasonUnauthenticated, Message: "an operator's key is needed", NotRun: true})
 		return
 	}
 	rc.Next(ctx)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -290,6 +290,7 @@
 	}
 	if r.Status >= statusBadRequest {
 		f.Status = int(r.Status)
+		f.serverStatus = int(r.Status)
 	}
 	f.Message = r.Detail
 	if r.RetryAfterMs > 0 {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -12,7 +12,6 @@
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/place"
 	"ibistray.example/ibistray/internal/policy/quarantine"
-	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -48,6 +47,7 @@
 
 	content        quarantine.Fingerprint // of the whole prompt
 	suspect        bool                   // a backend server died while the call ran
+	noServerSince  time.Duration          // since when no server is available, 0: one is
 	retries        int
 	unknownRetries int
 	attachTries    int
@@ -209,7 +209,7 @@
 	}
 	target, err := c.choose(c.placeRequest())
 	if err != nil {
-		return c.retryOrGiveUp(ctx, retry.Failure{Kind: retry.KindConnect, NotRun: true, Err: c.noServer(err)}, "")
+		return c.awaitServer(ctx, err)
 	}
 	cmd := &shardpb.Command{Op: &shardpb.Command_Dispatch{Dispatch: &shardpb.Dispatch{
 		Key:           c.req.Key,
@@ -226,12 +226,35 @@
 		c.log.Debug("dispatch refused", "reason", result.Refusal.Reason.String())
 		return c.reload(ctx)
 	}
+	c.noServerSince = 0
 	c.attempt++
 	c.target = target
 	c.fence = result.GetDispatch().Fence
 	return triggerSend
 }
 
+const (
+	// noServerPatience is how long a call waits for a server to announce itself
+	// before its caller is told to come back.
+	noServerPatience = 5 * time.Second
+	noServerPause    = 250 * time.Millisecond
+)
+
+// awaitServer handles a call for which no server is available.
+func (c *call) awaitServer(ctx context.Context, err error) callTrigger {
+	if c.noServerSince == 0 {
+		c.noServerSince = c.entry.members.now()
+	}
+	if c.entry.members.now()-c.noServerSince >= noServerPatience {
+		return c.giveUp(c.noServer(err))
+	}
+	c.entry.metrics.Retries.WithLabelValues("no_server").Inc()
+	if !loop.Sleep(ctx, noServerPause) {
+		return c.giveUp(c.deadlineFailure())
+	}
+	return triggerRetry
+}
+
 func (c *call) placeRequest() place.Request {
 	req := place.Request{
 		Program:      c.programName(),
@@ -311,7 +334,7 @@
 			Reason: c.failure.Reason,
 			Detail: c.failure.Message,
 			NotRun: c.failure.NotRun,
-			Status: int32(c.failure.Status),
+			Status: int32(c.failure.serverStatus),
 		},
 	}}}
 	result, err := c.entry.shards.Propose(ctx, c.req.Key.Customer, cmd, 0)
@@ -367,11 +390,15 @@
 	return triggerDelivered
 }
 
-// remember keeps where the program's prefix is.
+// remember keeps where the program's prefix is, and counts what of it had to be
+// computed again.
 func (c *call) remember(usage *shardpb.Usage) {
 	if c.req.Kind != shardpb.CallKind_CALL_KIND_MODEL || c.target == nil {
 		return
 	}
+	if history := c.record.GetHistoryTokens(); history > usage.GetCachedTokens() {
+		c.entry.metrics.WastedTokens.Add(float64(history - usage.GetCachedTokens()))
+	}
 	tokens := int64(usage.GetPromptTokens() + usage.GetCompletionTokens())
 	c.entry.places.set(c.programName(), programPlace{server: c.target.Server, tokens: tokens})
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -13,19 +13,16 @@
 const (
 	reasonInvalidRequest     = "invalid_request"
 	reasonInvalidUTF8        = "invalid_utf8"
-	reasonBodyTooLarge       = "body_too_large"
 	reasonUnauthenticated    = "unauthenticated"
 	reasonNoServer           = "no_backend_server"
 	reasonControlUnavailable = "control_unavailable"
 	reasonOutcomeUnknown     = "outcome_unknown"
-	reasonRetriesExhausted   = "retries_exhausted"
 	reasonDeadlineExceeded   = "deadline_exceeded"
 	reasonAnswerReplaced     = "answer_replaced"
 	reasonStopping           = "stopping"
 	reasonServerError        = "backend_error"
 	reasonNotFound           = "not_found"
 	reasonInternal           = "internal"
-	reasonProgramBusy        = "program_busy"
 	reasonQuarantined        = "quarantined"
 	reasonOverloaded         = "overloaded"
 	reasonStaleConfiguration = "stale_configuration"
@@ -54,6 +51,8 @@
 	Message    string
 	NotRun     bool          // proven: the call was not run and will not be
 	RetryAfter time.Duration // 0: no hint
+
+	serverStatus int // HTTP status of the backend server, 0: none
 }
 
 func (f *Failure) Error() string {
@@ -92,6 +91,11 @@
 	shardpb.Reason_REASON_DEADLINE_EXCEEDED:         statusTimeout,
 	shardpb.Reason_REASON_QUARANTINED:               statusUnprocessable,
 	shardpb.Reason_REASON_INVALID_COMMAND:           statusBadRequest,
+	shardpb.Reason_REASON_SUSPENDED:                 statusForbidden,
+	shardpb.Reason_REASON_HOLD_LIMIT:                statusTooManyRequests,
+	shardpb.Reason_REASON_STALE_ATTEMPT:             statusConflict,
+	shardpb.Reason_REASON_CALL_FINAL:                statusConflict,
+	shardpb.Reason_REASON_NOT_FENCED:                statusConflict,
 }
 
 // refusalFailure turns a refusal of the shard: a refused command changed
@@ -117,7 +121,7 @@
 // recordedFailure turns the failure that the shard recorded for a call.
 func recordedFailure(state shardpb.CallState, f *shardpb.Failure) *Failure {
 	failure := &Failure{
-		Status:  statusBadGateway,
+		Status:  statusOfFailure(f),
 		Reason:  f.GetReason(),
 		Message: f.GetDetail(),
 		NotRun:  f.GetNotRun(),
@@ -126,8 +130,25 @@
 		failure.Reason = reasonOutcomeUnknown
 		failure.NotRun = false
 	}
-	if failure.Reason == reasonDeadlineExceeded {
-		failure.Status = statusTimeout
-	}
 	return failure
 }
+
+var statusByOwnReason = map[string]int{
+	reasonDeadlineExceeded:   statusTimeout,
+	reasonQuarantined:        statusUnprocessable,
+	reasonOverloaded:         statusTooManyRequests,
+	reasonNoServer:           statusUnavailable,
+	reasonStaleConfiguration: statusUnavailable,
+}
+
+// statusOfFailure returns the status of a recorded failure: that of its reason,
+// or what the backend server answered.
+func statusOfFailure(f *shardpb.Failure) int {
+	if status, ok := statusByOwnReason[f.GetReason()]; ok {
+		return status
+	}
+	if f.GetStatus() >= statusBadRequest {
+		return int(f.GetStatus())
+	}
+	return statusBadGateway
+}
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -22,7 +22,7 @@
 	flagDataDir         = "data-dir"
 	flagReplicaID       = "replica-id"
 	flagControlPeers    = "control-peers"
-	flagJoin            = "join"
+	flagReplaces        = "replaces"
 	flagShards          = "shards"
 	flagOperatorKeyFile = "operator-key-file"
 	flagControl         = "control"
@@ -95,7 +95,7 @@
 		str(flagDataDir, "", "control: folder of the durable state"),
 		number(flagReplicaID, 0, "control: replica ID of this process, one of --control-peers"),
 		str(flagControlPeers, "", "control: first members, comma-separated ID=address@failure-domain"),
-		boolean(flagJoin, "control: take the place of a lost process with this replica ID, on an empty data folder"),
+		str(flagReplaces, "", "control: address of a lost process whose place this one takes, on an empty data folder"),
 		number(flagShards, defaultShards, "control, entry, sidecar: number of customer shards; the same everywhere, fixed for good"),
 		str(flagOperatorKeyFile, "", "entry: file with the operators' keys, one a line"),
 		str(flagControl, "", "entry, sidecar: addresses of control processes, comma-separated"),
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -30,7 +30,7 @@
 		LogLevel:        cmd.String(flagLogLevel),
 		DrainTimeout:    cmd.Duration(flagDrainTimeout),
 		DataDir:         cmd.String(flagDataDir),
-		Join:            cmd.Bool(flagJoin),
+		Replaces:        cmd.String(flagReplaces),
 		OperatorKeyFile: cmd.String(flagOperatorKeyFile),
 		Control:         splitList(cmd.String(flagControl)),
 		ServerID:        cmd.String(flagServerID),
@@ -232,6 +232,11 @@
 	if s.DataDir == "" {
 		return invalid(flagDataDir, "name a folder on a disk that survives restarts", "the control role has none")
 	}
+	if s.Replaces != "" {
+		if err := checkAddress(flagReplaces, s.Replaces); err != nil {
+			return err
+		}
+	}
 	if s.ReplicaID == 0 {
 		return invalid(flagReplicaID, "use this process's ID of --"+flagControlPeers, "the control role has none")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,7 +40,7 @@
 	DataDir         string
 	ReplicaID       uint64
 	ControlPeers    []Peer
-	Join            bool // take the place of a lost process with ReplicaID
+	Replaces        string // address of a lost process whose place this one takes, or ""
 	Shards          uint32
 	OperatorKeyFile string
 
--- a/internal/shard/contracts.go
+++ b/internal/shard/contracts.go
@@ -107,9 +107,13 @@
 	return &shardpb.Result{Outcome: &shardpb.Result_Contract{Contract: result}}
 }
 
-// changeDigest identifies the body of a change, without its ID.
+// changeDigest identifies the contract of a change, without the versions that its
+// sender saw: a resend may be based on the version that the change itself made.
 func changeDigest(op *shardpb.ApplyContract) [sha256.Size]byte {
-	body := &shardpb.ApplyContract{Contract: op.GetContract(), ExpectedVersion: op.GetExpectedVersion()}
+	body := proto.CloneOf(op.GetContract())
+	if body != nil {
+		body.Version = 0
+	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(body)
 	if err != nil {
 		return [sha256.Size]byte{}
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -151,6 +151,7 @@
 		load = &rpcpb.Load{BatchLimit: uint32(s.cfg.MaxRunning)}
 	}
 	running, waiting := s.slots.counts()
+	s.metrics.WaitingCalls.Set(float64(waiting))
 	return &rpcpb.Load{
 		Running:                uint32(running),
 		Waiting:                uint32(waiting) + load.Waiting,
