--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test lint bench bench-policy bench-path capacity capacity-measure fuzz demo generate clean
+.PHONY: build test lint bench bench-policy bench-path capacity capacity-measure fuzz demo docs generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,6 +29,9 @@
 demo: build
 	./bin/demo
 
+docs:
+	go run ./cmd/docsgen
+
 bench-policy:
 	go run ./internal/policybench
 
@@ -44,5 +47,19 @@
 capacity-measure: build
 	./bin/capacity measure
 
+# Runs each fuzz target for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	@for package in $$(go list ./internal/...); do \
+		for target in $$(go test -list '^Fuzz' $$package | grep '^Fuzz'); do \
+			echo "$$package $$target"; \
+			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$package || exit 1; \
+		done; \
+	done
+
+# Generates the protocol's Go code; needs protoc and protoc-gen-go.
+generate:
+	go generate ./proto
+
 clean:
 	rm -rf bin .tools demo-data
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -5,12 +5,18 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
+	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/control"
+	"ibistray.example/ibistray/internal/history"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
@@ -21,12 +27,19 @@
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
-const dataDirMode = 0o700
+const (
+	dataDirMode     = 0o700
+	bodiesFolder    = "bodies"
+	compactInterval = 10 * time.Minute
+)
 
 // controlRole is the replicated state of this process and the services on it.
 type controlRole struct {
+	log     hclog.Logger
 	host    *replica.Host
 	peers   *peer.Transport
+	repair  *control.Repair
+	bodies  []*history.Store
 	service *control.Service
 }
 
@@ -37,7 +50,7 @@
 	peers := peer.New(pool, log.Named("peer"))
 	host, err := replica.NewHost(replica.Options{
 		Dir:        s.DataDir,
-		Address:    s.Listen,
+		Address:    s.Advertise,
 		Transport:  peers,
 		Logger:     log.Named("replica"),
 		Registerer: metrics.Registry,
@@ -47,7 +60,8 @@
 		peers.Close()
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	r := &controlRole{host: host, peers: peers}
+	r := &controlRole{log: log, host: host, peers: peers}
+	r.repair = control.NewRepair(repairConfig(s), log.Named("repair"), host, pool)
 	if err := r.addGroups(s, log, pool); err != nil {
 		return nil, errors.Join(err, r.stop(context.Background()))
 	}
@@ -58,22 +72,26 @@
 func (r *controlRole) addGroups(s *settings.Settings, log hclog.Logger, pool *transport.Pool) error {
 	hosts := placementHosts(s.ControlPeers)
 	configState := config.New()
-	if err := r.host.AddGroup(placement.ConfigGroup, membersOf(placement.ConfigGroup, hosts), configState); err != nil {
+	if err := r.host.AddGroup(placement.ConfigGroup, firstMembers(s, placement.ConfigGroup, hosts), configState); err != nil {
 		return fmt.Errorf("daemon: configuration group: %w", err)
 	}
 	shards := make([]*shard.State, s.Shards)
 	for i := range shards {
 		group := placement.GroupOf(uint32(i))
-		members := membersOf(group, hosts)
-		if !contains(members, s.Listen) {
+		if !contains(membersOf(group, hosts), s.Advertise) {
 			continue
 		}
-		shards[i] = shard.New(shard.NewMemoryBodies())
-		if err := r.host.AddGroup(group, members, shards[i]); err != nil {
+		bodies, err := history.Open(filepath.Join(s.DataDir, bodiesFolder, strconv.Itoa(i)))
+		if err != nil {
+			return fmt.Errorf("daemon: bodies of shard %d: %w", i, err)
+		}
+		r.bodies = append(r.bodies, bodies)
+		shards[i] = shard.New(bodies)
+		if err := r.host.AddGroup(group, firstMembers(s, group, hosts), shards[i]); err != nil {
 			return fmt.Errorf("daemon: shard %d: %w", i, err)
 		}
 	}
-	configuration := control.NewConfiguration(r.host, configState, pool, s.Listen, addresses(s.ControlPeers))
+	configuration := control.NewConfiguration(r.host, configState, pool, s.Advertise, addresses(s.ControlPeers))
 	r.service = control.New(log, r.host, shards, pool, configuration)
 	return nil
 }
@@ -94,6 +112,25 @@
 	return members
 }
 
+// firstMembers returns the members with which a group begins; none for a process
+// that joins a group that exists.
+func firstMembers(s *settings.Settings, group uint64, hosts []placement.Host) []*raftpb.Member {
+	if s.Join {
+		return nil
+	}
+	return membersOf(group, hosts)
+}
+
+func repairConfig(s *settings.Settings) control.RepairConfig {
+	cfg := control.RepairConfig{Address: s.Advertise, FailureDomain: s.FailureDomain, ReplicaID: s.ReplicaID}
+	for _, p := range s.ControlPeers {
+		if p.Address != s.Advertise {
+			cfg.Peers = append(cfg.Peers, p.Address)
+		}
+	}
+	return cfg
+}
+
 func contains(members []*raftpb.Member, address string) bool {
 	return slices.ContainsFunc(members, func(m *raftpb.Member) bool { return m.Address == address })
 }
@@ -108,11 +145,27 @@
 
 func (r *controlRole) register(server *transport.Server) {
 	r.service.Register(server)
+	r.repair.Register(server)
 	peer.Register(server, r.host)
 }
 
 func (r *controlRole) run(ctx context.Context) {
-	r.service.Run(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { r.service.Run(ctx) })
+	loops.Go(func() { r.repair.Run(ctx) })
+	loops.Go(func() { r.compactBodies(ctx) })
+	loops.Wait()
+}
+
+// compactBodies rewrites segments that hold mostly bodies of removed programs.
+func (r *controlRole) compactBodies(ctx context.Context) {
+	loop.Every(ctx, compactInterval, func(context.Context) {
+		for _, store := range r.bodies {
+			if err := store.Compact(); err != nil {
+				r.log.Error("bodies not compacted", "error", err)
+			}
+		}
+	})
 }
 
 // stop hands leadership over and closes the log.
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -5,17 +5,19 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"ibistray.example/ibistray/internal/backendtest"
 	"ibistray.example/ibistray/internal/load"
+	"ibistray.example/ibistray/internal/localcluster"
 )
 
 // check prints program latency and wasted cache, and checks the effects of the
 // services. In order and whole were checked with each answer.
-func check(ctx context.Context, c *cluster, p *probe, book *ledger, results []result) error {
+func check(ctx context.Context, c *localcluster.Cluster, book *ledger, results []result) error {
 	printResults(book, results)
-	printHeld(ctx, c, p, book)
-	effects, err := backendtest.ReadEffects(c.effects)
+	printHeld(ctx, c, book)
+	effects, err := backendtest.ReadEffects(c.EffectsFile())
 	if err != nil {
 		return err
 	}
@@ -39,21 +41,37 @@
 	return 100 * float64(part) / float64(whole)
 }
 
-// printHeld prints the engine memory that ended programs still hold.
-func printHeld(ctx context.Context, c *cluster, p *probe, book *ledger) {
-	for _, s := range c.engines {
-		cached, err := p.cachedPrograms(ctx, s)
+// printHeld prints the engine memory that ended programs still hold after the
+// time in which it should be released.
+func printHeld(ctx context.Context, c *localcluster.Cluster, book *ledger) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	began := time.Now()
+	held := heldTokens(ctx, c)
+	err := c.Probe.WaitFor(ctx, "the release of engine memory", func() bool {
+		held = heldTokens(ctx, c)
+		return held == 0
+	})
+	if err != nil {
+		fmt.Fprintf(book.out, "warning: engines still hold %d tokens of ended programs after %s\n\n", held, releaseTimeout)
+		return
+	}
+	fmt.Fprintf(book.out, "engines hold no memory of ended programs (%d ms after the last one)\n\n", time.Since(began).Milliseconds())
+}
+
+// heldTokens returns the cached tokens of all engines.
+func heldTokens(ctx context.Context, c *localcluster.Cluster) int {
+	total := 0
+	for _, s := range c.Engines {
+		cached, err := c.Probe.CachedPrograms(ctx, s)
 		if err != nil {
-			fmt.Fprintf(book.out, "%s: cache unknown: %v\n", s.name, err)
 			continue
 		}
-		tokens := 0
-		for _, n := range cached {
-			tokens += n
+		for _, tokens := range cached {
+			total += tokens
 		}
-		fmt.Fprintf(book.out, "%s: %d tokens of %d ended programs are still cached\n", s.name, tokens, len(cached))
 	}
-	fmt.Fprintln(book.out)
+	return total
 }
 
 // repeatable says which operations of the example contracts may run again.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -33,11 +34,16 @@
 
 // execute sends the attempt, or attaches to it, and passes its output on.
 func (c *call) execute(ctx context.Context, attachOnly bool) callTrigger {
+	if !attachOnly && c.quarantined() {
+		c.fenced = c.attempt // nobody else may send it
+		return c.giveUp(quarantinedFailure())
+	}
 	stream, err := c.entry.pool.Open(ctx, c.target.Sidecar, transport.MethodRun)
 	if err != nil {
 		return c.unreachable(ctx, attachOnly, err)
 	}
 	c.stream = stream
+	c.sender = !attachOnly
 	member := c.entry.members.cell.Load().members[c.target.Server]
 	if member != nil {
 		member.inFlight.Begin()
@@ -202,6 +208,9 @@
 func (c *call) refused(ctx context.Context, r *rpcpb.RunRefused) callTrigger {
 	c.closeStream()
 	c.log.Debug("attempt refused", telemetry.KeyAttempt, c.attempt, telemetry.KeyServer, c.target.Server, "reason", r.Reason.String(), "detail", r.Detail)
+	if c.missedIncarnation(r) {
+		r.NotRun = true
+	}
 	if r.NotRun {
 		c.fenced = c.attempt
 	}
@@ -228,6 +237,12 @@
 	return c.retryOrGiveUp(ctx, failure, c.target.Server)
 }
 
+// missedIncarnation reports whether the attempt itself reached a sidecar that was
+// started again. Attempts are sent once, so the former process never got it.
+func (c *call) missedIncarnation(r *rpcpb.RunRefused) bool {
+	return c.sender && r.Reason == rpcpb.RunRefusal_RUN_REFUSAL_OTHER_INCARNATION
+}
+
 var refusalKinds = map[rpcpb.RunRefusal]retry.Kind{
 	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             retry.KindLeaving,
 	rpcpb.RunRefusal_RUN_REFUSAL_FENCED:              retry.KindConnect, // nobody else took the call over
@@ -258,9 +273,9 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_FULL:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED:        {Status: statusTooManyRequests, Reason: reasonOverloaded},
 	rpcpb.RunRefusal_RUN_REFUSAL_SHED:                {Status: statusTooManyRequests, Reason: reasonOverloaded},
-	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer},
-	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer},
-	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration},
+	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration, RetryAfter: time.Second},
 	rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT:             {Status: statusTimeout, Reason: reasonDeadlineExceeded},
 }
 
@@ -277,7 +292,9 @@
 		f.Status = int(r.Status)
 	}
 	f.Message = r.Detail
-	f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	if r.RetryAfterMs > 0 {
+		f.RetryAfter = time.Duration(r.RetryAfterMs) * time.Millisecond
+	}
 	return &f
 }
 
@@ -319,7 +336,7 @@
 	if c.attachTries <= attachTries && ctx.Err() == nil {
 		c.entry.metrics.Retries.WithLabelValues("attach").Inc()
 		c.entry.pool.Reset(c.target.Sidecar)
-		if c.attachTries > 1 && !sleep(ctx, attachPause) {
+		if c.attachTries > 1 && !loop.Sleep(ctx, attachPause) {
 			return c.giveUp(c.deadlineFailure())
 		}
 		return triggerFollow
@@ -357,7 +374,7 @@
 		c.excluded = append(c.excluded, server)
 	}
 	c.attachTries = 0
-	if !sleep(ctx, decision.Delay) {
+	if !loop.Sleep(ctx, decision.Delay) {
 		return c.giveUp(c.deadlineFailure())
 	}
 	return triggerRetry
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/place"
 	"ibistray.example/ibistray/internal/policy/quarantine"
 	"ibistray.example/ibistray/internal/policy/retry"
@@ -35,6 +36,7 @@
 	target   *shardpb.Target
 	fence    uint64 // fencing number of the attempt
 	fenced   uint64
+	sender   bool     // the newest request to the sidecar was the attempt itself, not an attach
 	reloaded uint64   // attempt after whose refusal the record was read again
 	excluded []string // servers on which this call failed
 	history  []byte   // JSON array of earlier messages, once the sidecar asked for it
@@ -144,14 +146,20 @@
 	}
 }
 
-// firstTarget chooses the server of a service call, which needs no knowledge of
-// the program, so that one command records call and attempt. It returns nil
-// when no server is available: the call is recorded all the same.
+// firstTarget chooses a server by what this entry remembers of the program, so
+// that one command records call and attempt. It returns nil when no server is
+// available: the call is recorded all the same.
 func (c *call) firstTarget() *shardpb.Target {
-	if c.req.Kind != shardpb.CallKind_CALL_KIND_SERVICE || c.record != nil {
+	if c.record != nil {
 		return nil
 	}
-	target, err := c.choose(place.Request{Program: c.programName()})
+	last := c.entry.places.get(c.programName())
+	target, err := c.choose(place.Request{
+		Program:      c.programName(),
+		PromptTokens: last.tokens + int64(c.req.InputTokens),
+		CachedOn:     last.server,
+		CachedTokens: last.tokens,
+	})
 	if err != nil {
 		return nil
 	}
@@ -240,7 +248,7 @@
 // mustRunAlone reports whether the call is suspected of crashing servers, by what
 // this entry saw or by the configuration, which lags.
 func (c *call) mustRunAlone() bool {
-	return c.suspect || c.entry.members.holder.View().Suspect(c.content[:])
+	return c.suspect || c.entry.members.holder.View().Suspected(c.content[:])
 }
 
 func (c *call) quarantined() bool {
@@ -260,7 +268,7 @@
 
 // reload reads the record again after someone else changed it.
 func (c *call) reload(ctx context.Context) callTrigger {
-	if !sleep(ctx, reloadPause) {
+	if !loop.Sleep(ctx, reloadPause) {
 		return c.deliverFailure(c.deadlineFailure())
 	}
 	return triggerReload
@@ -351,6 +359,7 @@
 		})
 	}
 	c.release(text[len(c.released):])
+	c.remember(answer.GetUsage())
 	c.entry.metrics.Calls.WithLabelValues(kindName(c.req.Kind), "answered").Inc()
 	c.entry.metrics.CallSeconds.WithLabelValues(kindName(c.req.Kind)).Observe((c.entry.members.now() - c.start).Seconds())
 	c.log.Info("call answered", telemetry.KeyAttempt, c.attempt, telemetry.KeyServer, c.target.GetServer(), "bytes", len(text))
@@ -358,6 +367,15 @@
 	return triggerDelivered
 }
 
+// remember keeps where the program's prefix is.
+func (c *call) remember(usage *shardpb.Usage) {
+	if c.req.Kind != shardpb.CallKind_CALL_KIND_MODEL || c.target == nil {
+		return
+	}
+	tokens := int64(usage.GetPromptTokens() + usage.GetCompletionTokens())
+	c.entry.places.set(c.programName(), programPlace{server: c.target.Server, tokens: tokens})
+}
+
 // release passes text on to the caller.
 func (c *call) release(text []byte) {
 	if len(text) == 0 {
@@ -411,14 +429,3 @@
 	}
 	return "model"
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,11 +11,11 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/configclient"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/policy/retry"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -31,12 +31,6 @@
 	OperatorKeys    *OperatorKeys
 }
 
-const (
-	// retryShare and retryBurst bound the retries of all calls together.
-	retryShare = 0.1
-	retryBurst = 100
-)
-
 // Entry is the entry role of one process. It is safe for concurrent use.
 type Entry struct {
 	cfg     Config
@@ -49,6 +43,7 @@
 	retries retry.Policy
 	budget  *retry.Budget
 	recent  *recentQuarantine
+	places  *places
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -66,23 +61,15 @@
 		config:  configuration,
 		members: newMembership(pool, cfg.Control, cfg.Name, metrics),
 		retries: retry.DefaultPolicy(),
-		budget:  retry.NewBudget(retryShare, retryBurst),
+		budget:  retry.NewBudget(retry.DefaultBudgetShare, retry.DefaultBudgetBurst),
 		recent:  newRecentQuarantine(),
+		places:  newPlaces(),
 	}
 }
 
 // Run does the periodic work until the context ends.
 func (e *Entry) Run(ctx context.Context) {
-	ticker := time.NewTicker(membersInterval)
-	defer ticker.Stop()
-	for {
-		e.members.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	loop.Every(ctx, membersInterval, e.members.refresh)
 }
 
 // Ready reports whether the entry accepts calls.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -44,7 +44,8 @@
 	others    []string          // addresses of the other members; replaced as a whole
 	leader    raft.SoftState
 	boot      *bootstrap        // not nil while first members confirm
-	bindings  map[uint64]uint64 // disk ID by replica ID
+	bindings  map[uint64]uint64 // durable: disk ID by replica ID
+	binding   map[uint64]bool   // replica IDs whose disk ID is being written
 	lostDisk  bool
 	writes    []*write
 	hardState *raftpb.HardState // not yet written: a higher commit index
@@ -62,6 +63,7 @@
 type view struct {
 	replicaID     uint64
 	leads         bool
+	waiting       bool // proposals wait for an answer
 	leaderAddress string
 	quiesced      bool     // needs no ticks
 	addresses     []string // of the other members
@@ -75,6 +77,7 @@
 		logger:    h.opts.Logger.With("group", id),
 		addresses: make(map[uint64]string),
 		bindings:  make(map[uint64]uint64),
+		binding:   make(map[uint64]bool),
 		proposals: make(map[uint64]*proposal),
 	}
 	g.reads.init()
@@ -187,6 +190,9 @@
 // advance ticks the node up to the present. While the node is quiesced the tick
 // at which it began stays, so that the elapsed time is known when it wakes.
 func (g *group) advance() {
+	if g.retired {
+		return
+	}
 	now := g.host.ticks()
 	if g.boot != nil {
 		g.sendIdentity(now)
@@ -247,6 +253,7 @@
 	next := view{replicaID: g.replicaID, quiesced: g.retired, addresses: g.others}
 	if g.node != nil && !g.retired {
 		next.quiesced = g.quiesced && g.expiry == 0
+		next.waiting = len(g.proposals) > 0
 		next.leads = g.leader.Role == raft.RoleLeader
 		next.leaderAddress = g.addresses[g.leader.Leader]
 	}
@@ -258,6 +265,7 @@
 func (v *view) equal(other *view) bool {
 	return v.replicaID == other.replicaID &&
 		v.leads == other.leads &&
+		v.waiting == other.waiting &&
 		v.leaderAddress == other.leaderAddress &&
 		v.quiesced == other.quiesced &&
 		slices.Equal(v.addresses, other.addresses)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -13,6 +13,7 @@
 	flagRoles           = "roles"
 	flagNodeID          = "node-id"
 	flagListen          = "listen"
+	flagAdvertise       = "advertise"
 	flagHTTP            = "http"
 	flagRegion          = "region"
 	flagFailureDomain   = "failure-domain"
@@ -21,6 +22,7 @@
 	flagDataDir         = "data-dir"
 	flagReplicaID       = "replica-id"
 	flagControlPeers    = "control-peers"
+	flagJoin            = "join"
 	flagShards          = "shards"
 	flagOperatorKeyFile = "operator-key-file"
 	flagControl         = "control"
@@ -84,6 +86,7 @@
 		str(flagRoles, "", "roles of the process, comma-separated: entry, control, sidecar"),
 		str(flagNodeID, "", "unique name of the process"),
 		str(flagListen, "", "IP address and port for the system's own processes"),
+		str(flagAdvertise, "", "IP address and port at which the system's own processes reach --listen; default: the same"),
 		str(flagHTTP, "", "IP address and port for callers, operators and metrics"),
 		str(flagRegion, "local", "region of the host"),
 		str(flagFailureDomain, "local", "failure domain of the host"),
@@ -92,6 +95,7 @@
 		str(flagDataDir, "", "control: folder of the durable state"),
 		number(flagReplicaID, 0, "control: replica ID of this process, one of --control-peers"),
 		str(flagControlPeers, "", "control: first members, comma-separated ID=address@failure-domain"),
+		boolean(flagJoin, "control: take the place of a lost process with this replica ID, on an empty data folder"),
 		number(flagShards, defaultShards, "control, entry, sidecar: number of customer shards; the same everywhere, fixed for good"),
 		str(flagOperatorKeyFile, "", "entry: file with the operators' keys, one a line"),
 		str(flagControl, "", "entry, sidecar: addresses of control processes, comma-separated"),
--- a/internal/shard/outcome_test.go
+++ b/internal/shard/outcome_test.go
@@ -76,6 +76,15 @@
 	return digest
 }
 
+func TestChainDigestCoversAllExchanges(t *testing.T) {
+	a, b := []byte("a"), []byte("b")
+	ab := ChainDigest(ChainDigest(nil, a, a), b, b)
+	ba := ChainDigest(ChainDigest(nil, b, b), a, a)
+	assert.Assert(t, string(ab) != string(ba))
+	assert.Assert(t, string(ab) != string(ChainDigest(nil, b, b)))
+	assert.Assert(t, string(ChainDigest(nil, a, b)) != string(ChainDigest(nil, b, a)))
+}
+
 func TestServiceCallsStayOutOfTheHistory(t *testing.T) {
 	f := newFixture(t)
 	begun := f.mustBegin(serviceCall("p", "t1", "create"))
@@ -202,6 +211,24 @@
 	assertRefused(t, f.dispatch(late), shardpb.Reason_REASON_CALL_FINAL)
 }
 
+func TestUndispatchedCallTakesNoAnswer(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.Target = nil
+	begun := f.mustBegin(op)
+	assertRefused(t, f.finish(begun, op.GetKey(), testAnswer("a", 1, 1)), shardpb.Reason_REASON_STALE_ATTEMPT)
+}
+
+func TestDispatchAfterTheDeadlineIsRefused(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.DeadlineMs = f.nowMs + 1000
+	begun := f.mustBegin(op).GetBegin()
+	f.nowMs += 1000
+	again := &shardpb.Dispatch{Key: op.GetKey(), Epoch: begun.GetEpoch(), Attempt: 2, Target: testTarget("engine-2")}
+	assertRefused(t, f.dispatch(again), shardpb.Reason_REASON_DEADLINE_EXCEEDED)
+}
+
 func TestFailOfOlderAttemptIsRefused(t *testing.T) {
 	f := newFixture(t)
 	begun := f.mustBegin(modelCall("p", "c1")).GetBegin()
