--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -40,7 +40,7 @@
 		Commands: []*cli.Command{
 			{
 				Name: "measure", Usage: "measure on this machine and write the slopes", Action: measure,
-				Flags: []cli.Flag{&cli.StringFlag{Name: flagOnly, Usage: "measure this part only and put it into the file: memory, groups, leaderless, ceiling, calls, announcing, open calls, changes or directory"}},
+				Flags: []cli.Flag{&cli.StringFlag{Name: flagOnly, Usage: "measure this part only and put it into the file: memory, bodies, groups, leaderless, ceiling, calls, announcing, open calls, changes or directory"}},
 			},
 			{Name: "table", Usage: "print the tables of docs/CAPACITY.md", Action: table},
 		},
--- /dev/null
+++ b/internal/capacity/bodies.go
@@ -0,0 +1,49 @@
+package capacity
+
+import (
+	"fmt"
+	"path/filepath"
+	"runtime"
+
+	"ibistray.example/ibistray/internal/history"
+)
+
+// smallBodyBytes is the length of the bodies whose index is measured.
+const smallBodyBytes = 64
+
+// measureBodies measures the memory that the store on disk needs for a body.
+func measureBodies(dir string) ([]Slope, error) {
+	s := Slope{
+		Name: BodyMemory, Unit: unitBytes, Sizes: []float64{10_000, 40_000, 160_000},
+		Method: "heap of a store on disk with bodies of 64 bytes, slope",
+	}
+	for _, size := range s.Sizes {
+		heap, err := bodyHeap(filepath.Join(dir, fmt.Sprintf("bodies-%.0f", size)), int(size))
+		if err != nil {
+			return nil, err
+		}
+		s.Readings = append(s.Readings, heap)
+	}
+	s.Value = Fit(s.Sizes, s.Readings).Slope
+	return []Slope{s}, nil
+}
+
+func bodyHeap(dir string, bodies int) (float64, error) {
+	before := heapBytes()
+	store, err := history.Open(dir)
+	if err != nil {
+		return 0, err
+	}
+	defer store.Close()
+	for i := range bodies {
+		if err := store.Put(uint64(i)+1, make([]byte, smallBodyBytes)); err != nil {
+			return 0, err
+		}
+	}
+	if err := store.Sync(); err != nil {
+		return 0, err
+	}
+	after := heapBytes()
+	runtime.KeepAlive(store)
+	return after - before, nil
+}
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -27,6 +27,7 @@
 func steps(c Config) []step {
 	return []step{
 		{"memory", func(context.Context) ([]Slope, error) { return measureMemory() }},
+		{"bodies", func(context.Context) ([]Slope, error) { return measureBodies(c.Dir) }},
 		{"groups", func(ctx context.Context) ([]Slope, error) { return measureGroups(ctx, c.Dir) }},
 		{"leaderless", func(ctx context.Context) ([]Slope, error) { return measureLeaderless(ctx, c.Dir) }},
 		{"ceiling", func(ctx context.Context) ([]Slope, error) { return measureCeiling(ctx, c.Dir) }},
--- a/internal/capacity/names.go
+++ b/internal/capacity/names.go
@@ -23,6 +23,7 @@
 	ReadMemberBytes     Name = "members_read.member.bytes"
 	ProgramMemory       Name = "control.program.memory"
 	CallMemory          Name = "control.call_record.memory"
+	BodyMemory          Name = "control.body.memory" // of the index of bodies on disk
 	ContractMemory      Name = "control.contract.memory"
 	GroupMemory         Name = "control.replica.memory"
 	GroupIdleCPU        Name = "control.replica.idle.cpu"
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -42,6 +42,7 @@
 	snapshotEntries      = 4096.0
 	snapshotCommandBytes = 4 << 20
 	entriesPerCall       = 3.0 // Begin, Dispatch and Commit
+	bodiesPerCall        = 2.0 // messages and answer
 	secondsPerDay        = 86_400.0
 	microsPerSecond      = 1e6
 )
