--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -150,15 +150,15 @@
 	call := s.get(ControlCallCPU) + tokensPerCall*s.get(ControlTokenCPU)
 	return []row{
 		derived("calls led", perSecond(callsPerHost), "9,900 on 45"),
-		derived("log entries written", perSecond(callsPerHost*entriesPerCall*replicasPerShard), "three a call on three replicas"),
+		derived("log entries written", perSecond(callsPerHost*entriesPerCall*replicasPerShard), "two a call on three replicas"),
 		derived("processor", cores(callsPerHost*call/microsPerSecond), "`control.call.cpu` and `control.token.cpu`, all three replicas"),
 		derived("disk, log", bytesEach(callsPerHost*disk), "`control.call.disk`, calls of 0.4 and answers of 1.4 KB"),
 		derived("network between replicas", bytesEach(callsPerHost*s.get(ControlCallWire)), "`control.call.wire`, sent"),
 		derived("memory, programs and call records", bytesOf(records), "65 calls in each program, upper bound"),
 		derived("memory, contracts", bytesOf(contracts), "`control.contract.memory`"),
 		derived("memory, replicas", bytesOf(groups), "`control.replica.memory`"),
-		derived("memory, bodies today", bytesOf(historyBytes*copiesPerHost), "the daemon keeps all bodies in memory"),
-		derived("disk, bodies in the store on disk", bytesOf(historyBytes*copiesPerHost), "not wired yet"),
+		derived("memory, index of bodies", bytesOf(calls*bodiesPerCall*s.get(BodyMemory)), "two bodies a call, `control.body.memory`"),
+		derived("disk, bodies", bytesOf(historyBytes*copiesPerHost), "the store on disk, without what its compaction leaves"),
 		derived("disk, snapshots today", bytesEach(snapshots), "each shard writes all of its bodies every "+formatNumber(period)+" s"),
 		derived("mean calls of one customer", perSecond(targetRequests/targetAccounts), "9,900 on 3,300"),
 		derived("ceiling of one customer", perSecond(ceiling), "one shard leader; this is "+formatNumber(100*ceiling/targetRequests)+" % of all requests").as(kindMeasured),
