--- a/internal/processtest/booking_test.go
+++ b/internal/processtest/booking_test.go
@@ -109,3 +109,46 @@
 	assert.Equal(t, failure.Reason, "outcome_unknown")
 	assert.Assert(t, !failure.NotRun)
 }
+
+// TestFrozenEntryWakesUpLate freezes the entry through which a booking runs until
+// the caller has its answer through another entry. What the first one does when
+// it wakes up changes nothing.
+func TestFrozenEntryWakesUpLate(t *testing.T) {
+	s := startSystem(t, defaultContract(), slowService)
+	call := booking("plan", "convoy-7")
+	first := s.sendBooking(s.Nodes[0].Base(), call)
+	assert.NilError(t, s.Nodes[0].Freeze())
+	answer, err := s.client(s.Nodes[1].Base()).Service(s.ctx, call)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Nodes[0].Thaw())
+	late := <-first
+	if late.err == nil {
+		assert.Equal(t, string(late.answer.Body), string(answer.Body))
+	}
+	again, err := s.client(s.Nodes[0].Base()).Service(s.ctx, call)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again.Body), string(answer.Body))
+	assert.Equal(t, s.effectsOf(call), 1)
+}
+
+// TestFrozenSidecarWakesUpLate freezes the sidecar that runs a booking until the
+// entry has given the call up. When the sidecar wakes up nothing runs again,
+// and the outcome on record stays.
+func TestFrozenSidecarWakesUpLate(t *testing.T) {
+	s := startSystem(t, defaultContract(), slowService)
+	call := booking("plan", "convoy-7")
+	first := s.sendBooking(s.Nodes[0].Base(), call)
+	assert.NilError(t, s.Service.Sidecar.Freeze())
+	assertUnknown(t, (<-first).err)
+	assert.NilError(t, s.Service.Sidecar.Thaw())
+	s.waitServers(s.Bases()...)
+	for _, base := range s.Bases() {
+		_, err := s.once(base, call)
+		assertUnknown(t, err)
+	}
+	next := booking("plan", "convoy-8")
+	_, err := s.client(s.Bases()...).Service(s.ctx, next)
+	assert.NilError(t, err)
+	assert.Equal(t, s.effectsOf(call), 1)
+	assert.Equal(t, s.effectsOf(next), 1)
+}
--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -173,7 +173,11 @@
 func (s *system) once(base string, call load.ServiceCall) (*load.ServiceAnswer, error) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	client := s.caller(load.ClientConfig{Bases: []string{base}, OnRetry: func(load.Retry) { cancel() }})
+	client := s.caller(load.ClientConfig{
+		Bases:       []string{base},
+		IdleTimeout: hangGuard, // the entry decides when to give up
+		OnRetry:     func(load.Retry) { cancel() },
+	})
 	return client.Service(ctx, call)
 }
 
