--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -27,7 +27,7 @@
 	// on how long a test takes.
 	hangGuard = 100 * time.Second
 	// maxSystems bounds the systems that run side by side.
-	maxSystems = 4
+	maxSystems = 6
 )
 
 var systems = make(chan struct{}, maxSystems)
