More than three control processes

Cause: a process to which placement gave no replica of the configuration group ended at its start ("no first member has the address"); the capacity measurement found it with five. Ruled out: a control process without the group's state (it could grant no leases). Change: each control process of a region, nine at most, has a replica of the configuration group; the wait until a change is in force no longer reads all records. Measured: TestMoreControlProcessesThanReplicas (five processes, a stop in force, two killed in turn) fails without the change by its guard, processes 2 and 4 ended, and passes with it in 5 s.

--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -37,10 +37,11 @@
 	return resp.Result, nil
 }
 
-// Status returns the configuration and the version that is in force.
-func (c *Client) Status(ctx context.Context) (*rpcpb.ConfigStatus, error) {
+// Status returns the version that is in force and the records that changed since
+// a version, all of them for 0.
+func (c *Client) Status(ctx context.Context, since uint64) (*rpcpb.ConfigStatus, error) {
 	resp := new(rpcpb.ConfigStatus)
-	err := c.leaders.Call(ctx, &c.leader, transport.MethodConfigStatus, 0, &rpcpb.ConfigStatusRequest{}, resp)
+	err := c.leaders.Call(ctx, &c.leader, transport.MethodConfigStatus, 0, &rpcpb.ConfigStatusRequest{Version: since}, resp)
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +54,7 @@
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
 	for {
-		status, err := c.Status(ctx)
+		status, err := c.Status(ctx, version)
 		if err == nil && status.InForceVersion >= version {
 			return nil
 		}
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -104,12 +104,13 @@
 	return &rpcpb.ConfigGrant{Version: c.state.Version()}, nil
 }
 
-// status serves the configuration and the version that is in force.
-func (c *Configuration) status(ctx context.Context, _ *rpcpb.ConfigStatusRequest) (*rpcpb.ConfigStatus, error) {
+// status serves the version that is in force, and the records that changed since
+// the version of the request.
+func (c *Configuration) status(ctx context.Context, req *rpcpb.ConfigStatusRequest) (*rpcpb.ConfigStatus, error) {
 	if err := c.lead(ctx); err != nil {
 		return nil, err
 	}
-	changes := c.state.ChangesSince(0)
+	changes := c.state.ChangesSince(req.Version)
 	return &rpcpb.ConfigStatus{
 		Version:        changes.Version,
 		InForceVersion: c.tracker.InForce(changes.Version, c.members, time.Now()),
--- a/internal/entry/adminconfig.go
+++ b/internal/entry/adminconfig.go
@@ -20,7 +20,7 @@
 func (e *Entry) showConfiguration(ctx context.Context, rc *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	status, err := e.config.Status(ctx)
+	status, err := e.config.Status(ctx, 0)
 	if err != nil {
 		e.refuse(rc, viewFailure(err))
 		return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,10 +45,17 @@
 	FailureDomain string
 }
 
-// Replicas chooses the hosts of a group by rendezvous hashing: at most
-// ReplicasPerGroup, from as many failure domains as possible. The order of
-// hosts does not matter.
+// MaxHosts is the most control hosts of one region: each of them has a replica
+// of the configuration group, since it grants leases on it.
+const MaxHosts = 9
+
+// Replicas chooses the hosts of a group: all of them for the configuration group,
+// for a shard at most ReplicasPerGroup by rendezvous hashing, from as many failure
+// domains as possible. The order of hosts does not matter.
 func Replicas(group uint64, hosts []Host) []Host {
+	if group == ConfigGroup {
+		return byID(hosts)
+	}
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b Host) int {
 		return cmp.Or(
@@ -68,6 +75,12 @@
 	return chosen
 }
 
+func byID(hosts []Host) []Host {
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(a, b Host) int { return cmp.Compare(a.ReplicaID, b.ReplicaID) })
+	return sorted
+}
+
 // distinctDomains returns the first hosts of different failure domains.
 func distinctDomains(ranked []Host, limit int) []Host {
 	var chosen []Host
--- a/internal/processtest/control_test.go
+++ b/internal/processtest/control_test.go
@@ -44,6 +44,31 @@
 	assert.Equal(t, s.budget().GetUsed(), talk.usage)
 }
 
+// TestMoreControlProcessesThanReplicas starts five control processes: each holds
+// the configuration group, a shard three of them. A stop is in force everywhere,
+// and any two may be killed one after the other.
+func TestMoreControlProcessesThanReplicas(t *testing.T) {
+	options := fastEngines(1)
+	options.Nodes = 5
+	s := startSystem(t, defaultContract(), options)
+	_, err := s.Ctl(s.ctx, "stop", "announce", "--scope", "failure-domain", "fd-nowhere")
+	assert.NilError(t, err)
+	talk := &conversation{step: func(turn int) {
+		switch turn {
+		case 2:
+			s.Nodes[0].Kill()
+		case 4:
+			assert.NilError(t, s.Nodes[0].Start())
+			s.waitRepaired()
+		case 5:
+			s.Nodes[3].Kill()
+		}
+	}}
+	assert.NilError(t, s.converse("convoy", 7, 24, talk, s.Bases()...))
+	s.waitIdle()
+	assert.Equal(t, s.budget().GetUsed(), talk.usage)
+}
+
 // TestLostDisk deletes the data of a control process while it is down. Started
 // again it does not vote as its former self: its peers refuse it, and it takes
 // a new place in each group. Right after that repair a second process is lost
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
+
+	"ibistray.example/ibistray/internal/placement"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -156,6 +158,10 @@
 		}
 		s.ControlPeers = append(s.ControlPeers, peer)
 	}
+	if len(s.ControlPeers) > placement.MaxHosts {
+		fix := "name at most " + strconv.Itoa(placement.MaxHosts) + " control processes of one region"
+		return invalid(flagControlPeers, fix, "%d are named", len(s.ControlPeers))
+	}
 	return nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/urfave/cli/v3"
 	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/placement"
 )
 
 func parse(t *testing.T, args ...string) (*Settings, error) {
@@ -90,6 +94,7 @@
 		{controlArgs, []string{"--replica-id", "2"}, flagListen},
 		{controlArgs, []string{"--control-peers", "1=127.0.0.1:7001"}, flagControlPeers},
 		{controlArgs, []string{"--control-peers", "1=127.0.0.1:7001@a,1=127.0.0.1:7002@b"}, flagControlPeers},
+		{controlArgs, []string{"--control-peers", manyPeers()}, flagControlPeers},
 		{controlArgs, []string{"--operator-key-file", ""}, flagOperatorKeyFile},
 		{controlArgs, []string{"--max-body-bytes", "0"}, flagMaxBodyBytes},
 		{controlArgs, []string{"--max-output-tokens", "-3"}, flagMaxOutputTokens},
@@ -103,6 +108,14 @@
 	}
 }
 
+func manyPeers() string {
+	var peers []string
+	for id := range placement.MaxHosts + 1 {
+		peers = append(peers, fmt.Sprintf("%d=127.0.0.1:%d@fd-a", id+1, 7001+id))
+	}
+	return strings.Join(peers, ",")
+}
+
 func TestUnknownVariableIsRefused(t *testing.T) {
 	t.Setenv("IBISTRAYD_NO_SUCH_FLAG", "7")
 	_, err := parse(t, sidecarArgs...)
