A quarantined request is refused by the customer's shard at once

Ruled out: holding the first caller's answer back until the change is in force (a request that is given up on gets its answer at once). Conclusion: for one customer the bound of two servers holds over all entries; other customers that send the same request are covered once the change is in force.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"ibistray.example/ibistray/internal/shard"
 	"ibistray.example/ibistray/proto/shardpb"
 )
 
@@ -23,7 +24,7 @@
 	reasonServerError        = "backend_error"
 	reasonNotFound           = "not_found"
 	reasonInternal           = "internal"
-	reasonQuarantined        = "quarantined"
+	reasonQuarantined        = shard.ReasonQuarantined
 	reasonOverloaded         = "overloaded"
 	reasonStaleConfiguration = "stale_configuration"
 )
--- a/internal/shard/admit.go
+++ b/internal/shard/admit.go
@@ -24,6 +24,7 @@
 	}
 	refusal = first(
 		s.checkTime(c, op),
+		s.checkQuarantine(c, p, op),
 		s.checkProgram(c, p, op),
 		checkOrder(p, op.GetSequence()),
 		s.checkTurns(c, p, op),
@@ -50,6 +51,7 @@
 	}
 	refusal := first(
 		s.checkTime(c, op),
+		s.checkQuarantine(c, p, op),
 		s.checkProgram(c, p, op),
 		checkProgramTokens(c, p, op),
 		checkConcurrency(c),
--- a/internal/shard/fail.go
+++ b/internal/shard/fail.go
@@ -35,6 +35,7 @@
 	if !c.repeatable && !c.failure.GetNotRun() {
 		c.state = stateUnknown
 	}
+	s.noteQuarantine(p, c)
 	s.dropBody(c.input)
 	c.input = 0
 	s.close(p, c, failedCharge(c, p.open, usage))
--- a/internal/shard/outcome_test.go
+++ b/internal/shard/outcome_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"bytes"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -236,3 +237,27 @@
 	op := &shardpb.Fail{Key: testCall("p", "c1"), Epoch: begun.GetEpoch(), Attempt: 1, Failure: &shardpb.Failure{Reason: "timeout"}}
 	assertRefused(t, f.fail(op), shardpb.Reason_REASON_STALE_ATTEMPT)
 }
+
+// TestQuarantinedRequestIsRefusedUnderEachCallID checks that a request that was
+// quarantined is refused by the very next Begin, in any program, also after a
+// restart, until the configuration has had the time to be in force.
+func TestQuarantinedRequestIsRefusedUnderEachCallID(t *testing.T) {
+	f := newFixture(t)
+	op := modelCall("p", "c1")
+	op.Target = testTarget("engine-1")
+	begun := f.mustBegin(op).GetBegin()
+	failure := &shardpb.Failure{Reason: ReasonQuarantined, Status: 422}
+	f.fail(&shardpb.Fail{Key: op.GetKey(), Epoch: begun.GetEpoch(), Attempt: 1, Failure: failure})
+	f.restart()
+
+	again := modelCall("q", "c9")
+	again.Fingerprint = op.GetFingerprint()
+	assertRefused(t, f.begin(again), shardpb.Reason_REASON_QUARANTINED)
+	other := modelCall("q", "c8")
+	other.Fingerprint = bytes.Repeat([]byte{9}, len(op.GetFingerprint()))
+	f.finish(f.mustBegin(other), other.GetKey(), testAnswer("fine", 1, 1))
+	f.nowMs += QuarantineCarryMs
+	elsewhere := modelCall("r", "c7")
+	elsewhere.Fingerprint = op.GetFingerprint()
+	assert.Assert(t, f.mustBegin(elsewhere).GetBegin().GetFirst())
+}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -12,6 +12,7 @@
 	contractIndex uint64
 	budget        ledger
 	changes       changeTable
+	quarantined   []quarantinedRequest // oldest first
 	programs      map[string]*program
 	openCalls     uint32
 	heldTokens    uint64
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -105,6 +105,7 @@
 		copy(known.digest[:], r.GetDigest())
 		c.changes.list = append(c.changes.list, known)
 	}
+	c.quarantined = restoreQuarantined(record.GetQuarantined())
 	s.customers[name] = c
 	return nil
 }
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -118,6 +118,7 @@
 		Used:          c.budget.used,
 		Reserved:      c.budget.reserved,
 		ClampedTokens: c.budget.clamped,
+		Quarantined:   quarantineRecords(c.quarantined),
 	}
 	for i := range c.changes.list {
 		change := &c.changes.list[i]
