Oversize bodies get a typed refusal; logs of calls name their shard

Cause: a body above the limit got the HTTP library's plain text, uncounted; the logs of calls lacked the shard. Change: the entry checks the size and answers body_too_large with the limit; entry and sidecar name customer, program, call, attempt and shard. Measured: TestOversizeBodyIsRefusedWithItsLimit passes; without the check it fails on a nil refusal.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,11 @@
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
+// bodyLimitFactor is what the HTTP server reads of a body beyond the limit of the
+// entry, so that a body that is somewhat too large gets a typed refusal. Far larger
+// ones get the server's plain 413.
+const bodyLimitFactor = 4
+
 // stopTimeout bounds the end of connections after the running calls are over.
 const stopTimeout = 5 * time.Second
 
@@ -89,7 +94,7 @@
 		listener.Close()
 		return fmt.Errorf("daemon: listen for HTTP: %w", err)
 	}
-	d.http = httpserver.New(httpListener, d.settings.MaxBodyBytes)
+	d.http = httpserver.New(httpListener, bodyLimitFactor*d.settings.MaxBodyBytes)
 	if err := d.makeRoles(); err != nil {
 		listener.Close()
 		httpListener.Close()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -64,6 +64,7 @@
 			telemetry.KeyCustomer, req.Key.Customer,
 			telemetry.KeyProgram, req.Key.Program,
 			telemetry.KeyCall, req.Key.Call,
+			telemetry.KeyShard, e.shards.ShardOf(req.Key.Customer),
 		),
 	}
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -14,6 +14,7 @@
 const (
 	reasonInvalidRequest     = "invalid_request"
 	reasonInvalidUTF8        = "invalid_utf8"
+	reasonBodyTooLarge       = "body_too_large"
 	reasonUnauthenticated    = "unauthenticated"
 	reasonNoServer           = "no_backend_server"
 	reasonControlUnavailable = "control_unavailable"
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -30,8 +31,26 @@
 	return func(name string) string { return string(rc.GetHeader(name)) }
 }
 
+// bodyOf returns a copy of the request's body, which is bounded by the settings.
+func (e *Entry) bodyOf(rc *app.RequestContext) ([]byte, *Failure) {
+	body := rc.Request.Body()
+	if len(body) > e.cfg.MaxBodyBytes {
+		return nil, &Failure{
+			Status:  statusTooLarge,
+			Reason:  reasonBodyTooLarge,
+			Message: fmt.Sprintf("the body has %d bytes, at most %d are allowed", len(body), e.cfg.MaxBodyBytes),
+			NotRun:  true,
+		}
+	}
+	return append([]byte(nil), body...), nil
+}
+
 func (e *Entry) serveChat(ctx context.Context, rc *app.RequestContext) {
-	body := append([]byte(nil), rc.Request.Body()...)
+	body, failure := e.bodyOf(rc)
+	if failure != nil {
+		e.refuse(rc, failure)
+		return
+	}
 	req, failure := parseChat(headersOf(rc), body, e.cfg.MaxOutputTokens, time.Now())
 	if failure != nil {
 		e.refuse(rc, failure)
@@ -45,7 +64,11 @@
 }
 
 func (e *Entry) serveService(ctx context.Context, rc *app.RequestContext) {
-	body := append([]byte(nil), rc.Request.Body()...)
+	body, failure := e.bodyOf(rc)
+	if failure != nil {
+		e.refuse(rc, failure)
+		return
+	}
 	req, failure := parseService(headersOf(rc), rc.Param("service"), rc.Param("operation"), body, time.Now())
 	if failure != nil {
 		e.refuse(rc, failure)
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -7,6 +7,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"gotest.tools/v3/assert"
 )
 
@@ -67,6 +68,20 @@
 	}
 }
 
+func TestOversizeBodyIsRefusedWithItsLimit(t *testing.T) {
+	e := &Entry{cfg: Config{MaxBodyBytes: 10}}
+	rc := app.NewContext(0)
+	rc.Request.SetBody([]byte("0123456789"))
+	body, failure := e.bodyOf(rc)
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, string(body), "0123456789")
+	rc.Request.SetBody([]byte("0123456789x"))
+	_, failure = e.bodyOf(rc)
+	assert.Equal(t, failure.Reason, reasonBodyTooLarge)
+	assert.Equal(t, failure.Status, statusTooLarge)
+	assert.Assert(t, failure.NotRun)
+}
+
 func TestFingerprintDependsOnContentNotOnForm(t *testing.T) {
 	parse := func(body string) []byte {
 		req, failure := parseChat(testHeaders(nil), []byte(body), 100, time.Unix(0, 0))
--- a/internal/shardclient/client.go
+++ b/internal/shardclient/client.go
@@ -29,7 +29,12 @@
 }
 
 func (c *Client) leaderOf(customer string) *leaderclient.Leader {
-	return &c.shards[placement.ShardOf(customer, uint32(len(c.shards)))]
+	return &c.shards[c.ShardOf(customer)]
+}
+
+// ShardOf returns the shard of a customer.
+func (c *Client) ShardOf(customer string) uint32 {
+	return placement.ShardOf(customer, uint32(len(c.shards)))
 }
 
 // Propose sends a command to the customer's shard and returns its result, also
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/proto/shardpb"
 )
@@ -110,7 +112,7 @@
 // commit makes the answer durable in the customer's shard. A commit is
 // idempotent, so it does no harm when the entry commits at the same time.
 func (s *Sidecar) commit(a *attempt) {
-	log := s.log.With(telemetry.KeyProgram, a.id.program, telemetry.KeyCall, a.id.call, telemetry.KeyAttempt, a.request.Attempt)
+	log := s.logOf(a)
 	for range commitTries {
 		result, err := s.commitOnce(a)
 		if err != nil {
@@ -128,6 +130,17 @@
 	log.Error("answer dropped: its shard did not answer")
 }
 
+// logOf returns a logger that names an attempt in each line.
+func (s *Sidecar) logOf(a *attempt) hclog.Logger {
+	return s.log.With(
+		telemetry.KeyCustomer, a.id.customer,
+		telemetry.KeyProgram, a.id.program,
+		telemetry.KeyCall, a.id.call,
+		telemetry.KeyAttempt, a.request.Attempt,
+		telemetry.KeyShard, s.shards.ShardOf(a.id.customer),
+	)
+}
+
 func (s *Sidecar) commitOnce(a *attempt) (*shardpb.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -44,7 +44,7 @@
 		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_SERVER_ERROR
 		return refused
 	}
-	s.log.Warn("backend server died", "running", group.size(), "request", requestID(a))
+	s.logOf(a).Warn("backend server died", "running", group.size())
 	if group.report(a.request.Fingerprint) {
 		refused.Reason = rpcpb.RunRefusal_RUN_REFUSAL_QUARANTINED
 	}
