--- a/internal/capacity/groups.go
+++ b/internal/capacity/groups.go
@@ -40,7 +40,7 @@
 	}
 	defer r.Stop()
 	for s := range groups {
-		if _, err := r.Leader(ctx, placement.GroupOf(uint32(s))); err != nil { //nolint:gosec // bounded
+		if _, err := r.Leader(ctx, placement.GroupOf(uint32(s))); err != nil { // bounded
 			return idleGroups{}, err
 		}
 	}
--- a/internal/contract/document.go
+++ b/internal/contract/document.go
@@ -23,12 +23,12 @@
 	c := &shardpb.Contract{
 		Customer:            f.text("customer"),
 		Version:             f.integer("version", MaxTokens),
-		Priority:            int32(f.integer("priority", MaxPriority)), //nolint:gosec // at most MaxPriority
+		Priority:            int32(f.integer("priority", MaxPriority)), // at most MaxPriority
 		HomeRegion:          f.text("home_region"),
 		Suspended:           f.boolean("suspended"),
 		EngineSharePermille: f.share("engine_share"),
-		MaxConcurrentCalls:  uint32(f.integer("max_concurrent_calls", MaxConcurrent)), //nolint:gosec // bounded
-		MaxTurns:            uint32(f.integer("max_turns", MaxTurns)),                 //nolint:gosec // bounded
+		MaxConcurrentCalls:  uint32(f.integer("max_concurrent_calls", MaxConcurrent)), // bounded
+		MaxTurns:            uint32(f.integer("max_turns", MaxTurns)),                 // bounded
 		MaxProgramTokens:    f.integer("max_program_tokens", MaxTokens),
 		ProgramIdleMs:       f.duration("program_idle"),
 		MaxHeldTokens:       f.integer("max_held_tokens", MaxTokens),
--- a/internal/contract/fields.go
+++ b/internal/contract/fields.go
@@ -98,7 +98,7 @@
 	case uint64:
 		return v, true
 	case int64:
-		return uint64(v), v >= 0 //nolint:gosec // negative ones are refused
+		return uint64(v), v >= 0 // negative ones are refused
 	case json.Number:
 		n, err := strconv.ParseUint(v.String(), 10, 64)
 		return n, err == nil
--- a/internal/contract/units.go
+++ b/internal/contract/units.go
@@ -13,7 +13,7 @@
 func parseDuration(text string) (int64, bool) {
 	if days, ok := strings.CutSuffix(text, "d"); ok {
 		n, err := strconv.ParseUint(days, 10, 16)
-		return int64(n) * day.Milliseconds(), err == nil //nolint:gosec // at most 16 bits
+		return int64(n) * day.Milliseconds(), err == nil // at most 16 bits
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil || d < 0 || d%time.Millisecond != 0 {
--- a/internal/history/segment.go
+++ b/internal/history/segment.go
@@ -49,12 +49,12 @@
 	}
 	g.size += headerBytes + int64(len(body))
 	g.dirty = true
-	return uint32(offset), nil //nolint:gosec // checked above
+	return uint32(offset), nil // checked above
 }
 
 func encode(id uint64, body []byte) []byte {
 	record := make([]byte, headerBytes, headerBytes+len(body))
-	binary.BigEndian.PutUint32(record[0:], uint32(len(body))) //nolint:gosec // at most maxBodyBytes
+	binary.BigEndian.PutUint32(record[0:], uint32(len(body))) // at most maxBodyBytes
 	binary.BigEndian.PutUint64(record[8:], id)
 	record = append(record, body...)
 	binary.BigEndian.PutUint32(record[4:], crc32.Checksum(record[8:], castagnoli))
@@ -90,8 +90,8 @@
 		}
 		visit(binary.BigEndian.Uint64(record[8:]), location{
 			segment: g.number,
-			offset:  uint32(offset),                    //nolint:gosec // at most segmentBytes
-			length:  uint32(len(record) - headerBytes), //nolint:gosec // at most maxBodyBytes
+			offset:  uint32(offset),                    // at most segmentBytes
+			length:  uint32(len(record) - headerBytes), // at most maxBodyBytes
 		})
 		offset += int64(len(record))
 	}
--- a/internal/history/store.go
+++ b/internal/history/store.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return fmt.Errorf("history: append body %d: %w", id, err)
 	}
-	s.place(id, location{segment: s.active.number, offset: offset, length: uint32(len(body))}) //nolint:gosec // bounded by append
+	s.place(id, location{segment: s.active.number, offset: offset, length: uint32(len(body))}) // bounded by append
 	return nil
 }
 
--- a/internal/history/store_test.go
+++ b/internal/history/store_test.go
@@ -230,7 +230,7 @@
 	body := make([]byte, 4096)
 	b.SetBytes(int64(len(body)))
 	for i := range b.N {
-		assert.NilError(b, s.Put(uint64(i), body)) //nolint:gosec // not negative
+		assert.NilError(b, s.Put(uint64(i), body)) // not negative
 	}
 }
 
--- a/internal/pathbench/process.go
+++ b/internal/pathbench/process.go
@@ -115,7 +115,7 @@
 	// and the kind of clock in the three lowest bits.
 	const schedulerClock = 2
 	var now unix.Timespec
-	if err := unix.ClockGettime(int32(^pid<<3|schedulerClock), &now); err != nil { //nolint:gosec // process IDs are below 2^22
+	if err := unix.ClockGettime(int32(^pid<<3|schedulerClock), &now); err != nil { // process IDs are below 2^22
 		return fmt.Errorf("clock of process %d: %w", pid, err)
 	}
 	u.CPU = time.Duration(now.Nano())
--- a/internal/pathbench/replicas.go
+++ b/internal/pathbench/replicas.go
@@ -80,7 +80,7 @@
 	}
 	for i := range r.hosts {
 		for s := range shards {
-			group := placement.GroupOf(uint32(s)) //nolint:gosec // bounded by the caller
+			group := placement.GroupOf(uint32(s)) // bounded by the caller
 			if err := r.hosts[i].AddGroup(group, members, shard.New(shard.NewMemoryBodies())); err != nil {
 				r.Stop()
 				return nil, err
@@ -173,7 +173,7 @@
 // WaitQuiet waits until all groups have a leader and have stopped their timers.
 func (r *Replicas) WaitQuiet(ctx context.Context) error {
 	for s := range r.shards {
-		group := placement.GroupOf(uint32(s)) //nolint:gosec // bounded by the caller
+		group := placement.GroupOf(uint32(s)) // bounded by the caller
 		for _, host := range r.hosts {
 			if err := waitQuiet(ctx, host, group); err != nil {
 				return err
--- a/internal/pathbench/shards.go
+++ b/internal/pathbench/shards.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	group := placement.GroupOf(uint32(s)) //nolint:gosec // bounded by the load
+	group := placement.GroupOf(uint32(s)) // bounded by the load
 	for {
 		result, err := d.proposeOnce(ctx, s, group, data)
 		if err == nil {
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -46,7 +46,7 @@
 	MaxRetryAfter time.Duration
 }
 
-// DefaultPolicy returns the bounds that the benchmark supports.
+// DefaultPolicy returns the bounds in use.
 func DefaultPolicy() Policy {
 	return Policy{
 		Capacity:         256,
--- a/internal/policy/order/policy.go
+++ b/internal/policy/order/policy.go
@@ -45,7 +45,7 @@
 	Capacity int
 }
 
-// DefaultPolicy returns the rules that the benchmark supports.
+// DefaultPolicy returns the rules in use.
 func DefaultPolicy() Policy {
 	return Policy{
 		StarvationWait:   30 * time.Second,
--- a/internal/policy/place/view.go
+++ b/internal/policy/place/view.go
@@ -33,7 +33,7 @@
 	IgnorePrefix bool
 }
 
-// DefaultParams returns the constants that the benchmark supports.
+// DefaultParams returns the constants in use.
 func DefaultParams() Params {
 	return Params{MeanOutputTokens: 200, MoveFactor: 8, Choices: 4}
 }
--- a/internal/policy/retain/plan.go
+++ b/internal/policy/retain/plan.go
@@ -25,7 +25,7 @@
 	LowShare  float64
 }
 
-// DefaultPolicy returns the constants that the benchmark supports.
+// DefaultPolicy returns the constants in use.
 func DefaultPolicy() Policy {
 	return Policy{
 		KeepQuantile: 0.995,
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// Constants of the budget that the benchmark supports, for one process.
+// Constants of the budget of one process.
 const (
 	DefaultBudgetShare = 0.5 // retries for each first attempt
 	DefaultBudgetBurst = 50  // retries at once
--- a/internal/policy/retry/policy.go
+++ b/internal/policy/retry/policy.go
@@ -11,7 +11,7 @@
 	ElapsedCap        time.Duration // no attempt starts later than this after the first; 0: no cap
 }
 
-// DefaultPolicy returns the limits that the benchmark supports.
+// DefaultPolicy returns the limits in use.
 func DefaultPolicy() Policy {
 	return Policy{
 		MaxRetries:        10,
--- a/internal/shard/begin.go
+++ b/internal/shard/begin.go
@@ -78,7 +78,7 @@
 	c := call{
 		id:         op.GetKey().GetCall(),
 		state:      stateBegun,
-		kind:       callKind(op.GetKind()), //nolint:gosec // checked by checkKind
+		kind:       callKind(op.GetKind()), // checked by checkKind
 		repeatable: plan.repeatable,
 	}
 	copy(c.fingerprint[:], op.GetFingerprint())
--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -32,7 +32,7 @@
 	entries := make([][]byte, 0, 2*b.N)
 	for i := range b.N {
 		program, call := fmt.Sprintf("program-%d", i/20), fmt.Sprintf("call-%d", i%20)
-		index := f.index + uint64(2*(i-i%20)) + 1 //nolint:gosec // not negative
+		index := f.index + uint64(2*(i-i%20)) + 1 // not negative
 		commit := &shardpb.Commit{Key: testCall(program, call), Epoch: index, Attempt: 1, Answer: testAnswer("answer", 40, 10)}
 		entries = append(entries,
 			encodeCommand(b, &shardpb.Command{NowMs: f.nowMs, Op: &shardpb.Command_Begin{Begin: modelCall(program, call)}}),
--- a/internal/shard/due.go
+++ b/internal/shard/due.go
@@ -31,7 +31,7 @@
 
 // Push adds a *program.
 func (q *dueQueue) Push(x any) {
-	p := x.(*program) //nolint:forcetypeassert // only schedule pushes
+	p := x.(*program) // only schedule pushes
 	p.dueIndex = len(*q)
 	*q = append(*q, p)
 }
--- a/internal/shard/frame.go
+++ b/internal/shard/frame.go
@@ -108,7 +108,7 @@
 
 // readBytes reads size bytes without trusting size for the allocation.
 func readBytes(r io.Reader, size uint64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r, int64(size))) //nolint:gosec // at most maxFrameBytes
+	data, err := io.ReadAll(io.LimitReader(r, int64(size))) // at most maxFrameBytes
 	if err != nil {
 		return nil, err
 	}
--- a/internal/shard/history.go
+++ b/internal/shard/history.go
@@ -9,7 +9,7 @@
 // appendHistory adds the open call's exchange to the program's history.
 func appendHistory(p *program, answer *shardpb.Answer) {
 	p.historyDigest = chain(p.historyDigest, p.open.inputDigest, sha256.Sum256(answer.GetBody()))
-	p.history = append(p.history, uint32(len(p.calls)-1)) //nolint:gosec // bounded by contract.MaxTurns
+	p.history = append(p.history, uint32(len(p.calls)-1)) // bounded by contract.MaxTurns
 	p.historyTokens = historyTokens(p, answer.GetUsage())
 	p.attainedTokens += min(answer.GetUsage().GetCompletionTokens(), p.open.maxOutputTokens)
 }
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -129,7 +129,7 @@
 	if p.byID == nil {
 		p.byID = make(map[string]uint32)
 	}
-	p.byID[c.id] = uint32(len(p.calls)) //nolint:gosec // bounded by contract.MaxTurns
+	p.byID[c.id] = uint32(len(p.calls)) // bounded by contract.MaxTurns
 	p.calls = append(p.calls, c)
 }
 
--- a/internal/shard/restore.go
+++ b/internal/shard/restore.go
@@ -174,9 +174,9 @@
 		failure:    r.GetFailure(),
 		input:      r.GetInput(),
 		answer:     r.GetAnswer(),
-		attempt:    uint32(r.GetAttempt()),  //nolint:gosec // at most MaxAttempts
-		state:      callState(r.GetState()), //nolint:gosec // written from a callState
-		kind:       callKind(r.GetKind()),   //nolint:gosec // written from a callKind
+		attempt:    uint32(r.GetAttempt()),  // at most MaxAttempts
+		state:      callState(r.GetState()), // written from a callState
+		kind:       callKind(r.GetKind()),   // written from a callKind
 		repeatable: r.GetRepeatable(),
 	}
 	copy(c.fingerprint[:], r.GetFingerprint())
