--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -238,7 +238,6 @@
 	sidecarArgs = append(sidecarArgs, "--backend-kind", "engine", "--models", c.options.Models)
 	if number == c.options.FencingEngine {
 		args = append(args, "--check-fencing")
-		sidecarArgs = append(sidecarArgs, "--backend-fencing")
 	}
 	s.Backend = c.process(s.Name, "fakebackend", args)
 	s.Sidecar = c.process(s.Name+"-sidecar", "ibistrayd", sidecarArgs)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -31,7 +31,6 @@
 	flagBackendKind     = "backend-kind"
 	flagModels          = "models"
 	flagServices        = "services"
-	flagBackendFencing  = "backend-fencing"
 	flagMaxRunning      = "max-running"
 	flagRetainIdleLimit = "retain-idle-limit"
 	flagMaxBodyBytes    = "max-body-bytes"
@@ -76,10 +75,6 @@
 	return &cli.DurationFlag{Name: name, Value: value, Usage: usage, Sources: env(name)}
 }
 
-func boolean(name string, usage string) cli.Flag {
-	return &cli.BoolFlag{Name: name, Usage: usage, Sources: env(name)}
-}
-
 // Flags returns the flags of the daemon.
 func Flags() []cli.Flag {
 	return []cli.Flag{
@@ -104,7 +99,6 @@
 		str(flagBackendKind, "engine", "sidecar: engine or service"),
 		str(flagModels, "", "sidecar: models that the engine serves, comma-separated"),
 		str(flagServices, "", "sidecar: services that the backend server offers, comma-separated"),
-		boolean(flagBackendFencing, "sidecar: the backend server refuses old fencing numbers"),
 		number(flagMaxRunning, defaultMaxRunning, "sidecar: most attempts running on the backend server"),
 		duration(flagRetainIdleLimit, defaultRetainIdleLimit, "sidecar: longest time that an idle program keeps engine memory"),
 		number(flagMaxBodyBytes, defaultMaxBodyBytes, "entry: largest request body in bytes"),
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -40,7 +40,6 @@
 		BackendKind:     cmd.String(flagBackendKind),
 		Models:          splitList(cmd.String(flagModels)),
 		Services:        splitList(cmd.String(flagServices)),
-		BackendFencing:  cmd.Bool(flagBackendFencing),
 		RetainIdleLimit: cmd.Duration(flagRetainIdleLimit),
 		TLSCert:         cmd.String(flagTLSCert),
 		TLSKey:          cmd.String(flagTLSKey),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,7 +53,6 @@
 	BackendKind     string // "engine" or "service"
 	Models          []string
 	Services        []string
-	BackendFencing  bool // the backend server refuses old fencing numbers
 	MaxRunning      int
 	RetainIdleLimit time.Duration
 
