Pass-through routes on the users' platform: entry, state host, adapter

The whole path as separate processes: routes and program ledger on the replicated log, backend servers by heartbeat, requests and streams passed on unchanged, kept turns and token budgets.

--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -35,11 +35,11 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return fmt.Errorf("%w; ibistrayd --help lists the settings", err)
 		},
-		Commands: []*cli.Command{{
+		Commands: append([]*cli.Command{{
 			Name:   "check-settings",
 			Usage:  "check the settings and exit",
 			Action: checkSettings,
-		}},
+		}}, hostedCommands()...),
 	}
 	err := app.Run(context.Background(), os.Args)
 	if err == nil {
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -11,6 +11,7 @@
 	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/configlease"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
@@ -68,7 +69,7 @@
 	defer cancel()
 	if err := c.groups.ReadBarrier(ctx, placement.ConfigGroup); err != nil {
 		c.tracker.Follow()
-		return groupError(c.groups, placement.ConfigGroup, err)
+		return peer.GroupError(c.groups, placement.ConfigGroup, err)
 	}
 	c.tracker.Lead(time.Now())
 	return nil
@@ -86,7 +87,7 @@
 	}
 	applied, err := c.groups.Propose(ctx, placement.ConfigGroup, data)
 	if err != nil {
-		return nil, groupError(c.groups, placement.ConfigGroup, err)
+		return nil, peer.GroupError(c.groups, placement.ConfigGroup, err)
 	}
 	result, ok := applied.Result.(*configpb.Result)
 	if !ok {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/shard"
@@ -40,7 +41,7 @@
 	}
 	applied, err := s.groups.Propose(ctx, group, data)
 	if err != nil {
-		return nil, groupError(s.groups, group, err)
+		return nil, peer.GroupError(s.groups, group, err)
 	}
 	return responseOf(applied), nil
 }
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/shard"
 	"ibistray.example/ibistray/internal/transport"
@@ -17,7 +18,7 @@
 		return nil, err
 	}
 	if err := s.groups.ReadBarrier(ctx, group); err != nil {
-		return nil, groupError(s.groups, group, err)
+		return nil, peer.GroupError(s.groups, group, err)
 	}
 	view, err := state.History(req.Customer, req.Program, req.AfterTurn)
 	if err != nil {
@@ -44,7 +45,7 @@
 		return nil, err
 	}
 	if err := s.groups.ReadBarrier(ctx, group); err != nil {
-		return nil, groupError(s.groups, group, err)
+		return nil, peer.GroupError(s.groups, group, err)
 	}
 	if req.KeyHash != nil && !state.Authenticated(req.Customer, req.KeyHash) {
 		return nil, transport.Errorf(rpcpb.Code_CODE_UNAUTHENTICATED, "unknown customer or key")
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -5,14 +5,13 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/shard"
@@ -75,29 +74,7 @@
 	group := placement.GroupOf(index)
 	state := s.shards[index]
 	if state == nil {
-		return nil, 0, notLeader(s.groups, group, "this host has no replica of shard %d", index)
+		return nil, 0, peer.NotLeader(s.groups, group, "this host has no replica of shard %d", index)
 	}
 	return state, group, nil
 }
-
-func notLeader(groups replica.Log, group uint64, format string, args ...any) error {
-	err := transport.Errorf(rpcpb.Code_CODE_NOT_LEADER, format, args...)
-	err.Leader = groups.Leader(group)
-	return err
-}
-
-// groupError turns an error of the replicated log.
-func groupError(groups replica.Log, group uint64, err error) error {
-	switch {
-	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrUnknownGroup):
-		return notLeader(groups, group, "%s", err)
-	case errors.Is(err, replica.ErrStopped):
-		return transport.Errorf(rpcpb.Code_CODE_STOPPING, "%s", err)
-	case errors.Is(err, replica.ErrUnavailable), errors.Is(err, replica.ErrUncertain):
-		return transport.Errorf(rpcpb.Code_CODE_UNAVAILABLE, "%s", err)
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
-		return transport.Errorf(rpcpb.Code_CODE_TIMEOUT, "%s", err)
-	default:
-		return fmt.Errorf("control: group %d: %w", group, err)
-	}
-}
--- /dev/null
+++ b/internal/fleet/wire.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"time"
+
+	"ibistray.example/ibistray/proto/fleetpb"
+)
+
+// Encode returns the message of an instance.
+func Encode(i *Instance, now time.Time) *fleetpb.Instance {
+	return &fleetpb.Instance{
+		Id:            i.ID,
+		Service:       i.Service,
+		Address:       i.Address,
+		FailureDomain: i.FailureDomain,
+		Slots:         uint32(i.Slots),
+		State:         i.State,
+		BornMs:        i.Born,
+		Sequence:      i.Sequence,
+		AgeMs:         max(0, now.Sub(i.Heard).Milliseconds()),
+		ColdMs:        max(0, i.ColdUntil.Sub(now).Milliseconds()),
+		Silent:        i.Silent,
+	}
+}
+
+// Decode returns the instance of a message.
+func Decode(m *fleetpb.Instance, now time.Time) *Instance {
+	return &Instance{
+		ID:            m.Id,
+		Service:       m.Service,
+		Address:       m.Address,
+		FailureDomain: m.FailureDomain,
+		Slots:         int(m.Slots),
+		State:         m.State,
+		Born:          m.BornMs,
+		Sequence:      m.Sequence,
+		Heard:         now.Add(-time.Duration(m.AgeMs) * time.Millisecond),
+		ColdUntil:     now.Add(time.Duration(m.ColdMs) * time.Millisecond),
+		Silent:        m.Silent,
+	}
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/routing"
+	"ibistray.example/ibistray/proto/ledgerpb"
+)
+
+const (
+	// defaultBodyLimit applies where the routes state none.
+	defaultBodyLimit = 8 << 20
+	// fullPause is the wait before servers that were all full are asked again.
+	fullPause = 60 * time.Millisecond
+	// settleTimeout bounds a settlement that goes on after its request.
+	settleTimeout = 10 * time.Second
+)
+
+// Errors that end a request.
+var (
+	errNoRoutes  = errors.New("gateway: no routes are known yet")
+	errNoRoute   = errors.New("gateway: no route matches")
+	errNoServer  = errors.New("gateway: no backend server takes the request")
+	errUnclear   = errors.New("gateway: the request may have run and has no answer")
+	errBodyLarge = errors.New("gateway: the body is too large")
+	errCaller    = errors.New("gateway: the caller is gone")
+)
+
+// call is one request on its way. It is used by one goroutine.
+type call struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	routes  *routing.Document
+	route   *routing.Route
+	service *routing.Service
+	meta    Meta
+	body    []byte // as received
+	request passthrough.Request
+
+	deadline time.Time
+	tried    map[string]bool // servers that refused it or failed
+	sends    int             // attempts of which a server may have seen something
+	server   *fleet.Instance // of the latest attempt
+	lastErr  error           // of the latest attempt
+	first    time.Duration   // until the answer began
+	events   int             // handed to the caller
+	output   bytes.Buffer    // of a turn that is kept
+	began    bool            // the answer has begun
+	refused  int             // answers of servers that did not run it
+}
+
+// serve runs the request to its end and logs it.
+func (c *call) serve() {
+	err := c.prepare()
+	if err == nil {
+		err = c.pass()
+	}
+	if errors.Is(err, errCaller) || c.r.Context().Err() != nil {
+		c.finishLog("caller_gone", 0, err)
+		if c.began {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	if err == nil {
+		c.finishLog("answered", http.StatusOK, nil)
+		return
+	}
+	if c.began {
+		c.finishLog("broken_off", 0, err)
+		panic(http.ErrAbortHandler)
+	}
+	refusal := refusalOf(err)
+	c.refuse(refusal, err)
+}
+
+// prepare matches the request to its route and reads it.
+func (c *call) prepare() error {
+	if c.routes = c.g.view.routes.Load(); c.routes == nil {
+		return errNoRoutes
+	}
+	target := c.r.RequestURI
+	path, _, _ := strings.Cut(target, "?")
+	if c.route = c.routes.Match(c.r.Host, path); c.route == nil {
+		return errNoRoute
+	}
+	meta, err := c.g.cfg.Codec.DecodeRequest(c.r.Header)
+	if err != nil {
+		return err
+	}
+	c.meta = meta
+	patience := c.route.Timeout
+	if meta.Patience > 0 {
+		patience = min(patience, meta.Patience)
+	}
+	c.deadline = c.arrived.Add(patience)
+	name := c.route.Choose(c.stickyKey())
+	c.service = c.routes.Services[name]
+	return c.readBody(target)
+}
+
+// stickyKey is the same for the requests of one program.
+func (c *call) stickyKey() string {
+	if c.meta.Program != "" {
+		return c.meta.Program
+	}
+	return c.meta.ID
+}
+
+func (c *call) readBody(target string) error {
+	limit := int64(c.routes.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errBodyLarge
+	}
+	if err != nil {
+		return fmt.Errorf("%w: read body: %w", errCaller, err)
+	}
+	c.body = body
+	c.request = passthrough.Request{Method: c.r.Method, Target: target, Host: c.r.Host, Body: body}
+	return nil
+}
+
+// pass reserves the turn, passes the request on and settles the turn.
+func (c *call) pass() error {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	if !c.route.Programs {
+		return c.run(ctx)
+	}
+	chain, err := c.g.turns.begin(ctx, &c.meta)
+	if err != nil {
+		return err
+	}
+	c.prependChain(chain)
+	err = c.run(ctx)
+	if err == nil && c.route.KeepTurns {
+		return c.keep(ctx)
+	}
+	c.settleLater()
+	return err
+}
+
+// prependChain puts the earlier turns before the input of this one.
+func (c *call) prependChain(chain []*ledgerpb.Exchange) {
+	if len(chain) == 0 {
+		return
+	}
+	var body bytes.Buffer
+	for _, turn := range chain {
+		body.Write(turn.Input)
+		body.Write(turn.Output)
+	}
+	body.Write(c.body)
+	c.request.Body = body.Bytes()
+}
+
+// finishCommand returns the settlement of the turn.
+func (c *call) finishCommand(keep bool) *ledgerpb.Finish {
+	f := &ledgerpb.Finish{CallId: c.meta.ID, Program: c.meta.Program, Tokens: c.tokens()}
+	if keep {
+		f.Keep = true
+		f.Previous = c.meta.Previous
+		f.Input = c.body
+		f.Output = c.output.Bytes()
+		f.RetentionMs = c.route.Retention.Milliseconds()
+	}
+	return f
+}
+
+// tokens returns the tokens handed to the caller.
+func (c *call) tokens() uint64 {
+	perEvent := 1
+	if c.service != nil && c.service.Engine != nil {
+		perEvent = max(1, c.service.Engine.TokensPerEvent)
+	}
+	return uint64(c.events * perEvent)
+}
+
+// keep makes the turn durable before its answer ends: the caller may continue from
+// it at once, through any entry.
+func (c *call) keep(ctx context.Context) error {
+	if err := c.g.turns.finish(ctx, c.finishCommand(true)); err != nil {
+		c.settleLater()
+		return fmt.Errorf("%w: turn not kept: %w", errUnclear, err)
+	}
+	return nil
+}
+
+// settleLater settles the turn without holding up the caller. If that fails the
+// turn counts at its most.
+func (c *call) settleLater() {
+	f := c.finishCommand(false)
+	c.g.running.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if err := c.g.turns.finish(ctx, f); err != nil {
+			c.g.log.Warn("turn not settled: it counts at its most", "request", f.CallId, "program", f.Program, "error", err)
+		}
+	})
+}
+
+// refusal is the final answer of a request that got none from a server.
+type refusal struct {
+	reason string
+	status int
+	again  bool // the request has not run: the client may come back
+}
+
+// refusalOf returns the final answer of an error.
+func refusalOf(err error) refusal {
+	switch {
+	case errors.Is(err, errNoRoutes):
+		return refusal{"no_routes", http.StatusServiceUnavailable, true}
+	case errors.Is(err, errNoRoute):
+		return refusal{"no_route", http.StatusNotFound, false}
+	case errors.Is(err, ErrBadRequest):
+		return refusal{"bad_request", http.StatusBadRequest, false}
+	case errors.Is(err, errBodyLarge):
+		return refusal{"body_too_large", http.StatusRequestEntityTooLarge, false}
+	case errors.Is(err, errBudgetSpent):
+		return refusal{"budget_spent", http.StatusPaymentRequired, false}
+	case errors.Is(err, errUnclear) && errors.Is(err, context.DeadlineExceeded):
+		return refusal{"timeout", http.StatusGatewayTimeout, false}
+	case errors.Is(err, errUnclear):
+		return refusal{"unclear", http.StatusBadGateway, false}
+	case errors.Is(err, errUnknownTurn):
+		return refusal{"unknown_turn", http.StatusNotFound, false}
+	case errors.Is(err, leaderclient.ErrUnavailable), errors.Is(err, leaderclient.ErrRejected):
+		return refusal{"ledger_unavailable", http.StatusServiceUnavailable, true}
+	case errors.Is(err, errNoServer):
+		return refusal{"no_server", http.StatusServiceUnavailable, true}
+	}
+	return refusal{"internal", http.StatusBadGateway, false}
+}
+
+// refuse sends the final answer.
+func (c *call) refuse(f refusal, cause error) {
+	c.g.metrics.Refusals.WithLabelValues(f.reason).Inc()
+	header := c.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if f.again {
+		c.g.cfg.Codec.EncodeRetryAfter(header, retryAfter())
+	}
+	c.w.WriteHeader(f.status)
+	if _, err := fmt.Fprintln(c.w, f.reason); err != nil {
+		c.g.log.Debug("refusal not written", "request", c.meta.ID, "error", err)
+	}
+	c.finishLog("refused_"+f.reason, f.status, cause)
+}
+
+// finishLog writes the one line that tells what became of the request.
+func (c *call) finishLog(outcome string, status int, err error) {
+	elapsed := time.Since(c.arrived)
+	c.g.metrics.Calls.WithLabelValues(c.kind(), outcome).Inc()
+	c.g.metrics.CallSeconds.WithLabelValues(c.kind()).Observe(elapsed.Seconds())
+	if c.first > 0 {
+		c.g.metrics.FirstSeconds.Observe(c.first.Seconds())
+	}
+	fields := []any{
+		"request", c.meta.ID, "program", c.meta.Program, "previous", c.meta.Previous, "outcome", outcome, "status", status,
+		"sends", c.sends, "refused", c.refused, "events", c.events,
+		"first_ms", c.first.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
+	}
+	if c.route != nil {
+		fields = append(fields, "route", c.route.Name, "routes_version", c.routes.Version)
+	}
+	if c.server != nil {
+		fields = append(fields, "server", c.server.ID, "address", c.server.Address)
+	}
+	if err != nil {
+		fields = append(fields, "error", err, "attempt_error", c.lastErr)
+	}
+	c.g.log.Info("request ended", fields...)
+}
+
+func (c *call) kind() string {
+	if c.route == nil {
+		return "unrouted"
+	}
+	return c.route.Kind.String()
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/routing"
+)
+
+// errGarbled says that an answer does not belong to the request or is not the
+// server's whole answer.
+var errGarbled = errors.New("gateway: the answer is not that of the request")
+
+// errNotRun is the outcome of an attempt that a server refused without running it.
+var errNotRun = errors.New("gateway: the server did not run the request")
+
+// run offers the request to servers until one has answered it. Errors: errNoServer
+// (it never ran), errUnclear, errCaller.
+func (c *call) run(ctx context.Context) error {
+	c.request.Header = c.r.Header.Clone()
+	removeHopHeaders(c.request.Header)
+	c.request.Header.Del("Content-Length")
+	for {
+		if err := c.choose(ctx); err != nil {
+			return err
+		}
+		err := c.attempt(ctx)
+		failed := err != nil && !errors.Is(err, errNotRun) && c.r.Context().Err() == nil
+		c.g.loads.release(c.server.ID, failed, time.Now())
+		if err == nil {
+			return nil
+		}
+		c.lastErr = err
+		c.tried[c.server.ID] = true
+		if c.r.Context().Err() != nil {
+			return fmt.Errorf("%w: %w", errCaller, err)
+		}
+		if errors.Is(err, errNotRun) || errors.Is(err, passthrough.ErrNotSent) {
+			c.refused++
+			c.g.metrics.Retries.WithLabelValues("not_run").Inc()
+			continue
+		}
+		c.sends++
+		if !c.mayRepeat(ctx) {
+			return fmt.Errorf("%w: %w", errUnclear, err)
+		}
+		c.g.metrics.Retries.WithLabelValues("broken").Inc()
+	}
+}
+
+// mayRepeat reports whether a request that may have run can be sent again.
+func (c *call) mayRepeat(ctx context.Context) bool {
+	if c.began && c.route.Kind != routing.KindStream {
+		return false
+	}
+	return c.route.Repeatable() && c.sends < c.route.MaxAttempts && ctx.Err() == nil
+}
+
+// choose finds the next server. While all are full it asks them again after a
+// pause, until too little time is left.
+func (c *call) choose(ctx context.Context) error {
+	for {
+		if ctx.Err() != nil {
+			return c.giveUp(ctx.Err())
+		}
+		question := choice{
+			servers: c.g.view.usable(c.service.Name),
+			tried:   c.tried,
+			key:     c.placeKey(),
+			domain:  c.g.cfg.FailureDomain,
+			now:     time.Now(),
+		}
+		if c.server = c.g.loads.take(question); c.server != nil {
+			return nil
+		}
+		if len(question.servers) == 0 {
+			return c.giveUp(errNoServer)
+		}
+		if time.Until(c.deadline) < c.deadline.Sub(c.arrived)/2 {
+			return c.giveUp(errNoServer)
+		}
+		clear(c.tried)
+		timer := time.NewTimer(fullPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// giveUp returns the error of a request that no server takes.
+func (c *call) giveUp(cause error) error {
+	if c.sends > 0 {
+		return fmt.Errorf("%w: %w", errUnclear, cause)
+	}
+	return fmt.Errorf("%w: %w", errNoServer, cause)
+}
+
+// placeKey returns the key by which requests that share a prompt or subject go to
+// the same server.
+func (c *call) placeKey() string {
+	if !c.route.Affinity {
+		return ""
+	}
+	if c.meta.Program != "" && c.route.Kind == routing.KindStream {
+		return c.meta.Program
+	}
+	return c.meta.Subject
+}
+
+// attempt sends the request to the chosen server and passes its answer on. Errors:
+// passthrough.ErrNotSent and errNotRun (it did not run), others (it may have run).
+func (c *call) attempt(ctx context.Context) error {
+	if limit := c.attemptLimit(); limit > 0 {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		timer := time.AfterFunc(limit, func() { cancel(errSilent) })
+		defer cancel(nil)
+		defer timer.Stop()
+		ctx = context.WithValue(ctx, firstByteTimer{}, timer)
+	}
+	c.g.cfg.Codec.EncodeRequest(c.request.Header, Attempt{
+		Patience:  time.Until(c.deadline),
+		Instance:  c.server.ID,
+		Urgency:   c.urgency(),
+		LastEvent: c.meta.LastEvent,
+		Model:     c.service.Engine != nil,
+	})
+	server := passthrough.Server{ID: c.server.ID, Address: c.server.Address}
+	exchange, err := c.g.servers.Do(ctx, server, &c.request)
+	if err != nil {
+		return err
+	}
+	err = c.takeAnswer(ctx, exchange)
+	exchange.Close(err == nil || errors.Is(err, errNotRun))
+	return err
+}
+
+// errSilent ends an attempt whose server does not begin to answer.
+var errSilent = errors.New("gateway: the server does not begin to answer")
+
+type firstByteTimer struct{}
+
+// answering ends the limit on the time to the first output.
+func answering(ctx context.Context) {
+	if timer, ok := ctx.Value(firstByteTimer{}).(*time.Timer); ok {
+		timer.Stop()
+	}
+}
+
+// attemptLimit bounds the wait for the first output where another server may still
+// be asked; 0: no bound.
+func (c *call) attemptLimit() time.Duration {
+	if !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts {
+		return 0
+	}
+	return time.Until(c.deadline) / 2
+}
+
+// urgency returns the rank of the request at a model engine.
+func (c *call) urgency() int {
+	return min(9, 2+2*c.route.Priority)
+}
+
+// takeAnswer checks the head of an answer and passes the answer on.
+func (c *call) takeAnswer(ctx context.Context, exchange *passthrough.Exchange) error {
+	resp := exchange.Response
+	answer := c.g.cfg.Codec.DecodeAnswer(resp.StatusCode, resp.Header)
+	if answer.NotRun {
+		if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
+			c.g.log.Debug("refusal not read to its end", "request", c.meta.ID, "server", c.server.ID, "error", err)
+		}
+		return fmt.Errorf("%w: status %d", errNotRun, resp.StatusCode)
+	}
+	if answer.RequestID != c.meta.ID {
+		return fmt.Errorf("%w: it bears the ID %q", errGarbled, answer.RequestID)
+	}
+	if resp.Header.Get("Content-Encoding") != "" {
+		return fmt.Errorf("%w: it has a content encoding", errGarbled)
+	}
+	success := resp.StatusCode/100 == 2
+	switch {
+	case success && !answer.Sealed:
+		return fmt.Errorf("%w: it is not signed", errGarbled)
+	case promisesNotRun(resp.StatusCode):
+		// The client would take it for a promise that the server did not make.
+		return fmt.Errorf("%w: status %d without a promise", errGarbled, resp.StatusCode)
+	case resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sends+1 < c.route.MaxAttempts:
+		return fmt.Errorf("gateway: the server failed with status %d", resp.StatusCode)
+	case success && c.route.Kind == routing.KindStream:
+		return c.passStream(ctx, exchange)
+	}
+	return c.passPlain(ctx, exchange)
+}
+
+// promisesNotRun reports whether clients take a status for a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/turns.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/ledgerpb"
+)
+
+// Errors of the ledger.
+var (
+	errBudgetSpent = errors.New("gateway: the program's token budget is spent")
+	errUnknownTurn = errors.New("gateway: no such turn")
+)
+
+const (
+	// ledgerTimeout bounds one exchange with the leader of the ledger: several disk
+	// writes and ways.
+	ledgerTimeout = 600 * time.Millisecond
+	// beginTimeout bounds the wait for a leader before a turn. Clients give up a
+	// stream without an event after some more than two seconds.
+	beginTimeout = 1800 * time.Millisecond
+	// finishTimeout bounds the wait for a leader after a turn.
+	finishTimeout = 4 * time.Second
+)
+
+// turns reserves and settles turns at the ledger.
+type turns struct {
+	leaders *leaderclient.Client
+	leader  leaderclient.Leader
+}
+
+func newTurns(pool *transport.Pool, addresses func() []string, onRetry func(string)) *turns {
+	return &turns{leaders: leaderclient.NewWithOptions(pool, leaderclient.Options{
+		Addresses:      addresses,
+		AttemptTimeout: ledgerTimeout,
+		OnRetry:        onRetry,
+	})}
+}
+
+// begin reserves the tokens of a turn and returns the turns that it continues
+// from. Errors: errBudgetSpent, errUnknownTurn, leaderclient.ErrUnavailable.
+func (t *turns) begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error) {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
+		CallId:      meta.ID,
+		Program:     meta.Program,
+		Previous:    meta.Previous,
+		MaxTokens:   meta.MaxTokens,
+		TokenBudget: meta.TokenBudget,
+		Limited:     meta.Limited,
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	switch resp.Outcome {
+	case ledgerpb.Outcome_OUTCOME_BUDGET_SPENT:
+		return nil, errBudgetSpent
+	case ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN:
+		return nil, errUnknownTurn
+	}
+	return resp.Chain, nil
+}
+
+// finish settles a turn. It returns when that is durable.
+func (t *turns) finish(ctx context.Context, f *ledgerpb.Finish) error {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}})
+	if err != nil {
+		return err
+	}
+	if resp.Outcome != ledgerpb.Outcome_OUTCOME_OK {
+		return fmt.Errorf("gateway: turn not kept: %w", errUnknownTurn)
+	}
+	return nil
+}
+
+func (t *turns) call(ctx context.Context, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
+	resp := new(ledgerpb.Response)
+	req := &ledgerpb.Request{Command: cmd}
+	if err := t.leaders.Call(ctx, &t.leader, transport.MethodLedger, 0, req, resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
--- a/internal/leaderclient/client.go
+++ b/internal/leaderclient/client.go
@@ -37,15 +37,40 @@
 
 // Client sends requests to leaders. It is safe for concurrent use.
 type Client struct {
-	pool      *transport.Pool
-	addresses []string
-	onRetry   func(reason string)
+	pool           *transport.Pool
+	addresses      func() []string
+	attemptTimeout time.Duration
+	onRetry        func(reason string)
+}
+
+// Options are the settings of a Client.
+type Options struct {
+	// Addresses returns the control processes. They may change between calls.
+	Addresses func() []string
+	// AttemptTimeout bounds one exchange, beyond the wait that it asks for.
+	AttemptTimeout time.Duration
+	// OnRetry is called with a reason for each exchange that is made again.
+	OnRetry func(reason string)
 }
 
 // New returns a client of the control processes at addresses. onRetry is called
 // with a reason for each exchange that is made again.
 func New(pool *transport.Pool, addresses []string, onRetry func(reason string)) *Client {
-	return &Client{pool: pool, addresses: addresses, onRetry: onRetry}
+	return NewWithOptions(pool, Options{
+		Addresses:      func() []string { return addresses },
+		AttemptTimeout: attemptTimeout,
+		OnRetry:        onRetry,
+	})
+}
+
+// NewWithOptions returns a client of control processes that may change.
+func NewWithOptions(pool *transport.Pool, opts Options) *Client {
+	return &Client{
+		pool:           pool,
+		addresses:      opts.Addresses,
+		attemptTimeout: opts.AttemptTimeout,
+		onRetry:        opts.OnRetry,
+	}
 }
 
 // Leader remembers who led a group last. The zero value knows nobody.
@@ -58,9 +83,13 @@
 // answers or the context ends. wait is added to the time of one exchange.
 // Errors: ErrUnavailable, ErrRejected.
 func (c *Client) Call(ctx context.Context, leader *Leader, method string, wait time.Duration, req, resp proto.Message) error {
-	next := rand.IntN(len(c.addresses))
+	addresses := c.addresses()
+	if len(addresses) == 0 {
+		return fmt.Errorf("%w: no control process is known", ErrUnavailable)
+	}
+	next := rand.IntN(len(addresses))
 	for try := 0; ; try++ {
-		address := c.addresses[next]
+		address := addresses[next]
 		if known := leader.address.Load(); known != nil {
 			address = *known
 		}
@@ -74,12 +103,12 @@
 			return fmt.Errorf("%w: %s: %w", ErrRejected, method, err)
 		}
 		hinted := leader.follow(err)
-		next = (next + 1) % len(c.addresses)
+		next = (next + 1) % len(addresses)
 		if ctx.Err() != nil {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 		c.onRetry(reason)
-		if hinted && try < len(c.addresses) {
+		if hinted && try < len(addresses) {
 			continue
 		}
 		if !loop.Sleep(ctx, backoff(try)) {
@@ -89,7 +118,7 @@
 }
 
 func (c *Client) exchange(ctx context.Context, address, method string, wait time.Duration, req, resp proto.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+c.attemptTimeout)
 	defer cancel()
 	return c.pool.Call(ctx, address, method, req, resp)
 }
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,157 @@
+package ledger
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"ibistray.example/ibistray/proto/ledgerpb"
+)
+
+// maxRecordBytes bounds one record of a snapshot: a turn's input and output.
+const maxRecordBytes = 64 << 20
+
+// ErrSnapshot says that a snapshot is damaged.
+var ErrSnapshot = errors.New("ledger: damaged snapshot")
+
+// Snapshot implements replica.StateMachine. Turns are written after the turns
+// that they continue from.
+func (s *State) Snapshot(w io.Writer) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	buffered := bufio.NewWriter(w)
+	if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs}); err != nil {
+		return err
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.programs)) {
+		if err := writeRecord(buffered, &ledgerpb.Record{Program: s.programs[id].record(id)}); err != nil {
+			return err
+		}
+	}
+	written := make(map[*turn]bool, len(s.turns))
+	for _, id := range slices.Sorted(maps.Keys(s.turns)) {
+		if err := s.writeChain(buffered, s.turns[id], written); err != nil {
+			return err
+		}
+	}
+	return buffered.Flush()
+}
+
+func writeRecord(w io.Writer, record *ledgerpb.Record) error {
+	if _, err := protodelim.MarshalTo(w, record); err != nil {
+		return fmt.Errorf("ledger: write snapshot: %w", err)
+	}
+	return nil
+}
+
+// writeChain writes a turn and those before it that are not written yet.
+func (s *State) writeChain(w io.Writer, last *turn, written map[*turn]bool) error {
+	var chain []*turn
+	for t := last; t != nil && !written[t]; t = t.previous {
+		chain = append(chain, t)
+		written[t] = true
+	}
+	for _, t := range slices.Backward(chain) {
+		record := &ledgerpb.Turn{Id: t.id, Input: t.input, Output: t.output, ExpiresMs: t.expiresMs}
+		if t.previous != nil {
+			record.Previous = t.previous.id
+		}
+		record.Hidden = s.turns[t.id] != t
+		if err := writeRecord(w, &ledgerpb.Record{Turn: record}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *program) record(id string) *ledgerpb.Program {
+	return &ledgerpb.Program{
+		Id:          id,
+		TokenBudget: p.budget,
+		Settled:     p.settled,
+		Open:        p.open,
+		Done:        slices.Sorted(maps.Keys(p.done)),
+		ExpiresMs:   p.expiresMs,
+	}
+}
+
+// Restore implements replica.StateMachine. The state is unchanged after an
+// error, which wraps ErrSnapshot.
+func (s *State) Restore(r io.Reader) error {
+	next := New()
+	hidden := make(map[string]*turn)
+	buffered := bufio.NewReader(r)
+	options := protodelim.UnmarshalOptions{MaxSize: maxRecordBytes}
+	for {
+		record := new(ledgerpb.Record)
+		err := options.UnmarshalFrom(buffered, record)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrSnapshot, err)
+		}
+		if err := next.restoreRecord(record, hidden); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nowMs, s.sweptMs = next.nowMs, next.nowMs
+	s.programs, s.turns = next.programs, next.turns
+	return nil
+}
+
+func (s *State) restoreRecord(record *ledgerpb.Record, hidden map[string]*turn) error {
+	switch {
+	case record.Program != nil:
+		s.programs[record.Program.Id] = restoreProgram(record.Program)
+	case record.Turn != nil:
+		return s.restoreTurn(record.Turn, hidden)
+	default:
+		s.nowMs = record.NowMs
+	}
+	return nil
+}
+
+func restoreProgram(record *ledgerpb.Program) *program {
+	p := &program{
+		budget:    record.TokenBudget,
+		settled:   record.Settled,
+		open:      make(map[string]uint64, len(record.Open)),
+		done:      make(map[string]struct{}, len(record.Done)),
+		expiresMs: record.ExpiresMs,
+	}
+	for id, tokens := range record.Open {
+		p.open[id] = tokens
+		p.reserved += tokens
+	}
+	for _, id := range record.Done {
+		p.done[id] = struct{}{}
+	}
+	return p
+}
+
+func (s *State) restoreTurn(record *ledgerpb.Turn, hidden map[string]*turn) error {
+	t := &turn{id: record.Id, input: record.Input, output: record.Output, expiresMs: record.ExpiresMs}
+	if record.Previous != "" {
+		t.previous = s.turns[record.Previous]
+		if t.previous == nil {
+			t.previous = hidden[record.Previous]
+		}
+		if t.previous == nil {
+			return fmt.Errorf("%w: turn %s continues from %s, which is not there", ErrSnapshot, record.Id, record.Previous)
+		}
+	}
+	if record.Hidden {
+		hidden[t.id] = t
+		return nil
+	}
+	s.turns[t.id] = t
+	return nil
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+// GroupError turns an error of the replicated log into the report that a caller
+// in another process gets.
+func GroupError(groups replica.Log, group uint64, err error) error {
+	switch {
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrUnknownGroup):
+		return NotLeader(groups, group, "%s", err)
+	case errors.Is(err, replica.ErrStopped):
+		return transport.Errorf(rpcpb.Code_CODE_STOPPING, "%s", err)
+	case errors.Is(err, replica.ErrUnavailable), errors.Is(err, replica.ErrUncertain):
+		return transport.Errorf(rpcpb.Code_CODE_UNAVAILABLE, "%s", err)
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return transport.Errorf(rpcpb.Code_CODE_TIMEOUT, "%s", err)
+	default:
+		return fmt.Errorf("peer: group %d: %w", group, err)
+	}
+}
+
+// NotLeader reports that another host leads a group, with its address if it is
+// known.
+func NotLeader(groups replica.Log, group uint64, format string, args ...any) error {
+	err := transport.Errorf(rpcpb.Code_CODE_NOT_LEADER, format, args...)
+	err.Leader = groups.Leader(group)
+	return err
+}
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -67,7 +67,17 @@
 // The caller holds the mutex.
 func (h *Host) drawReplicaID() uint64 {
 	milliseconds := uint64(time.Now().UnixMilli())
-	return milliseconds<<replicaRandomBits | h.random.Uint64()&replicaRandomMask
+	drawn := milliseconds<<replicaRandomBits | h.random.Uint64()&replicaRandomMask
+	return max(drawn, h.leastID+h.random.Uint64()&replicaRandomMask)
+}
+
+// RaiseReplicaID makes replica IDs that this host draws from now on at least
+// least: a group takes only IDs above those of all its earlier members, and the
+// clocks of hosts differ.
+func (h *Host) RaiseReplicaID(least uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leastID = max(h.leastID, least)
 }
 
 // sendIdentity asks the members that have not confirmed yet.
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
@@ -29,7 +28,6 @@
 	outbox    *outbox
 	snapshots snapshotStore
 	peers     *peerTable
-	start     time.Time
 
 	// groups is replaced as a whole when a group is added or removed.
 	groups atomic.Pointer[map[uint64]*group]
@@ -37,6 +35,7 @@
 	stopping atomic.Bool // new requests are refused
 
 	mu        sync.Mutex // guards what follows
+	leastID   uint64     // of replica IDs that are drawn
 	recovered map[uint64]*wal.GroupState
 	random    *rand.Rand
 	failure   error
@@ -59,7 +58,6 @@
 	}
 	h := &Host{
 		opts:    opts,
-		start:   time.Now(),
 		random:  rand.New(rand.NewPCG(opts.Seed, 0)),
 		metrics: newMetrics(opts.Registerer),
 		slots:   make(chan struct{}, maxStreams),
@@ -101,9 +99,9 @@
 	return nil
 }
 
-// ticks returns the whole ticks since the host started, by the monotonic clock.
+// ticks returns the whole ticks since the host started.
 func (h *Host) ticks() uint64 {
-	return uint64(time.Since(h.start) / h.opts.TickInterval)
+	return uint64(h.opts.Clock() / h.opts.TickInterval)
 }
 
 // lookup returns the replica of a group.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -35,6 +35,9 @@
 	Workers      int           // goroutines that drive the groups; default: GOMAXPROCS
 	Appliers     int           // goroutines that call state machines; default 4
 	Seed         uint64        // of election timeouts and replica IDs; default: random
+	// Clock measures the ticks and with them the leases. The default is the
+	// monotonic clock, which stands still while the host is suspended.
+	Clock func() time.Duration
 
 	SnapshotEntries uint64 // applied entries after which a snapshot is taken; default 4096
 	SnapshotBytes   int    // bytes of applied commands after which a snapshot is taken; default 4 MiB
@@ -67,6 +70,10 @@
 	if o.OnFailure == nil {
 		o.OnFailure = func(error) {}
 	}
+	if o.Clock == nil {
+		start := time.Now()
+		o.Clock = func() time.Duration { return time.Since(start) }
+	}
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
--- /dev/null
+++ b/internal/statehost/service.go
@@ -0,0 +1,238 @@
+package statehost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/ledger"
+	"ibistray.example/ibistray/internal/peer"
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/fleetpb"
+	"ibistray.example/ibistray/proto/ledgerpb"
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+// Errors of operators' orders.
+var (
+	// ErrUnavailable says that no quorum answered: the order may or may not have
+	// been accepted and can be sent again.
+	ErrUnavailable = errors.New("statehost: no quorum answered")
+	// ErrUnknownHost names a state host that was not heard of.
+	ErrUnknownHost = errors.New("statehost: unknown host")
+	// ErrTooFewHosts says that too few state hosts would be left.
+	ErrTooFewHosts = errors.New("statehost: too few hosts would be left")
+	// ErrNoRoutes says that there are no routes yet.
+	ErrNoRoutes = errors.New("statehost: no routes yet")
+)
+
+// orderTimeout bounds an operator's order: callers go to another host after a
+// second without an answer.
+const orderTimeout = 900 * time.Millisecond
+
+// ApplyRoutes puts a document in force unless a higher version is; both are
+// durable on a quorum when it returns. Errors: routing.ErrInvalid, ErrUnavailable.
+func (h *Host) ApplyRoutes(ctx context.Context, document []byte) error {
+	decoded, err := h.cfg.Decode(document)
+	if err != nil {
+		h.order("routes", "invalid")
+		h.log.Warn("routes refused", "error", err)
+		return err
+	}
+	cmd := &fleetpb.ConfigCommand{Kind: &fleetpb.ConfigCommand_PutRoutes{
+		PutRoutes: &fleetpb.Routes{Version: decoded.Version, Document: document},
+	}}
+	resp, err := h.callConfig(ctx, cmd)
+	if err != nil {
+		h.order("routes", "unavailable")
+		h.log.Warn("routes not acknowledged", "version", decoded.Version, "error", err)
+		return err
+	}
+	h.order("routes", "acknowledged")
+	h.log.Info("routes acknowledged", "version", decoded.Version, "in_force", resp.GetRoutes().GetVersion())
+	return nil
+}
+
+func (h *Host) order(kind, outcome string) {
+	h.metrics.orders.WithLabelValues(kind, outcome).Inc()
+}
+
+// Routes returns the newest acknowledged document, confirmed by a quorum.
+// Errors: ErrNoRoutes, ErrUnavailable.
+func (h *Host) Routes(ctx context.Context) ([]byte, error) {
+	resp, err := h.callConfig(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Routes == nil {
+		return nil, ErrNoRoutes
+	}
+	return resp.Routes.Document, nil
+}
+
+// callConfig sends a command, or a read without one, to the leader of the
+// configuration.
+func (h *Host) callConfig(ctx context.Context, cmd *fleetpb.ConfigCommand) (*fleetpb.ConfigResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	resp := new(fleetpb.ConfigResponse)
+	req := &fleetpb.ConfigRequest{Command: cmd}
+	if err := h.leaders.Call(ctx, &h.configLeader, transport.MethodRoutes, 0, req, resp); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return resp, nil
+}
+
+// serveConfig serves the leader's side of callConfig.
+func (h *Host) serveConfig(ctx context.Context, req *fleetpb.ConfigRequest) (*fleetpb.ConfigResponse, error) {
+	if req.Command == nil {
+		if err := h.replicas.ReadBarrier(ctx, ConfigGroup); err != nil {
+			return nil, peer.GroupError(h.replicas, ConfigGroup, err)
+		}
+		resp, _ := h.config.read()
+		return resp, nil
+	}
+	data, err := proto.Marshal(req.Command)
+	if err != nil {
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
+	}
+	if _, err := h.replicas.Propose(ctx, ConfigGroup, data); err != nil {
+		return nil, peer.GroupError(h.replicas, ConfigGroup, err)
+	}
+	resp, _ := h.config.read()
+	return &fleetpb.ConfigResponse{Routes: &fleetpb.Routes{Version: resp.GetRoutes().GetVersion()}}, nil
+}
+
+// serveLedger proposes a command to the ledger, as the leader.
+func (h *Host) serveLedger(ctx context.Context, req *ledgerpb.Request) (*ledgerpb.Response, error) {
+	if req.Command == nil {
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command")
+	}
+	req.Command.NowMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(req.Command)
+	if err != nil {
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
+	}
+	kind := commandKind(req.Command)
+	applied, err := h.replicas.Propose(ctx, LedgerGroup, data)
+	if err != nil {
+		h.metrics.commands.WithLabelValues(kind, "failed").Inc()
+		return nil, peer.GroupError(h.replicas, LedgerGroup, err)
+	}
+	result, ok := applied.Result.(ledger.Result)
+	if !ok {
+		return nil, transport.Errorf(rpcpb.Code_CODE_INTERNAL, "ledger returned %T", applied.Result)
+	}
+	h.metrics.commands.WithLabelValues(kind, result.Outcome.String()).Inc()
+	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.Chain()}, nil
+}
+
+func commandKind(cmd *ledgerpb.Command) string {
+	if cmd.GetBegin() != nil {
+		return "begin"
+	}
+	return "finish"
+}
+
+// Heartbeat takes the report of a backend server. The error wraps
+// fleet.ErrInvalid; nothing changed then.
+func (h *Host) Heartbeat(i *fleet.Instance) error {
+	if err := i.Check(); err != nil {
+		h.metrics.heartbeats.WithLabelValues("refused").Inc()
+		h.log.Warn("heartbeat refused", "server", i.ID, "error", err)
+		return err
+	}
+	if !h.servers.Merge(i) {
+		h.metrics.heartbeats.WithLabelValues("late").Inc()
+		return nil
+	}
+	h.metrics.heartbeats.WithLabelValues("taken").Inc()
+	if i.State != fleetpb.State_STATE_READY || i.Sequence <= 1 {
+		h.log.Info("backend server reported", "server", i.ID, "service", i.Service, "address", i.Address,
+			"state", i.State.String(), "born", i.Born, "sequence", i.Sequence)
+	}
+	return nil
+}
+
+// Leave takes the report of a backend server that leaves.
+func (h *Host) Leave(id string, born int64) {
+	known := h.servers.Leave(id, born, time.Now())
+	h.log.Info("backend server leaves", "server", id, "born", born, "known", known)
+}
+
+// StartRetirement asks that a state host gives up its replicas. Errors:
+// ErrUnknownHost, ErrTooFewHosts, ErrUnavailable.
+func (h *Host) StartRetirement(ctx context.Context, name string) error {
+	host := h.hosts.byName(name)
+	if host == nil {
+		return fmt.Errorf("%w: %s", ErrUnknownHost, name)
+	}
+	if !h.config.retiring(host.Address) && h.staying(host.Address) < 2*h.cfg.Tolerance+1 {
+		h.order("retire", "too_few")
+		return fmt.Errorf("%w: %s", ErrTooFewHosts, name)
+	}
+	cmd := &fleetpb.ConfigCommand{Kind: &fleetpb.ConfigCommand_Retire{
+		Retire: &fleetpb.Retirement{Name: name, Address: host.Address},
+	}}
+	if _, err := h.callConfig(ctx, cmd); err != nil {
+		h.order("retire", "unavailable")
+		return err
+	}
+	h.order("retire", "acknowledged")
+	h.log.Info("retirement accepted", "host", name, "address", host.Address)
+	return nil
+}
+
+// staying returns how many hosts answer and would stay without the one at an address.
+func (h *Host) staying(without string) int {
+	count := 0
+	now := time.Now()
+	for _, heard := range h.hosts.all() {
+		if heard.host.Address != without && now.Sub(heard.heard) < lostAfter && !h.config.retiring(heard.host.Address) {
+			count++
+		}
+	}
+	return count
+}
+
+// Retired reports whether a state host that was asked to retire holds no replica
+// any longer. Errors: ErrUnknownHost, ErrUnavailable.
+func (h *Host) Retired(ctx context.Context, name string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	config, err := h.callConfig(ctx, nil)
+	if err != nil {
+		return false, err
+	}
+	for _, retirement := range config.Retirements {
+		if retirement.Name == name {
+			return h.emptied(ctx, retirement.Address)
+		}
+	}
+	return false, fmt.Errorf("%w: %s was not asked to retire", ErrUnknownHost, name)
+}
+
+// emptied reports whether the host at an address is a member of no group.
+func (h *Host) emptied(ctx context.Context, address string) (bool, error) {
+	leaders := [...]struct {
+		group  uint64
+		leader *leaderclient.Leader
+	}{{ConfigGroup, &h.configLeader}, {LedgerGroup, &h.ledgerLeader}}
+	for _, l := range leaders {
+		resp := new(fleetpb.MembersResponse)
+		req := &fleetpb.MembersRequest{Group: l.group}
+		if err := h.leaders.Call(ctx, l.leader, transport.MethodHostMembers, 0, req, resp); err != nil {
+			return false, fmt.Errorf("%w: group %d: %w", ErrUnavailable, l.group, err)
+		}
+		if slices.Contains(resp.Addresses, address) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,7 @@
 	LeaseRemaining prometheus.Gauge         // seconds that the configuration lease still holds
 	ReleasedHolds  *prometheus.CounterVec   // by reason: engine memory released
 	AnnounceErrors prometheus.Counter       // announcements that no control process took
+	Connections    *prometheus.CounterVec   // by outcome: connections to backend servers of pass-through routes
 }
 
 // NewMetrics returns metrics in a registry of their own, together with the
@@ -48,11 +49,12 @@
 		LeaseRemaining: gauge("configuration_lease_remaining_seconds", "Seconds that the configuration lease still holds, negative after its end."),
 		ReleasedHolds:  counterVec("released_holds_total", "Programs whose engine memory was released, by reason.", "reason"),
 		AnnounceErrors: counter("announce_errors_total", "Announcements that no control process accepted."),
+		Connections:    counterVec("server_connections_total", "Connections to backend servers of pass-through routes, by outcome.", "outcome"),
 	}
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstSeconds,
 		m.PromptTokens, m.CachedTokens, m.OutputTokens, m.WastedTokens,
-		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors,
+		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.Connections,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -17,6 +17,13 @@
 	MethodReplicaJoin       = "replica.join"
 	MethodReplicaStatus     = "replica.status"
 
+	// State hosts of pass-through routes.
+	MethodHostAnnounce = "host.announce"
+	MethodHostMembers  = "host.members"
+	MethodFleetWatch   = "fleet.watch"
+	MethodRoutes       = "routes.call"
+	MethodLedger       = "ledger.call"
+
 	// Sidecar role.
 	MethodRun     = "sidecar.run"
 	MethodFence   = "sidecar.fence"
