--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/fleetpb"
+)
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func beat(id, address string, born int64, sequence uint64, state fleetpb.State) *Instance {
+	return &Instance{ID: id, Service: "chat", Address: address, Born: born, Sequence: sequence, State: state, Heard: epoch}
+}
+
+const (
+	ready    = fleetpb.State_STATE_READY
+	draining = fleetpb.State_STATE_DRAINING
+	gone     = fleetpb.State_STATE_GONE
+)
+
+func stateOf(t *testing.T, table *Table, id string) fleetpb.State {
+	t.Helper()
+	for _, i := range table.All() {
+		if i.ID == id {
+			return i.State
+		}
+	}
+	t.Fatalf("no instance %s", id)
+	return 0
+}
+
+func TestLateHeartbeatChangesNothing(t *testing.T) {
+	table := NewTable()
+	assert.Assert(t, table.Merge(beat("a", "10.0.0.1:80", 1, 5, draining)))
+	assert.Assert(t, !table.Merge(beat("a", "10.0.0.1:80", 1, 4, ready)))
+	assert.Equal(t, stateOf(t, table, "a"), draining)
+}
+
+func TestServerDoesNotTakeBackThatItLeaves(t *testing.T) {
+	table := NewTable()
+	table.Merge(beat("a", "10.0.0.1:80", 1, 5, ready))
+	assert.Assert(t, table.Leave("a", 0, epoch))
+	table.Merge(beat("a", "10.0.0.1:80", 1, 7, ready))
+	assert.Equal(t, stateOf(t, table, "a"), gone)
+}
+
+func TestServerThatStartsAgainUnderItsIDIsNew(t *testing.T) {
+	table := NewTable()
+	table.Merge(beat("a", "10.0.0.1:80", 1, 50, draining))
+	assert.Assert(t, table.Merge(beat("a", "10.0.0.1:80", 2, 1, ready)))
+	assert.Equal(t, stateOf(t, table, "a"), ready)
+	// A heartbeat and a farewell of the earlier start that were held up change nothing.
+	assert.Assert(t, !table.Merge(beat("a", "10.0.0.1:80", 1, 51, draining)))
+	table.Leave("a", 1, epoch)
+	assert.Equal(t, stateOf(t, table, "a"), ready)
+}
+
+func TestNewestStartHoldsAnAddress(t *testing.T) {
+	table := NewTable()
+	table.Merge(beat("new", "10.0.0.1:80", 2, 1, ready))
+	// Held up by a cut, from a server that has crashed since.
+	table.Merge(beat("old", "10.0.0.1:80", 1, 90, ready))
+	all := table.All()
+	assert.Equal(t, len(all), 1)
+	assert.Equal(t, all[0].ID, "new")
+}
+
+func TestSinceReportsChangesOnceAndBeatsToPeersOnly(t *testing.T) {
+	table := NewTable()
+	table.Merge(beat("a", "10.0.0.1:80", 1, 1, ready))
+	changed, revision := table.Since(0, false)
+	assert.Equal(t, len(changed), 1)
+	table.Merge(beat("a", "10.0.0.1:80", 1, 2, ready))
+	changed, _ = table.Since(revision, false)
+	assert.Equal(t, len(changed), 0)
+	changed, revision = table.Since(revision, true)
+	assert.Equal(t, len(changed), 1)
+	table.Merge(beat("a", "10.0.0.1:80", 1, 3, draining))
+	changed, _ = table.Since(revision, false)
+	assert.Equal(t, len(changed), 1)
+}
+
+func TestSilentServerIsMarkedOnceAndHeardAgain(t *testing.T) {
+	table := NewTable()
+	table.Merge(beat("a", "10.0.0.1:80", 1, 1, ready))
+	later := epoch.Add(10 * time.Second)
+	assert.Equal(t, len(table.MarkSilent(later, 5*time.Second)), 1)
+	assert.Equal(t, len(table.MarkSilent(later, 5*time.Second)), 0)
+	assert.Assert(t, table.All()[0].Silent)
+	next := beat("a", "10.0.0.1:80", 1, 2, ready)
+	next.Heard = later
+	table.Merge(next)
+	assert.Assert(t, !table.All()[0].Silent)
+}
+
+func TestSweepForgetsWhatIsLongGone(t *testing.T) {
+	table := NewTable()
+	table.Merge(beat("a", "10.0.0.1:80", 1, 1, ready))
+	table.Sweep(epoch.Add(goneRetention))
+	assert.Equal(t, len(table.All()), 1)
+	table.Sweep(epoch.Add(goneRetention + time.Second))
+	assert.Equal(t, len(table.All()), 0)
+}
+
+func TestCheckRefusesWhatNamesNoServer(t *testing.T) {
+	cases := map[string]*Instance{
+		"no ID":       {Service: "chat", Address: "10.0.0.1:80"},
+		"no service":  {ID: "a", Address: "10.0.0.1:80"},
+		"no address":  {ID: "a", Service: "chat"},
+		"host name":   {ID: "a", Service: "chat", Address: "server.example:80"},
+		"no port":     {ID: "a", Service: "chat", Address: "10.0.0.1"},
+		"wrong octet": {ID: "a", Service: "chat", Address: "10.0.0.256:80"},
+	}
+	for name, i := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.ErrorIs(t, i.Check(), ErrInvalid)
+		})
+	}
+}
+
+func TestEncodeAndDecodeKeepAnInstance(t *testing.T) {
+	i := beat("a", "10.0.0.1:80", 7, 9, draining)
+	i.FailureDomain, i.Slots, i.Silent = "hall", 32, true
+	i.ColdUntil = epoch.Add(time.Second)
+	later := epoch.Add(300 * time.Millisecond)
+	assert.DeepEqual(t, Decode(Encode(i, later), later), i)
+}
--- a/internal/fleetwatch/set.go
+++ b/internal/fleetwatch/set.go
@@ -110,9 +110,8 @@
 // reports whether there was an update.
 func (s *Set) watch(ctx context.Context, address string) (bool, error) {
 	heard := false
-	openCtx, cancel := context.WithTimeout(ctx, SilenceLimit)
-	defer cancel()
-	stream, err := s.opts.Pool.Open(openCtx, address, transport.MethodFleetWatch)
+	// The stream has no end of its own, so it is opened without a deadline.
+	stream, err := s.opts.Pool.Open(ctx, address, transport.MethodFleetWatch)
 	if err != nil {
 		return false, err
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -22,6 +22,9 @@
 	defaultBodyLimit = 8 << 20
 	// fullPause is the wait before servers that were all full are asked again.
 	fullPause = 60 * time.Millisecond
+	// viewWait bounds the wait of a request for an entry's first view of routes and
+	// servers: some attempts to reach a state host.
+	viewWait = 800 * time.Millisecond
 	// settleTimeout bounds a settlement that goes on after its request.
 	settleTimeout = 10 * time.Second
 )
@@ -60,6 +63,7 @@
 	output   bytes.Buffer    // of a turn that is kept
 	began    bool            // the answer has begun
 	refused  int             // answers of servers that did not run it
+	waited   bool            // for servers to be known
 }
 
 // serve runs the request to its end and logs it.
@@ -89,7 +93,7 @@
 
 // prepare matches the request to its route and reads it.
 func (c *call) prepare() error {
-	if c.routes = c.g.view.routes.Load(); c.routes == nil {
+	if c.routes = c.awaitRoutes(); c.routes == nil {
 		return errNoRoutes
 	}
 	target := c.r.RequestURI
@@ -112,6 +116,19 @@
 	return c.readBody(target)
 }
 
+// awaitRoutes returns the routes in force. An entry that has just started gets them
+// within a moment, which is less than the way of a client that is sent back.
+func (c *call) awaitRoutes() *routing.Document {
+	view := c.g.view
+	if doc := view.routes.Load(); doc != nil {
+		return doc
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), viewWait)
+	defer cancel()
+	view.await(ctx, func() bool { return view.routes.Load() != nil })
+	return view.routes.Load()
+}
+
 // stickyKey is the same for the requests of one program.
 func (c *call) stickyKey() string {
 	if c.meta.Program != "" {
--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/routing"
+	"ibistray.example/ibistray/internal/telemetry"
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/fleetpb"
+	"ibistray.example/ibistray/proto/ledgerpb"
+)
+
+// plainCodec is a Codec with headers of its own.
+type plainCodec struct{}
+
+func (plainCodec) DecodeRequest(header http.Header) (Meta, error) {
+	meta := Meta{ID: header.Get("Id"), LastEvent: header.Get("After"), Program: header.Get("Program"), Previous: header.Get("Previous")}
+	if meta.ID == "" {
+		return meta, fmt.Errorf("%w: no ID", ErrBadRequest)
+	}
+	if value := header.Get("Patience"); value != "" {
+		ms, err := strconv.Atoi(value)
+		if err != nil {
+			return meta, fmt.Errorf("%w: %w", ErrBadRequest, err)
+		}
+		meta.Patience = time.Duration(ms) * time.Millisecond
+	}
+	meta.Limited = header.Get("Budget") != ""
+	return meta, nil
+}
+
+func (plainCodec) EncodeRequest(header http.Header, a Attempt) {
+	header.Set("Instance", a.Instance)
+	header.Set("Patience", strconv.FormatInt(a.Patience.Milliseconds(), 10))
+	if a.LastEvent != "" {
+		header.Set("After", a.LastEvent)
+	}
+}
+
+func (plainCodec) DecodeAnswer(_ int, header http.Header) Answer {
+	return Answer{RequestID: header.Get("Id"), Sealed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != ""}
+}
+
+func (plainCodec) EncodeRetryAfter(header http.Header, after time.Duration) {
+	header.Set("Again-After", after.String())
+}
+
+// memoryLedger is a ledger of one process.
+type memoryLedger struct {
+	mu       sync.Mutex
+	beginErr error
+	keepErr  error
+	chain    []*ledgerpb.Exchange
+	begun    []string
+	finished []*ledgerpb.Finish
+	settled  chan *ledgerpb.Finish
+}
+
+func (l *memoryLedger) begin(_ context.Context, meta *Meta) ([]*ledgerpb.Exchange, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun = append(l.begun, meta.ID)
+	return l.chain, l.beginErr
+}
+
+func (l *memoryLedger) finish(_ context.Context, f *ledgerpb.Finish) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Keep && l.keepErr != nil {
+		return l.keepErr
+	}
+	l.finished = append(l.finished, f)
+	l.settled <- f
+	return nil
+}
+
+// backend is a backend server whose answers a test writes.
+type backend struct {
+	*httptest.Server
+	id   string
+	mu   sync.Mutex
+	runs []string // IDs and bodies of requests that it began to run
+}
+
+func (b *backend) ran() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.runs...)
+}
+
+// newBackend starts a backend server. answer is called for each request that the
+// server runs, after its ID and seal are in the headers.
+func newBackend(t *testing.T, id string, answer func(w http.ResponseWriter, r *http.Request, body string)) *backend {
+	t.Helper()
+	b := &backend{id: id}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if r.Header.Get("Instance") != id {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("Seal", "seal of "+id)
+		b.mu.Lock()
+		b.runs = append(b.runs, r.Header.Get("Id")+":"+string(data))
+		b.mu.Unlock()
+		answer(w, r, string(data))
+	}))
+	t.Cleanup(b.Close)
+	return b
+}
+
+// full is the answer of a server that takes no more requests. It counts no run.
+func newFullBackend(t *testing.T, id string) *backend {
+	t.Helper()
+	b := &backend{id: id}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(b.Close)
+	return b
+}
+
+// fixture is a gateway with servers and a ledger of its own.
+type fixture struct {
+	*Gateway
+	front  *httptest.Server
+	ledger *memoryLedger
+}
+
+var testRoutes = []*routing.Route{
+	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.KindSafe, MaxAttempts: 2},
+	{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.KindUnsafe, MaxAttempts: 2},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.KindStream, MaxAttempts: 2, Programs: true, Resumable: true, Affinity: true},
+	{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.KindStream, MaxAttempts: 2, Programs: true, KeepTurns: true, Retention: time.Minute, Affinity: true},
+}
+
+func newFixture(t *testing.T, servers ...*backend) *fixture {
+	t.Helper()
+	l := &memoryLedger{settled: make(chan *ledgerpb.Finish, 16)}
+	decode := func([]byte) (*routing.Document, error) {
+		doc := &routing.Document{
+			Version:  1,
+			Services: map[string]*routing.Service{"s": {Name: "s", Engine: &routing.Engine{TokensPerEvent: 3}}},
+		}
+		for _, r := range testRoutes {
+			route := *r
+			route.Timeout = 5 * time.Second
+			route.Backends = []routing.Backend{{Service: "s", Weight: 1}}
+			doc.Routes = append(doc.Routes, &route)
+		}
+		return doc, doc.Check()
+	}
+	pool := transport.NewPool(transport.DialTCP)
+	t.Cleanup(pool.Close)
+	g := New(Config{Name: "entry", Seeds: func() []string { return nil }, Decode: decode, Codec: plainCodec{}}, hclog.NewNullLogger(), telemetry.NewMetrics(), pool)
+	g.turns = l
+	update := &fleetpb.Update{Routes: &fleetpb.Routes{Version: 1}}
+	for _, server := range servers {
+		update.Instances = append(update.Instances, instanceOf(server))
+	}
+	g.view.take("test", update)
+	front := httptest.NewServer(g)
+	t.Cleanup(func() {
+		front.Close()
+		g.running.Wait()
+	})
+	return &fixture{Gateway: g, front: front, ledger: l}
+}
+
+func instanceOf(b *backend) *fleetpb.Instance {
+	return &fleetpb.Instance{Id: b.id, Service: "s", Address: strings.TrimPrefix(b.URL, "http://"), Slots: 8, BornMs: 1, Sequence: 1}
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	close  bool  // the entry asked for another connection
+	err    error // of a body that was cut short
+}
+
+// ask sends a request as a client would, without retries.
+func (f *fixture) ask(t *testing.T, method, path, body string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, f.front.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = "h"
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := f.front.Client().Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), close: resp.Close, err: err}
+}
+
+func sayOK(w http.ResponseWriter, _ *http.Request, body string) {
+	fmt.Fprint(w, "ok "+body)
+}
+
+// breakOff ends the connection without an answer.
+func breakOff(http.ResponseWriter, *http.Request, string) {
+	panic(http.ErrAbortHandler)
+}
+
+// stream writes events with IDs from..to and then ends as told.
+func stream(from, to int, whole bool) func(http.ResponseWriter, *http.Request, string) {
+	return func(w http.ResponseWriter, _ *http.Request, _ string) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvents(w, from, to)
+		if !whole {
+			fmt.Fprintf(w, "id: %d\ndata: half", to+1)
+			if err := http.NewResponseController(w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+				return
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func writeEvents(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,7 @@
 	log     hclog.Logger
 	metrics *telemetry.Metrics
 	view    *view
-	turns   *turns
+	turns   ledgerClient
 	loads   *loads
 	servers *passthrough.Pool
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -79,7 +79,10 @@
 			return nil
 		}
 		if len(question.servers) == 0 {
-			return c.giveUp(errNoServer)
+			if !c.awaitServers(ctx) {
+				return c.giveUp(errNoServer)
+			}
+			continue
 		}
 		if time.Until(c.deadline) < c.deadline.Sub(c.arrived)/2 {
 			return c.giveUp(errNoServer)
@@ -94,6 +97,19 @@
 	}
 }
 
+// awaitServers waits once for servers of the service to be known: after a start of
+// the state hosts their heartbeats come in again one by one.
+func (c *call) awaitServers(ctx context.Context) bool {
+	if c.waited {
+		return false
+	}
+	c.waited = true
+	ctx, cancel := context.WithTimeout(ctx, viewWait)
+	defer cancel()
+	view := c.g.view
+	return view.await(ctx, func() bool { return len(view.usable(c.service.Name)) > 0 })
+}
+
 // giveUp returns the error of a request that no server takes.
 func (c *call) giveUp(cause error) error {
 	if c.sends > 0 {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -28,7 +28,16 @@
 	finishTimeout = 4 * time.Second
 )
 
-// turns reserves and settles turns at the ledger.
+// ledgerClient reserves and settles turns.
+type ledgerClient interface {
+	// begin reserves the tokens of a turn and returns the turns that it continues
+	// from. Errors: errBudgetSpent, errUnknownTurn, leaderclient.ErrUnavailable.
+	begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error)
+	// finish settles a turn. It returns when that is durable.
+	finish(ctx context.Context, f *ledgerpb.Finish) error
+}
+
+// turns reserves and settles turns at the ledger's leader.
 type turns struct {
 	leaders *leaderclient.Client
 	leader  leaderclient.Leader
@@ -42,8 +51,7 @@
 	})}
 }
 
-// begin reserves the tokens of a turn and returns the turns that it continues
-// from. Errors: errBudgetSpent, errUnknownTurn, leaderclient.ErrUnavailable.
+// begin implements ledgerClient.
 func (t *turns) begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error) {
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
@@ -67,7 +75,7 @@
 	return resp.Chain, nil
 }
 
-// finish settles a turn. It returns when that is durable.
+// finish implements ledgerClient.
 func (t *turns) finish(ctx context.Context, f *ledgerpb.Finish) error {
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex // guards what follows
 	table   *fleet.Table
 	control []string
+	changed chan struct{} // closed and replaced when a snapshot is replaced
 }
 
 // serverIndex holds the usable servers by service. It is not changed after it was
@@ -39,7 +40,7 @@
 }
 
 func newView(cfg Config, log hclog.Logger, pool *transport.Pool) *view {
-	v := &view{log: log, decode: cfg.Decode, seeds: cfg.Seeds, table: fleet.NewTable()}
+	v := &view{log: log, decode: cfg.Decode, seeds: cfg.Seeds, table: fleet.NewTable(), changed: make(chan struct{})}
 	v.servers.Store(&serverIndex{})
 	v.set = fleetwatch.NewSet(fleetwatch.Options{
 		Pool:      pool,
@@ -108,6 +109,9 @@
 		}
 		if v.routes.CompareAndSwap(known, doc) {
 			v.log.Info("routes in force", "version", doc.Version, "from", address, "routes", len(doc.Routes))
+			v.mu.Lock()
+			v.notify()
+			v.mu.Unlock()
 			return
 		}
 	}
@@ -122,6 +126,31 @@
 		}
 	}
 	v.servers.Store(next)
+	v.notify()
+}
+
+// notify wakes those who wait for another snapshot. The caller holds the mutex.
+func (v *view) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// await returns when done reports true or ctx ends; done is asked again after each
+// change of the snapshots.
+func (v *view) await(ctx context.Context, done func() bool) bool {
+	for {
+		v.mu.Lock()
+		changed := v.changed
+		v.mu.Unlock()
+		if done() {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
 }
 
 // usable returns the servers of a service that take requests.
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -25,6 +25,8 @@
 
 const (
 	metricsPath = "/metrics"
+	// peerDialTimeout is several ways between the regions of a deployment.
+	peerDialTimeout = 300 * time.Millisecond
 	// headerTimeout bounds the time in which a client sends a header.
 	headerTimeout = 10 * time.Second
 	// clientIdle is kept longer than any client reuses an idle connection.
@@ -87,7 +89,7 @@
 	return &process{
 		opts:    opts,
 		metrics: telemetry.NewMetrics(),
-		pool:    transport.NewPool(transport.DialTCP),
+		pool:    transport.NewPool(transport.DialWithin(peerDialTimeout)),
 		failed:  make(chan error, 4),
 	}
 }
--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -20,13 +20,20 @@
 	Name string
 	path string // program
 	args []string
-	log  string // file of its standard output and standard error
+	env  []string // added to that of this program
+	log  string   // file of its standard output and standard error
 
 	cmd   *exec.Cmd
 	ended chan struct{}
 	err   error // of the wait; valid once ended is closed
 }
 
+// NewProcess returns a process that is not started. Its output is appended to the
+// file log; env is added to the environment of this program.
+func NewProcess(name, program, log string, env []string, args ...string) *Process {
+	return &Process{Name: name, path: program, args: args, env: env, log: log}
+}
+
 // Start runs the process. It dies with this program: the kernel kills it when the
 // thread that started it ends. A caller that ends threads must lock its own.
 func (p *Process) Start() error {
@@ -38,6 +45,7 @@
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Stdout = file
 	cmd.Stderr = file
+	cmd.Env = append(os.Environ(), p.env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -67,7 +67,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	deadline, _ := ctx.Deadline()
-	resp, written, err := c.send(req, deadline)
+	resp, written, err := c.send(req, deadline) //nolint:bodyclose // its body is a part of the connection, which Exchange.Close ends
 	if err != nil {
 		stop()
 		c.close()
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func document(routes ...*Route) *Document {
+	return &Document{
+		Version:  1,
+		Routes:   routes,
+		Services: map[string]*Service{"chat": {Name: "chat"}, "tools": {Name: "tools"}},
+	}
+}
+
+func route(host, prefix string, backends ...Backend) *Route {
+	if len(backends) == 0 {
+		backends = []Backend{{Service: "chat", Weight: 1}}
+	}
+	return &Route{Name: prefix, Host: host, Prefix: prefix, Timeout: time.Second, Backends: backends}
+}
+
+func TestCheckRefusesWhatMustNotComeIntoForce(t *testing.T) {
+	noTimeout := route("a.example", "/x/")
+	noTimeout.Timeout = 0
+	cases := map[string]*Document{
+		"unknown service":  document(route("a.example", "/x/", Backend{Service: "nobody", Weight: 1})),
+		"same place":       document(route("a.example", "/x/"), route("A.example", "/x/")),
+		"weights are 0":    document(route("a.example", "/x/", Backend{Service: "chat"}, Backend{Service: "tools"})),
+		"negative weight":  document(route("a.example", "/x/", Backend{Service: "chat", Weight: -1}, Backend{Service: "tools", Weight: 2})),
+		"timeout is 0":     document(noTimeout),
+		"no backend named": document(&Route{Host: "a.example", Prefix: "/x/", Timeout: time.Second}),
+	}
+	for name, doc := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.ErrorIs(t, doc.Check(), ErrInvalid)
+		})
+	}
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	doc := document(route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/"))
+	assert.NilError(t, doc.Check())
+	cases := []struct{ host, path, prefix string }{
+		{"a.example", "/x/1", "/x/"},
+		{"a.example:8080", "/x/y/1", "/x/y/"},
+		{"A.EXAMPLE", "/x/y", "/x/"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/anything", "/"},
+		{"c.example", "/x/", ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if r := doc.Match(c.host, c.path); r != nil {
+			got = r.Prefix
+		}
+		assert.Equal(t, got, c.prefix, "%s%s", c.host, c.path)
+	}
+}
+
+func TestChooseFollowsWeightsAndKeepsAKey(t *testing.T) {
+	r := route("a.example", "/", Backend{Service: "chat", Weight: 900}, Backend{Service: "tools", Weight: 100})
+	counts := make(map[string]int)
+	for i := range 10_000 {
+		key := fmt.Sprint("key ", i)
+		counts[r.Choose(key)]++
+		assert.Equal(t, r.Choose(key), r.Choose(key))
+	}
+	assert.Assert(t, counts["tools"] > 800 && counts["tools"] < 1200, "%v", counts)
+	assert.Equal(t, counts["tools"]+counts["chat"], 10_000)
+}
+
+func TestRepeatable(t *testing.T) {
+	cases := []struct {
+		kind      Kind
+		resumable bool
+		want      bool
+	}{
+		{KindSafe, false, true}, {KindUnsafe, false, false}, {KindUnsafe, true, false}, {KindStream, false, false}, {KindStream, true, true},
+	}
+	for _, c := range cases {
+		assert.Equal(t, (&Route{Kind: c.kind, Resumable: c.resumable}).Repeatable(), c.want, "%s", c.kind)
+	}
+}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -82,10 +82,11 @@
 	configLeader leaderclient.Leader
 	ledgerLeader leaderclient.Leader
 
-	started time.Time
-	rejoin  sync.Mutex // one replica is put anew at a time
-	loops   sync.WaitGroup
-	cancel  context.CancelFunc
+	started    time.Time
+	remembered uint64     // revision of the servers on the disk; used by one loop
+	rejoin     sync.Mutex // one replica is put anew at a time
+	loops      sync.WaitGroup
+	cancel     context.CancelFunc
 }
 
 // New opens the data folder and starts the replicas. failed is called once when
@@ -132,6 +133,7 @@
 		AttemptTimeout: leaderTimeout,
 		OnRetry:        func(reason string) { h.metrics.retries.WithLabelValues(reason).Inc() },
 	})
+	h.recall()
 	if err := h.addGroups(); err != nil {
 		return nil, errors.Join(err, h.replicas.Stop(context.Background()))
 	}
@@ -187,6 +189,7 @@
 		h.loops.Go(func() { loop.Every(ctx, memberInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) }) })
 	}
 	h.loops.Go(func() { loop.Every(ctx, sweepInterval, h.sweep) })
+	h.loops.Go(func() { loop.Every(ctx, rememberInterval, h.remember) })
 }
 
 func (h *Host) sweep(context.Context) {
