--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
@@ -238,7 +239,7 @@
 		if err != nil {
 			return nil, groupStatusError(err)
 		}
-		view := replicaStatus(group, status)
+		view := peer.ReplicaStatus(group, status)
 		view.Waits = !status.Active || r.waits(status)
 		resp.Replicas = append(resp.Replicas, view)
 	}
@@ -249,23 +250,3 @@
 func groupStatusError(err error) error {
 	return transport.Errorf(rpcpb.Code_CODE_UNAVAILABLE, "%s", err)
 }
-
-func replicaStatus(group uint64, status replica.GroupStatus) *rpcpb.ReplicaStatus {
-	r := &rpcpb.ReplicaStatus{
-		Group:     group,
-		ReplicaId: status.ID,
-		Leader:    status.Leader,
-		Term:      status.Term,
-		Commit:    status.Commit,
-		Applied:   status.Applied,
-	}
-	for _, m := range status.Membership.GetMembers() {
-		r.Members = append(r.Members, &rpcpb.ReplicaMember{
-			Id:            m.Id,
-			Address:       m.Address,
-			FailureDomain: m.FailureDomain,
-			Learner:       m.Learner,
-		})
-	}
-	return r
-}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -174,6 +174,7 @@
 	peer.Register(server, h.replicas)
 	server.Handle(transport.MethodHostAnnounce, transport.Unary(h.takeAnnouncement))
 	server.Handle(transport.MethodHostMembers, transport.Unary(h.serveMembers))
+	server.Handle(transport.MethodReplicaStatus, transport.Unary(h.serveStatus))
 	server.Handle(transport.MethodRoutes, transport.Unary(h.serveConfig))
 	server.Handle(transport.MethodLedger, transport.Unary(h.serveLedger))
 	server.Handle(transport.MethodFleetWatch, h.serveWatch)
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 	"ibistray.example/ibistray/proto/raftpb"
+	"ibistray.example/ibistray/proto/rpcpb"
 )
 
 const (
@@ -189,6 +191,22 @@
 	return in
 }
 
+// serveStatus answers with the replicas of this host.
+func (h *Host) serveStatus(ctx context.Context, _ *rpcpb.ReplicaStatusRequest) (*rpcpb.ReplicaStatusResponse, error) {
+	resp := &rpcpb.ReplicaStatusResponse{Address: h.cfg.Address}
+	for _, group := range slices.Sorted(slices.Values(h.replicas.Groups())) {
+		status, err := h.replicas.Status(ctx, group)
+		if err != nil {
+			return nil, peer.GroupError(h.replicas, group, err)
+		}
+		view := peer.ReplicaStatus(group, status)
+		member := memberByID(status, status.ID)
+		view.Waits = !status.Active || member == nil || member.Learner
+		resp.Replicas = append(resp.Replicas, view)
+	}
+	return resp, nil
+}
+
 // serveMembers answers, as the leader, which hosts hold a group.
 func (h *Host) serveMembers(ctx context.Context, req *fleetpb.MembersRequest) (*fleetpb.MembersResponse, error) {
 	if err := h.replicas.ReadBarrier(ctx, req.Group); err != nil {
