--- a/internal/fleetwatch/set.go
+++ b/internal/fleetwatch/set.go
@@ -121,7 +121,8 @@
 	if err := stream.Send(s.opts.Request()); err != nil {
 		return false, err
 	}
-	for {
+	// A closed stream still delivers what the peer sends, so the context is asked too.
+	for ctx.Err() == nil {
 		if err := stream.SetDeadline(time.Now().Add(SilenceLimit)); err != nil {
 			return heard, errors.Join(transport.ErrBroken, err)
 		}
@@ -136,6 +137,7 @@
 		s.record(ctx, address)
 		s.opts.Take(address, update)
 	}
+	return heard, ctx.Err()
 }
 
 func (s *Set) record(ctx context.Context, address string) {
