--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -28,6 +28,9 @@
 	// heapShare of the memory limit is what the garbage collector aims to stay below;
 	// the rest is for stacks and for bytes that wait in sockets.
 	heapShare = 0.65
+	// collectorPercent trades processor time, of which a hosted process uses a few
+	// percent of a core, for a heap close to what is live.
+	collectorPercent = 30
 	// settingsInterval is how often the settings file is read again: it may change
 	// without a signal.
 	settingsInterval = time.Second
@@ -87,6 +90,7 @@
 // limitRuntime fits the runtime to a host with one core and little memory.
 func limitRuntime(s *platform.Settings) {
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(collectorPercent)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.Memory)))
 	}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -33,10 +33,10 @@
 )
 
 const (
-	// tickInterval and the election ticks give elections after 0.4 to 0.8 s without a
+	// tickInterval and the election ticks give elections after 0.25 to 0.5 s without a
 	// leader: fast against the seconds in which callers give up, slow against the
-	// pauses of a small host.
-	tickInterval   = 40 * time.Millisecond
+	// pauses of a small host, whose share of a core may be taken away for 0.1 s.
+	tickInterval   = 25 * time.Millisecond
 	electionTicks  = 10
 	heartbeatTicks = 2
 	// Snapshots rewrite the whole state, so they are taken rarely; what lies between
