--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -165,6 +165,7 @@
 		for _, r := range testRoutes {
 			route := *r
 			route.Timeout = 5 * time.Second
+			route.Target = 100 * time.Millisecond
 			route.Backends = []routing.Backend{{Service: "s", Weight: 1}}
 			doc.Routes = append(doc.Routes, &route)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -212,6 +213,39 @@
 	}
 }
 
+// TestBusyServerIsGivenItsTime replays the load after a common restart: requests
+// with little time left wait at servers that are busy with those that came back.
+func TestBusyServerIsGivenItsTime(t *testing.T) {
+	busy := func(w http.ResponseWriter, r *http.Request, body string) {
+		time.Sleep(200 * time.Millisecond)
+		sayOK(w, r, body)
+	}
+	a, b := newBackend(t, "a", busy), newBackend(t, "b", busy)
+	f := newFixture(t, a, b)
+	got := f.ask(t, http.MethodGet, "/safe/x", "", "Id", "1", "Patience", "360")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, len(a.ran())+len(b.ran()), 1)
+}
+
+// TestSilentServerIsLeftForAnother has a server that takes requests and never
+// answers, as behind a connection that went silent.
+func TestSilentServerIsLeftForAnother(t *testing.T) {
+	var first atomic.Bool
+	script := func(w http.ResponseWriter, r *http.Request, body string) {
+		if first.CompareAndSwap(false, true) {
+			<-r.Context().Done()
+			return
+		}
+		sayOK(w, r, body)
+	}
+	a, b := newBackend(t, "a", script), newBackend(t, "b", script)
+	f := newFixture(t, a, b)
+	got := f.ask(t, http.MethodGet, "/safe/x", "", "Id", "1", "Patience", "1000")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, len(a.ran()), 1)
+	assert.Equal(t, len(b.ran()), 1)
+}
+
 func TestTurnRefusedByAllServersSettlesNothing(t *testing.T) {
 	f := newFixture(t, newFullBackend(t, "a"))
 	got := f.ask(t, http.MethodPost, "/chat/x", "in", "Id", "1", "Program", "p", "Patience", "300", "Budget", "1")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -170,13 +170,21 @@
 	}
 }
 
+// silentTargets is the wait for the first output, in latency targets of the route,
+// below which a server counts as busy rather than as silent.
+const silentTargets = 4
+
 // attemptLimit bounds the wait for the first output where another server may still
 // be asked; 0: no bound.
 func (c *call) attemptLimit() time.Duration {
 	if !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts {
 		return 0
 	}
-	return time.Until(c.deadline) / 2
+	limit := time.Until(c.deadline) / 2
+	if limit < silentTargets*c.route.Target {
+		return 0
+	}
+	return limit
 }
 
 // urgency returns the rank of the request at a model engine.
