--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -9,9 +9,13 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,6 +25,7 @@
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/internal/wal"
 )
 
 const (
@@ -34,6 +39,9 @@
 	// rotationTime is how long the balancer may send new connections after the entry
 	// is not ready any more: two checks a second apart, and some margin.
 	rotationTime = 3 * time.Second
+	// diskRetry is the pause between two attempts to open a data folder on a full disk.
+	diskRetry = 300 * time.Millisecond
+	dirMode   = 0o700
 	// stopMargin is left between the end of the wait for requests and the kill.
 	stopMargin = 700 * time.Millisecond
 	// Probes of client connections find those that went silent.
@@ -197,8 +205,8 @@
 	p := newProcess(opts)
 	defer p.close()
 	cfg.Seeds = opts.Seeds.Get
-	host, err := statehost.New(cfg, opts.Log.Named("statehost"), p.metrics.Registry, p.pool, p.fail)
-	if err != nil {
+	host, err := openPatiently(cfg, p.openStateHost, opts.Log, stop)
+	if host == nil {
 		return err
 	}
 	server := transport.NewServer(opts.Log.Named("transport"))
@@ -230,6 +238,68 @@
 	return p.stopStateHost(host)
 }
 
+// openStateHost opens the state host with metrics of its own.
+func (p *process) openStateHost(cfg statehost.Config) (*statehost.Host, error) {
+	p.metrics = telemetry.NewMetrics()
+	return statehost.New(cfg, p.opts.Log.Named("statehost"), p.metrics.Registry, p.pool, p.fail)
+}
+
+// openPatiently opens a state host. While its disk takes no bytes it tries again: a
+// process that ended would find the same disk. Damaged data is set aside once, as if
+// the disk were lost: the other hosts have what was acknowledged. It returns nil
+// without an error when stop is closed meanwhile.
+func openPatiently(cfg statehost.Config, open func(statehost.Config) (*statehost.Host, error), log hclog.Logger, stop <-chan struct{}) (*statehost.Host, error) {
+	waiting, aside := false, false
+	for {
+		host, err := open(cfg)
+		switch {
+		case errors.Is(err, syscall.ENOSPC):
+			if !waiting {
+				log.Error("disk is full: the state host waits", "error", err)
+			}
+			waiting = true
+		case errors.Is(err, wal.ErrCorrupt) && !aside:
+			aside = true
+			log.Error("stored data is damaged: it is set aside and fetched from other hosts", "error", err)
+			if err := setAside(cfg.DataDir); err != nil {
+				return nil, err
+			}
+			cfg.Bootstrap = false
+		default:
+			return host, err
+		}
+		select {
+		case <-stop:
+			return nil, nil
+		case <-time.After(diskRetry):
+		}
+	}
+}
+
+// damagedPrefix begins the name of a folder with damaged data.
+const damagedPrefix = "damaged-"
+
+// setAside moves the contents of a data folder into a folder of their own.
+func setAside(dir string) error {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return fmt.Errorf("hosted: set damaged data aside: %w", err)
+	}
+	target := filepath.Join(dir, fmt.Sprintf("%s%d", damagedPrefix, time.Now().UnixMilli()))
+	if err := os.Mkdir(target, dirMode); err != nil {
+		return fmt.Errorf("hosted: set damaged data aside: %w", err)
+	}
+	for _, entry := range entries {
+		if strings.HasPrefix(entry.Name(), damagedPrefix) {
+			continue
+		}
+		if err := os.Rename(filepath.Join(dir, entry.Name()), filepath.Join(target, entry.Name())); err != nil {
+			return fmt.Errorf("hosted: set damaged data aside: %w", err)
+		}
+	}
+	return nil
+}
+
 // stopStateHost hands leadership over before the process ends.
 func (p *process) stopStateHost(host *statehost.Host) error {
 	begun := time.Now()
--- /dev/null
+++ b/internal/hosted/process_test.go
@@ -0,0 +1,84 @@
+package hosted
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/statehost"
+	"ibistray.example/ibistray/internal/wal"
+)
+
+// opener returns one error after the other and then a host.
+type opener struct {
+	errs      []error
+	bootstrap []bool // of the configurations
+}
+
+func (o *opener) open(cfg statehost.Config) (*statehost.Host, error) {
+	o.bootstrap = append(o.bootstrap, cfg.Bootstrap)
+	if len(o.errs) == 0 {
+		return new(statehost.Host), nil
+	}
+	err := o.errs[0]
+	o.errs = o.errs[1:]
+	return nil, fmt.Errorf("open: %w", err)
+}
+
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &opener{errs: []error{syscall.ENOSPC, syscall.ENOSPC, syscall.ENOSPC}}
+		start := time.Now()
+		host, err := openPatiently(statehost.Config{}, o.open, hclog.NewNullLogger(), nil)
+		assert.NilError(t, err)
+		assert.Assert(t, host != nil)
+		assert.Equal(t, time.Since(start), 3*diskRetry)
+	})
+}
+
+func TestWaitForAFullDiskEndsWithTheProcess(t *testing.T) {
+	stop := make(chan struct{})
+	close(stop)
+	o := &opener{errs: []error{syscall.ENOSPC, syscall.ENOSPC}}
+	host, err := openPatiently(statehost.Config{}, o.open, hclog.NewNullLogger(), stop)
+	assert.NilError(t, err)
+	assert.Assert(t, host == nil)
+}
+
+func TestDamagedDataIsSetAsideOnceAndFoundsNoGroup(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "segment"), []byte("x"), 0o600))
+	o := &opener{errs: []error{wal.ErrCorrupt}}
+	_, err := openPatiently(statehost.Config{DataDir: dir, Bootstrap: true}, o.open, hclog.NewNullLogger(), nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, o.bootstrap, []bool{true, false})
+	kept, err := filepath.Glob(filepath.Join(dir, damagedPrefix+"*", "segment"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(kept), 1)
+
+	o = &opener{errs: []error{wal.ErrCorrupt, wal.ErrCorrupt}}
+	_, err = openPatiently(statehost.Config{DataDir: dir}, o.open, hclog.NewNullLogger(), nil)
+	assert.ErrorIs(t, err, wal.ErrCorrupt)
+}
+
+func TestOtherErrorsEndTheProcess(t *testing.T) {
+	cause := errors.New("no such data folder")
+	o := &opener{errs: []error{cause}}
+	_, err := openPatiently(statehost.Config{}, o.open, hclog.NewNullLogger(), nil)
+	assert.ErrorIs(t, err, cause)
+}
+
+func TestSeedsAreReplacedOnlyByOthers(t *testing.T) {
+	s := NewSeeds([]string{"a", "b"})
+	assert.Assert(t, !s.Replace([]string{"a", "b"}))
+	assert.Assert(t, s.Replace([]string{"c"}))
+	assert.DeepEqual(t, s.Get(), []string{"c"})
+}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -135,7 +135,9 @@
 	})
 	h.recall()
 	if err := h.addGroups(); err != nil {
-		return nil, errors.Join(err, h.replicas.Stop(context.Background()))
+		err = errors.Join(err, h.replicas.Stop(context.Background()))
+		peers.Close()
+		return nil, err
 	}
 	return h, nil
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -166,14 +166,31 @@
 	h.log.Info("backend server leaves", "server", id, "born", born, "known", known)
 }
 
-// StartRetirement asks that a state host gives up its replicas. Errors:
-// ErrUnknownHost, ErrTooFewHosts, ErrUnavailable.
+// StartRetirement asks that a state host gives up its replicas. It is accepted when
+// one host more stays than may be lost at once; the replicas move when a host is
+// there that can take them. Errors: ErrUnknownHost, ErrTooFewHosts, ErrUnavailable.
 func (h *Host) StartRetirement(ctx context.Context, name string) error {
 	host := h.hosts.byName(name)
+	if host == nil && time.Since(h.started) < lostAfter {
+		return fmt.Errorf("%w: this host has just started and may not know %s yet", ErrUnavailable, name)
+	}
 	if host == nil {
 		return fmt.Errorf("%w: %s", ErrUnknownHost, name)
 	}
-	if !h.config.retiring(host.Address) && h.staying(host.Address) < 2*h.cfg.Tolerance+1 {
+	config, err := h.callConfig(ctx, nil)
+	if err != nil {
+		h.order("retire", "unavailable")
+		return err
+	}
+	retiring := make(map[string]bool, len(config.Retirements))
+	for _, retirement := range config.Retirements {
+		retiring[retirement.Address] = true
+	}
+	if retiring[host.Address] {
+		return nil
+	}
+	retiring[host.Address] = true
+	if h.staying(retiring) < h.cfg.Tolerance+1 {
 		h.order("retire", "too_few")
 		return fmt.Errorf("%w: %s", ErrTooFewHosts, name)
 	}
@@ -189,12 +206,12 @@
 	return nil
 }
 
-// staying returns how many hosts answer and would stay without the one at an address.
-func (h *Host) staying(without string) int {
+// staying returns how many hosts answer and are not asked to retire.
+func (h *Host) staying(retiring map[string]bool) int {
 	count := 0
 	now := time.Now()
 	for _, heard := range h.hosts.all() {
-		if heard.host.Address != without && now.Sub(heard.heard) < lostAfter && !h.config.retiring(heard.host.Address) {
+		if !retiring[heard.host.Address] && now.Sub(heard.heard) < lostAfter {
 			count++
 		}
 	}
