--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -177,4 +177,3 @@
 	assert.NilError(t, next.Restore(&snapshot))
 	return next
 }
-
