--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -13,28 +13,49 @@
 )
 
 const (
-	// penaltyTime is how long a server that failed is used after the others only.
-	penaltyTime = 1500 * time.Millisecond
+	// penaltyTime is how long a server that failed once is used after the others only.
+	// It doubles with each further failure, up to maxPenaltyDoublings times: a server
+	// that fails a part of its requests would else be tried again and again.
+	penaltyTime         = 1500 * time.Millisecond
+	maxPenaltyDoublings = 3
+	// failureMemory is the time without a failure after which a server counts as well.
+	failureMemory = 20 * time.Second
+	// toleratedFailures of a server that holds a prompt do not move requests away:
+	// reading the prompt again costs more than one lost answer.
+	toleratedFailures = 1
 	// overflowShare is the part of a model engine's slots that requests of this entry
 	// may take before another engine is preferred over the one that holds the prompt.
 	overflowShare = 4
 	minOverflow   = 4
 )
 
-// load is what this entry has under way at one server.
+// verdict is how an attempt at a server ended.
+type verdict uint8
+
+const (
+	verdictFine        verdict = iota // answered, or refused without running the request
+	verdictFailed                     // broke off or answered wrongly
+	verdictUnreachable                // took no connection
+	verdictSilent                     // does not begin to answer
+)
+
+// load is what this entry has under way at one server, and how it fared there.
 type load struct {
-	running   int
-	penalized time.Time // until then
+	running     int
+	failures    int
+	lastFailure time.Time
+	penalized   time.Time // used after the others until then
 }
 
 // loads counts the requests of this entry by server. It is safe for concurrent use.
 type loads struct {
 	mu       sync.Mutex
 	byServer map[string]*load
+	latency  map[string]*latency // by route
 }
 
 func newLoads() *loads {
-	return &loads{byServer: make(map[string]*load)}
+	return &loads{byServer: make(map[string]*load), latency: make(map[string]*latency)}
 }
 
 func (l *loads) of(id string) *load {
@@ -44,6 +65,27 @@
 	return l.byServer[id]
 }
 
+// judge takes the outcome of an attempt in.
+func (own *load) judge(v verdict, now time.Time) {
+	if v == verdictFine {
+		return
+	}
+	if now.Sub(own.lastFailure) > failureMemory {
+		own.failures = 0
+	}
+	own.lastFailure = now
+	if v == verdictUnreachable {
+		own.penalized = now.Add(penaltyTime)
+		return
+	}
+	own.failures++
+	if v == verdictSilent {
+		own.failures = max(own.failures, toleratedFailures+1)
+	}
+	doublings := min(own.failures-1, maxPenaltyDoublings)
+	own.penalized = now.Add(penaltyTime << doublings)
+}
+
 // choice is the question where a request goes.
 type choice struct {
 	servers []*fleet.Instance
@@ -90,7 +132,7 @@
 	own := l.of(server.ID)
 	r := ranked{
 		server:    server,
-		penalized: c.now.Before(own.penalized) || server.Silent,
+		penalized: server.Silent || c.now.Before(own.penalized),
 		running:   own.running,
 		remote:    server.FailureDomain != c.domain,
 	}
@@ -98,6 +140,9 @@
 		r.weight = rand.Uint64()
 		return r
 	}
+	if own.failures > 0 && own.failures <= toleratedFailures {
+		r.penalized = server.Silent
+	}
 	r.weight = xxhash.Sum64String(c.key + " " + server.ID)
 	r.full = own.running >= max(minOverflow, server.Slots/overflowShare)
 	return r
@@ -133,15 +178,21 @@
 	return 1
 }
 
-// release counts the end of a request. A failed server is used less for some time.
-func (l *loads) release(id string, failed bool, now time.Time) {
+// release counts the end of a request.
+func (l *loads) release(id string, v verdict, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	own := l.of(id)
 	own.running--
-	if failed {
-		own.penalized = now.Add(penaltyTime)
-	}
+	own.judge(v, now)
+}
+
+// suspect takes in that a server does not begin to answer, while the request is
+// still there.
+func (l *loads) suspect(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(id).judge(verdictSilent, now)
 }
 
 // forget drops the counts of servers that are gone and have nothing under way.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,8 +30,7 @@
 			return err
 		}
 		err := c.attempt(ctx)
-		failed := err != nil && !errors.Is(err, errNotRun) && c.r.Context().Err() == nil
-		c.g.loads.release(c.server.ID, failed, time.Now())
+		c.g.loads.release(c.server.ID, c.verdict(err), time.Now())
 		if err == nil {
 			return nil
 		}
@@ -53,6 +52,18 @@
 	}
 }
 
+// verdict tells what the end of an attempt says about its server.
+func (c *call) verdict(err error) verdict {
+	switch {
+	case err == nil, errors.Is(err, errNotRun), errors.Is(err, errSilent), c.r.Context().Err() != nil:
+		// A silent server was judged when its answer was overdue.
+		return verdictFine
+	case errors.Is(err, passthrough.ErrNotSent):
+		return verdictUnreachable
+	}
+	return verdictFailed
+}
+
 // mayRepeat reports whether a request that may have run can be sent again.
 func (c *call) mayRepeat(ctx context.Context) bool {
 	if c.began && c.route.Kind != routing.KindStream {
@@ -133,14 +144,12 @@
 // attempt sends the request to the chosen server and passes its answer on. Errors:
 // passthrough.ErrNotSent and errNotRun (it did not run), others (it may have run).
 func (c *call) attempt(ctx context.Context) error {
-	if limit := c.attemptLimit(); limit > 0 {
-		var cancel context.CancelCauseFunc
-		ctx, cancel = context.WithCancelCause(ctx)
-		timer := time.AfterFunc(limit, func() { cancel(errSilent) })
-		defer cancel(nil)
-		defer timer.Stop()
-		ctx = context.WithValue(ctx, firstByteTimer{}, timer)
-	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := c.watchSilence(cancel)
+	defer stop()
+	ctx = context.WithValue(ctx, silenceWatch{}, stop)
+	begun := time.Now()
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, Attempt{
 		Patience:  time.Until(c.deadline),
 		Instance:  c.server.ID,
@@ -151,9 +160,12 @@
 	server := passthrough.Server{ID: c.server.ID, Address: c.server.Address}
 	exchange, err := c.g.servers.Do(ctx, server, &c.request)
 	if err != nil {
-		return err
+		return causeOf(ctx, err)
 	}
-	err = c.takeAnswer(ctx, exchange)
+	if c.route.Kind != routing.KindStream && exchange.Response.StatusCode/100 == 2 {
+		c.g.loads.observe(c.route.Name, time.Since(begun))
+	}
+	err = causeOf(ctx, c.takeAnswer(ctx, exchange))
 	exchange.Close(err == nil || errors.Is(err, errNotRun))
 	return err
 }
@@ -161,30 +173,57 @@
 // errSilent ends an attempt whose server does not begin to answer.
 var errSilent = errors.New("gateway: the server does not begin to answer")
 
-type firstByteTimer struct{}
+// causeOf adds why an attempt was ended from here.
+func causeOf(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return fmt.Errorf("%w: %w", errSilent, err)
+	}
+	return err
+}
 
-// answering ends the limit on the time to the first output.
+type silenceWatch struct{}
+
+// answering ends the watch for silence.
 func answering(ctx context.Context) {
-	if timer, ok := ctx.Value(firstByteTimer{}).(*time.Timer); ok {
-		timer.Stop()
+	if stop, ok := ctx.Value(silenceWatch{}).(func()); ok {
+		stop()
 	}
 }
 
-// silentTargets is the wait for the first output, in latency targets of the route,
-// below which a server counts as busy rather than as silent.
-const silentTargets = 4
+// watchSilence watches for the first output of an attempt. A server whose answer is
+// overdue is used less; the attempt is ended where another server may be asked.
+func (c *call) watchSilence(cancel context.CancelCauseFunc) func() {
+	server := c.server.ID
+	overdue := c.g.loads.overdue(c.route.Name, c.route.Target, c.route.Kind == routing.KindStream)
+	limit := c.attemptLimit(overdue)
+	var timers []*time.Timer
+	if overdue > 0 {
+		timers = append(timers, time.AfterFunc(overdue, func() { c.g.loads.suspect(server, time.Now()) }))
+	}
+	if limit > 0 {
+		timers = append(timers, time.AfterFunc(limit, func() { cancel(errSilent) }))
+	}
+	return func() {
+		for _, timer := range timers {
+			timer.Stop()
+		}
+	}
+}
 
 // attemptLimit bounds the wait for the first output where another server may still
 // be asked; 0: no bound.
-func (c *call) attemptLimit() time.Duration {
-	if !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts {
+func (c *call) attemptLimit(overdue time.Duration) time.Duration {
+	if !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts || overdue <= 0 {
 		return 0
 	}
-	limit := time.Until(c.deadline) / 2
-	if limit < silentTargets*c.route.Target {
+	half := time.Until(c.deadline) / 2
+	if half < overdue {
 		return 0
 	}
-	return limit
+	if c.route.Kind == routing.KindStream {
+		return half
+	}
+	return overdue
 }
 
 // urgency returns the rank of the request at a model engine.
