Servers that report to a state host that is cut off stay in use

Change: a state host that hears no other one refuses heartbeats, so that they go where they are passed on; a server that answers an entry is not silent to it. Replayed in TestSilentServerThatAnswersIsUsed.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,6 +20,8 @@
 	maxPenaltyDoublings = 3
 	// failureMemory is the time without a failure after which a server counts as well.
 	failureMemory = 20 * time.Second
+	// answerMemory is how long an answer shows that a server works.
+	answerMemory = 3 * time.Second
 	// toleratedFailures of a server that holds a prompt do not move requests away:
 	// reading the prompt again costs more than one lost answer.
 	toleratedFailures = 1
@@ -44,9 +46,16 @@
 	running     int
 	failures    int
 	lastFailure time.Time
+	lastAnswer  time.Time
 	penalized   time.Time // used after the others until then
 }
 
+// silent reports whether a server is not heard of. One that answers this entry is
+// fine: its heartbeats may go to a state host that is cut off from the others.
+func (own *load) silent(server *fleet.Instance, now time.Time) bool {
+	return server.Silent && now.Sub(own.lastAnswer) > answerMemory
+}
+
 // loads counts the requests of this entry by server. It is safe for concurrent use.
 type loads struct {
 	mu       sync.Mutex
@@ -68,6 +77,7 @@
 // judge takes the outcome of an attempt in.
 func (own *load) judge(v verdict, now time.Time) {
 	if v == verdictFine {
+		own.lastAnswer = now
 		return
 	}
 	if now.Sub(own.lastFailure) > failureMemory {
@@ -132,7 +142,7 @@
 	own := l.of(server.ID)
 	r := ranked{
 		server:    server,
-		penalized: server.Silent || c.now.Before(own.penalized),
+		penalized: own.silent(server, c.now) || c.now.Before(own.penalized),
 		running:   own.running,
 		remote:    server.FailureDomain != c.domain,
 	}
@@ -141,7 +151,7 @@
 		return r
 	}
 	if own.failures > 0 && own.failures <= toleratedFailures {
-		r.penalized = server.Silent
+		r.penalized = own.silent(server, c.now)
 	}
 	r.weight = xxhash.Sum64String(c.key + " " + server.ID)
 	r.full = own.running >= max(minOverflow, server.Slots/overflowShare)
--- a/internal/gateway/place_test.go
+++ b/internal/gateway/place_test.go
@@ -109,6 +109,19 @@
 	assert.Equal(t, l.take(ask).ID, home)
 }
 
+// TestSilentServerThatAnswersIsUsed replays a cut of the state host to which some
+// servers report: they are fine, and moving their programs costs their prompts.
+func TestSilentServerThatAnswersIsUsed(t *testing.T) {
+	l := newLoads()
+	ask := choice{servers: servers(5), key: "program", now: noon}
+	home := l.take(ask)
+	l.release(home.ID, verdictFine, noon)
+	home.Silent = true
+	assert.Equal(t, l.take(ask).ID, home.ID)
+	ask.now = noon.Add(answerMemory + time.Second)
+	assert.Assert(t, l.take(ask).ID != home.ID)
+}
+
 func TestPenaltyOfAllServersIsNone(t *testing.T) {
 	l := newLoads()
 	ask := choice{servers: servers(2), now: noon}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/loop"
@@ -79,6 +80,8 @@
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
+	peerWatch *fleetwatch.Set
+
 	configLeader leaderclient.Leader
 	ledgerLeader leaderclient.Leader
 
@@ -133,6 +136,7 @@
 		AttemptTimeout: leaderTimeout,
 		OnRetry:        func(reason string) { h.metrics.retries.WithLabelValues(reason).Inc() },
 	})
+	h.peerWatch = h.newPeerWatch()
 	h.recall()
 	if err := h.addGroups(); err != nil {
 		err = errors.Join(err, h.replicas.Stop(context.Background()))
@@ -187,7 +191,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	h.loops.Go(func() { loop.Every(ctx, announceInterval, h.announce) })
-	h.loops.Go(func() { h.watchPeers(ctx) })
+	h.loops.Go(func() { h.peerWatch.Run(ctx) })
 	for group := range h.states() {
 		h.loops.Go(func() { loop.Every(ctx, memberInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) }) })
 	}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/peer"
@@ -28,6 +29,9 @@
 	ErrUnknownHost = errors.New("statehost: unknown host")
 	// ErrTooFewHosts says that too few state hosts would be left.
 	ErrTooFewHosts = errors.New("statehost: too few hosts would be left")
+	// ErrIsolated says that this host is in touch with no other state host: what it
+	// heard would not reach the entries.
+	ErrIsolated = errors.New("statehost: no other state host is in reach")
 	// ErrNoRoutes says that there are no routes yet.
 	ErrNoRoutes = errors.New("statehost: no routes yet")
 )
@@ -140,9 +144,13 @@
 	return "finish"
 }
 
-// Heartbeat takes the report of a backend server. The error wraps
-// fleet.ErrInvalid; nothing changed then.
+// Heartbeat takes the report of a backend server. Errors: fleet.ErrInvalid, and
+// ErrIsolated, after which the server reports to another host. Nothing changed then.
 func (h *Host) Heartbeat(i *fleet.Instance) error {
+	if h.isolated(time.Now()) {
+		h.metrics.heartbeats.WithLabelValues("isolated").Inc()
+		return ErrIsolated
+	}
 	if err := i.Check(); err != nil {
 		h.metrics.heartbeats.WithLabelValues("refused").Inc()
 		h.log.Warn("heartbeat refused", "server", i.ID, "error", err)
@@ -160,10 +168,29 @@
 	return nil
 }
 
-// Leave takes the report of a backend server that leaves.
-func (h *Host) Leave(id string, born int64) {
+// isolated reports whether this host hears no other state host, although there are
+// some.
+func (h *Host) isolated(now time.Time) bool {
+	if len(h.others()) == 0 {
+		return false
+	}
+	for _, heard := range h.peerWatch.Heard() {
+		if now.Sub(heard) < fleetwatch.SilenceLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// Leave takes the report of a backend server that leaves. Error: ErrIsolated.
+func (h *Host) Leave(id string, born int64) error {
+	if h.isolated(time.Now()) {
+		h.metrics.heartbeats.WithLabelValues("isolated").Inc()
+		return ErrIsolated
+	}
 	known := h.servers.Leave(id, born, time.Now())
 	h.log.Info("backend server leaves", "server", id, "born", born, "known", known)
+	return nil
 }
 
 // StartRetirement asks that a state host gives up its replicas. It is accepted when
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -100,16 +100,16 @@
 	return update, [2]<-chan struct{}{serversChanged, configChanged}
 }
 
-// watchPeers takes the heartbeats that other state hosts heard.
-func (h *Host) watchPeers(ctx context.Context) {
-	set := fleetwatch.NewSet(fleetwatch.Options{
+// newPeerWatch returns the streams by which this host takes the heartbeats that
+// other state hosts heard.
+func (h *Host) newPeerWatch() *fleetwatch.Set {
+	return fleetwatch.NewSet(fleetwatch.Options{
 		Pool:      h.pool,
 		Log:       h.log.Named("watch"),
 		Addresses: h.others,
 		Request:   func() *fleetpb.WatchRequest { return &fleetpb.WatchRequest{Viewer: h.cfg.Name, Peer: true} },
 		Take:      h.takeUpdate,
 	})
-	set.Run(ctx)
 }
 
 func (h *Host) takeUpdate(_ string, update *fleetpb.Update) {
