--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -85,6 +85,7 @@
 			keyCommand(),
 			statusCommand(),
 			topCommand(),
+			explainCommand(),
 			load.Command(os.Stdout),
 		},
 	}
--- a/internal/docsgen/reasons.go
+++ b/internal/docsgen/reasons.go
@@ -30,6 +30,7 @@
 	set          func(*Reasons) map[string]bool
 }{
 	{"internal/entry/failure.go", "reason", refusalSet},
+	{"internal/gateway/refusal.go", "reason", refusalSet},
 	{"internal/policy/retry/failure.go", "Reason", retrySet},
 	{"internal/policy/retain/plan.go", "Reason", releaseSet},
 	{"internal/sidecar/holds.go", "release", releaseSet},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
-	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/proto/ledgerpb"
@@ -234,55 +233,6 @@
 	})
 }
 
-// refusal is the final answer of a request that got none from a server.
-type refusal struct {
-	reason string
-	status int
-	again  bool // the request has not run: the client may come back
-}
-
-// refusalOf returns the final answer of an error.
-func refusalOf(err error) refusal {
-	switch {
-	case errors.Is(err, errNoRoutes):
-		return refusal{"no_routes", http.StatusServiceUnavailable, true}
-	case errors.Is(err, errNoRoute):
-		return refusal{"no_route", http.StatusNotFound, false}
-	case errors.Is(err, ErrBadRequest):
-		return refusal{"bad_request", http.StatusBadRequest, false}
-	case errors.Is(err, errBodyLarge):
-		return refusal{"body_too_large", http.StatusRequestEntityTooLarge, false}
-	case errors.Is(err, errBudgetSpent):
-		return refusal{"budget_spent", http.StatusPaymentRequired, false}
-	case errors.Is(err, errUnclear) && errors.Is(err, context.DeadlineExceeded):
-		return refusal{"timeout", http.StatusGatewayTimeout, false}
-	case errors.Is(err, errUnclear):
-		return refusal{"unclear", http.StatusBadGateway, false}
-	case errors.Is(err, errUnknownTurn):
-		return refusal{"unknown_turn", http.StatusNotFound, false}
-	case errors.Is(err, leaderclient.ErrUnavailable), errors.Is(err, leaderclient.ErrRejected):
-		return refusal{"ledger_unavailable", http.StatusServiceUnavailable, true}
-	case errors.Is(err, errNoServer):
-		return refusal{"no_server", http.StatusServiceUnavailable, true}
-	}
-	return refusal{"internal", http.StatusBadGateway, false}
-}
-
-// refuse sends the final answer.
-func (c *call) refuse(f refusal, cause error) {
-	c.g.metrics.Refusals.WithLabelValues(f.reason).Inc()
-	header := c.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if f.again {
-		c.g.cfg.Codec.EncodeRetryAfter(header, retryAfter())
-	}
-	c.w.WriteHeader(f.status)
-	if _, err := fmt.Fprintln(c.w, f.reason); err != nil {
-		c.g.log.Debug("refusal not written", "request", c.meta.ID, "error", err)
-	}
-	c.finishLog("refused_"+f.reason, f.status, cause)
-}
-
 // finishLog writes the one line that tells what became of the request.
 func (c *call) finishLog(outcome string, status int, err error) {
 	elapsed := time.Since(c.arrived)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -36,6 +36,7 @@
 		}
 		c.lastErr = err
 		c.tried[c.server.ID] = true
+		c.logAttempt(err)
 		if c.r.Context().Err() != nil {
 			return fmt.Errorf("%w: %w", errCaller, err)
 		}
@@ -52,6 +53,13 @@
 	}
 }
 
+// logAttempt writes the line of an attempt that did not answer the request.
+func (c *call) logAttempt(err error) {
+	c.g.log.Info("attempt ended", "request", c.meta.ID, "program", c.meta.Program, "server", c.server.ID, "address", c.server.Address,
+		"sends", c.sends, "may_have_run", !errors.Is(err, errNotRun) && passthrough.Sent(err), "begun", c.began,
+		"left_ms", time.Until(c.deadline).Milliseconds(), "heartbeat_ms_ago", time.Since(c.server.Heard).Milliseconds(), "error", err)
+}
+
 // verdict tells what the end of an attempt says about its server.
 func (c *call) verdict(err error) verdict {
 	switch {
--- a/internal/localcluster/localcluster_test.go
+++ b/internal/localcluster/localcluster_test.go
@@ -1,9 +1,12 @@
 package localcluster
 
 import (
+	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -37,3 +40,22 @@
 	slices.Sort(names)
 	assert.Equal(t, len(slices.Compact(names)), len(c.Processes()))
 }
+
+func TestFrozenProcessStandsStill(t *testing.T) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	log := filepath.Join(t.TempDir(), "log")
+	p := NewProcess("busy", "sh", log, nil, "-c", "while true; do echo x; done")
+	assert.NilError(t, p.Start())
+	defer p.Kill()
+	for range 50 {
+		assert.NilError(t, p.Freeze())
+		before, err := os.Stat(log)
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Millisecond)
+		after, err := os.Stat(log)
+		assert.NilError(t, err)
+		assert.Equal(t, before.Size(), after.Size())
+		assert.NilError(t, p.Thaw())
+	}
+}
--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -89,9 +93,47 @@
 	}
 }
 
-// Freeze stops the process without ending it, until Thaw.
+// Freeze stops the process without ending it, until Thaw. It returns when each of
+// its threads stands still: one that is running goes on for a moment after the signal.
 func (p *Process) Freeze() error {
-	return p.cmd.Process.Signal(syscall.SIGSTOP)
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(StopTimeout); ; time.Sleep(freezePoll) {
+		stopped, err := allStopped(p.cmd.Process.Pid)
+		if err != nil || stopped {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s does not stand still within %s", p.Name, StopTimeout)
+		}
+	}
+}
+
+// freezePoll is the pause between two looks at the threads of a process.
+const freezePoll = time.Millisecond
+
+// allStopped reports whether all threads of a process are stopped by a signal.
+func allStopped(pid int) (bool, error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false, fmt.Errorf("threads of process %d: %w", pid, cmp.Or(err, os.ErrNotExist))
+	}
+	for _, thread := range threads {
+		data, err := os.ReadFile(thread)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return false, err
+		}
+		// The state follows the name in brackets, which may hold any character.
+		_, state, found := strings.Cut(string(data[bytes.LastIndexByte(data, ')')+1:]), " ")
+		if !found || !strings.HasPrefix(state, "T") {
+			return false, nil
+		}
+	}
+	return true, nil
 }
 
 // Thaw lets a frozen process go on.
--- a/internal/processtest/control_test.go
+++ b/internal/processtest/control_test.go
@@ -178,6 +178,7 @@
 		go func() { outcomes <- s.change(*version, fmt.Sprintf("%s-%d", id, i), base) }()
 	}
 	won := 0
+	winner := ""
 	for range bases {
 		err := <-outcomes
 		var conflict *ctl.ConflictError
@@ -186,11 +187,12 @@
 			won++
 		case errors.As(err, &conflict):
 			assert.Equal(s.t, conflict.Winner.GetVersion(), *version+1)
+			winner = conflict.Winner.String()
 		default:
 			assert.NilError(s.t, err)
 		}
 	}
-	assert.Equal(s.t, won, 1, "race %s", id)
+	assert.Equal(s.t, won, 1, "race %s, won by %q", id, winner)
 	*version++
 	view, err := s.admin(bases...).Customer(s.ctx, customer)
 	assert.NilError(s.t, err)
--- /dev/null
+++ b/internal/statehost/host_test.go
@@ -0,0 +1,90 @@
+package statehost
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/routing"
+	"ibistray.example/ibistray/internal/transport"
+)
+
+// newTestHost returns a state host that is not served to others.
+func newTestHost(t *testing.T, dir string, seeds ...string) *Host {
+	t.Helper()
+	pool := transport.NewPool(transport.DialWithin(10 * time.Millisecond))
+	t.Cleanup(pool.Close)
+	cfg := Config{
+		Name:              "host",
+		Address:           seeds[0],
+		DataDir:           dir,
+		Bootstrap:         true,
+		Seeds:             func() []string { return seeds },
+		Decode:            func([]byte) (*routing.Document, error) { return &routing.Document{Version: 1}, nil },
+		HeartbeatInterval: time.Second,
+	}
+	h, err := New(cfg, hclog.NewNullLogger(), prometheus.NewRegistry(), pool, func(error) {})
+	assert.NilError(t, err)
+	return h
+}
+
+func stop(t *testing.T, h *Host) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, h.Stop(ctx))
+}
+
+func report(sequence uint64) *fleet.Instance {
+	return &fleet.Instance{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Born: 1, Sequence: sequence, Heard: time.Now()}
+}
+
+func TestIsolatedHostRefusesHeartbeats(t *testing.T) {
+	h := newTestHost(t, t.TempDir(), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	defer stop(t, h)
+	assert.ErrorIs(t, h.Heartbeat(report(1)), ErrIsolated)
+	assert.ErrorIs(t, h.Leave("i-1", 0), ErrIsolated)
+	assert.Equal(t, len(h.servers.All()), 0)
+}
+
+func TestOnlyHostTakesHeartbeats(t *testing.T) {
+	h := newTestHost(t, t.TempDir(), "127.0.0.1:1")
+	defer stop(t, h)
+	assert.NilError(t, h.Heartbeat(report(1)))
+	assert.ErrorIs(t, h.Heartbeat(&fleet.Instance{ID: "i-2"}), fleet.ErrInvalid)
+	assert.NilError(t, h.Leave("i-1", 0))
+}
+
+func TestServersAreRememberedOverARestart(t *testing.T) {
+	dir := t.TempDir()
+	h := newTestHost(t, dir, "127.0.0.1:1")
+	assert.NilError(t, h.Heartbeat(report(7)))
+	h.remember(t.Context())
+	stop(t, h)
+
+	next := newTestHost(t, dir, "127.0.0.1:1")
+	all := next.servers.All()
+	assert.Equal(t, len(all), 1)
+	assert.Equal(t, all[0].Sequence, uint64(7))
+	// It counts as silent unless it is heard of soon.
+	later := time.Now().Add(hintTime + time.Second)
+	assert.Equal(t, len(next.servers.MarkSilent(later, silentBeats*next.cfg.HeartbeatInterval)), 1)
+	assert.NilError(t, next.Heartbeat(report(8)))
+	assert.Assert(t, !next.servers.All()[0].Silent)
+	stop(t, next)
+}
+
+func TestDamagedMemoryOfServersIsNotUsed(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, serversFile), []byte("\xff\xffdamaged"), 0o600))
+	h := newTestHost(t, dir, "127.0.0.1:1")
+	defer stop(t, h)
+	assert.Equal(t, len(h.servers.All()), 0)
+}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -134,9 +134,20 @@
 		return nil, transport.Errorf(rpcpb.Code_CODE_INTERNAL, "ledger returned %T", applied.Result)
 	}
 	h.metrics.commands.WithLabelValues(kind, result.Outcome.String()).Inc()
+	if result.Outcome != ledgerpb.Outcome_OUTCOME_OK {
+		h.logRefusal(req.Command, result.Outcome, applied.Index)
+	}
 	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.Chain()}, nil
 }
 
+// logRefusal writes the line of a command that the ledger refused.
+func (h *Host) logRefusal(cmd *ledgerpb.Command, outcome ledgerpb.Outcome, index uint64) {
+	b, f := cmd.GetBegin(), cmd.GetFinish()
+	h.log.Info("ledger refused", "request", b.GetCallId()+f.GetCallId(), "program", b.GetProgram()+f.GetProgram(),
+		"previous", b.GetPrevious()+f.GetPrevious(), "outcome", outcome.String(),
+		"max_tokens", b.GetMaxTokens(), "token_budget", b.GetTokenBudget(), "log_index", index)
+}
+
 func commandKind(cmd *ledgerpb.Command) string {
 	if cmd.GetBegin() != nil {
 		return "begin"
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// linesPerSecond bounds the volume of the log: several times the requests of an
+	// entry at the worst load.
+	linesPerSecond = 1000
 	// queuedLines bounds the log lines that wait for a slow reader of the output.
 	queuedLines = 2048
 	// droppedReport is how often lost lines are reported.
@@ -16,9 +19,12 @@
 )
 
 // AsyncWriter writes log lines from a goroutine of its own, so that logging never
-// blocks. Lines that do not fit its queue are dropped and counted.
+// blocks. Lines that do not fit its queue, and those beyond linesPerSecond, are
+// dropped and counted.
 type AsyncWriter struct {
 	out     io.Writer
+	window  atomic.Int64 // second that is counted
+	count   atomic.Int64 // lines in it
 	lines   chan []byte
 	dropped atomic.Uint64
 	flush   chan chan struct{}
@@ -40,6 +46,10 @@
 
 // Write implements io.Writer. It never fails.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	if !w.allowed(time.Now().Unix()) {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -48,6 +58,15 @@
 	return len(line), nil
 }
 
+// allowed counts a line. Lines that race at the turn of a second may be counted in
+// either.
+func (w *AsyncWriter) allowed(second int64) bool {
+	if w.window.Swap(second) != second {
+		w.count.Store(0)
+	}
+	return w.count.Add(1) <= linesPerSecond
+}
+
 // Dropped returns the number of lines that were lost.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
