Leaders outlast lost packets

Ruled out: spurious candidates (pre-vote holds; no term rose without a leader that had stepped down).

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -69,6 +69,11 @@
 	HeartbeatTicks int // ticks between heartbeat rounds
 	LeaseTicks     int // ticks for which an acknowledged round gives the lease; at most ElectionTicks-1
 
+	// QuorumTicks is how long a leader that hears no quorum keeps its leadership; by
+	// default ElectionTicks, and at least these. A larger value rides out packets that
+	// are sent again; others may be elected meanwhile, and the lease does not last longer.
+	QuorumTicks int
+
 	MaxEntriesPerMessage int // entries in one append message
 	MaxBytesPerMessage   int // bytes of entry data in one append message; one entry may exceed it
 	MaxInflight          int // append messages to one member that wait for a reply
@@ -99,6 +104,7 @@
 	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	setDefault(&c.LeaseTicks, max(1, (c.ElectionTicks-1)*2/3))
 	setDefault(&c.QuiesceTicks, 2*c.ElectionTicks)
+	setDefault(&c.QuorumTicks, c.ElectionTicks)
 	setDefault(&c.MaxEntriesPerMessage, DefaultMaxEntriesPerMessage)
 	setDefault(&c.MaxBytesPerMessage, DefaultMaxBytesPerMessage)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
@@ -108,6 +114,8 @@
 		return c, fmt.Errorf("%w: replica ID is 0", ErrConfig)
 	case c.HeartbeatTicks >= c.ElectionTicks:
 		return c, fmt.Errorf("%w: heartbeat interval %d is not below the election timeout %d", ErrConfig, c.HeartbeatTicks, c.ElectionTicks)
+	case c.QuorumTicks < c.ElectionTicks:
+		return c, fmt.Errorf("%w: quorum timeout %d is below the election timeout %d", ErrConfig, c.QuorumTicks, c.ElectionTicks)
 	case c.LeaseTicks >= c.ElectionTicks:
 		return c, fmt.Errorf("%w: lease %d is not below the election timeout %d", ErrConfig, c.LeaseTicks, c.ElectionTicks)
 	}
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -56,7 +56,7 @@
 // it had heard from a leader at its start. The lease of a leader counts from the
 // tick at which a heartbeat round was sent that a quorum has acknowledged and
 // lasts LeaseTicks, which is less than ElectionTicks. A leader that has not
-// heard from a quorum for ElectionTicks steps down.
+// heard from a quorum for QuorumTicks steps down.
 //
 // # Idle groups
 //
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -32,7 +32,7 @@
 // tickLeader runs check-quorum, resigns if the local disk hangs, ends a transfer that takes too long and sends
 // the heartbeats that are due.
 func (n *Node) tickLeader() {
-	lostQuorum := n.tick-n.lastContact() >= uint64(n.cfg.ElectionTicks)
+	lostQuorum := n.tick-n.lastContact() >= uint64(n.cfg.QuorumTicks)
 	if lostQuorum || n.diskStalled() {
 		n.becomeFollower(n.term, 0)
 		return
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -54,6 +54,29 @@
 	assert.Assert(t, s.leader() != nil, "the others elect a leader")
 }
 
+// TestPatientLeaderOutlastsLostPackets cuts a leader off for as long as packets take
+// that are sent again: it goes on leading in the same term, without a lease meanwhile.
+func TestPatientLeaderOutlastsLostPackets(t *testing.T) {
+	s := newPatientSim(t, 7, 3, 3*DefaultElectionTicks)
+	s.ticks(40)
+	leader := s.leader()
+	term := leader.node.term
+	// The others hear each other no more than the leader, so nobody is elected.
+	for _, h := range s.hosts {
+		s.isolate(h)
+	}
+	s.ticks(2 * DefaultElectionTicks)
+	assert.Assert(t, !leader.node.LeaseValid())
+	assert.Equal(t, leader.node.role, RoleLeader)
+	clear(s.cuts)
+	s.ticks(5)
+	assert.Equal(t, s.leader(), leader)
+	assert.Equal(t, leader.node.term, term)
+	s.isolate(leader)
+	s.ticks(4 * DefaultElectionTicks)
+	assert.Assert(t, leader.node.role != RoleLeader)
+}
+
 func TestPendingReadIsAbortedWithLeadership(t *testing.T) {
 	s, leader := elected(t)
 	s.isolate(leader)
--- a/internal/raft/schedule_test.go
+++ b/internal/raft/schedule_test.go
@@ -31,17 +31,26 @@
 		t.Run(fmt.Sprintf("%d replicas", size), func(t *testing.T) {
 			leased := 0
 			for i := range *schedules {
-				leased += runSchedule(t, *firstSeed+uint64(i), size)
+				leased += runSchedule(newSim(t, *firstSeed+uint64(i), size))
 			}
 			assert.Assert(t, leased > 0, "no schedule saw a valid lease")
 		})
 	}
 }
 
+// TestRandomSchedulesOfPatientLeaders has leaders that outlast the contact to a
+// quorum, so that two of different terms often stand side by side.
+func TestRandomSchedulesOfPatientLeaders(t *testing.T) {
+	leased := 0
+	for i := range *schedules {
+		leased += runSchedule(newPatientSim(t, *firstSeed+uint64(i), 3, 3*DefaultElectionTicks))
+	}
+	assert.Assert(t, leased > 0, "no schedule saw a valid lease")
+}
+
 // runSchedule runs one schedule with faults, heals everything and checks that
 // the group works again and that its history is linearizable.
-func runSchedule(t *testing.T, seed uint64, size int) int {
-	s := newSim(t, seed, size)
+func runSchedule(s *sim) int {
 	s.loss, s.late = s.rng.IntN(3)*8, s.rng.IntN(3)*2
 	s.every(opEvery, s.clientOp)
 	s.every(faultEvery, s.fault)
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -90,12 +90,20 @@
 	cuts   map[[2]int]bool // one way, by slot
 	loss   int             // percent of messages lost
 	late   int             // percent of messages that are very late
+	// quorumTicks is that of the replicas, 0: the default.
+	quorumTicks int
 	check  *checker
 	hist   history
 }
 
 func newSim(t *testing.T, seed uint64, size int) *sim {
-	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), slotOf: map[uint64]int{}, cuts: map[[2]int]bool{}}
+	return newPatientSim(t, seed, size, 0)
+}
+
+// newPatientSim returns a group whose leaders keep their leadership for quorumTicks
+// without a quorum.
+func newPatientSim(t *testing.T, seed uint64, size, quorumTicks int) *sim {
+	s := &sim{t: t, seed: seed, quorumTicks: quorumTicks, rng: rand.New(rand.NewPCG(seed, 1)), slotOf: map[uint64]int{}, cuts: map[[2]int]bool{}}
 	s.check = newChecker(s)
 	m := &raftpb.Membership{}
 	for slot := range size {
@@ -137,7 +145,7 @@
 // start runs the replica from what is on the host's disk.
 func (s *sim) start(h *host) {
 	initial := InitialState{HardState: h.disk.hardState, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)}
-	node, err := New(Config{Group: 1, ID: h.id, Seed: s.rng.Uint64(), MaxEntriesPerMessage: 4, MaxInflight: 3, QuiesceTicks: 5}, initial)
+	node, err := New(Config{Group: 1, ID: h.id, Seed: s.rng.Uint64(), MaxEntriesPerMessage: 4, MaxInflight: 3, QuiesceTicks: 5, QuorumTicks: s.quorumTicks}, initial)
 	assert.NilError(s.t, err, "seed %d", s.seed)
 	h.node = node
 	h.kv = maps.Clone(h.disk.data)
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -40,6 +40,9 @@
 	tickInterval   = 25 * time.Millisecond
 	electionTicks  = 10
 	heartbeatTicks = 2
+	// quorumTicks keeps a leader over three retransmissions on a network that loses
+	// packets.
+	quorumTicks = 3 * electionTicks
 	// Snapshots rewrite the whole state, so they are taken rarely; what lies between
 	// them is read again at a start.
 	snapshotEntries = 20_000
@@ -106,7 +109,7 @@
 		Address:         cfg.Address,
 		Transport:       peers,
 		TickInterval:    tickInterval,
-		Raft:            raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks},
+		Raft:            raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
 		SnapshotEntries: snapshotEntries,
 		SnapshotBytes:   snapshotBytes,
 		Clock:           clock,
