--- a/internal/docsgen/reasons.go
+++ b/internal/docsgen/reasons.go
@@ -32,6 +32,7 @@
 	{"internal/entry/failure.go", "reason", refusalSet},
 	{"internal/gateway/refusal.go", "reason", refusalSet},
 	{"internal/policy/retry/failure.go", "Reason", retrySet},
+	{"internal/gateway/turns.go", "retry", retrySet},
 	{"internal/policy/retain/plan.go", "Reason", releaseSet},
 	{"internal/sidecar/holds.go", "release", releaseSet},
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -173,7 +173,7 @@
 	}
 	pool := transport.NewPool(transport.DialTCP)
 	t.Cleanup(pool.Close)
-	g := New(Config{Name: "entry", Seeds: func() []string { return nil }, Decode: decode, Codec: plainCodec{}}, hclog.NewNullLogger(), telemetry.NewMetrics(), pool)
+	g := New(Config{Name: "entry", Seeds: func() []string { return nil }, Decode: decode, Codec: plainCodec{}}, hclog.NewNullLogger(), telemetry.NewMetrics(), pool, pool)
 	g.turns = l
 	update := &fleetpb.Update{Routes: &fleetpb.Routes{Version: 1}}
 	for _, server := range servers {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,9 @@
 	cancel   context.CancelFunc
 }
 
-// New returns a gateway that is not running yet.
-func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool *transport.Pool) *Gateway {
+// New returns a gateway that is not running yet. Requests that are hedged go over
+// the second pool.
+func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool, hedgePool *transport.Pool) *Gateway {
 	retried := func(reason string) { metrics.Retries.WithLabelValues(reason).Inc() }
 	v := newView(cfg, log.Named("view"), pool)
 	return &Gateway{
@@ -69,7 +70,7 @@
 		log:     log,
 		metrics: metrics,
 		view:    v,
-		turns:   newTurns(pool, v.stateHosts, retried),
+		turns:   newTurns(pool, hedgePool, v.stateHosts, retried),
 		loads:   newLoads(),
 		servers: passthrough.NewPool(dialTimeout, func(err error) { countDial(metrics, err) }),
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"ibistray.example/ibistray/internal/hedge"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
@@ -21,6 +22,9 @@
 	// ledgerTimeout bounds one exchange with the leader of the ledger: several disk
 	// writes and ways.
 	ledgerTimeout = 600 * time.Millisecond
+	// hedgeDelay is several times the usual time of a quorum write and below a
+	// retransmission.
+	hedgeDelay = 120 * time.Millisecond
 	// beginTimeout bounds the wait for a leader before a turn. Clients give up a
 	// stream without an event after some more than two seconds.
 	beginTimeout = 1800 * time.Millisecond
@@ -28,6 +32,9 @@
 	finishTimeout = 4 * time.Second
 )
 
+// retryHedged is the reason of a request that was made a second time.
+const retryHedged = "hedged"
+
 // ledgerClient reserves and settles turns.
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
@@ -37,18 +44,25 @@
 	finish(ctx context.Context, f *ledgerpb.Finish) error
 }
 
-// turns reserves and settles turns at the ledger's leader.
+// turns reserves and settles turns at the ledger's leader. Requests that take
+// unusually long are made again over a connection of their own: on a network that
+// loses packets one lost packet holds up all that share a connection.
 type turns struct {
 	leaders *leaderclient.Client
+	hedge   *leaderclient.Client
 	leader  leaderclient.Leader
+	onRetry func(reason string)
 }
 
-func newTurns(pool *transport.Pool, addresses func() []string, onRetry func(string)) *turns {
-	return &turns{leaders: leaderclient.NewWithOptions(pool, leaderclient.Options{
-		Addresses:      addresses,
-		AttemptTimeout: ledgerTimeout,
-		OnRetry:        onRetry,
-	})}
+// newTurns returns a client over two pools, of which the second is used for hedged
+// requests.
+func newTurns(pool, hedgePool *transport.Pool, addresses func() []string, onRetry func(string)) *turns {
+	options := leaderclient.Options{Addresses: addresses, AttemptTimeout: ledgerTimeout, OnRetry: onRetry}
+	return &turns{
+		leaders: leaderclient.NewWithOptions(pool, options),
+		hedge:   leaderclient.NewWithOptions(hedgePool, options),
+		onRetry: onRetry,
+	}
 }
 
 // begin implements ledgerClient.
@@ -90,10 +104,19 @@
 }
 
 func (t *turns) call(ctx context.Context, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
-	resp := new(ledgerpb.Response)
-	req := &ledgerpb.Request{Command: cmd}
-	if err := t.leaders.Call(ctx, &t.leader, transport.MethodLedger, 0, req, resp); err != nil {
-		return nil, err
+	by := func(leaders *leaderclient.Client) hedge.Call[*ledgerpb.Response] {
+		return func(ctx context.Context) (*ledgerpb.Response, error) {
+			resp := new(ledgerpb.Response)
+			req := &ledgerpb.Request{Command: cmd}
+			if err := leaders.Call(ctx, &t.leader, transport.MethodLedger, 0, req, resp); err != nil {
+				return nil, err
+			}
+			return resp, nil
+		}
+	}
+	again := func(ctx context.Context) (*ledgerpb.Response, error) {
+		t.onRetry(retryHedged)
+		return by(t.hedge)(ctx)
 	}
-	return resp, nil
+	return hedge.Do(ctx, hedgeDelay, by(t.leaders), again)
 }
--- /dev/null
+++ b/internal/hedge/hedge_test.go
@@ -0,0 +1,55 @@
+package hedge
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// after returns a call that ends with an outcome after some time, or with its
+// context.
+func after(d time.Duration, value string, err error) Call[string] {
+	return func(ctx context.Context) (string, error) {
+		select {
+		case <-time.After(d):
+			return value, err
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	}
+}
+
+func TestDo(t *testing.T) {
+	failed := errors.New("failed")
+	const delay = 100 * time.Millisecond
+	cases := []struct {
+		name          string
+		first, second Call[string]
+		want          string
+		err           error
+		took          time.Duration
+	}{
+		{"quick answer", after(delay/2, "a", nil), nil, "a", nil, delay / 2},
+		{"quick failure is not hedged", after(delay/2, "", failed), nil, "", failed, delay / 2},
+		{"second way is faster", after(time.Minute, "a", nil), after(delay, "b", nil), "b", nil, 2 * delay},
+		{"first way comes late", after(delay+time.Millisecond, "a", nil), after(time.Minute, "b", nil), "a", nil, delay + time.Millisecond},
+		{"second way fails", after(3*delay, "a", nil), after(delay, "", failed), "a", nil, 3 * delay},
+		{"both fail", after(3*delay, "", failed), after(delay, "", failed), "", failed, 3 * delay},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				got, err := Do(t.Context(), delay, c.first, c.second)
+				assert.Equal(t, got, c.want)
+				assert.ErrorIs(t, err, c.err)
+				assert.Equal(t, time.Since(start), c.took)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -165,7 +165,9 @@
 	p := newProcess(opts)
 	defer p.close()
 	cfg.Seeds = opts.Seeds.Get
-	g := gateway.New(cfg, opts.Log.Named("gateway"), p.metrics, p.pool)
+	hedgePool := transport.NewPool(transport.DialWithin(peerDialTimeout))
+	defer hedgePool.Close()
+	g := gateway.New(cfg, opts.Log.Named("gateway"), p.metrics, p.pool, hedgePool)
 	clients, err := p.serveHTTP(addresses.Clients, g)
 	if err != nil {
 		return err
