--- a/internal/processtest/proofs_test.go
+++ b/internal/processtest/proofs_test.go
@@ -47,10 +47,14 @@
 func testSources(t *testing.T, folder string) string {
 	t.Helper()
 	var all strings.Builder
-	files, err := fs.Glob(os.DirFS(filepath.Join("..", folder)), "*_test.go")
+	dir := filepath.Join("..", folder)
+	if strings.HasPrefix(folder, "platform") {
+		dir = filepath.Join("..", "..", folder)
+	}
+	files, err := fs.Glob(os.DirFS(dir), "*_test.go")
 	assert.NilError(t, err)
 	for _, file := range files {
-		data, err := os.ReadFile(filepath.Join("..", folder, file))
+		data, err := os.ReadFile(filepath.Join(dir, file))
 		assert.NilError(t, err)
 		all.WriteString(string(data))
 	}
