--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -161,7 +161,9 @@
 	if !c.route.Programs {
 		return c.run(ctx)
 	}
-	chain, err := c.g.turns.begin(ctx, &c.meta)
+	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventPatience()-firstEventMargin))
+	defer cancelBegin()
+	chain, err := c.g.turns.begin(beginCtx, &c.meta)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -25,9 +25,9 @@
 	// hedgeDelay is several times the usual time of a quorum write and below a
 	// retransmission.
 	hedgeDelay = 120 * time.Millisecond
-	// beginTimeout bounds the wait for a leader before a turn. Clients give up a
-	// stream without an event after some more than two seconds.
-	beginTimeout = 1800 * time.Millisecond
+	// firstEventMargin is left of a client's patience, after the wait for a leader
+	// before a turn, for the first event.
+	firstEventMargin = 300 * time.Millisecond
 	// finishTimeout bounds the wait for a leader after a turn.
 	finishTimeout = 4 * time.Second
 )
@@ -39,6 +39,7 @@
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
 	// from. Errors: errBudgetSpent, errUnknownTurn, leaderclient.ErrUnavailable.
+	// It waits for a leader until ctx ends.
 	begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error)
 	// finish settles a turn. It returns when that is durable.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
@@ -67,8 +68,6 @@
 
 // begin implements ledgerClient.
 func (t *turns) begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error) {
-	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
-	defer cancel()
 	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
 		CallId:      meta.ID,
 		Program:     meta.Program,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -52,6 +52,21 @@
 	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
 }
 
+// Clients leave a stream without an event for the longest of minPatience, some latency
+// targets and some of the longest pauses. The figures are those of the hosting
+// platform's clients.
+const (
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+)
+
+// EventPatience returns how long clients wait for the next event of a stream, also
+// for the first one, before they leave.
+func (r *Route) EventPatience() time.Duration {
+	return max(minPatience, patienceTargets*r.Target, patienceGaps*r.MaxGap)
+}
+
 // Backend is a service with its share of a route's requests.
 type Backend struct {
 	Service string
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -86,3 +86,9 @@
 		assert.Equal(t, (&Route{Kind: c.kind, Resumable: c.resumable}).Repeatable(), c.want, "%s", c.kind)
 	}
 }
+
+func TestEventPatience(t *testing.T) {
+	assert.Equal(t, (&Route{Target: 250 * time.Millisecond}).EventPatience(), 2*time.Second)
+	assert.Equal(t, (&Route{Target: time.Second}).EventPatience(), 4*time.Second)
+	assert.Equal(t, (&Route{Target: 250 * time.Millisecond, MaxGap: 400 * time.Millisecond}).EventPatience(), 3200*time.Millisecond)
+}
