Requests that crash the servers that run them stop after three

A broken answer and the sign that its server crashed count for the content's fingerprint, shared through the state hosts; an answer clears it. Found by its test: the report of a crash asked for the view's lock while the view held it (the test run hung); reports now go their own way.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	turns   ledgerClient
 	loads   *loads
 	servers *passthrough.Pool
+	pool    *transport.Pool
+
+	suspects *suspects
 
 	draining atomic.Bool
 	running  sync.WaitGroup // requests and settlements that go on after them
@@ -64,16 +67,18 @@
 // the second pool.
 func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool, hedgePool *transport.Pool) *Gateway {
 	retried := func(reason string) { metrics.Retries.WithLabelValues(reason).Inc() }
-	v := newView(cfg, log.Named("view"), pool)
-	return &Gateway{
+	g := &Gateway{
 		cfg:     cfg,
 		log:     log,
 		metrics: metrics,
-		view:    v,
-		turns:   newTurns(pool, hedgePool, v.stateHosts, retried),
 		loads:   newLoads(),
+		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { countDial(metrics, err) }),
 	}
+	g.suspects = newSuspects(log.Named("suspects"), g.reportCrash)
+	g.view = newView(cfg, log.Named("view"), pool, g.suspects)
+	g.turns = newTurns(pool, hedgePool, g.view.stateHosts, retried)
+	return g
 }
 
 func countDial(metrics *telemetry.Metrics, err error) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -19,6 +19,7 @@
 	reasonUnclear           = "unclear"
 	reasonUnknownTurn       = "unknown_turn"
 	reasonNoServer          = "no_server"
+	reasonQuarantined       = "quarantined"
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
 	reasonInternal          = "internal"
@@ -44,6 +45,7 @@
 	{errUnclear, refusal{reasonUnclear, http.StatusBadGateway, false}},
 	{errUnknownTurn, refusal{reasonUnknownTurn, http.StatusNotFound, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
+	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{leaderclient.ErrUnavailable, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrRejected, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -16,6 +16,9 @@
 // server's whole answer.
 var errGarbled = errors.New("gateway: the answer is not that of the request")
 
+// errQuarantined refuses a request whose content crashed several servers.
+var errQuarantined = errors.New("gateway: the request crashed each server that ran it")
+
 // errNotRun is the outcome of an attempt that a server refused without running it.
 var errNotRun = errors.New("gateway: the server did not run the request")
 
@@ -26,11 +29,14 @@
 	removeHopHeaders(c.request.Header)
 	c.request.Header.Del("Content-Length")
 	for {
+		if c.g.suspects.known.Load() && c.g.suspects.quarantined(c.fingerprint(), time.Now()) {
+			return c.giveUp(errQuarantined)
+		}
 		if err := c.choose(ctx); err != nil {
 			return err
 		}
 		err := c.attempt(ctx)
-		c.g.loads.release(c.server.ID, c.verdict(err), time.Now())
+		c.judge(err)
 		if err == nil {
 			return nil
 		}
@@ -60,6 +66,22 @@
 		"left_ms", time.Until(c.deadline).Milliseconds(), "heartbeat_ms_ago", time.Since(c.server.Heard).Milliseconds(), "error", err)
 }
 
+// judge takes in what the end of an attempt says about its server and about the
+// request.
+func (c *call) judge(err error) {
+	now := time.Now()
+	v := c.verdict(err)
+	c.g.loads.release(c.server.ID, v, now)
+	switch {
+	case v == verdictUnreachable:
+		c.g.suspects.unreachable(c.server, now)
+	case v == verdictFailed && errors.Is(err, passthrough.ErrBroken):
+		c.g.suspects.broke(c.fingerprint(), c.server, now)
+	case err == nil && c.g.suspects.known.Load():
+		c.g.suspects.answered(c.fingerprint(), now)
+	}
+}
+
 // verdict tells what the end of an attempt says about its server.
 func (c *call) verdict(err error) verdict {
 	switch {
@@ -134,6 +156,9 @@
 	if c.sends > 0 {
 		return fmt.Errorf("%w: %w", errUnclear, cause)
 	}
+	if errors.Is(cause, errQuarantined) {
+		return cause
+	}
 	return fmt.Errorf("%w: %w", errNoServer, cause)
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -23,6 +23,8 @@
 	decode func([]byte) (*routing.Document, error)
 	seeds  func() []string
 	set    *fleetwatch.Set
+	// suspects takes in crash reports and starts of servers.
+	suspects *suspects
 
 	routes  atomic.Pointer[routing.Document]
 	servers atomic.Pointer[serverIndex]
@@ -39,8 +41,8 @@
 	byService map[string][]*fleet.Instance
 }
 
-func newView(cfg Config, log hclog.Logger, pool *transport.Pool) *view {
-	v := &view{log: log, decode: cfg.Decode, seeds: cfg.Seeds, table: fleet.NewTable(), changed: make(chan struct{})}
+func newView(cfg Config, log hclog.Logger, pool *transport.Pool, s *suspects) *view {
+	v := &view{log: log, suspects: s, decode: cfg.Decode, seeds: cfg.Seeds, table: fleet.NewTable(), changed: make(chan struct{})}
 	v.servers.Store(&serverIndex{})
 	v.set = fleetwatch.NewSet(fleetwatch.Options{
 		Pool:      pool,
@@ -75,6 +77,9 @@
 	if update.Routes != nil {
 		v.takeRoutes(address, update.Routes)
 	}
+	if len(update.Crashes) > 0 {
+		v.suspects.take(update.Crashes, time.Now())
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(update.Control) > 0 {
@@ -120,7 +125,9 @@
 // index replaces the snapshot of the servers. The caller holds the mutex.
 func (v *view) index() {
 	next := &serverIndex{byService: make(map[string][]*fleet.Instance)}
-	for _, i := range v.table.All() {
+	all := v.table.All()
+	v.suspects.started(all, time.Now())
+	for _, i := range all {
 		if i.State == fleetpb.State_STATE_READY {
 			next.byService[i.Service] = append(next.byService[i.Service], i)
 		}
--- /dev/null
+++ b/internal/policy/quarantine/crashes_test.go
@@ -0,0 +1,47 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestContentThatCrashesThreeServersIsQuarantined(t *testing.T) {
+	c := NewCrashes()
+	f := Compute("POST /x", nil, []byte("body"))
+	now := time.Unix(1_700_000_000, 0)
+	assert.Assert(t, c.Record(f, "a", now))
+	assert.Assert(t, !c.Record(f, "a", now), "the same start counts once")
+	c.Record(f, "b", now.Add(time.Second))
+	assert.Assert(t, !c.Quarantined(f, now.Add(2*time.Second)))
+	c.Record(f, "c", now.Add(2*time.Second))
+	assert.Assert(t, c.Quarantined(f, now.Add(3*time.Second)))
+	assert.Assert(t, !c.Quarantined(Compute("POST /x", nil, []byte("other")), now))
+	assert.Assert(t, !c.Quarantined(f, now.Add(crashMemory)), "the first crash does not count any longer")
+}
+
+func TestAnsweredContentIsCleared(t *testing.T) {
+	c := NewCrashes()
+	f := Compute("GET /x", nil, nil)
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 3 {
+		c.Record(f, fmt.Sprint("early ", i), now)
+	}
+	c.Clear(f, now.Add(time.Second))
+	assert.Assert(t, !c.Quarantined(f, now.Add(time.Second)))
+	// A report of an earlier crash that comes late does not count.
+	assert.Assert(t, !c.Record(f, "late", now))
+}
+
+func TestCrashesAreForgotten(t *testing.T) {
+	c := NewCrashes()
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 2 * maxFingerprints {
+		c.Record(Compute("GET /x", nil, fmt.Append(nil, i)), "a", now)
+	}
+	assert.Equal(t, len(c.records), maxFingerprints)
+	c.Expire(now.Add(crashMemory))
+	assert.Assert(t, c.Empty())
+}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -80,6 +80,7 @@
 	config   *configState
 	ledger   *ledger.State
 	servers  *fleet.Table
+	crashes  *crashLog
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
@@ -131,6 +132,7 @@
 		config:   newConfigState(),
 		ledger:   ledger.New(),
 		servers:  fleet.NewTable(),
+		crashes:  newCrashLog(),
 		hosts:    newHostTable(),
 		started:  time.Now(),
 	}
@@ -186,6 +188,7 @@
 	server.Handle(transport.MethodReplicaStatus, transport.Unary(h.serveStatus))
 	server.Handle(transport.MethodRoutes, transport.Unary(h.serveConfig))
 	server.Handle(transport.MethodLedger, transport.Unary(h.serveLedger))
+	server.Handle(transport.MethodCrashReport, transport.Unary(h.takeCrashes))
 	server.Handle(transport.MethodFleetWatch, h.serveWatch)
 }
 
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -47,7 +47,7 @@
 }
 
 // awaitChange returns at a change, or when the next sign of life is due.
-func awaitChange(ctx context.Context, changed [2]<-chan struct{}) error {
+func awaitChange(ctx context.Context, changed [3]<-chan struct{}) error {
 	timer := time.NewTimer(fleetwatch.KeepAlive)
 	defer timer.Stop()
 	select {
@@ -57,6 +57,7 @@
 		return nil
 	case <-changed[0]:
 	case <-changed[1]:
+	case <-changed[2]:
 	}
 	timer.Reset(gatherTime)
 	select {
@@ -71,14 +72,16 @@
 type watcher struct {
 	host     *Host
 	peer     bool
-	revision uint64
+	revision uint64 // of the servers
+	crashes  uint64 // revision of the crash reports
 	version  uint64
 	control  []string
 }
 
 // next returns what the watcher does not have yet, and channels that are closed at
-// the next change of servers and of routes.
-func (w *watcher) next() (*fleetpb.Update, [2]<-chan struct{}) {
+// the next change of servers, routes and
+// crash reports.
+func (w *watcher) next() (*fleetpb.Update, [3]<-chan struct{}) {
 	h := w.host
 	serversChanged := h.servers.Changed(w.peer)
 	config, configChanged := h.config.read()
@@ -97,7 +100,11 @@
 		update.Control = control
 		w.control = control
 	}
-	return update, [2]<-chan struct{}{serversChanged, configChanged}
+	var crashesChanged <-chan struct{}
+	if !w.peer {
+		update.Crashes, w.crashes, crashesChanged = h.crashes.since(w.crashes, now)
+	}
+	return update, [3]<-chan struct{}{serversChanged, configChanged, crashesChanged}
 }
 
 // newPeerWatch returns the streams by which this host takes the heartbeats that
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -21,6 +21,7 @@
 	MethodHostAnnounce = "host.announce"
 	MethodHostMembers  = "host.members"
 	MethodFleetWatch   = "fleet.watch"
+	MethodCrashReport  = "fleet.crash"
 	MethodRoutes       = "routes.call"
 	MethodLedger       = "ledger.call"
 
