The ledger is not flooded while it has no quorum

Change: copies of a waiting command share its outcome; a leader takes at most 384 waiting commands and refuses others at once; an entry has at most 16 requests under way and lets the others wait. Tests replay the burst: TestLedgerWithoutALeaderIsNotFlooded, TestCommandsThatWaitForAQuorumAreBounded.

--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -25,6 +25,10 @@
 	// hedgeDelay is several times the usual time of a quorum write and below a
 	// retransmission.
 	hedgeDelay = 120 * time.Millisecond
+	// maxLedgerRequests bounds the requests of an entry to the ledger that are under way.
+	// At the usual 10 ms each they are 1,600 a second; while there is no leader the
+	// others wait here and not at the state hosts.
+	maxLedgerRequests = 16
 	// firstEventMargin is left of a client's patience, after the wait for a leader
 	// before a turn, for the first event.
 	firstEventMargin = 300 * time.Millisecond
@@ -53,6 +57,7 @@
 	hedge   *leaderclient.Client
 	leader  leaderclient.Leader
 	onRetry func(reason string)
+	slots   chan struct{} // of requests that are under way
 }
 
 // newTurns returns a client over two pools, of which the second is used for hedged
@@ -63,6 +68,7 @@
 		leaders: leaderclient.NewWithOptions(pool, options),
 		hedge:   leaderclient.NewWithOptions(hedgePool, options),
 		onRetry: onRetry,
+		slots:   make(chan struct{}, maxLedgerRequests),
 	}
 }
 
@@ -103,6 +109,12 @@
 }
 
 func (t *turns) call(ctx context.Context, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %d requests are under way: %w", leaderclient.ErrUnavailable, maxLedgerRequests, ctx.Err())
+	}
 	by := func(leaders *leaderclient.Client) hedge.Call[*ledgerpb.Response] {
 		return func(ctx context.Context) (*ledgerpb.Response, error) {
 			resp := new(ledgerpb.Response)
--- /dev/null
+++ b/internal/gateway/turns_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"net"
+
+	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/ledgerpb"
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+// TestLedgerWithoutALeaderIsNotFlooded replays the load of a burst while the ledger has
+// no quorum: hundreds of turns wait, a few are at the state host.
+func TestLedgerWithoutALeaderIsNotFlooded(t *testing.T) {
+	var running, most atomic.Int64
+	server := transport.NewServer(hclog.NewNullLogger())
+	release := make(chan struct{})
+	server.Handle(transport.MethodLedger, transport.Unary(func(ctx context.Context, _ *ledgerpb.Request) (*ledgerpb.Response, error) {
+		n := running.Add(1)
+		defer running.Add(-1)
+		for seen := most.Load(); n > seen && !most.CompareAndSwap(seen, n); seen = most.Load() {
+		}
+		select {
+		case <-release:
+		case <-ctx.Done():
+			return nil, transport.Errorf(rpcpb.Code_CODE_TIMEOUT, "no quorum")
+		}
+		return &ledgerpb.Response{}, nil
+	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	pool := transport.NewPool(transport.DialTCP)
+	defer pool.Close()
+	addresses := func() []string { return []string{listener.Addr().String()} }
+	turns := newTurns(pool, pool, addresses, func(string) {})
+
+	ctx, cancel := context.WithTimeout(t.Context(), 3*ledgerTimeout)
+	defer cancel()
+	results := make(chan error, 400)
+	for i := range cap(results) {
+		go func() {
+			_, err := turns.begin(ctx, &Meta{ID: fmt.Sprint(i), Program: "p"})
+			results <- err
+		}()
+	}
+	for range cap(results) {
+		assert.ErrorIs(t, <-results, leaderclient.ErrUnavailable)
+	}
+	// Each request may have its hedged copy and one whose caller has given up.
+	assert.Assert(t, most.Load() <= 4*maxLedgerRequests, "%d at the state host", most.Load())
+	close(release)
+	_, err = turns.begin(t.Context(), &Meta{ID: "later", Program: "p"})
+	assert.NilError(t, err)
+}
--- a/internal/passthrough/pool_test.go
+++ b/internal/passthrough/pool_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -83,10 +84,10 @@
 				return
 			}
 			if req.RequestURI != "/a?b=%2F" || req.Host != "h.example" || body != "" || req.Header.Get("Request-Id") != "1" {
-				io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+				fmt.Fprint(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
 				continue
 			}
-			io.WriteString(c, okAnswer)
+			fmt.Fprint(c, okAnswer)
 		}
 	})
 	for range 3 {
@@ -104,7 +105,7 @@
 			if req, _ := readRequest(r); req == nil {
 				return
 			}
-			io.WriteString(c, okAnswer+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+			fmt.Fprint(c, okAnswer+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 		}
 	})
 	for range 2 {
@@ -120,7 +121,7 @@
 	closed := make(chan struct{}, 2)
 	server := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		if req, _ := readRequest(r); req != nil {
-			io.WriteString(c, okAnswer)
+			fmt.Fprint(c, okAnswer)
 		}
 		c.Close()
 		closed <- struct{}{}
@@ -159,7 +160,7 @@
 			p, _ := newTestPool(t)
 			server := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 				readRequest(r)
-				io.WriteString(c, answer)
+				fmt.Fprint(c, answer)
 				c.Close()
 			})
 			_, err := exchange(t, p, server, get)
@@ -173,7 +174,7 @@
 	p, dials := newTestPool(t)
 	server := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		readRequest(r)
-		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nto the end")
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nto the end")
 		c.Close()
 	})
 	for range 2 {
@@ -188,7 +189,7 @@
 	p, _ := newTestPool(t)
 	server := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		readRequest(r)
-		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nto the")
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nto the")
 		if err := c.(*net.TCPConn).SetLinger(0); err != nil {
 			t.Error(err)
 		}
@@ -202,7 +203,7 @@
 	p, _ := newTestPool(t)
 	server := rawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 		readRequest(r)
-		io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+okAnswer)
+		fmt.Fprint(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+okAnswer)
 	})
 	body, err := exchange(t, p, server, get)
 	assert.NilError(t, err)
@@ -219,7 +220,7 @@
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
-		io.WriteString(c, okAnswer)
+		fmt.Fprint(c, okAnswer)
 		<-release
 	})
 	long := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 32<<20))}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -92,8 +92,8 @@
 	late   int             // percent of messages that are very late
 	// quorumTicks is that of the replicas, 0: the default.
 	quorumTicks int
-	check  *checker
-	hist   history
+	check       *checker
+	hist        history
 }
 
 func newSim(t *testing.T, seed uint64, size int) *sim {
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -9,10 +9,12 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/singleflight"
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/fleetwatch"
@@ -86,6 +88,9 @@
 
 	peerWatch *fleetwatch.Set
 
+	waiting         singleflight.Group // commands of the ledger by kind and call
+	waitingCommands atomic.Int64
+
 	configLeader leaderclient.Leader
 	ledgerLeader leaderclient.Leader
 
--- a/internal/statehost/host_test.go
+++ b/internal/statehost/host_test.go
@@ -14,6 +14,7 @@
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/rpcpb"
 )
 
 // newTestHost returns a state host that is not served to others.
@@ -88,3 +89,18 @@
 	defer stop(t, h)
 	assert.Equal(t, len(h.servers.All()), 0)
 }
+
+// TestCommandsThatWaitForAQuorumAreBounded replays a burst at a leader without a quorum:
+// copies of a command share its outcome, and what is too much is refused at once.
+func TestCommandsThatWaitForAQuorumAreBounded(t *testing.T) {
+	h := newTestHost(t, t.TempDir(), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	defer stop(t, h)
+	h.waitingCommands.Store(maxWaitingCommands)
+	_, err := h.proposeOnce(t.Context(), "begin 1", []byte("x"))
+	assert.Equal(t, transport.CodeOf(err), rpcpb.Code_CODE_UNAVAILABLE)
+	assert.Equal(t, h.waitingCommands.Load(), int64(maxWaitingCommands))
+	h.waitingCommands.Store(0)
+	_, err = h.proposeOnce(t.Context(), "begin 1", []byte("x"))
+	assert.Assert(t, err != nil, "the host leads nothing")
+	assert.Equal(t, h.waitingCommands.Load(), int64(0))
+}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -14,6 +14,7 @@
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/peer"
+	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 	"ibistray.example/ibistray/proto/ledgerpb"
@@ -124,10 +125,10 @@
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
 	}
 	kind := commandKind(req.Command)
-	applied, err := h.replicas.Propose(ctx, LedgerGroup, data)
+	applied, err := h.proposeOnce(ctx, kind+" "+callOf(req.Command), data)
 	if err != nil {
 		h.metrics.commands.WithLabelValues(kind, "failed").Inc()
-		return nil, peer.GroupError(h.replicas, LedgerGroup, err)
+		return nil, err
 	}
 	result, ok := applied.Result.(ledger.Result)
 	if !ok {
@@ -140,6 +141,49 @@
 	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.Chain()}, nil
 }
 
+const (
+	// maxWaitingCommands bounds the commands that wait for a quorum here. What is beyond
+	// them is refused at once: a leader that takes all that comes while it has no quorum
+	// cannot work it off afterwards.
+	maxWaitingCommands = 384
+	// commandTimeout bounds the wait for a quorum, whoever still waits for the answer.
+	commandTimeout = 2 * time.Second
+)
+
+// proposeOnce proposes a command of the ledger. A command that is sent again while its
+// first copy waits shares the outcome of that one, so that impatient callers do not
+// make the log longer.
+func (h *Host) proposeOnce(ctx context.Context, key string, data []byte) (replica.Applied, error) {
+	result := h.waiting.DoChan(key, func() (any, error) {
+		if h.waitingCommands.Add(1) > maxWaitingCommands {
+			h.waitingCommands.Add(-1)
+			return nil, transport.Errorf(rpcpb.Code_CODE_UNAVAILABLE, "%d commands wait for a quorum", maxWaitingCommands)
+		}
+		defer h.waitingCommands.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+		defer cancel()
+		applied, err := h.replicas.Propose(ctx, LedgerGroup, data)
+		if err != nil {
+			return nil, peer.GroupError(h.replicas, LedgerGroup, err)
+		}
+		return applied, nil
+	})
+	select {
+	case <-ctx.Done():
+		return replica.Applied{}, peer.GroupError(h.replicas, LedgerGroup, ctx.Err())
+	case r := <-result:
+		if r.Err != nil {
+			return replica.Applied{}, r.Err
+		}
+		return r.Val.(replica.Applied), nil
+	}
+}
+
+// callOf returns the ID of the call that a command is about.
+func callOf(cmd *ledgerpb.Command) string {
+	return cmd.GetBegin().GetCallId() + cmd.GetFinish().GetCallId()
+}
+
 // logRefusal writes the line of a command that the ledger refused.
 func (h *Host) logRefusal(cmd *ledgerpb.Command, outcome ledgerpb.Outcome, index uint64) {
 	b, f := cmd.GetBegin(), cmd.GetFinish()
