Hedged ledger requests are bounded

Change: four hedged requests of an entry at a time, enough for a lossy network, where each takes 10 ms.

--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -29,6 +29,9 @@
 	// At the usual 10 ms each they are 1,600 a second; while there is no leader the
 	// others wait here and not at the state hosts.
 	maxLedgerRequests = 16
+	// maxHedges bounds the hedged requests under way: a leader that is slow for want of
+	// processor time must not get all requests twice.
+	maxHedges = 4
 	// firstEventMargin is left of a client's patience, after the wait for a leader
 	// before a turn, for the first event.
 	firstEventMargin = 300 * time.Millisecond
@@ -58,6 +61,7 @@
 	leader  leaderclient.Leader
 	onRetry func(reason string)
 	slots   chan struct{} // of requests that are under way
+	hedges  chan struct{} // of hedged requests that are under way
 }
 
 // newTurns returns a client over two pools, of which the second is used for hedged
@@ -69,6 +73,7 @@
 		hedge:   leaderclient.NewWithOptions(hedgePool, options),
 		onRetry: onRetry,
 		slots:   make(chan struct{}, maxLedgerRequests),
+		hedges:  make(chan struct{}, maxHedges),
 	}
 }
 
@@ -126,6 +131,12 @@
 		}
 	}
 	again := func(ctx context.Context) (*ledgerpb.Response, error) {
+		select {
+		case t.hedges <- struct{}{}:
+			defer func() { <-t.hedges }()
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %w", leaderclient.ErrUnavailable, ctx.Err())
+		}
 		t.onRetry(retryHedged)
 		return by(t.hedge)(ctx)
 	}
