--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -26,12 +26,12 @@
 	// retransmission.
 	hedgeDelay = 120 * time.Millisecond
 	// maxLedgerRequests bounds the requests of an entry to the ledger that are under way.
-	// At the usual 10 ms each they are 1,600 a second; while there is no leader the
+	// At the usual 10 ms each they are 4,000 a second; while there is no leader the
 	// others wait here and not at the state hosts.
-	maxLedgerRequests = 16
+	maxLedgerRequests = 40
 	// maxHedges bounds the hedged requests under way: a leader that is slow for want of
 	// processor time must not get all requests twice.
-	maxHedges = 4
+	maxHedges = 16
 	// firstEventMargin is left of a client's patience, after the wait for a leader
 	// before a turn, for the first event.
 	firstEventMargin = 300 * time.Millisecond
