One comparison of truth values, shorter steps in the entry and the state host

Read as a newcomer: a value in a context carried the end of a watch, two packages ordered truth values, one constructor had 50 lines.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,11 +28,11 @@
 }
 
 // passPlain passes an answer on that is no stream.
-func (c *call) passPlain(ctx context.Context, exchange *passthrough.Exchange) error {
+func (c *call) passPlain(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
 	var buffered bytes.Buffer
 	n, err := io.CopyN(&buffered, exchange.Body, bufferedAnswerBytes+1)
-	answering(ctx)
+	c.answering()
 	if err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
@@ -66,12 +65,12 @@
 
 // passStream passes the events of a stream on as they arrive. It stops at the last
 // whole event when the server breaks off.
-func (c *call) passStream(ctx context.Context, exchange *passthrough.Exchange) error {
+func (c *call) passStream(exchange *passthrough.Exchange) error {
 	flusher := http.NewResponseController(c.w)
 	events := newEventReader(exchange.Body)
 	for {
 		ev, err := events.next()
-		answering(ctx)
+		c.answering()
 		if errors.Is(err, io.EOF) {
 			return c.endStream(exchange)
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,8 @@
 	began    bool            // the answer has begun
 	refused  int             // answers of servers that did not run it
 	waited   bool            // for servers to be known
+	// answering ends the watch for a silent server; called at the first output.
+	answering func()
 }
 
 // serve runs the request to its end and logs it.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ibistray.example/ibistray/internal/compare"
 	"ibistray.example/ibistray/internal/fleet"
 )
 
@@ -162,8 +163,8 @@
 // earlier ones ran.
 func compareKeyed(a, b ranked) int {
 	return cmp.Or(
-		compareBool(a.penalized, b.penalized),
-		compareBool(a.full, b.full),
+		compare.Bool(a.penalized, b.penalized),
+		compare.Bool(a.full, b.full),
 		cmp.Compare(b.weight, a.weight),
 	)
 }
@@ -171,23 +172,13 @@
 // compareLoad orders the servers for requests that any server answers as well.
 func compareLoad(a, b ranked) int {
 	return cmp.Or(
-		compareBool(a.penalized, b.penalized),
+		compare.Bool(a.penalized, b.penalized),
 		cmp.Compare(a.running, b.running),
-		compareBool(a.remote, b.remote),
+		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.weight, b.weight),
 	)
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // release counts the end of a request.
 func (l *loads) release(id string, v verdict, now time.Time) {
 	l.mu.Lock()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -179,9 +179,8 @@
 func (c *call) attempt(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := c.watchSilence(cancel)
-	defer stop()
-	ctx = context.WithValue(ctx, silenceWatch{}, stop)
+	c.answering = c.watchSilence(cancel)
+	defer c.answering()
 	begun := time.Now()
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, Attempt{
 		Patience:  time.Until(c.deadline),
@@ -198,7 +197,7 @@
 	if c.route.Kind != routing.KindStream && exchange.Response.StatusCode/100 == 2 {
 		c.g.loads.observe(c.route.Name, time.Since(begun))
 	}
-	err = causeOf(ctx, c.takeAnswer(ctx, exchange))
+	err = causeOf(ctx, c.takeAnswer(exchange))
 	exchange.Close(err == nil || errors.Is(err, errNotRun))
 	return err
 }
@@ -214,17 +213,9 @@
 	return err
 }
 
-type silenceWatch struct{}
-
-// answering ends the watch for silence.
-func answering(ctx context.Context) {
-	if stop, ok := ctx.Value(silenceWatch{}).(func()); ok {
-		stop()
-	}
-}
-
 // watchSilence watches for the first output of an attempt. A server whose answer is
-// overdue is used less; the attempt is ended where another server may be asked.
+// overdue is used less; the attempt is ended where another server may be asked. The
+// returned function ends the watch.
 func (c *call) watchSilence(cancel context.CancelCauseFunc) func() {
 	server := c.server.ID
 	overdue := c.g.loads.overdue(c.route.Name, c.route.Target, c.route.Kind == routing.KindStream)
@@ -265,7 +256,7 @@
 }
 
 // takeAnswer checks the head of an answer and passes the answer on.
-func (c *call) takeAnswer(ctx context.Context, exchange *passthrough.Exchange) error {
+func (c *call) takeAnswer(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
 	answer := c.g.cfg.Codec.DecodeAnswer(resp.StatusCode, resp.Header)
 	if answer.NotRun {
@@ -290,9 +281,9 @@
 	case resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.sends+1 < c.route.MaxAttempts:
 		return fmt.Errorf("gateway: the server failed with status %d", resp.StatusCode)
 	case success && c.route.Kind == routing.KindStream:
-		return c.passStream(ctx, exchange)
+		return c.passStream(exchange)
 	}
-	return c.passPlain(ctx, exchange)
+	return c.passPlain(exchange)
 }
 
 // promisesNotRun reports whether clients take a status for a promise that the
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -105,27 +105,11 @@
 // the storage fails; the process has to end then. Errors: those of
 // replica.NewHost and AddGroup.
 func New(cfg Config, log hclog.Logger, registry prometheus.Registerer, pool *transport.Pool, failed func(error)) (*Host, error) {
-	clock, err := replica.SuspendClock()
-	if err != nil {
-		return nil, fmt.Errorf("statehost: %w", err)
-	}
 	peers := peer.New(pool, log.Named("peer"))
-	replicas, err := replica.NewHost(replica.Options{
-		Dir:             cfg.DataDir,
-		Address:         cfg.Address,
-		Transport:       peers,
-		TickInterval:    tickInterval,
-		Raft:            raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
-		SnapshotEntries: snapshotEntries,
-		SnapshotBytes:   snapshotBytes,
-		Clock:           clock,
-		Logger:          log.Named("replica"),
-		Registerer:      registry,
-		OnFailure:       failed,
-	})
+	replicas, err := openReplicas(cfg, peers, log, registry, failed)
 	if err != nil {
 		peers.Close()
-		return nil, fmt.Errorf("statehost: %w", err)
+		return nil, err
 	}
 	h := &Host{
 		cfg:      cfg,
@@ -156,6 +140,31 @@
 	return h, nil
 }
 
+// openReplicas opens the log in the data folder.
+func openReplicas(cfg Config, peers *peer.Transport, log hclog.Logger, registry prometheus.Registerer, failed func(error)) (*replica.Host, error) {
+	clock, err := replica.SuspendClock()
+	if err != nil {
+		return nil, fmt.Errorf("statehost: %w", err)
+	}
+	replicas, err := replica.NewHost(replica.Options{
+		Dir:             cfg.DataDir,
+		Address:         cfg.Address,
+		Transport:       peers,
+		TickInterval:    tickInterval,
+		Raft:            raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
+		SnapshotEntries: snapshotEntries,
+		SnapshotBytes:   snapshotBytes,
+		Clock:           clock,
+		Logger:          log.Named("replica"),
+		Registerer:      registry,
+		OnFailure:       failed,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("statehost: %w", err)
+	}
+	return replicas, nil
+}
+
 // addGroups starts the replicas: those on the disk go on; on a host that may found
 // the groups they begin with the seeds as members; all others wait to be added.
 func (h *Host) addGroups() error {
--- a/internal/statehost/plan.go
+++ b/internal/statehost/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ibistray.example/ibistray/internal/compare"
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
@@ -136,7 +137,7 @@
 		return nil
 	}
 	chosen := slices.MinFunc(list, func(a, b candidate) int {
-		return cmp.Or(boolCompare(used[a.domain], used[b.domain]), cmp.Compare(a.address, b.address))
+		return cmp.Or(compare.Bool(used[a.domain], used[b.domain]), cmp.Compare(a.address, b.address))
 	})
 	return &raftpb.Member{Id: chosen.replicaID, Address: chosen.address, FailureDomain: chosen.domain}
 }
@@ -148,16 +149,6 @@
 	return !slices.ContainsFunc(in.members, func(m *raftpb.Member) bool { return m.Address == host.address })
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // shrink removes a voter that does not count, or one too many, once the others
 // are enough.
 func (in planInput) shrink(good, bad []*raftpb.Member) step {
