--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -64,6 +64,9 @@
 	return nil
 }
 
+// PID returns the ID of the running process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process was started and has not ended.
 func (p *Process) Running() bool {
 	if p.cmd == nil {
