Attempts that were ended from here say nothing about their server

Cause: call.verdict returned verdictFine for an attempt that ended for silence or because its caller left, and verdictFine is what shows that a server answers. A server without heartbeats counted as alive for 3 s more after each such attempt. Ruled out: the penalty for silence itself (loads.suspect) was right. Change: verdictNone, which changes nothing in the server's record. Test: TestEndOfASilentAttemptIsNoSignOfLife, seen to fail without the change.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"sync/atomic"
@@ -246,6 +247,30 @@
 	assert.Equal(t, len(b.ran()), 1)
 }
 
+// TestEndOfASilentAttemptIsNoSignOfLife has a server that is not heard of and never
+// answers: the end of the attempt must not show it as one that works.
+func TestEndOfASilentAttemptIsNoSignOfLife(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request, _ string) { <-r.Context().Done() }
+	f := newFixture(t, newBackend(t, "a", silent))
+	got := f.ask(t, http.MethodGet, "/safe/x", "", "Id", "1", "Patience", "1000")
+	assert.Assert(t, got.status >= http.StatusInternalServerError, "status %d", got.status)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.front.URL+"/unsafe/x", nil)
+	assert.NilError(t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "2")
+	_, err = f.front.Client().Do(req)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	f.front.Close() // waits for both requests
+
+	f.loads.mu.Lock()
+	defer f.loads.mu.Unlock()
+	assert.Assert(t, f.loads.of("a").lastAnswer.IsZero())
+	assert.Equal(t, f.loads.of("a").running, 0)
+}
+
 func TestTurnRefusedByAllServersSettlesNothing(t *testing.T) {
 	f := newFixture(t, newFullBackend(t, "a"))
 	got := f.ask(t, http.MethodPost, "/chat/x", "in", "Id", "1", "Program", "p", "Patience", "300", "Budget", "1")
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -40,6 +40,7 @@
 	verdictFailed                     // broke off or answered wrongly
 	verdictUnreachable                // took no connection
 	verdictSilent                     // does not begin to answer
+	verdictNone                       // ended from here: says nothing about the server
 )
 
 // load is what this entry has under way at one server, and how it fared there.
@@ -77,9 +78,12 @@
 
 // judge takes the outcome of an attempt in.
 func (own *load) judge(v verdict, now time.Time) {
-	if v == verdictFine {
+	switch v {
+	case verdictFine:
 		own.lastAnswer = now
 		return
+	case verdictNone:
+		return
 	}
 	if now.Sub(own.lastFailure) > failureMemory {
 		own.failures = 0
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -85,9 +85,11 @@
 // verdict tells what the end of an attempt says about its server.
 func (c *call) verdict(err error) verdict {
 	switch {
-	case err == nil, errors.Is(err, errNotRun), errors.Is(err, errSilent), c.r.Context().Err() != nil:
-		// A silent server was judged when its answer was overdue.
+	case err == nil, errors.Is(err, errNotRun):
 		return verdictFine
+	case errors.Is(err, errSilent), c.r.Context().Err() != nil:
+		// A silent server was judged when its answer was overdue.
+		return verdictNone
 	case errors.Is(err, passthrough.ErrNotSent):
 		return verdictUnreachable
 	}
