A window and an order before the ledger

Change: each entry follows a window of 3 to 40 requests (internal/policy/window: halved by slow or missing answers, grows by one a round); what is beyond it waits in the order settlements, programs under way, new programs, each by the route's rank; new turns that would wait too long are refused at once and told when to come back; no hedging while the window is small; a turn waits for the ledger for at most 45 percent of its client's time.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -24,6 +24,9 @@
 	// viewWait bounds the wait of a request for an entry's first view of routes and
 	// servers: some attempts to reach a state host.
 	viewWait = 800 * time.Millisecond
+	// beginShare is the part of a client's time, in percent, in which a turn waits for
+	// the ledger: of the rest another entry can make something.
+	beginShare = 45
 	// settleTimeout bounds a settlement that goes on after its request.
 	settleTimeout = 10 * time.Second
 )
@@ -163,9 +166,9 @@
 	if !c.route.Programs {
 		return c.run(ctx)
 	}
-	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventPatience()-firstEventMargin))
+	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.beginPatience()))
 	defer cancelBegin()
-	chain, err := c.g.turns.begin(beginCtx, &c.meta)
+	chain, err := c.g.turns.begin(beginCtx, &c.meta, c.route.Priority)
 	if err != nil {
 		return err
 	}
@@ -178,6 +181,12 @@
 	return err
 }
 
+// beginPatience returns how long a turn may wait for the ledger: its client still waits
+// for an event then, and has time left to come back.
+func (c *call) beginPatience() time.Duration {
+	return min(c.route.EventPatience()-firstEventMargin, c.deadline.Sub(c.arrived)*beginShare/100)
+}
+
 // prependChain puts the earlier turns before the input of this one.
 func (c *call) prependChain(chain []*ledgerpb.Exchange) {
 	if len(chain) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -158,6 +159,11 @@
 
 // retryAfter returns when a refused client should come back. It is spread, so that
 // clients refused together do not come back together.
-func retryAfter() time.Duration {
-	return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+func retryAfter(cause error) time.Duration {
+	after := minRetryAfter
+	var overload *overloadError
+	if errors.As(cause, &overload) {
+		after = overload.retryAfter
+	}
+	return after + rand.N(maxRetryAfter-minRetryAfter)
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -69,7 +69,7 @@
 	header := c.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.Again {
-		c.g.cfg.Codec.EncodeRetryAfter(header, retryAfter())
+		c.g.cfg.Codec.EncodeRetryAfter(header, retryAfter(cause))
 	}
 	c.w.WriteHeader(f.Status)
 	if _, err := fmt.Fprintln(c.w, f.Reason); err != nil {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -8,6 +8,8 @@
 
 	"ibistray.example/ibistray/internal/hedge"
 	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/policy/admit"
+	"ibistray.example/ibistray/internal/policy/order"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
@@ -25,16 +27,15 @@
 	// hedgeDelay is several times the usual time of a quorum write and below a
 	// retransmission.
 	hedgeDelay = 120 * time.Millisecond
-	// maxLedgerRequests bounds the requests of an entry to the ledger that are under way.
-	// At the usual 10 ms each they are 4,000 a second; while there is no leader the
-	// others wait here and not at the state hosts.
-	maxLedgerRequests = 40
 	// maxHedges bounds the hedged requests under way: a leader that is slow for want of
 	// processor time must not get all requests twice.
 	maxHedges = 16
 	// firstEventMargin is left of a client's patience, after the wait for a leader
 	// before a turn, for the first event.
 	firstEventMargin = 300 * time.Millisecond
+	// programMemory is how long an entry remembers that a program is under way: the
+	// pauses between turns are shorter.
+	programMemory = 20 * time.Second
 	// finishTimeout bounds the wait for a leader after a turn.
 	finishTimeout = 4 * time.Second
 )
@@ -45,9 +46,10 @@
 // ledgerClient reserves and settles turns.
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
-	// from. Errors: errBudgetSpent, errUnknownTurn, leaderclient.ErrUnavailable.
-	// It waits for a leader until ctx ends.
-	begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error)
+	// from. routePriority is 0 for the most urgent route. Errors: errBudgetSpent,
+	// errUnknownTurn, leaderclient.ErrUnavailable, of which *overloadError tells when
+	// to come back. It waits for a leader until ctx ends.
+	begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error)
 	// finish settles a turn. It returns when that is durable.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
 }
@@ -60,7 +62,8 @@
 	hedge   *leaderclient.Client
 	leader  leaderclient.Leader
 	onRetry func(reason string)
-	slots   chan struct{} // of requests that are under way
+	gate    *gate
+	begun   *recentSet    // programs of which a turn began through this entry
 	hedges  chan struct{} // of hedged requests that are under way
 }
 
@@ -72,14 +75,19 @@
 		leaders: leaderclient.NewWithOptions(pool, options),
 		hedge:   leaderclient.NewWithOptions(hedgePool, options),
 		onRetry: onRetry,
-		slots:   make(chan struct{}, maxLedgerRequests),
+		gate:    newGate(),
+		begun:   newRecentSet(programMemory),
 		hedges:  make(chan struct{}, maxHedges),
 	}
 }
 
 // begin implements ledgerClient.
-func (t *turns) begin(ctx context.Context, meta *Meta) ([]*ledgerpb.Exchange, error) {
-	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
+func (t *turns) begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error) {
+	newProgram := meta.Previous == "" && !t.begun.has(meta.Program, time.Now())
+	priority := beginPriority(routePriority, newProgram)
+	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
+	admission := &admit.Request{Priority: priority, NewProgram: newProgram}
+	resp, err := t.call(ctx, call, admission, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
 		CallId:      meta.ID,
 		Program:     meta.Program,
 		Previous:    meta.Previous,
@@ -90,6 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
+	t.begun.add(meta.Program, time.Now())
 	switch resp.Outcome {
 	case ledgerpb.Outcome_OUTCOME_BUDGET_SPENT:
 		return nil, errBudgetSpent
@@ -103,7 +112,11 @@
 func (t *turns) finish(ctx context.Context, f *ledgerpb.Finish) error {
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
-	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}})
+	call := order.Call{ID: "finish " + f.CallId, Program: f.Program, Priority: prioritySettle}
+	if !f.Keep {
+		call.ID = "settle " + f.CallId
+	}
+	resp, err := t.call(ctx, call, nil, &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}})
 	if err != nil {
 		return err
 	}
@@ -113,24 +126,34 @@
 	return nil
 }
 
-func (t *turns) call(ctx context.Context, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
-	select {
-	case t.slots <- struct{}{}:
-		defer func() { <-t.slots }()
-	case <-ctx.Done():
-		return nil, fmt.Errorf("%w: %d requests are under way: %w", leaderclient.ErrUnavailable, maxLedgerRequests, ctx.Err())
+// call sends a command through the gate to the leader.
+func (t *turns) call(ctx context.Context, call order.Call, admission *admit.Request, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
+	if err := t.gate.enter(ctx, call, admission); err != nil {
+		return nil, err
 	}
-	by := func(leaders *leaderclient.Client) hedge.Call[*ledgerpb.Response] {
-		return func(ctx context.Context) (*ledgerpb.Response, error) {
-			resp := new(ledgerpb.Response)
-			req := &ledgerpb.Request{Command: cmd}
-			if err := leaders.Call(ctx, &t.leader, transport.MethodLedger, 0, req, resp); err != nil {
-				return nil, err
-			}
-			return resp, nil
+	sent := time.Now()
+	resp, err := hedge.Do(ctx, hedgeDelay, t.send(t.leaders, cmd), t.sendAgain(cmd))
+	t.gate.leave(time.Since(sent), fateOf(ctx, err))
+	return resp, err
+}
+
+// send returns a call of the leader by one of the clients.
+func (t *turns) send(by *leaderclient.Client, cmd *ledgerpb.Command) hedge.Call[*ledgerpb.Response] {
+	return func(ctx context.Context) (*ledgerpb.Response, error) {
+		resp := new(ledgerpb.Response)
+		if err := by.Call(ctx, &t.leader, transport.MethodLedger, 0, &ledgerpb.Request{Command: cmd}, resp); err != nil {
+			return nil, err
 		}
+		return resp, nil
 	}
-	again := func(ctx context.Context) (*ledgerpb.Response, error) {
+}
+
+// sendAgain returns the hedged call. None is made while the ledger has too much to do.
+func (t *turns) sendAgain(cmd *ledgerpb.Command) hedge.Call[*ledgerpb.Response] {
+	return func(ctx context.Context) (*ledgerpb.Response, error) {
+		if !t.gate.relaxed() {
+			return nil, fmt.Errorf("%w: no second request while the ledger is slow", leaderclient.ErrUnavailable)
+		}
 		select {
 		case t.hedges <- struct{}{}:
 			defer func() { <-t.hedges }()
@@ -138,7 +161,6 @@
 			return nil, fmt.Errorf("%w: %w", leaderclient.ErrUnavailable, ctx.Err())
 		}
 		t.onRetry(retryHedged)
-		return by(t.hedge)(ctx)
+		return t.send(t.hedge, cmd)(ctx)
 	}
-	return hedge.Do(ctx, hedgeDelay, by(t.leaders), again)
 }
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -49,7 +49,7 @@
 	results := make(chan error, 400)
 	for i := range cap(results) {
 		go func() {
-			_, err := turns.begin(ctx, &Meta{ID: fmt.Sprint(i), Program: "p"})
+			_, err := turns.begin(ctx, &Meta{ID: fmt.Sprint(i), Program: "p"}, 0)
 			results <- err
 		}()
 	}
@@ -59,6 +59,6 @@
 	// Beside the requests there are hedged copies, and some whose callers gave up.
 	assert.Assert(t, most.Load() <= 2*(maxLedgerRequests+maxHedges), "%d at the state host", most.Load())
 	close(release)
-	_, err = turns.begin(t.Context(), &Meta{ID: "later", Program: "p"})
+	_, err = turns.begin(t.Context(), &Meta{ID: "later", Program: "p"}, 0)
 	assert.NilError(t, err)
 }
