Busy leaders say so

Change: an answer of the ledger says whether work waits for the leader's processor (lag of the ticks over 12 ms, replica.Host.Lag); that and answers that take over 1.2 s shrink the window.

--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -11,6 +11,7 @@
 	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/order"
 	"ibistray.example/ibistray/internal/policy/window"
+	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
 const (
@@ -25,12 +26,13 @@
 	paceWeight = 0.1
 )
 
-// ledgerWindow is the policy of the requests under way. An answer of the ledger takes
-// two disk writes and ways; ten times that shows that the leader has too much to do.
+// ledgerWindow is the policy of the requests under way. A leader tells when it has too
+// much to do. Slow answers alone do not show that, since a network that loses packets
+// makes them slow too; only one that takes longer than any retransmission counts.
 var ledgerWindow = window.Policy{
 	Min:       minLedgerRequests,
 	Max:       maxLedgerRequests,
-	SlowAfter: 250 * time.Millisecond,
+	SlowAfter: 2 * ledgerTimeout,
 	Cut:       0.5,
 	CutPause:  250 * time.Millisecond,
 }
@@ -174,15 +176,17 @@
 
 const (
 	fateAnswered   fate = iota
-	fateOverloaded      // no answer in time: too much load, or no leader
+	fateOverloaded      // the leader has too much to do, or did not answer in time
 	fateUnknown         // its caller left, or it was invalid
 )
 
 // fateOf returns how a request with a context ended.
-func fateOf(ctx context.Context, err error) fate {
+func fateOf(ctx context.Context, resp *ledgerpb.Response, err error) fate {
 	switch {
-	case err == nil:
+	case err == nil && !resp.Busy:
 		return fateAnswered
+	case err == nil:
+		return fateOverloaded
 	case errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, leaderclient.ErrRejected):
 		return fateUnknown
 	}
@@ -198,10 +202,10 @@
 	switch f {
 	case fateAnswered:
 		g.window.Succeeded(now, took)
-		g.keepPace(now)
 	case fateOverloaded:
 		g.window.Overloaded(now)
 	}
+	g.keepPace(now)
 	for g.underWay < g.window.Limit() {
 		next, found := g.queue.Pop(now)
 		if !found {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -133,7 +133,7 @@
 	}
 	sent := time.Now()
 	resp, err := hedge.Do(ctx, hedgeDelay, t.send(t.leaders, cmd), t.sendAgain(cmd))
-	t.gate.leave(time.Since(sent), fateOf(ctx, err))
+	t.gate.leave(time.Since(sent), fateOf(ctx, resp, err))
 	return resp, err
 }
 
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -33,6 +33,7 @@
 	groups atomic.Pointer[map[uint64]*group]
 
 	stopping atomic.Bool // new requests are refused
+	lag      lag
 
 	mu        sync.Mutex // guards what follows
 	leastID   uint64     // of replica IDs that are drawn
--- a/internal/replica/ticker.go
+++ b/internal/replica/ticker.go
@@ -16,7 +16,8 @@
 	defer ticker.Stop()
 	for round := 1; ; round++ {
 		select {
-		case <-ticker.C:
+		case due := <-ticker.C:
+			h.lag.record(time.Since(due))
 		case <-h.ctx.Done():
 			return
 		}
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -11,6 +11,7 @@
 	orders     *prometheus.CounterVec // by kind and outcome: operators' orders
 	commands   *prometheus.CounterVec // by kind and outcome: commands to the ledger
 	steps      *prometheus.CounterVec // by kind: membership changes
+	busy       prometheus.Counter     // answers that told an entry to send less
 	watchers   prometheus.Gauge
 	programs   prometheus.Gauge
 	turns      prometheus.Gauge
@@ -31,10 +32,13 @@
 		orders:     counter("orders_total", "Orders of operators, by kind and outcome.", "kind", "outcome"),
 		commands:   counter("ledger_commands_total", "Commands to the program ledger, by kind and outcome.", "kind", "outcome"),
 		steps:      counter("membership_steps_total", "Steps of membership changes, by kind.", "kind"),
-		watchers:   gauge("watchers", "Processes that watch the backend servers and routes here."),
-		programs:   gauge("ledger_programs", "Programs in the ledger."),
-		turns:      gauge("ledger_turns", "Kept turns in the ledger."),
+		busy: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Answers that told an entry to send less, since work waits for the processor.",
+		}),
+		watchers: gauge("watchers", "Processes that watch the backend servers and routes here."),
+		programs: gauge("ledger_programs", "Programs in the ledger."),
+		turns:    gauge("ledger_turns", "Kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.orders, m.commands, m.steps, m.watchers, m.programs, m.turns)
+	registry.MustRegister(m.retries, m.heartbeats, m.orders, m.commands, m.steps, m.busy, m.watchers, m.programs, m.turns)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -138,7 +138,11 @@
 	if result.Outcome != ledgerpb.Outcome_OUTCOME_OK {
 		h.logRefusal(req.Command, result.Outcome, applied.Index)
 	}
-	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.Chain()}, nil
+	busy := h.replicas.Lag() > busyLag
+	if busy {
+		h.metrics.busy.Inc()
+	}
+	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.Chain(), Busy: busy}, nil
 }
 
 const (
@@ -146,6 +150,9 @@
 	// them is refused at once: a leader that takes all that comes while it has no quorum
 	// cannot work it off afterwards.
 	maxWaitingCommands = 384
+	// busyLag is the time that work waits for the processor above which entries are told
+	// to send less: a twentieth of the time after which followers miss their leader.
+	busyLag = electionTicks * tickInterval / 20
 	// commandTimeout bounds the wait for a quorum, whoever still waits for the answer.
 	commandTimeout = 2 * time.Second
 )
