--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -26,6 +26,7 @@
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
@@ -69,6 +70,10 @@
 	Decode func(document []byte) (*routing.Document, error)
 	// HeartbeatInterval is that of the backend servers.
 	HeartbeatInterval time.Duration
+	// FS holds the log and the snapshots; nil: the operating system's.
+	FS wal.FS
+	// Clock counts the time for which the host was suspended; nil: the boot-time clock.
+	Clock func() time.Duration
 }
 
 // Host is one state host.
@@ -142,12 +147,16 @@
 
 // openReplicas opens the log in the data folder.
 func openReplicas(cfg Config, peers *peer.Transport, log hclog.Logger, registry prometheus.Registerer, failed func(error)) (*replica.Host, error) {
-	clock, err := replica.SuspendClock()
-	if err != nil {
-		return nil, fmt.Errorf("statehost: %w", err)
+	clock := cfg.Clock
+	if clock == nil {
+		var err error
+		if clock, err = replica.SuspendClock(); err != nil {
+			return nil, fmt.Errorf("statehost: %w", err)
+		}
 	}
 	replicas, err := replica.NewHost(replica.Options{
 		Dir:             cfg.DataDir,
+		FS:              cfg.FS,
 		Address:         cfg.Address,
 		Transport:       peers,
 		TickInterval:    tickInterval,
