Shared calls are tested in the bubble of the other exchanges

Cause: yamux keeps its timers in a pool of the process, which bubbles of virtual time must not share. Change: the tests of shared calls are scenarios of TestExchanges; one of an idle stream is new. No code of the product changes.

--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -89,6 +90,8 @@
 		scenarios = append(scenarios, scenario{"cut off: " + victim, three, cutOff(victim)})
 	}
 	root := t.TempDir()
+	emptyPools()
+	defer emptyPools()
 	synctest.Test(t, func(t *testing.T) {
 		for i, sc := range scenarios {
 			t.Log("scenario:", sc.name)
@@ -97,6 +100,13 @@
 	})
 }
 
+// emptyPools drops the timers that yamux keeps, which bubbles must not share: two
+// collections do that.
+func emptyPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
 func runCluster(t *testing.T, root string, sc scenario) {
 	c := &cluster{t: t, seeds: sc.hosts[:3], nodes: make(map[string]*node), cut: make(map[string]bool)}
 	defer c.close()
--- a/internal/transport/frameconn_test.go
+++ b/internal/transport/frameconn_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"testing"
 
@@ -50,8 +49,8 @@
 	assert.Equal(t, n, 0)
 }
 
-// TestLargeMessagesCrossJoinedFrames sends messages of several frames both ways.
-func TestLargeMessagesCrossJoinedFrames(t *testing.T) {
+// largeMessagesCrossJoinedFrames sends messages of several frames both ways.
+func largeMessagesCrossJoinedFrames(t *testing.T) {
 	server := NewServer(hclog.NewNullLogger())
 	defer server.Close()
 	server.Handle("echo", Unary(func(_ context.Context, req *rpcpb.SnapshotChunk) (*rpcpb.SnapshotChunk, error) {
@@ -64,11 +63,9 @@
 	})
 	defer pool.Close()
 	for _, size := range []int{0, 1, 4 << 10, 300 << 10, 2 << 20} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			req := &rpcpb.SnapshotChunk{Data: bytes.Repeat([]byte("x"), size)}
-			resp := new(rpcpb.SnapshotChunk)
-			assert.NilError(t, pool.Call(t.Context(), "peer", "echo", req, resp))
-			assert.Assert(t, bytes.Equal(req.Data, resp.Data))
-		})
+		req := &rpcpb.SnapshotChunk{Data: bytes.Repeat([]byte("x"), size)}
+		resp := new(rpcpb.SnapshotChunk)
+		assert.NilError(t, pool.Call(t.Context(), "peer", "echo", req, resp), "%d bytes", size)
+		assert.Assert(t, bytes.Equal(req.Data, resp.Data), "%d bytes", size)
 	}
 }
--- a/internal/transport/shared_test.go
+++ b/internal/transport/shared_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -13,9 +14,8 @@
 )
 
 // sharedLink serves a shared method.
-func sharedLink(t *testing.T, f func(context.Context, *rpcpb.Announcement) (*rpcpb.Announcement, error)) *link {
+func sharedLink(f func(context.Context, *rpcpb.Announcement) (*rpcpb.Announcement, error)) *link {
 	l := newLink()
-	t.Cleanup(l.close)
 	l.server.Handle(echoMethod, Shared(f))
 	return l
 }
@@ -26,8 +26,9 @@
 	return resp.Server, err
 }
 
-func TestSharedCallsAreAnsweredEachOnItsOwn(t *testing.T) {
-	l := sharedLink(t, echo)
+func sharedCallsAreAnsweredEachOnItsOwn(t *testing.T) {
+	l := sharedLink(echo)
+	defer l.close()
 	var work sync.WaitGroup
 	for i := range 200 {
 		work.Go(func() {
@@ -50,14 +51,15 @@
 	assert.Equal(t, l.dials, 1)
 }
 
-func TestSlowSharedCallHoldsUpNoOther(t *testing.T) {
+func slowSharedCallHoldsUpNoOther(t *testing.T) {
 	release := make(chan struct{})
-	l := sharedLink(t, func(_ context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
+	l := sharedLink(func(_ context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
 		if req.Server == "slow" {
 			<-release
 		}
 		return req, nil
 	})
+	defer l.close()
 	slow := make(chan error, 1)
 	go func() {
 		_, err := l.ask(t.Context(), "slow")
@@ -69,9 +71,9 @@
 	assert.NilError(t, <-slow)
 }
 
-func TestSharedCallEndsWithItsContext(t *testing.T) {
+func sharedCallEndsWithItsContext(t *testing.T) {
 	arrived, ended := make(chan struct{}), make(chan struct{})
-	l := sharedLink(t, func(ctx context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
+	l := sharedLink(func(ctx context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
 		if req.Server == "hang" {
 			close(arrived)
 			<-ctx.Done()
@@ -79,6 +81,7 @@
 		}
 		return req, nil
 	})
+	defer l.close()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-arrived
@@ -93,15 +96,16 @@
 	<-ended // the server's side ends with the stream
 }
 
-func TestBrokenSharedStreamEndsItsCallsAndIsReplaced(t *testing.T) {
+func brokenSharedStreamEndsItsCallsAndIsReplaced(t *testing.T) {
 	arrived := make(chan struct{}, 10)
-	l := sharedLink(t, func(ctx context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
+	l := sharedLink(func(ctx context.Context, req *rpcpb.Announcement) (*rpcpb.Announcement, error) {
 		if req.Server == "hang" {
 			arrived <- struct{}{}
 			<-ctx.Done()
 		}
 		return req, nil
 	})
+	defer l.close()
 	results := make(chan error, 10)
 	for range cap(results) {
 		go func() {
@@ -120,8 +124,9 @@
 	assert.NilError(t, err)
 }
 
-func TestUndecodableSharedCallIsRefusedAlone(t *testing.T) {
-	l := sharedLink(t, echo)
+func undecodableSharedCallIsRefusedAlone(t *testing.T) {
+	l := sharedLink(echo)
+	defer l.close()
 	_, err := l.ask(t.Context(), "\xff")
 	assert.ErrorContains(t, err, "UTF-8")
 	bad := &rpcpb.Call{Request: []byte{0xff}}
@@ -135,6 +140,22 @@
 	assert.NilError(t, err)
 }
 
+func idleSharedStreamIsClosed(t *testing.T) {
+	l := sharedLink(echo)
+	defer l.close()
+	_, err := l.ask(t.Context(), "first")
+	assert.NilError(t, err)
+	time.Sleep(sessionIdleLimit + 3*sessionSweepPeriod) // the stream first, then its session
+	l.pool.mu.RLock()
+	streams, sessions := len(l.pool.shared), len(l.pool.sessions)
+	l.pool.mu.RUnlock()
+	assert.Equal(t, streams, 0)
+	assert.Equal(t, sessions, 0)
+	_, err = l.ask(t.Context(), "after")
+	assert.NilError(t, err)
+	assert.Equal(t, l.dials, 2)
+}
+
 func TestSendQueueJoinsWhatWaits(t *testing.T) {
 	q := newSendQueue[*rpcpb.Call]()
 	for range 3 {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -89,6 +89,13 @@
 		{"deadlineReachesTheHandler", deadlineReachesTheHandler},
 		{"oversizeMessageIsRefusedBeforeItIsSent", oversizeMessageIsRefusedBeforeItIsSent},
 		{"idleSessionIsClosed", idleSessionIsClosed},
+		{"sharedCallsAreAnsweredEachOnItsOwn", sharedCallsAreAnsweredEachOnItsOwn},
+		{"slowSharedCallHoldsUpNoOther", slowSharedCallHoldsUpNoOther},
+		{"sharedCallEndsWithItsContext", sharedCallEndsWithItsContext},
+		{"brokenSharedStreamEndsItsCallsAndIsReplaced", brokenSharedStreamEndsItsCallsAndIsReplaced},
+		{"undecodableSharedCallIsRefusedAlone", undecodableSharedCallIsRefusedAlone},
+		{"idleSharedStreamIsClosed", idleSharedStreamIsClosed},
+		{"largeMessagesCrossJoinedFrames", largeMessagesCrossJoinedFrames},
 	}
 	// Two collections empty the pool of an earlier run of this test.
 	runtime.GC()
