--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -7,10 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/order"
 	"ibistray.example/ibistray/internal/policy/window"
+	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
@@ -74,24 +77,28 @@
 	return int32(priorityGoingOn - rank)
 }
 
-// overloadError refuses a request that would wait too long. It wraps
-// leaderclient.ErrUnavailable: nothing was sent.
+// errOverloaded is the class of *overloadError.
+var errOverloaded = errors.New("gateway: too many requests wait for the ledger")
+
+// overloadError refuses a request that would wait too long: nothing was sent.
 type overloadError struct {
 	reason     admit.Reason
 	retryAfter time.Duration
 }
 
 func (e *overloadError) Error() string {
-	return fmt.Sprintf("gateway: too many requests wait for the ledger: %s, come back after %s", e.reason, e.retryAfter)
+	return fmt.Sprintf("%s: %s, come back after %s", errOverloaded, e.reason, e.retryAfter)
 }
 
-// Unwrap makes it a case of an unavailable ledger.
-func (e *overloadError) Unwrap() error { return leaderclient.ErrUnavailable }
+// Unwrap makes it an errOverloaded.
+func (e *overloadError) Unwrap() error { return errOverloaded }
 
 // gate lets requests to the ledger through: as many at once as the window allows, the
 // most urgent ones first.
 type gate struct {
 	started time.Time
+	limit   prometheus.Gauge // size of the window
+	waiting prometheus.Gauge // requests in the queue
 
 	mu       sync.Mutex
 	window   *window.Window
@@ -102,9 +109,12 @@
 	busy     bool          // requests have waited since then
 }
 
-func newGate() *gate {
+func newGate(metrics *telemetry.Metrics) *gate {
+	metrics.LedgerWindow.Set(maxLedgerRequests)
 	return &gate{
 		started: time.Now(),
+		limit:   metrics.LedgerWindow,
+		waiting: metrics.LedgerWaiting,
 		window:  window.New(ledgerWindow),
 		queue:   order.NewQueue[chan<- error](ledgerOrder),
 	}
@@ -156,6 +166,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", leaderclient.ErrUnavailable, err)
 	}
+	g.waiting.Set(float64(g.queue.Len()))
 	if shed != nil {
 		shed.Value <- &overloadError{admit.ReasonQueueFull, ledgerAdmission.MaxRetryAfter}
 	}
@@ -206,6 +217,8 @@
 		g.window.Overloaded(now)
 	}
 	g.keepPace(now)
+	g.limit.Set(float64(g.window.Limit()))
+	defer func() { g.waiting.Set(float64(g.queue.Len())) }()
 	for g.underWay < g.window.Limit() {
 		next, found := g.queue.Pop(now)
 		if !found {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,6 @@
 // New returns a gateway that is not running yet. Requests that are hedged go over
 // the second pool.
 func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool, hedgePool *transport.Pool) *Gateway {
-	retried := func(reason string) { metrics.Retries.WithLabelValues(reason).Inc() }
 	g := &Gateway{
 		cfg:     cfg,
 		log:     log,
@@ -78,7 +77,7 @@
 	}
 	g.suspects = newSuspects(log.Named("suspects"), g.reportCrash)
 	g.view = newView(cfg, log.Named("view"), pool, g.suspects)
-	g.turns = newTurns(pool, hedgePool, g.view.stateHosts, retried)
+	g.turns = newTurns(pool, hedgePool, g.view.stateHosts, metrics)
 	return g
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -22,6 +22,7 @@
 	reasonQuarantined       = "quarantined"
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
+	reasonLedgerBusy        = "ledger_busy"
 	reasonInternal          = "internal"
 )
 
@@ -46,6 +47,7 @@
 	{errUnknownTurn, refusal{reasonUnknownTurn, http.StatusNotFound, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
+	{errOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrUnavailable, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrRejected, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -10,6 +10,7 @@
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/order"
+	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
@@ -47,7 +48,7 @@
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
 	// from. routePriority is 0 for the most urgent route. Errors: errBudgetSpent,
-	// errUnknownTurn, leaderclient.ErrUnavailable, of which *overloadError tells when
+	// errUnknownTurn, leaderclient.ErrUnavailable, and *overloadError, which tells when
 	// to come back. It waits for a leader until ctx ends.
 	begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error)
 	// finish settles a turn. It returns when that is durable.
@@ -69,13 +70,14 @@
 
 // newTurns returns a client over two pools, of which the second is used for hedged
 // requests.
-func newTurns(pool, hedgePool *transport.Pool, addresses func() []string, onRetry func(string)) *turns {
+func newTurns(pool, hedgePool *transport.Pool, addresses func() []string, metrics *telemetry.Metrics) *turns {
+	onRetry := func(reason string) { metrics.Retries.WithLabelValues(reason).Inc() }
 	options := leaderclient.Options{Addresses: addresses, AttemptTimeout: ledgerTimeout, OnRetry: onRetry, Shared: true}
 	return &turns{
 		leaders: leaderclient.NewWithOptions(pool, options),
 		hedge:   leaderclient.NewWithOptions(hedgePool, options),
 		onRetry: onRetry,
-		gate:    newGate(),
+		gate:    newGate(metrics),
 		begun:   newRecentSet(programMemory),
 		hedges:  make(chan struct{}, maxHedges),
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,8 @@
 	ReleasedHolds  *prometheus.CounterVec   // by reason: engine memory released
 	AnnounceErrors prometheus.Counter       // announcements that no control process took
 	Connections    *prometheus.CounterVec   // by outcome: connections to backend servers of pass-through routes
+	LedgerWindow   prometheus.Gauge         // requests to the ledger that may be under way
+	LedgerWaiting  prometheus.Gauge         // requests that wait to be sent to the ledger
 }
 
 // NewMetrics returns metrics in a registry of their own, together with the
@@ -50,11 +52,14 @@
 		ReleasedHolds:  counterVec("released_holds_total", "Programs whose engine memory was released, by reason.", "reason"),
 		AnnounceErrors: counter("announce_errors_total", "Announcements that no control process accepted."),
 		Connections:    counterVec("server_connections_total", "Connections to backend servers of pass-through routes, by outcome.", "outcome"),
+		LedgerWindow:   gauge("ledger_window", "Requests to the program ledger that may be under way from this entry."),
+		LedgerWaiting:  gauge("ledger_waiting", "Requests that wait in this entry to be sent to the program ledger."),
 	}
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstSeconds,
 		m.PromptTokens, m.CachedTokens, m.OutputTokens, m.WastedTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.Connections,
+		m.LedgerWindow, m.LedgerWaiting,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
