bench-policy replays the load on the ledger of both deployments

The decisions before the ledger are a pure package now (internal/policy/gate); the entry adds waiting and gauges. The scenario: each deployment grown, a burst of 2.4 for 6 s, an election of 0.5 s in it, a leader that works off what it gets in the order of arrival. Tests: TestBurstCollapsesWithoutTheGate, package policy/gate.

--- a/internal/gateway/gate_test.go
+++ b/internal/gateway/gate_test.go
@@ -11,116 +11,72 @@
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/leaderclient"
-	"ibistray.example/ibistray/internal/policy/admit"
+	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/internal/policy/order"
 	"ibistray.example/ibistray/internal/telemetry"
+	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
 // fill takes all places of a gate.
-func fill(t *testing.T, g *gate) {
+func fill(t *testing.T, g *ledgerGate) {
 	t.Helper()
-	for i := range maxLedgerRequests {
+	for i := range gate.DefaultPolicy().Window.Max {
 		assert.NilError(t, g.enter(t.Context(), order.Call{ID: fmt.Sprint("fill ", i)}, nil))
 	}
 }
 
-// TestGateLetsSettlementsAndProgramsUnderWayGoFirst replays a burst of new programs
-// while others are under way.
-func TestGateLetsSettlementsAndProgramsUnderWayGoFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGate(telemetry.NewMetrics())
-		fill(t, g)
-		var passed []string
-		for _, call := range []order.Call{
-			{ID: "new, less urgent", Priority: beginPriority(1, true)},
-			{ID: "new, urgent", Priority: beginPriority(0, true)},
-			{ID: "under way, less urgent", Priority: beginPriority(1, false)},
-			{ID: "under way, urgent", Priority: beginPriority(0, false)},
-			{ID: "settlement", Priority: prioritySettle},
-		} {
-			go func() {
-				assert.Check(t, g.enter(t.Context(), call, nil))
-				passed = append(passed, call.ID)
-			}()
-			synctest.Wait()
-		}
-		for range 5 {
-			g.leave(time.Millisecond, fateAnswered)
-			synctest.Wait()
-		}
-		assert.DeepEqual(t, passed, []string{"settlement", "under way, urgent", "under way, less urgent", "new, urgent", "new, less urgent"})
-	})
-}
-
-func TestGateRefusesNewProgramsThatWouldWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGate(telemetry.NewMetrics())
-		fill(t, g)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		// One answer in 20 ms, and always someone who waits.
-		for i := range 100 {
-			go g.enter(ctx, order.Call{ID: fmt.Sprint(i), Priority: prioritySettle}, nil)
-			synctest.Wait()
-			time.Sleep(20 * time.Millisecond)
-			g.leave(20*time.Millisecond, fateAnswered)
-		}
-		for i := range 20 {
-			go g.enter(ctx, order.Call{ID: fmt.Sprint("waits ", i), Priority: prioritySettle}, nil)
-		}
-		synctest.Wait()
-		err := g.enter(ctx, order.Call{ID: "new"}, &admit.Request{Priority: beginPriority(0, true), NewProgram: true})
-		var overload *overloadError
-		assert.Assert(t, errors.As(err, &overload))
-		assert.Equal(t, overload.reason, admit.ReasonOverload)
-		assert.Assert(t, overload.retryAfter >= minRetryAfter)
-		// A program under way may wait that long.
-		begin := make(chan error, 1)
-		go func() {
-			begin <- g.enter(ctx, order.Call{ID: "under way"}, &admit.Request{Priority: beginPriority(0, false)})
-		}()
-		synctest.Wait()
-		assert.Equal(t, len(begin), 0)
-		cancel()
-		synctest.Wait()
-	})
-}
-
 func TestGateForgetsThoseWhoLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGate(telemetry.NewMetrics())
+		g := newLedgerGate(telemetry.NewMetrics())
 		fill(t, g)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		err := g.enter(ctx, order.Call{ID: "leaves"}, nil)
 		assert.ErrorIs(t, err, leaderclient.ErrUnavailable)
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
-		assert.Equal(t, g.queue.Len(), 0)
-		g.leave(time.Millisecond, fateAnswered)
+		assert.Equal(t, g.gate.Waiting(), 0)
+		g.leave(time.Millisecond, gate.Answered)
 		assert.NilError(t, g.enter(t.Context(), order.Call{ID: "next"}, nil))
 	})
 }
 
+func TestGateLetsWaitingRequestsThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newLedgerGate(telemetry.NewMetrics())
+		fill(t, g)
+		done := make(chan error, 1)
+		go func() { done <- g.enter(t.Context(), order.Call{ID: "waits"}, nil) }()
+		synctest.Wait()
+		assert.Equal(t, len(done), 0)
+		err := g.enter(t.Context(), order.Call{ID: "waits"}, nil)
+		assert.ErrorIs(t, err, leaderclient.ErrUnavailable)
+		assert.ErrorIs(t, err, order.ErrDuplicate)
+		g.leave(time.Millisecond, gate.Answered)
+		assert.NilError(t, <-done)
+	})
+}
+
 func TestGateRefusesWhatIsBeyondItsQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGate(telemetry.NewMetrics())
+		g := newLedgerGate(telemetry.NewMetrics())
 		fill(t, g)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		refused := 0
-		for i := range maxWaitingRequests {
+		for i := range gate.DefaultPolicy().Order.Capacity {
 			go func() {
-				var overload *overloadError
-				if errors.As(g.enter(ctx, order.Call{ID: fmt.Sprint(i), Priority: priorityNew}, nil), &overload) {
+				if errors.Is(g.enter(ctx, order.Call{ID: fmt.Sprint(i)}, nil), gate.ErrOverloaded) {
 					refused++
 				}
 			}()
 		}
 		synctest.Wait()
-		err := g.enter(ctx, order.Call{ID: "one more", Priority: priorityNew}, nil)
-		assert.ErrorContains(t, err, "queue_full")
+		assert.ErrorContains(t, g.enter(ctx, order.Call{ID: "one more"}, nil), "queue_full")
 		// What settles a turn takes the place of a new one, which is refused at once.
-		go g.enter(ctx, order.Call{ID: "settlement", Priority: prioritySettle}, nil)
+		go func() {
+			err := g.enter(ctx, order.Call{ID: "settlement", Priority: gate.PrioritySettle}, nil)
+			assert.Check(t, errors.Is(err, context.Canceled), "%v", err)
+		}()
 		synctest.Wait()
 		assert.Equal(t, refused, 1)
 		cancel()
@@ -128,24 +84,18 @@
 	})
 }
 
-// TestGateShrinksWithoutALeaderAndComesBack replays an election.
-func TestGateShrinksWithoutALeaderAndComesBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGate(telemetry.NewMetrics())
-		assert.Assert(t, g.relaxed())
-		for range 10 {
-			assert.NilError(t, g.enter(t.Context(), order.Call{}, nil))
-			time.Sleep(ledgerWindow.CutPause)
-			g.leave(ledgerWindow.CutPause, fateOverloaded)
-		}
-		assert.Equal(t, g.window.Limit(), minLedgerRequests)
-		assert.Assert(t, !g.relaxed())
-		for range maxLedgerRequests * maxLedgerRequests {
-			assert.NilError(t, g.enter(t.Context(), order.Call{}, nil))
-			g.leave(time.Millisecond, fateAnswered)
-		}
-		assert.Assert(t, g.relaxed())
-	})
+func TestFateOfRequests(t *testing.T) {
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	late, cancelLate := context.WithTimeout(t.Context(), 0)
+	defer cancelLate()
+	unavailable := fmt.Errorf("%w: no quorum", leaderclient.ErrUnavailable)
+	assert.Equal(t, fateOf(t.Context(), &ledgerpb.Response{}, nil), gate.Answered)
+	assert.Equal(t, fateOf(t.Context(), &ledgerpb.Response{Busy: true}, nil), gate.Overloaded)
+	assert.Equal(t, fateOf(t.Context(), nil, unavailable), gate.Overloaded)
+	assert.Equal(t, fateOf(late, nil, unavailable), gate.Overloaded)
+	assert.Equal(t, fateOf(left, nil, unavailable), gate.Unknown)
+	assert.Equal(t, fateOf(t.Context(), nil, leaderclient.ErrRejected), gate.Unknown)
 }
 
 func TestRecentSetForgets(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -160,9 +161,9 @@
 // clients refused together do not come back together.
 func retryAfter(cause error) time.Duration {
 	after := minRetryAfter
-	var overload *overloadError
+	var overload *gate.OverloadError
 	if errors.As(cause, &overload) {
-		after = overload.retryAfter
+		after = overload.RetryAfter
 	}
 	return after + rand.N(maxRetryAfter-minRetryAfter)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
+	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
@@ -203,7 +204,7 @@
 		{errBudgetSpent, http.StatusPaymentRequired, false},
 		{errUnknownTurn, http.StatusNotFound, false},
 		{errors.Join(leaderclient.ErrUnavailable, errors.New("no quorum")), http.StatusServiceUnavailable, true},
-		{&overloadError{admit.ReasonOverload, time.Second}, http.StatusServiceUnavailable, true},
+		{&gate.OverloadError{Reason: admit.ReasonOverload, RetryAfter: time.Second}, http.StatusServiceUnavailable, true},
 	}
 	for _, c := range cases {
 		b := newBackend(t, "a", stream(1, 1, true))
@@ -212,11 +213,11 @@
 		got := f.ask(t, http.MethodPost, "/chat/x", "in", "Id", "1", "Program", "p", "Budget", "1")
 		assert.Equal(t, got.status, c.status)
 		assert.Equal(t, got.header.Get("Again-After") != "", c.again)
-		var overload *overloadError
+		var overload *gate.OverloadError
 		if errors.As(c.err, &overload) {
 			after, err := time.ParseDuration(got.header.Get("Again-After"))
 			assert.NilError(t, err)
-			assert.Assert(t, after >= overload.retryAfter)
+			assert.Assert(t, after >= overload.RetryAfter)
 		}
 		assert.Equal(t, len(b.ran()), 0)
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/policy/gate"
 )
 
 // Reasons of final answers that come from the entry.
@@ -47,7 +48,7 @@
 	{errUnknownTurn, refusal{reasonUnknownTurn, http.StatusNotFound, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
-	{errOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
+	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrUnavailable, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrRejected, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -9,6 +9,7 @@
 	"ibistray.example/ibistray/internal/hedge"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
+	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/internal/policy/order"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -48,7 +49,7 @@
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
 	// from. routePriority is 0 for the most urgent route. Errors: errBudgetSpent,
-	// errUnknownTurn, leaderclient.ErrUnavailable, and *overloadError, which tells when
+	// errUnknownTurn, leaderclient.ErrUnavailable, and *gate.OverloadError, which tells when
 	// to come back. It waits for a leader until ctx ends.
 	begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error)
 	// finish settles a turn. It returns when that is durable.
@@ -63,7 +64,7 @@
 	hedge   *leaderclient.Client
 	leader  leaderclient.Leader
 	onRetry func(reason string)
-	gate    *gate
+	gate    *ledgerGate
 	begun   *recentSet    // programs of which a turn began through this entry
 	hedges  chan struct{} // of hedged requests that are under way
 }
@@ -77,7 +78,7 @@
 		leaders: leaderclient.NewWithOptions(pool, options),
 		hedge:   leaderclient.NewWithOptions(hedgePool, options),
 		onRetry: onRetry,
-		gate:    newGate(metrics),
+		gate:    newLedgerGate(metrics),
 		begun:   newRecentSet(programMemory),
 		hedges:  make(chan struct{}, maxHedges),
 	}
@@ -86,7 +87,7 @@
 // begin implements ledgerClient.
 func (t *turns) begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error) {
 	newProgram := meta.Previous == "" && !t.begun.has(meta.Program, time.Now())
-	priority := beginPriority(routePriority, newProgram)
+	priority := gate.BeginPriority(routePriority, newProgram)
 	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
 	admission := &admit.Request{Priority: priority, NewProgram: newProgram}
 	resp, err := t.call(ctx, call, admission, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
@@ -114,7 +115,7 @@
 func (t *turns) finish(ctx context.Context, f *ledgerpb.Finish) error {
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
-	call := order.Call{ID: "finish " + f.CallId, Program: f.Program, Priority: prioritySettle}
+	call := order.Call{ID: "finish " + f.CallId, Program: f.Program, Priority: gate.PrioritySettle}
 	if !f.Keep {
 		call.ID = "settle " + f.CallId
 	}
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -12,6 +12,7 @@
 	"net"
 
 	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
@@ -58,7 +59,7 @@
 		assert.ErrorIs(t, <-results, leaderclient.ErrUnavailable)
 	}
 	// Beside the requests there are hedged copies, and some whose callers gave up.
-	assert.Assert(t, most.Load() <= 2*(maxLedgerRequests+maxHedges), "%d at the state host", most.Load())
+	assert.Assert(t, most.Load() <= int64(2*(gate.DefaultPolicy().Window.Max+maxHedges)), "%d at the state host", most.Load())
 	close(release)
 	_, err = turns.begin(t.Context(), &Meta{ID: "later", Program: "p"}, 0)
 	assert.NilError(t, err)
--- a/internal/policybench/bench_test.go
+++ b/internal/policybench/bench_test.go
@@ -17,6 +17,20 @@
 	assert.NilError(t, err, out.String())
 }
 
+// TestBurstCollapsesWithoutTheGate shows that the load on the ledger of the wharf is one
+// that the gate answers.
+func TestBurstCollapsesWithoutTheGate(t *testing.T) {
+	load := ledgerLoads()[1]
+	without := simulateLedger(load, 1, newFixedSender)
+	with := simulateLedger(load, 1, newGatedSender)
+	for _, kind := range load.kinds {
+		got := without.results[kind.name].share()
+		assert.Assert(t, got < minTimely/2, "%s: %.2f in time without", kind.name, got)
+		got = with.results[kind.name].share()
+		assert.Assert(t, got >= minTimely, "%s: %.2f in time with", kind.name, got)
+	}
+}
+
 func TestRunsAreDeterministic(t *testing.T) {
 	sc := scenario{deploy: hoseRepair(), variant: combined(), load: 1.5, faults: true}
 	a, b := simulate(sc, 7), simulate(sc, 7)
--- a/internal/policybench/main.go
+++ b/internal/policybench/main.go
@@ -9,13 +9,15 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 )
 
 // Numbers of seeds of a full run.
 const (
-	fullSeeds  = 10
-	retrySeeds = 3 // of the runs that compare retries
+	fullSeeds   = 10
+	retrySeeds  = 3 // of the runs that compare retries
+	ledgerSeeds = 3 // of the runs of the program ledger
 )
 
 // gcPercent trades memory for time; a run is short.
@@ -26,6 +28,7 @@
 	rows := flag.String("rows", "", "print only rows whose name contains this, and check no bound")
 	load := flag.Float64("load", 0, "measure at this load only, and check no bound")
 	known := flag.String("known-red", "KNOWN-RED.txt", "file that lists the bounds known to be broken")
+	ledgerOnly := flag.Bool("ledger", false, "print the load on the program ledger only, and check no bound")
 	retriesOnly := flag.Bool("retries", false, "print the comparison of retries only, and check no bound")
 	flag.Parse()
 	debug.SetGCPercent(gcPercent)
@@ -33,6 +36,10 @@
 		printRetries(os.Stdout, measureRetries(retrySeeds, false))
 		return
 	}
+	if *ledgerOnly {
+		printLedger(os.Stdout, measureLedger(ledgerSeeds))
+		return
+	}
 	if *load > 0 {
 		printTable(os.Stdout, measure(selectRows(variants(), *rows), fullSeeds, []float64{*load}))
 		return
@@ -55,11 +62,13 @@
 	}
 	trial := measureRetries(min(seeds, retrySeeds), quick)
 	printRetries(w, trial)
+	ledger := measureLedger(min(seeds, ledgerSeeds))
+	printLedger(w, ledger)
 	known, err := readKnownRed(knownFile)
 	if err != nil {
 		return err
 	}
-	return report(w, append(checkResults(results), checkRetries(trial)...), known)
+	return report(w, slices.Concat(checkResults(results), checkRetries(trial), checkLedger(ledger)), known)
 }
 
 func selectRows(all []variant, name string) []variant {
--- a/internal/statehost/ledger_bench_test.go
+++ b/internal/statehost/ledger_bench_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -13,48 +16,101 @@
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
-// servedHosts starts state hosts that found their groups, on loopback, and returns
-// their addresses.
-func servedHosts(b *testing.B, count int) []string {
+// servedHost is a state host on loopback.
+type servedHost struct {
+	*Host
+	server *transport.Server
+	pool   *transport.Pool
+}
+
+// serveHost starts a state host.
+func serveHost(b *testing.B, address string, seeds []string, founds bool) *servedHost {
+	b.Helper()
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(b, err)
+	s := &servedHost{server: transport.NewServer(hclog.NewNullLogger()), pool: transport.NewPool(transport.DialWithin(time.Second))}
+	s.Host, err = New(Config{
+		Name: address, Address: address, DataDir: b.TempDir(), Bootstrap: founds, Tolerance: (len(seeds) - 1) / 2,
+		Seeds:             func() []string { return seeds },
+		Decode:            func([]byte) (*routing.Document, error) { return &routing.Document{Version: 1}, nil },
+		HeartbeatInterval: time.Second,
+	}, hclog.NewNullLogger(), prometheus.NewRegistry(), s.pool, func(err error) { b.Error(err) })
+	assert.NilError(b, err)
+	s.Register(s.server)
+	go s.server.Serve(listener)
+	s.Run()
+	return s
+}
+
+func (s *servedHost) end(b *testing.B) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := s.Stop(ctx); err != nil {
+		b.Error(err)
+	}
+	s.server.Close()
+	s.pool.Close()
+}
+
+// servedHosts starts state hosts that found their groups.
+func servedHosts(b *testing.B, count int) ([]string, []*servedHost) {
 	b.Helper()
-	listeners := make([]net.Listener, count)
 	addresses := make([]string, count)
-	for i := range listeners {
+	for i := range addresses {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(b, err)
-		listeners[i], addresses[i] = listener, listener.Addr().String()
+		addresses[i] = listener.Addr().String()
+		assert.NilError(b, listener.Close())
 	}
-	for i, listener := range listeners {
-		pool := transport.NewPool(transport.DialWithin(time.Second))
-		cfg := Config{
-			Name: fmt.Sprintf("host-%d", i), Address: addresses[i], DataDir: b.TempDir(),
-			Bootstrap: true, Tolerance: (count - 1) / 2,
-			Seeds:             func() []string { return addresses },
-			Decode:            func([]byte) (*routing.Document, error) { return &routing.Document{Version: 1}, nil },
-			HeartbeatInterval: time.Second,
-		}
-		h, err := New(cfg, hclog.NewNullLogger(), prometheus.NewRegistry(), pool, func(err error) { b.Error(err) })
-		assert.NilError(b, err)
-		server := transport.NewServer(hclog.NewNullLogger())
-		h.Register(server)
-		go server.Serve(listener)
-		h.Run()
-		b.Cleanup(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			if err := h.Stop(ctx); err != nil {
-				b.Error(err)
+	var hosts []*servedHost
+	for _, address := range addresses {
+		hosts = append(hosts, serveHost(b, address, addresses, true))
+	}
+	return addresses, hosts
+}
+
+// ledgerLoad sends commands to the ledger.
+type ledgerLoad struct {
+	pool   *transport.Pool
+	client *leaderclient.Client
+	leader leaderclient.Leader
+}
+
+func newLedgerLoad(addresses []string) *ledgerLoad {
+	pool := transport.NewPool(transport.DialWithin(time.Second))
+	return &ledgerLoad{pool: pool, client: leaderclient.NewWithOptions(pool, leaderclient.Options{
+		Addresses:      func() []string { return addresses },
+		AttemptTimeout: time.Second,
+		OnRetry:        func(string) {},
+		Shared:         true,
+	})}
+}
+
+// send sends count commands from several callers.
+func (l *ledgerLoad) send(b *testing.B, callers, count int, command func(i int) *ledgerpb.Command) {
+	var next atomic.Int64
+	var work sync.WaitGroup
+	for range callers {
+		work.Go(func() {
+			for i := next.Add(1); i <= int64(count); i = next.Add(1) {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				req := &ledgerpb.Request{Command: command(int(i))}
+				err := l.client.Call(ctx, &l.leader, transport.MethodLedger, 0, req, new(ledgerpb.Response))
+				cancel()
+				if err != nil {
+					b.Error(err)
+					return
+				}
 			}
-			server.Close()
-			pool.Close()
 		})
 	}
-	return addresses
+	work.Wait()
 }
 
 // BenchmarkLedger reports what a command of the ledger costs on all hosts and at its
@@ -62,53 +118,73 @@
 func BenchmarkLedger(b *testing.B) {
 	for _, callers := range []int{1, 16, 128} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
-			addresses := servedHosts(b, 3)
-			pool := transport.NewPool(transport.DialWithin(time.Second))
-			defer pool.Close()
-			client := leaderclient.NewWithOptions(pool, leaderclient.Options{
-				Addresses:      func() []string { return addresses },
-				AttemptTimeout: time.Second,
-				OnRetry:        func(string) {},
-				Shared:         true,
-			})
-			var leader leaderclient.Leader
-			call := func(id string) {
-				resp := new(ledgerpb.Response)
-				req := &ledgerpb.Request{Command: &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
-					CallId: id, Program: id, MaxTokens: 1, TokenBudget: 10, Limited: true,
-				}}}}
-				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-				defer cancel()
-				if err := client.Call(ctx, &leader, transport.MethodLedger, 0, req, resp); err != nil {
-					b.Error(err)
-				}
-			}
-			call("first")
+			addresses, hosts := servedHosts(b, 3)
+			load := newLedgerLoad(addresses)
+			begin := func(i int) *ledgerpb.Command { return beginCommand(fmt.Sprint(i), fmt.Sprint(i), "", 1, 10) }
+			load.send(b, 1, 1, begin)
 			before := processorTime(b)
 			b.ResetTimer()
-			work := make(chan int)
-			done := make(chan struct{})
-			for range callers {
-				go func() {
-					for i := range work {
-						call(fmt.Sprint(i))
-					}
-					done <- struct{}{}
-				}()
-			}
-			for i := range b.N {
-				work <- i
+			load.send(b, callers, b.N, begin)
+			b.StopTimer()
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+			load.pool.Close()
+			for _, h := range hosts {
+				h.end(b)
 			}
-			close(work)
-			for range callers {
-				<-done
+		})
+	}
+}
+
+// BenchmarkCatchUp reports how long a host that lost its disk takes until it votes again
+// in the ledger, by the kept turns in the state.
+func BenchmarkCatchUp(b *testing.B) {
+	const input, output = 1000, 600 // bytes of a turn
+	for _, turns := range []int{1_000, 10_000, 40_000} {
+		b.Run(fmt.Sprintf("turns=%d", turns), func(b *testing.B) {
+			addresses, hosts := servedHosts(b, 3)
+			load := newLedgerLoad(addresses)
+			load.send(b, 64, turns, func(i int) *ledgerpb.Command {
+				cmd := keepCommand(fmt.Sprint(i), fmt.Sprint(i/10), "", 1)
+				f := cmd.GetFinish()
+				f.Input, f.Output = make([]byte, input), make([]byte, output)
+				f.RetentionMs = time.Hour.Milliseconds()
+				return cmd
+			})
+			b.ResetTimer()
+			for range b.N {
+				victim := slices.IndexFunc(hosts, func(h *servedHost) bool { return !leads(b, h) })
+				b.StopTimer()
+				hosts[victim].end(b)
+				b.StartTimer()
+				hosts[victim] = serveHost(b, addresses[victim], addresses, false)
+				for !votes(b, hosts[victim]) {
+					time.Sleep(10 * time.Millisecond)
+				}
 			}
 			b.StopTimer()
-			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/op")
+			load.pool.Close()
+			for _, h := range hosts {
+				h.end(b)
+			}
 		})
 	}
 }
 
+func leads(b *testing.B, h *servedHost) bool {
+	status, err := h.replicas.Status(b.Context(), LedgerGroup)
+	return err == nil && status.Role == raft.RoleLeader
+}
+
+// votes reports whether the host's replica of the ledger is a voter by its own log.
+func votes(b *testing.B, h *servedHost) bool {
+	status, err := h.replicas.Status(b.Context(), LedgerGroup)
+	if err != nil || !status.Active {
+		return false
+	}
+	member := memberByID(status, status.ID)
+	return member != nil && !member.Learner
+}
+
 // processorTime returns what this process has used.
 func processorTime(b *testing.B) time.Duration {
 	var usage syscall.Rusage
