Turns that did not begin give their reservation back

Cause: a Begin that was sent and not answered in time may be in the log; its client got a 503 and nothing settled it, so the program went on with less budget and could be told 402. Ruled out: requests that were refused at the gate or waited there: they were not sent. Change: such a turn is settled with no tokens; a settlement also counts before its Begin, of which a delayed copy then reserves nothing. Tests: ledger TestBeginAfterItsSettlementReservesNothing, gateway TestTurnThatMayBeReservedIsSettled, both seen to fail.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -169,6 +169,9 @@
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.beginPatience()))
 	defer cancelBegin()
 	chain, err := c.g.turns.begin(beginCtx, &c.meta, c.route.Priority)
+	if errors.Is(err, errMayBeReserved) {
+		c.settleLater()
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -223,6 +223,19 @@
 	}
 }
 
+// TestTurnThatMayBeReservedIsSettled has a ledger that did not answer: the program must
+// not go on with less of its budget.
+func TestTurnThatMayBeReservedIsSettled(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", stream(1, 1, true)))
+	f.ledger.beginErr = errors.Join(errMayBeReserved, leaderclient.ErrUnavailable)
+	got := f.ask(t, http.MethodPost, "/chat/x", "in", "Id", "1", "Program", "p", "Budget", "1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	settled := <-f.ledger.settled
+	assert.Equal(t, settled.CallId, "1")
+	assert.Equal(t, settled.Tokens, uint64(0))
+	assert.Assert(t, !settled.Keep)
+}
+
 // TestBusyServerIsGivenItsTime replays the load after a common restart: requests
 // with little time left wait at servers that are busy with those that came back.
 func TestBusyServerIsGivenItsTime(t *testing.T) {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -20,6 +20,9 @@
 var (
 	errBudgetSpent = errors.New("gateway: the program's token budget is spent")
 	errUnknownTurn = errors.New("gateway: no such turn")
+	// errMayBeReserved says that a turn that did not begin may hold a reservation, which
+	// its settlement gives back.
+	errMayBeReserved = errors.New("gateway: the turn may hold a reservation")
 )
 
 const (
@@ -49,8 +52,9 @@
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
 	// from. routePriority is 0 for the most urgent route. Errors: errBudgetSpent,
-	// errUnknownTurn, leaderclient.ErrUnavailable, and *gate.OverloadError, which tells when
-	// to come back. It waits for a leader until ctx ends.
+	// errUnknownTurn, leaderclient.ErrUnavailable, with errMayBeReserved if the request
+	// was sent, and *gate.OverloadError, which tells when to come back. It waits for a
+	// leader until ctx ends.
 	begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error)
 	// finish settles a turn. It returns when that is durable.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
@@ -137,6 +141,9 @@
 	sent := time.Now()
 	resp, err := hedge.Do(ctx, hedgeDelay, t.send(t.leaders, cmd), t.sendAgain(cmd))
 	t.gate.leave(time.Since(sent), fateOf(ctx, resp, err))
+	if errors.Is(err, leaderclient.ErrUnavailable) {
+		err = fmt.Errorf("%w: %w", errMayBeReserved, err)
+	}
 	return resp, err
 }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -159,12 +159,13 @@
 	if p == nil {
 		return
 	}
+	// Also without a reservation: a delayed copy of its Begin must reserve nothing.
+	p.done[f.CallId] = struct{}{}
 	reserved, found := p.open[f.CallId]
 	if !found {
 		return
 	}
 	delete(p.open, f.CallId)
-	p.done[f.CallId] = struct{}{}
 	p.reserved -= reserved
 	p.settled += f.Tokens
 	p.expiresMs = s.nowMs + programIdle.Milliseconds()
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -62,6 +62,17 @@
 	assert.Equal(t, apply(t, s, startMs, begin("b", "p", "", 50, 100)).Outcome, ledgerpb.Outcome_OUTCOME_OK)
 }
 
+// TestBeginAfterItsSettlementReservesNothing has a turn that was given up while its
+// Begin was on the way.
+func TestBeginAfterItsSettlementReservesNothing(t *testing.T) {
+	s := New()
+	assert.Equal(t, apply(t, s, startMs, begin("a", "p", "", 40, 100)).Outcome, ledgerpb.Outcome_OUTCOME_OK)
+	apply(t, s, startMs, settle("given up", "p", 0))
+	assert.Equal(t, apply(t, s, startMs, begin("given up", "p", "", 60, 100)).Outcome, ledgerpb.Outcome_OUTCOME_OK)
+	assert.Equal(t, apply(t, s, startMs, begin("b", "p", "", 60, 100)).Outcome, ledgerpb.Outcome_OUTCOME_OK)
+	assert.Equal(t, apply(t, s, startMs, begin("c", "p", "", 1, 100)).Outcome, ledgerpb.Outcome_OUTCOME_BUDGET_SPENT)
+}
+
 func TestChainIsRebuiltInOrder(t *testing.T) {
 	s := New()
 	apply(t, s, startMs, keep("a", "p", "", "in1", "out1\n", 1))
