--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -125,6 +126,10 @@
 func (g *group) resume(state *wal.GroupState) error {
 	index := state.Snapshot.GetIndex()
 	if index > 0 {
+		began := time.Now()
+		defer func() {
+			g.logger.Info("snapshot restored", "index", index, "took_ms", time.Since(began).Milliseconds())
+		}()
 		if err := g.host.snapshots.restore(g.id, index, g.sm); err != nil {
 			return err
 		}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
@@ -78,6 +79,7 @@
 }
 
 func (h *Host) openStorage() error {
+	began := time.Now()
 	log, recovered, err := wal.Open(wal.Options{
 		FS:          h.opts.FS,
 		Dir:         h.opts.Dir,
@@ -97,6 +99,11 @@
 	h.log = log
 	h.diskID = log.Identity().DiskID
 	h.recovered = recovered
+	entries := 0
+	for _, state := range recovered {
+		entries += len(state.Entries)
+	}
+	h.opts.Logger.Info("log recovered", "groups", len(recovered), "entries", entries, "took_ms", time.Since(began).Milliseconds())
 	return nil
 }
 
--- a/internal/statehost/ledger_bench_test.go
+++ b/internal/statehost/ledger_bench_test.go
@@ -25,18 +25,19 @@
 // servedHost is a state host on loopback.
 type servedHost struct {
 	*Host
+	dir    string
 	server *transport.Server
 	pool   *transport.Pool
 }
 
 // serveHost starts a state host.
-func serveHost(b *testing.B, address string, seeds []string, founds bool) *servedHost {
+func serveHost(b *testing.B, address, dir string, seeds []string, founds bool) *servedHost {
 	b.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(b, err)
-	s := &servedHost{server: transport.NewServer(hclog.NewNullLogger()), pool: transport.NewPool(transport.DialWithin(time.Second))}
+	s := &servedHost{dir: dir, server: transport.NewServer(hclog.NewNullLogger()), pool: transport.NewPool(transport.DialWithin(time.Second))}
 	s.Host, err = New(Config{
-		Name: address, Address: address, DataDir: b.TempDir(), Bootstrap: founds, Tolerance: (len(seeds) - 1) / 2,
+		Name: address, Address: address, DataDir: dir, Bootstrap: founds, Tolerance: (len(seeds) - 1) / 2,
 		Seeds:             func() []string { return seeds },
 		Decode:            func([]byte) (*routing.Document, error) { return &routing.Document{Version: 1}, nil },
 		HeartbeatInterval: time.Second,
@@ -70,7 +71,7 @@
 	}
 	var hosts []*servedHost
 	for _, address := range addresses {
-		hosts = append(hosts, serveHost(b, address, addresses, true))
+		hosts = append(hosts, serveHost(b, address, b.TempDir(), addresses, true))
 	}
 	return addresses, hosts
 }
@@ -138,25 +139,18 @@
 // BenchmarkCatchUp reports how long a host that lost its disk takes until it votes again
 // in the ledger, by the kept turns in the state.
 func BenchmarkCatchUp(b *testing.B) {
-	const input, output = 1000, 600 // bytes of a turn
 	for _, turns := range []int{1_000, 10_000, 40_000} {
 		b.Run(fmt.Sprintf("turns=%d", turns), func(b *testing.B) {
 			addresses, hosts := servedHosts(b, 3)
 			load := newLedgerLoad(addresses)
-			load.send(b, 64, turns, func(i int) *ledgerpb.Command {
-				cmd := keepCommand(fmt.Sprint(i), fmt.Sprint(i/10), "", 1)
-				f := cmd.GetFinish()
-				f.Input, f.Output = make([]byte, input), make([]byte, output)
-				f.RetentionMs = time.Hour.Milliseconds()
-				return cmd
-			})
+			load.send(b, 64, turns, largeTurn)
 			b.ResetTimer()
 			for range b.N {
 				victim := slices.IndexFunc(hosts, func(h *servedHost) bool { return !leads(b, h) })
 				b.StopTimer()
 				hosts[victim].end(b)
 				b.StartTimer()
-				hosts[victim] = serveHost(b, addresses[victim], addresses, false)
+				hosts[victim] = serveHost(b, addresses[victim], b.TempDir(), addresses, false)
 				for !votes(b, hosts[victim]) {
 					time.Sleep(10 * time.Millisecond)
 				}
@@ -170,6 +164,38 @@
 	}
 }
 
+// largeTurn keeps a turn of 1.6 KB.
+func largeTurn(i int) *ledgerpb.Command {
+	cmd := keepCommand(fmt.Sprint(i), fmt.Sprint(i/10), "", 1)
+	f := cmd.GetFinish()
+	f.Input, f.Output = make([]byte, 1000), make([]byte, 600)
+	f.RetentionMs = time.Hour.Milliseconds()
+	return cmd
+}
+
+// BenchmarkRestart reports how long a host takes to open its data folder after a loss
+// of power, by the kept turns in the log.
+func BenchmarkRestart(b *testing.B) {
+	for _, turns := range []int{1_000, 10_000} {
+		b.Run(fmt.Sprintf("turns=%d", turns), func(b *testing.B) {
+			addresses, hosts := servedHosts(b, 3)
+			load := newLedgerLoad(addresses)
+			load.send(b, 64, turns, largeTurn)
+			load.pool.Close()
+			for _, h := range hosts {
+				h.end(b)
+			}
+			b.ResetTimer()
+			for range b.N {
+				h := serveHost(b, addresses[0], hosts[0].dir, addresses, false)
+				b.StopTimer()
+				h.end(b)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
 func leads(b *testing.B, h *servedHost) bool {
 	status, err := h.replicas.Status(b.Context(), LedgerGroup)
 	return err == nil && status.Role == raft.RoleLeader
