ibistrayctl times: where the time of requests went

The line of a request's end says what the ledger took before and after its turn; times sums the lines up by span and route.

--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -86,6 +86,7 @@
 			statusCommand(),
 			topCommand(),
 			explainCommand(),
+			timesCommand(),
 			load.Command(os.Stdout),
 		},
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,17 +55,19 @@
 	body    []byte // as received
 	request passthrough.Request
 
-	deadline time.Time
-	tried    map[string]bool // servers that refused it or failed
-	sends    int             // attempts of which a server may have seen something
-	server   *fleet.Instance // of the latest attempt
-	lastErr  error           // of the latest attempt
-	first    time.Duration   // until the answer began
-	events   int             // handed to the caller
-	output   bytes.Buffer    // of a turn that is kept
-	began    bool            // the answer has begun
-	refused  int             // answers of servers that did not run it
-	waited   bool            // for servers to be known
+	deadline  time.Time
+	tried     map[string]bool // servers that refused it or failed
+	sends     int             // attempts of which a server may have seen something
+	server    *fleet.Instance // of the latest attempt
+	lastErr   error           // of the latest attempt
+	first     time.Duration   // until the answer began
+	beginning time.Duration   // that the ledger took before the turn
+	keeping   time.Duration   // that the ledger took after it
+	events    int             // handed to the caller
+	output    bytes.Buffer    // of a turn that is kept
+	began     bool            // the answer has begun
+	refused   int             // answers of servers that did not run it
+	waited    bool            // for servers to be known
 	// answering ends the watch for a silent server; called at the first output.
 	answering func()
 }
@@ -168,7 +170,9 @@
 	}
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.beginPatience()))
 	defer cancelBegin()
+	asked := time.Now()
 	chain, err := c.g.turns.begin(beginCtx, &c.meta, c.route.Priority)
+	c.beginning = time.Since(asked)
 	if errors.Is(err, errMayBeReserved) {
 		c.settleLater()
 	}
@@ -229,6 +233,8 @@
 // keep makes the turn durable before its answer ends: the caller may continue from
 // it at once, through any entry.
 func (c *call) keep(ctx context.Context) error {
+	asked := time.Now()
+	defer func() { c.keeping = time.Since(asked) }()
 	if err := c.g.turns.finish(ctx, c.finishCommand(true)); err != nil {
 		c.settleLater()
 		return fmt.Errorf("%w: turn not kept: %w", errUnclear, err)
@@ -260,7 +266,7 @@
 	fields := []any{
 		"request", c.meta.ID, "program", c.meta.Program, "previous", c.meta.Previous, "outcome", outcome, "status", status,
 		"sends", c.sends, "refused", c.refused, "events", c.events,
-		"first_ms", c.first.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
+		"begin_ms", c.beginning.Milliseconds(), "keep_ms", c.keeping.Milliseconds(), "first_ms", c.first.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
 	}
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name, "routes_version", c.routes.Version)
