--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,7 +25,7 @@
 	// servers: some attempts to reach a state host.
 	viewWait = 800 * time.Millisecond
 	// beginShare is the part of a client's time, in percent, in which a turn waits for
-	// the ledger: of the rest another entry can make something.
+	// the ledger: the client needs the rest for an attempt at another entry.
 	beginShare = 45
 	// settleTimeout bounds a settlement that goes on after its request.
 	settleTimeout = 10 * time.Second
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -283,7 +283,10 @@
 	assert.NilError(t, err)
 	req.Host = "h"
 	req.Header.Set("Id", "2")
-	_, err = f.front.Client().Do(req)
+	resp, err := f.front.Client().Do(req)
+	if err == nil {
+		resp.Body.Close()
+	}
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	f.front.Close() // waits for both requests
 
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -127,12 +127,10 @@
 	index := state.Snapshot.GetIndex()
 	if index > 0 {
 		began := time.Now()
-		defer func() {
-			g.logger.Info("snapshot restored", "index", index, "took_ms", time.Since(began).Milliseconds())
-		}()
 		if err := g.host.snapshots.restore(g.id, index, g.sm); err != nil {
 			return err
 		}
+		g.logger.Info("snapshot restored", "index", index, "took_ms", time.Since(began).Milliseconds())
 	}
 	g.applied = index
 	return g.startNode(raft.InitialState{
--- a/internal/statehost/ledger_bench_test.go
+++ b/internal/statehost/ledger_bench_test.go
@@ -44,7 +44,11 @@
 	}, hclog.NewNullLogger(), prometheus.NewRegistry(), s.pool, func(err error) { b.Error(err) })
 	assert.NilError(b, err)
 	s.Register(s.server)
-	go s.server.Serve(listener)
+	go func() {
+		if err := s.server.Serve(listener); err != nil {
+			b.Error(err)
+		}
+	}()
 	s.Run()
 	return s
 }
