Turns that were sent wait for a leader as long as their clients do

Change: the 45 percent bound the wait at the gate only, where load is what is waited for; what was sent waits as long as its client waits for an event. Test: TestTurnIsNotSentAfterItsTime.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -24,9 +24,9 @@
 	// viewWait bounds the wait of a request for an entry's first view of routes and
 	// servers: some attempts to reach a state host.
 	viewWait = 800 * time.Millisecond
-	// beginShare is the part of a client's time, in percent, in which a turn waits for
-	// the ledger: the client needs the rest for an attempt at another entry.
-	beginShare = 45
+	// sendShare is the part of a client's time, in percent, in which a turn waits to be
+	// sent to the ledger: the client needs the rest for an attempt at another entry.
+	sendShare = 45
 	// settleTimeout bounds a settlement that goes on after its request.
 	settleTimeout = 10 * time.Second
 )
@@ -168,10 +168,10 @@
 	if !c.route.Programs {
 		return c.run(ctx)
 	}
-	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.beginPatience()))
+	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventPatience()-firstEventMargin))
 	defer cancelBegin()
 	asked := time.Now()
-	chain, err := c.g.turns.begin(beginCtx, &c.meta, c.route.Priority)
+	chain, err := c.g.turns.begin(beginCtx, &c.meta, c.turnRank())
 	c.beginning = time.Since(asked)
 	if errors.Is(err, errMayBeReserved) {
 		c.settleLater()
@@ -188,10 +188,10 @@
 	return err
 }
 
-// beginPatience returns how long a turn may wait for the ledger: its client still waits
-// for an event then, and has time left to come back.
-func (c *call) beginPatience() time.Duration {
-	return min(c.route.EventPatience()-firstEventMargin, c.deadline.Sub(c.arrived)*beginShare/100)
+// turnRank returns how the turn is ranked before the ledger. Its client has time left
+// to come back when it was not sent until then.
+func (c *call) turnRank() turnRank {
+	return turnRank{priority: c.route.Priority, sendBy: c.arrived.Add(c.deadline.Sub(c.arrived) * sendShare / 100)}
 }
 
 // prependChain puts the earlier turns before the input of this one.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -69,7 +69,7 @@
 	settled  chan *ledgerpb.Finish
 }
 
-func (l *memoryLedger) begin(_ context.Context, meta *Meta, _ int) ([]*ledgerpb.Exchange, error) {
+func (l *memoryLedger) begin(_ context.Context, meta *Meta, _ turnRank) ([]*ledgerpb.Exchange, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begun = append(l.begun, meta.ID)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -51,15 +51,21 @@
 // ledgerClient reserves and settles turns.
 type ledgerClient interface {
 	// begin reserves the tokens of a turn and returns the turns that it continues
-	// from. routePriority is 0 for the most urgent route. Errors: errBudgetSpent,
+	// from. Errors: errBudgetSpent,
 	// errUnknownTurn, leaderclient.ErrUnavailable, with errMayBeReserved if the request
 	// was sent, and *gate.OverloadError, which tells when to come back. It waits for a
 	// leader until ctx ends.
-	begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error)
+	begin(ctx context.Context, meta *Meta, rank turnRank) ([]*ledgerpb.Exchange, error)
 	// finish settles a turn. It returns when that is durable.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
 }
 
+// turnRank is how a turn is ranked among those that wait to be sent.
+type turnRank struct {
+	priority int       // of its route, 0 for the most urgent one
+	sendBy   time.Time // after which it is not sent any more
+}
+
 // turns reserves and settles turns at the ledger's leader. Requests that take
 // unusually long are made again over a connection of their own: on a network that
 // loses packets one lost packet holds up all that share a connection.
@@ -89,12 +95,17 @@
 }
 
 // begin implements ledgerClient.
-func (t *turns) begin(ctx context.Context, meta *Meta, routePriority int) ([]*ledgerpb.Exchange, error) {
+func (t *turns) begin(ctx context.Context, meta *Meta, rank turnRank) ([]*ledgerpb.Exchange, error) {
 	newProgram := meta.Previous == "" && !t.begun.has(meta.Program, time.Now())
-	priority := gate.BeginPriority(routePriority, newProgram)
+	priority := gate.BeginPriority(rank.priority, newProgram)
 	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
 	admission := &admit.Request{Priority: priority, NewProgram: newProgram}
-	resp, err := t.call(ctx, call, admission, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
+	sendCtx, cancel := context.WithDeadline(ctx, rank.sendBy)
+	defer cancel()
+	if err := t.gate.enter(sendCtx, call, admission); err != nil {
+		return nil, err
+	}
+	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
 		CallId:      meta.ID,
 		Program:     meta.Program,
 		Previous:    meta.Previous,
@@ -123,7 +134,10 @@
 	if !f.Keep {
 		call.ID = "settle " + f.CallId
 	}
-	resp, err := t.call(ctx, call, nil, &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}})
+	if err := t.gate.enter(ctx, call, nil); err != nil {
+		return err
+	}
+	resp, err := t.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}})
 	if err != nil {
 		return err
 	}
@@ -133,11 +147,8 @@
 	return nil
 }
 
-// call sends a command through the gate to the leader.
-func (t *turns) call(ctx context.Context, call order.Call, admission *admit.Request, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
-	if err := t.gate.enter(ctx, call, admission); err != nil {
-		return nil, err
-	}
+// call sends a command that the gate has let through to the leader.
+func (t *turns) call(ctx context.Context, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
 	sent := time.Now()
 	resp, err := hedge.Do(ctx, hedgeDelay, t.send(t.leaders, cmd), t.sendAgain(cmd))
 	t.gate.leave(time.Since(sent), fateOf(ctx, resp, err))
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -51,7 +54,7 @@
 	results := make(chan error, 400)
 	for i := range cap(results) {
 		go func() {
-			_, err := turns.begin(ctx, &Meta{ID: fmt.Sprint(i), Program: "p"}, 0)
+			_, err := turns.begin(ctx, &Meta{ID: fmt.Sprint(i), Program: "p"}, turnRank{sendBy: time.Now().Add(time.Minute)})
 			results <- err
 		}()
 	}
@@ -61,6 +64,22 @@
 	// Beside the requests there are hedged copies, and some whose callers gave up.
 	assert.Assert(t, most.Load() <= int64(2*(gate.DefaultPolicy().Window.Max+maxHedges)), "%d at the state host", most.Load())
 	close(release)
-	_, err = turns.begin(t.Context(), &Meta{ID: "later", Program: "p"}, 0)
+	_, err = turns.begin(t.Context(), &Meta{ID: "later", Program: "p"}, turnRank{sendBy: time.Now().Add(time.Minute)})
 	assert.NilError(t, err)
 }
+
+// TestTurnIsNotSentAfterItsTime replays a ledger with too much to do: a turn that still
+// waits to be sent when its client should come back is refused, and holds nothing.
+func TestTurnIsNotSentAfterItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := transport.NewPool(transport.DialTCP)
+		defer pool.Close()
+		turns := newTurns(pool, pool, func() []string { return nil }, telemetry.NewMetrics())
+		fill(t, turns.gate)
+		begun := time.Now()
+		_, err := turns.begin(t.Context(), &Meta{ID: "1", Program: "p"}, turnRank{sendBy: begun.Add(time.Second)})
+		assert.ErrorIs(t, err, leaderclient.ErrUnavailable)
+		assert.Assert(t, !errors.Is(err, errMayBeReserved))
+		assert.Equal(t, time.Since(begun), time.Second)
+	})
+}
