Standby state hosts, and membership that keeps 2f+1 voters

Cause: as many voters as stores. A store that retired without a spare waited for ever; one that was replaced meanwhile left two voters, since a voter lost less than 2.5 s ago still counted as usable and its successor took the place of the retiring one. The next lost disk took the quorum for good. Operators found three hosts, so that a frozen one took every third call. A full disk ended the process.

Retirements travel with announcements, since the leader of one group may not hold the other. Hosts announce their disk; states that do not fit are placed elsewhere. A state host on a full disk is opened again within the process.

Ruled out: five voters, witnesses, current learners (docs/design/state-hosts.md).

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -25,6 +25,7 @@
 const (
 	flagMetricsPort    = "metrics-port"
 	flagHostedLogLevel = "hosted-log-level"
+	flagStandby        = "standby"
 	// memoryLimitShare is the part of the memory limit that the Go runtime is told to stay
 	// below. The rest is for memory that the runtime does not count, such as bytes that wait
 	// in sockets.
@@ -44,9 +45,12 @@
 		&cli.Uint16Flag{Name: flagMetricsPort, Usage: "port of the HTTP endpoint /metrics; 0: none", Sources: cli.EnvVars("IBISTRAYD_METRICS_PORT")},
 		&cli.StringFlag{Name: flagHostedLogLevel, Value: "info", Usage: "minimum level of logged messages: trace, debug, info, warn, error", Sources: cli.EnvVars("IBISTRAYD_HOSTED_LOG_LEVEL")},
 	}
+	stateHostFlags := []cli.Flag{
+		&cli.BoolFlag{Name: flagStandby, Usage: "hold replicas only while too few other state hosts can", Sources: cli.EnvVars("IBISTRAYD_STANDBY")},
+	}
 	return []*cli.Command{
 		{Name: "entry", Usage: "serve clients on a host of the platform", Flags: flags, Action: runHosted(runEntry)},
-		{Name: "statehost", Usage: "store replicated state on a host of the platform", Flags: flags, Action: runHosted(runStateHost)},
+		{Name: "statehost", Usage: "store replicated state on a host of the platform", Flags: append(stateHostFlags, flags...), Action: runHosted(runStateHost)},
 	}
 }
 
@@ -54,6 +58,7 @@
 type hostedProcess struct {
 	settings *platform.Settings
 	options  hosted.Options
+	standby  bool            // state host: see statehost.Config
 	stop     <-chan struct{} // closed when the process must stop
 }
 
@@ -78,7 +83,7 @@
 			Logger:      log,
 			Seeds:       hosted.NewSeeds(settings.SeedPeerAddresses()),
 			GracePeriod: settings.GracePeriod,
-		}}
+		}, standby: cmd.Bool(flagStandby)}
 		if port := cmd.Uint16(flagMetricsPort); port != 0 {
 			p.options.MetricsAddress = fmt.Sprintf("%s:%d", settings.IP, port)
 		}
@@ -169,6 +174,8 @@
 		DataDir:           s.DataDir,
 		Bootstrap:         s.Bootstrap,
 		FaultTolerance:    s.ToleratedHostLosses,
+		Standby:           p.standby,
+		DiskBytes:         s.DiskBytes,
 		DecodeRoutes:      platform.DecodeRoutes,
 		HeartbeatInterval: s.HeartbeatInterval,
 	}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -95,6 +95,7 @@
 	failed     chan error
 	goroutines sync.WaitGroup
 	servers    []*http.Server
+	closers    []func() // called by close
 }
 
 func newProcess(opts Options) *process {
@@ -153,6 +154,9 @@
 	for _, server := range p.servers {
 		server.Close()
 	}
+	for _, closeServer := range p.closers {
+		closeServer()
+	}
 	p.pool.Close()
 	p.goroutines.Wait()
 }
@@ -210,9 +214,29 @@
 }
 
 // RunStateHost runs a state host until stop is closed, then shuts it down and returns
-// nil. It returns an error if the state host cannot start or fails. newControlHandler
-// makes the handler of the control address.
+// nil. When the disk is full, the state host is closed and opened again once there is
+// room: the process does not end, and the other hosts hold all acknowledged data
+// meanwhile. It returns an error if the state host cannot start or fails otherwise.
+// newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
+	return reopenOnFullDisk(opts.Logger, func() error {
+		return runStateHost(cfg, addresses, newControlHandler, opts, stop)
+	})
+}
+
+// reopenOnFullDisk calls run until it returns something else than a full disk.
+func reopenOnFullDisk(log hclog.Logger, run func() error) error {
+	for {
+		err := run()
+		if !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
+		log.Error("disk is full: the state host is opened again", "error", err)
+	}
+}
+
+// runStateHost runs a state host until stop is closed or it fails.
+func runStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
 	p := newProcess(opts)
 	defer p.close()
 	cfg.Seeds = opts.Seeds.Addresses
@@ -220,8 +244,24 @@
 	if host == nil {
 		return err
 	}
-	server := transport.NewServer(opts.Logger.Named("transport"))
-	defer server.Close()
+	if err := p.serveStateHost(host, addresses, newControlHandler); err != nil {
+		return errors.Join(err, closeNow(host))
+	}
+	host.Run()
+	opts.Logger.Info("started", "role", "state host", "peers", addresses.Peers, "control", addresses.Control,
+		"bootstrap", cfg.Bootstrap, "standby", cfg.Standby, "seeds", opts.Seeds.Addresses())
+	select {
+	case err := <-p.failed:
+		return errors.Join(err, closeNow(host))
+	case <-stop:
+	}
+	return p.stopStateHost(host)
+}
+
+// serveStateHost listens on the addresses of a state host.
+func (p *process) serveStateHost(host *statehost.Host, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler) error {
+	server := transport.NewServer(p.opts.Logger.Named("transport"))
+	p.closers = append(p.closers, server.Close)
 	host.Register(server)
 	listener, err := net.Listen("tcp", addresses.Peers)
 	if err != nil {
@@ -235,18 +275,14 @@
 	if _, err := p.serveHTTP(addresses.Control, newControlHandler(host)); err != nil {
 		return err
 	}
-	if err := p.serveMetrics(); err != nil {
-		return err
-	}
-	host.Run()
-	opts.Logger.Info("started", "role", "state host", "peers", addresses.Peers, "control", addresses.Control,
-		"bootstrap", cfg.Bootstrap, "seeds", opts.Seeds.Addresses())
-	select {
-	case err := <-p.failed:
-		return err
-	case <-stop:
-	}
-	return p.stopStateHost(host)
+	return p.serveMetrics()
+}
+
+// closeNow closes a state host without handing its leaderships over.
+func closeNow(host *statehost.Host) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return host.Stop(ctx)
 }
 
 // openStateHost opens the state host. Each attempt gets a new metrics registry, because
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -44,6 +44,20 @@
 	})
 }
 
+// TestFullDiskDoesNotEndTheProcess guards against a process that ends each time that a
+// disk fills up while it runs.
+func TestFullDiskDoesNotEndTheProcess(t *testing.T) {
+	other := errors.New("other failure")
+	results := []error{fmt.Errorf("write: %w", syscall.ENOSPC), fmt.Errorf("write: %w", syscall.ENOSPC), other}
+	runs := 0
+	err := reopenOnFullDisk(hclog.NewNullLogger(), func() error {
+		runs++
+		return results[runs-1]
+	})
+	assert.ErrorIs(t, err, other)
+	assert.Equal(t, runs, 3)
+}
+
 func TestOpenOnFullDiskReturnsWhenStopped(t *testing.T) {
 	stop := make(chan struct{})
 	close(stop)
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -106,7 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
-	s.programs, s.turns = restored.programs, restored.turns
+	s.programs, s.turns, s.turnBytes = restored.programs, restored.turns, restored.turnBytes
 	return nil
 }
 
@@ -158,5 +158,6 @@
 		return nil
 	}
 	s.turns[t.id] = t
+	s.turnBytes += t.size()
 	return nil
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -33,6 +33,7 @@
 	lastExpiryMs int64               // value of nowMs at the last scan for expired records
 	programs     map[string]*program // by program ID
 	turns        map[string]*turn    // by call ID
+	turnBytes    int64               // of the input and output of turns
 }
 
 // program is the token budget of a program and what its turns took from it.
@@ -55,6 +56,9 @@
 	expiresMs int64
 }
 
+// size returns the size of the input and output in bytes.
+func (t *turn) size() int64 { return int64(len(t.input) + len(t.output)) }
+
 // New returns an empty state.
 func New() *State {
 	return &State{programs: make(map[string]*program), turns: make(map[string]*turn)}
@@ -155,6 +159,7 @@
 	}
 	t.expiresMs = s.nowMs + f.RetentionMs + retentionMargin.Milliseconds()
 	s.turns[f.CallId] = t
+	s.turnBytes += t.size()
 	for ancestor := t.previous; ancestor != nil && ancestor.expiresMs < t.expiresMs; ancestor = ancestor.previous {
 		ancestor.expiresMs = t.expiresMs
 	}
@@ -195,6 +200,7 @@
 	for id, t := range s.turns {
 		if t.expiresMs < s.nowMs {
 			delete(s.turns, id)
+			s.turnBytes -= t.size()
 		}
 	}
 }
@@ -203,11 +209,12 @@
 type Stats struct {
 	Programs int
 	Turns    int
+	Bytes    int64 // of the input and output of the turns
 }
 
 // Stats returns the current numbers of stored programs and turns.
 func (s *State) Stats() Stats {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return Stats{Programs: len(s.programs), Turns: len(s.turns)}
+	return Stats{Programs: len(s.programs), Turns: len(s.turns), Bytes: s.turnBytes}
 }
--- a/internal/statehost/config.go
+++ b/internal/statehost/config.go
@@ -106,6 +106,13 @@
 	return &fleetpb.ConfigResponse{Routes: s.routes, Retirements: s.sortedRetirements()}, s.changed
 }
 
+// retirementList returns the hosts that were asked to retire.
+func (s *configState) retirementList() []*fleetpb.Retirement {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.sortedRetirements()
+}
+
 // isRetiring reports whether the host at the address was asked to retire.
 func (s *configState) isRetiring(address string) bool {
 	s.mu.RLock()
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -51,7 +51,12 @@
 	// after the last one are replayed at start.
 	snapshotEntries = 20_000
 	snapshotBytes   = 16 << 20
-	sweepInterval   = time.Second
+	// On small disks the log takes at most a fourth: the commands since the latest
+	// snapshot and the segments that are not removed yet.
+	snapshotDiskShare = 16
+	segmentDiskShare  = 64
+	maxSegmentBytes   = 16 << 20
+	sweepInterval     = time.Second
 )
 
 // Config configures a state host.
@@ -67,6 +72,12 @@
 	// FaultTolerance is the number of state hosts that may be lost at the same time.
 	// Each group has 2*FaultTolerance+1 voters.
 	FaultTolerance int
+	// Standby hosts serve operators and backend servers like the others, but hold
+	// replicas only while too few other hosts can.
+	Standby bool
+	// DiskBytes is the size of the disk; 0: not known. The log is kept small enough for
+	// it, and groups whose state does not fit are not placed here.
+	DiskBytes int64
 	// Seeds returns the addresses of some state hosts for calls between processes. The
 	// result may change.
 	Seeds func() []string
@@ -106,6 +117,7 @@
 
 	started            time.Time
 	persistedRevision  uint64     // revision of the servers in serversFile; used by persistServers only
+	diskTooSmall       bool       // result of the last checkDisk; used by sweep only
 	replicaReplacement sync.Mutex // held while a replica is replaced
 	background         sync.WaitGroup
 	cancel             context.CancelFunc
@@ -167,7 +179,8 @@
 		TickInterval:    tickInterval,
 		Raft:            raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
 		SnapshotEntries: snapshotEntries,
-		SnapshotBytes:   snapshotBytes,
+		SnapshotBytes:   int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
+		SegmentSize:     diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
 		Clock:           clock,
 		Logger:          log.Named("replica"),
 		Registerer:      registry,
@@ -179,6 +192,15 @@
 	return replicas, nil
 }
 
+// diskShare returns a part of a disk, at most limit, which also applies to a disk of
+// unknown size.
+func diskShare(disk, part, limit int64) int64 {
+	if disk <= 0 {
+		return limit
+	}
+	return min(disk/part, limit)
+}
+
 // addGroups starts a replica of each group. A replica that is stored on the disk
 // resumes. A new one starts with the seeds as members if this host may create the
 // groups; otherwise it waits until it is added to its group.
@@ -246,6 +268,23 @@
 	stats := h.ledger.Stats()
 	h.metrics.turns.Set(float64(stats.Turns))
 	h.metrics.programs.Set(float64(stats.Programs))
+	h.metrics.turnBytes.Set(float64(stats.Bytes))
+	h.checkDisk(stats.Bytes)
+}
+
+// checkDisk logs when the state no longer fits the disk of this host, and when it fits
+// again.
+func (h *Host) checkDisk(stateBytes int64) {
+	tooSmall := !fitsDisk(stateBytes, h.cfg.DiskBytes)
+	if tooSmall == h.diskTooSmall {
+		return
+	}
+	h.diskTooSmall = tooSmall
+	if tooSmall {
+		h.log.Warn("disk is too small for the program ledger: replicas are placed elsewhere if possible", "state_bytes", stateBytes, "disk_bytes", h.cfg.DiskBytes)
+		return
+	}
+	h.log.Info("disk is large enough for the program ledger again", "state_bytes", stateBytes, "disk_bytes", h.cfg.DiskBytes)
 }
 
 // Stop transfers the leadership of all groups, ends the background work and closes the
--- a/internal/statehost/hosts.go
+++ b/internal/statehost/hosts.go
@@ -18,18 +18,20 @@
 // hostTable holds the known state hosts: those that announced themselves and those that
 // other hosts named. It is kept in memory only and is safe for concurrent use.
 type hostTable struct {
-	mu    sync.Mutex
-	hosts map[string]knownHost // by address for calls between processes
+	mu       sync.Mutex
+	hosts    map[string]knownHost // by address for calls between processes
+	retiring map[string]bool      // by address
 }
 
 // knownHost is a state host with the time of its last announcement.
 type knownHost struct {
-	host      *fleetpb.Host
-	lastHeard time.Time // zero: the host has not announced itself yet
+	host       *fleetpb.Host
+	firstHeard time.Time // zero: the host has not announced itself yet
+	lastHeard  time.Time // zero: the host has not announced itself yet
 }
 
 func newHostTable() *hostTable {
-	return &hostTable{hosts: make(map[string]knownHost)}
+	return &hostTable{hosts: make(map[string]knownHost), retiring: make(map[string]bool)}
 }
 
 // record stores an announcement and removes hosts that have been silent for longer than
@@ -37,7 +39,11 @@
 func (t *hostTable) record(host *fleetpb.Host, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hosts[host.Address] = knownHost{host: host, lastHeard: now}
+	firstHeard := t.hosts[host.Address].firstHeard
+	if firstHeard.IsZero() {
+		firstHeard = now
+	}
+	t.hosts[host.Address] = knownHost{host: host, firstHeard: firstHeard, lastHeard: now}
 	for address, h := range t.hosts {
 		if !h.lastHeard.IsZero() && now.Sub(h.lastHeard) > hostRetentionPeriod {
 			delete(t.hosts, address)
@@ -55,6 +61,22 @@
 	}
 }
 
+// addRetirements records hosts that were asked to retire. A retirement is never withdrawn.
+func (t *hostTable) addRetirements(retirements []*fleetpb.Retirement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range retirements {
+		t.retiring[r.Address] = true
+	}
+}
+
+// isRetiring reports whether addRetirements recorded the host at the address.
+func (t *hostTable) isRetiring(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retiring[address]
+}
+
 // addresses returns the addresses of the known hosts in sorted order.
 func (t *hostTable) addresses() []string {
 	t.mu.Lock()
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -15,6 +15,7 @@
 	watchers         prometheus.Gauge
 	programs         prometheus.Gauge
 	turns            prometheus.Gauge
+	turnBytes        prometheus.Gauge
 }
 
 const namespace = "ibistray"
@@ -35,10 +36,11 @@
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
-		watchers: gauge("watchers", "Processes that watch the backend servers and routes here."),
-		programs: gauge("ledger_programs", "Programs in the ledger."),
-		turns:    gauge("ledger_turns", "Kept turns in the ledger."),
+		watchers:  gauge("watchers", "Processes that watch the backend servers and routes here."),
+		programs:  gauge("ledger_programs", "Programs in the ledger."),
+		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
+		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.busyResponses, m.watchers, m.programs, m.turns)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.busyResponses, m.watchers, m.programs, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -262,8 +262,8 @@
 }
 
 // StartRetirement asks a state host to give up its replicas. The request is accepted if
-// at least FaultTolerance+1 other hosts remain. The replicas move when a host is
-// available that can take them. Errors: ErrUnknownHost, ErrTooFewHosts, ErrUnavailable.
+// at least FaultTolerance+1 other hosts remain. The replicas move when enough hosts are
+// available that can take them, standby hosts included. Errors: ErrUnknownHost, ErrTooFewHosts, ErrUnavailable.
 func (h *Host) StartRetirement(ctx context.Context, name string) error {
 	host := h.hosts.byName(name)
 	if host == nil && time.Since(h.started) < hostLossTimeout {
@@ -313,8 +313,8 @@
 	return count
 }
 
-// Retired reports whether a state host that was asked to retire no longer holds a
-// replica. Errors: ErrUnknownHost, ErrUnavailable.
+// Retired reports whether a state host that was asked to retire holds no replica and other
+// hosts have taken its place. Errors: ErrUnknownHost, ErrUnavailable.
 func (h *Host) Retired(ctx context.Context, name string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorRequestTimeout)
 	defer cancel()
@@ -324,14 +324,15 @@
 	}
 	for _, retirement := range config.Retirements {
 		if retirement.Name == name {
-			return h.holdsNoReplica(ctx, retirement.Address)
+			return h.isReplaced(ctx, retirement.Address)
 		}
 	}
 	return false, fmt.Errorf("%w: %s was not asked to retire", ErrUnknownHost, name)
 }
 
-// holdsNoReplica reports whether the host at the address is not a member of any group.
-func (h *Host) holdsNoReplica(ctx context.Context, address string) (bool, error) {
+// isReplaced reports whether the host at the address is not a member of any group and all
+// groups have the wanted number of voters.
+func (h *Host) isReplaced(ctx context.Context, address string) (bool, error) {
 	leaders := [...]struct {
 		group  uint64
 		leader *leaderclient.LeaderCache
@@ -342,7 +343,7 @@
 		if err := h.leaders.Call(ctx, l.leader, transport.MethodHostMembers, 0, req, resp); err != nil {
 			return false, fmt.Errorf("%w: group %d: %w", ErrUnavailable, l.group, err)
 		}
-		if slices.Contains(resp.Addresses, address) {
+		if slices.Contains(resp.Addresses, address) || int(resp.Voters) < h.wantedVoters() {
 			return false, nil
 		}
 	}
