Reach hosts soon after they are up; remember state hosts on disk

Cause: after a loss of power of all hosts, leaders were elected 0.1 to 0.35 s after the stores ran, but entries had routes 0.34 to 0.6 s later. A SYN to a host that is still dark is lost: the dial ran into its timeout of 0.3 s, then waited 0.2 s; newly learnt state hosts were watched at the next half second. The seeds may all be standby hosts, so stores are always newly learnt after a restart. Hosts that were only named by others counted as silent for ever: each leader added a standby host right after a restart and copied the state to it.

Also: a semaphore takes the place of the mutex that is held while a replica is replaced on the disk.

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -22,7 +22,7 @@
 	// SilenceTimeout is the time without an update after which a stream counts as lost.
 	SilenceTimeout = 1500 * time.Millisecond
 
-	reconnectDelay  = 200 * time.Millisecond
+	reconnectDelay  = 50 * time.Millisecond
 	refreshInterval = 500 * time.Millisecond
 )
 
@@ -44,6 +44,7 @@
 	opts Options
 
 	mu      sync.Mutex
+	wake    loop.Waker
 	streams map[string]context.CancelFunc // by address
 	updated map[string]time.Time          // time of the latest update by address
 	running sync.WaitGroup                // stream goroutines
@@ -53,6 +54,7 @@
 func NewWatcher(opts Options) *Watcher {
 	return &Watcher{
 		opts:    opts,
+		wake:    loop.NewWaker(),
 		streams: make(map[string]context.CancelFunc),
 		updated: make(map[string]time.Time),
 	}
@@ -60,10 +62,13 @@
 
 // Run keeps the streams open until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	loop.Every(ctx, refreshInterval, w.refresh)
+	loop.EveryOrWoken(ctx, refreshInterval, w.wake, w.refresh)
 	w.running.Wait()
 }
 
+// Refresh makes Run apply a change of the addresses at once.
+func (w *Watcher) Refresh() { w.wake.Wake() }
+
 // refresh opens streams to hosts that were added and closes those to hosts that were
 // removed.
 func (w *Watcher) refresh(ctx context.Context) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -84,6 +84,7 @@
 	defer v.mu.Unlock()
 	if len(update.Control) > 0 {
 		v.announcedHosts = update.Control
+		v.watcher.Refresh()
 	}
 	if len(update.Instances) == 0 {
 		return
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -107,7 +107,8 @@
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
-	peerWatcher *fleetwatch.Watcher
+	peerWatcher  *fleetwatch.Watcher
+	announceWake loop.Waker // wakes the announcements
 
 	pendingProposals singleflight.Group // commands to the ledger by kind and call ID
 	pendingCommands  atomic.Int64
@@ -116,9 +117,9 @@
 	ledgerLeader leaderclient.LeaderCache
 
 	started            time.Time
-	persistedRevision  uint64     // revision of the servers in serversFile; used by persistServers only
-	diskTooSmall       bool       // result of the last checkDisk; used by sweep only
-	replicaReplacement sync.Mutex // held while a replica is replaced
+	persistedRevision  uint64        // revision of the servers in serversFile; used by persistServers only
+	diskTooSmall       bool          // result of the last checkDisk; used by sweep only
+	replicaReplacement chan struct{} // semaphore, held while a replica is replaced on the disk
 	background         sync.WaitGroup
 	cancel             context.CancelFunc
 }
@@ -145,7 +146,11 @@
 		servers:  fleet.NewTable(),
 		crashes:  newCrashLog(),
 		hosts:    newHostTable(),
-		started:  time.Now(),
+
+		announceWake:       loop.NewWaker(),
+		replicaReplacement: make(chan struct{}, 1),
+
+		started: time.Now(),
 	}
 	h.leaders = leaderclient.NewWithOptions(pool, leaderclient.Options{
 		Addresses:      h.knownAddresses,
@@ -248,7 +253,7 @@
 func (h *Host) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.background.Go(func() { loop.Every(ctx, announceInterval, h.announce) })
+	h.background.Go(func() { loop.EveryOrWoken(ctx, announceInterval, h.announceWake, h.announce) })
 	h.background.Go(func() { h.peerWatcher.Run(ctx) })
 	for group := range h.stateMachines() {
 		h.background.Go(func() { loop.Every(ctx, membershipInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) }) })
--- a/internal/statehost/hosts.go
+++ b/internal/statehost/hosts.go
@@ -35,10 +35,11 @@
 }
 
 // record stores an announcement and removes hosts that have been silent for longer than
-// hostRetentionPeriod.
-func (t *hostTable) record(host *fleetpb.Host, now time.Time) {
+// hostRetentionPeriod. It reports whether the host was not known before.
+func (t *hostTable) record(host *fleetpb.Host, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	_, known := t.hosts[host.Address]
 	firstHeard := t.hosts[host.Address].firstHeard
 	if firstHeard.IsZero() {
 		firstHeard = now
@@ -49,16 +50,22 @@
 			delete(t.hosts, address)
 		}
 	}
+	return !known
 }
 
-// addAddress adds the address of a host that is not known yet, so that this host
-// announces itself to it.
-func (t *hostTable) addAddress(address string) {
+// addAddresses adds the addresses of hosts that are not known yet, so that this host
+// announces itself to them, and reports whether there were any.
+func (t *hostTable) addAddresses(addresses []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, found := t.hosts[address]; !found {
-		t.hosts[address] = knownHost{host: &fleetpb.Host{Address: address}}
+	added := false
+	for _, address := range addresses {
+		if _, found := t.hosts[address]; !found {
+			t.hosts[address] = knownHost{host: &fleetpb.Host{Address: address}}
+			added = true
+		}
 	}
+	return added
 }
 
 // addRetirements records hosts that were asked to retire. A retirement is never withdrawn.
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -82,20 +82,34 @@
 		h.log.Debug("host not announced", "peer", address, "error", err)
 		return
 	}
-	for _, other := range reply.Addresses {
-		h.hosts.addAddress(other)
-	}
+	h.addHosts(reply.Addresses)
 	for _, stale := range reply.Stale {
 		h.replaceReplica(stale)
 	}
 }
 
+// addHosts adds hosts that other processes named.
+func (h *Host) addHosts(addresses []string) {
+	if h.hosts.addAddresses(addresses) {
+		h.hostsChanged()
+	}
+}
+
+// hostsChanged makes this host announce itself to new hosts and watch them at once. After
+// a restart, each such step would otherwise wait for the next interval.
+func (h *Host) hostsChanged() {
+	h.announceWake.Wake()
+	h.peerWatcher.Refresh()
+}
+
 // handleAnnouncement records the sender, and returns the known addresses if the sender
 // knows others. As the leader of a group it also reports the sender's replica as stale
 // if the replica is not a member and cannot become one, because its ID is not higher
 // than all IDs that members have had. The reply then holds the lowest usable ID.
 func (h *Host) handleAnnouncement(ctx context.Context, req *fleetpb.Announcement) (*fleetpb.AnnouncementReply, error) {
-	h.hosts.record(req.Host, time.Now())
+	if h.hosts.record(req.Host, time.Now()) {
+		h.hostsChanged()
+	}
 	h.hosts.addRetirements(req.Retirements)
 	reply := new(fleetpb.AnnouncementReply)
 	if known := h.hosts.addresses(); digestAddresses(known) != req.KnownDigest {
@@ -127,8 +141,8 @@
 // stale.Id, so that the group can add it. The new replica receives its state from the
 // group.
 func (h *Host) replaceReplica(stale *fleetpb.Replica) {
-	h.replicaReplacement.Lock()
-	defer h.replicaReplacement.Unlock()
+	h.replicaReplacement <- struct{}{}
+	defer func() { <-h.replicaReplacement }()
 	id, err := h.replicas.ReplicaID(stale.Group)
 	if err != nil || id >= stale.Id {
 		return
@@ -198,7 +212,9 @@
 	}
 	stateBytes := h.stateBytes(group)
 	for _, known := range h.hosts.all() {
-		in.Hosts[known.host.Address] = h.newPlanHost(group, known, stateBytes, now)
+		if !known.lastHeard.IsZero() {
+			in.Hosts[known.host.Address] = h.newPlanHost(group, known, stateBytes, now)
+		}
 	}
 	return in
 }
--- a/internal/statehost/serversfile.go
+++ b/internal/statehost/serversfile.go
@@ -26,14 +26,15 @@
 	fileMode              = 0o600
 )
 
-// persistServers writes the backend servers to serversFile if any of them has changed.
+// persistServers writes the backend servers to serversFile if any of them has changed, with
+// the known state hosts.
 func (h *Host) persistServers(context.Context) {
 	changed, revision := h.servers.ChangedSince(h.persistedRevision, false)
 	if len(changed) == 0 {
 		return
 	}
 	now := time.Now()
-	list := new(fleetpb.Update)
+	list := &fleetpb.Update{Control: h.knownAddresses()}
 	for _, instance := range h.servers.NewestByAddress() {
 		list.Instances = append(list.Instances, fleet.ToProto(instance, now))
 	}
@@ -87,6 +88,7 @@
 		h.log.Warn("saved backend servers not used", "error", err)
 		return
 	}
+	h.hosts.addAddresses(list.Control)
 	now := time.Now()
 	lastHeartbeat := now.Add(restoredServerTimeout - maxMissedHeartbeats*h.cfg.HeartbeatInterval)
 	for _, m := range list.Instances {
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -128,7 +128,5 @@
 		instance.Silent = false // each host decides this from the heartbeats that it knows
 		h.servers.Merge(instance)
 	}
-	for _, address := range update.Control {
-		h.hosts.addAddress(address)
-	}
+	h.addHosts(update.Control)
 }
