Elect a leader sooner after a restart of all replicas

Cause: a restarted replica promises no vote for an election timeout (0.25 s) and campaigns after a random time of up to twice that, although reading its disk took 0.15 s in which it heard no leader.

Change: the time since the data directory was opened counts towards both. The replica that voted for itself last campaigns first, the others at random times after it; until a first leader is known, further attempts follow after half the time. Attempts begin with a pre-vote, so they cost no leader its term.

Tests: TestRestartedGroupElectsItsLeaderSoon and two cases of TestVoteGranting fail without it. The random schedules of the simulation, which check leases and linearizability, restart replicas with the time that they were down.

--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -55,6 +55,7 @@
 // recordLeaderContact records a message from the leader of the current term: it
 // restarts the election timer and ends quiescence.
 func (n *Node) recordLeaderContact(m *raftpb.Message) {
+	n.starting = false
 	if n.role != RoleFollower || n.leader != m.From {
 		n.becomeFollower(n.term, m.From)
 	}
--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -93,6 +93,9 @@
 	Snapshot     *raftpb.SnapshotMeta // latest snapshot; nil: none
 	Entries      []*raftpb.Entry      // without gaps; may start before the snapshot's index
 	AppliedIndex uint64               // last index applied to the state machine; at least that of Snapshot
+	// SilentTicks is the number of whole ticks for which this replica has certainly not
+	// run before New. A replica that ran later may have promised a leader not to vote.
+	SilentTicks int
 }
 
 // Bootstrap returns the initial state of a replica of a new group with the given
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -55,7 +55,7 @@
 // A replica that heard from a leader less than ElectionTicks ago grants no vote
 // and no pre-vote, unless the candidate is that leader or the leader has given up
 // its lease to transfer leadership. A restarted replica behaves as if it had
-// heard from a leader at its start. The lease of a leader starts at the tick at
+// heard from a leader at its start, or earlier by InitialState.SilentTicks. The lease of a leader starts at the tick at
 // which it sent the latest heartbeat round that a quorum has acknowledged, and
 // lasts LeaseTicks, which is less than ElectionTicks. A leader that has not heard
 // from a quorum for QuorumTicks steps down.
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -45,7 +45,30 @@
 
 func (n *Node) resetElectionTimer() {
 	n.electionElapsed = 0
-	n.electionTimeout = n.cfg.ElectionTicks + int(n.rng.Uint64()%uint64(n.cfg.ElectionTicks))
+	shortest := n.cfg.ElectionTicks
+	if n.starting && n.tick < uint64(startupTimeouts*n.cfg.ElectionTicks) {
+		shortest = max(1, n.cfg.ElectionTicks/2)
+	}
+	n.electionTimeout = shortest + int(n.rng.Uint64()%uint64(shortest))
+}
+
+// startupTimeouts is the time after the start, in election timeouts, for which a replica
+// without a leader makes its attempts in quicker succession.
+const startupTimeouts = 4
+
+// startElectionTimer sets the first election timer. After a restart of all replicas, the
+// one that voted for itself last campaigns first, as soon as the others may vote: it was
+// probably the leader. The others follow at random times, in case it is lost. Attempts
+// cost no leader its term, because they begin with a pre-vote.
+func (n *Node) startElectionTimer(silentTicks int) {
+	n.starting = true
+	n.ticksSinceLeader = silentTicks
+	n.electionElapsed = silentTicks
+	n.electionTimeout = n.cfg.ElectionTicks
+	if n.vote != n.cfg.ID {
+		quarter := max(1, n.cfg.ElectionTicks/4)
+		n.electionTimeout += quarter + int(n.rng.Uint64()%uint64(quarter+1))
+	}
 }
 
 // preCampaign asks the voters for pre-votes, which show whether an election could
@@ -209,6 +232,7 @@
 func (n *Node) becomeLeader() {
 	n.role = RoleLeader
 	n.leader = n.cfg.ID
+	n.starting = false
 	n.ballots = nil
 	n.leaderSinceTick = n.tick
 	n.lastRequestTick = n.tick
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -29,6 +29,7 @@
 	tick             uint64 // current tick; 1 at the start
 	electionElapsed  int    // time since the election timer was reset
 	electionTimeout  int    // random, chosen at each reset
+	starting         bool   // no leader was heard since the start, for up to startupTimeouts
 	ticksSinceLeader int    // time since the last message from a leader, or since the start
 	leaderRound      round  // latest round received from the leader of this term
 	quiesced         bool
@@ -70,6 +71,7 @@
 		return nil, err
 	}
 	n.becomeFollower(n.term, 0)
+	n.startElectionTimer(initial.SilentTicks)
 	n.lastSoftState = n.currentSoftState()
 	return n, nil
 }
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -100,6 +100,12 @@
 	assert.Assert(t, persistReady(n).MessagesAfterPersist[0].Reject)
 }
 
+// silent returns the state of a replica that did not run for some ticks.
+func silent(initial InitialState, ticks int) InitialState {
+	initial.SilentTicks = ticks
+	return initial
+}
+
 func TestVoteGranting(t *testing.T) {
 	tests := map[string]struct {
 		ticks    int
@@ -108,17 +114,19 @@
 		responds bool
 		granted  bool
 	}{
-		"soon after a restart": {1, stateWithLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, false, false},
-		"by transfer":          {1, stateWithLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1, Transfer: true}, true, true},
-		"after the timeout":    {10, stateWithLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
-		"shorter log":          {10, stateWithLog(0, 1, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
-		"longer log, old term": {10, stateWithLog(0, 1, 2), &raftpb.Message{Kind: kindVote, Term: 3, Index: 9, LogTerm: 1}, true, false},
-		"old term":             {10, stateWithLog(0, 1, 2), &raftpb.Message{Kind: kindVote, Term: 1, Index: 9, LogTerm: 2}, true, false},
-		"empty replica":        {10, InitialState{}, &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
-		"pre-vote too soon":    {9, stateWithLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
-		"pre-vote":             {10, stateWithLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
-		"pre-vote, same term":  {10, stateWithLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 1, Index: 1, LogTerm: 1}, true, false},
-		"pre-vote, short log":  {10, stateWithLog(0, 1, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"soon after a restart":      {1, stateWithLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, false, false},
+		"restart, silent too short": {5, silent(stateWithLog(0, 1), 4), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, false, false},
+		"restart after a silence":   {6, silent(stateWithLog(0, 1), 4), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
+		"by transfer":               {1, stateWithLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1, Transfer: true}, true, true},
+		"after the timeout":         {10, stateWithLog(0, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
+		"shorter log":               {10, stateWithLog(0, 1, 1), &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"longer log, old term":      {10, stateWithLog(0, 1, 2), &raftpb.Message{Kind: kindVote, Term: 3, Index: 9, LogTerm: 1}, true, false},
+		"old term":                  {10, stateWithLog(0, 1, 2), &raftpb.Message{Kind: kindVote, Term: 1, Index: 9, LogTerm: 2}, true, false},
+		"empty replica":             {10, InitialState{}, &raftpb.Message{Kind: kindVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"pre-vote too soon":         {9, stateWithLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
+		"pre-vote":                  {10, stateWithLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, true},
+		"pre-vote, same term":       {10, stateWithLog(0, 1), &raftpb.Message{Kind: kindPreVote, Term: 1, Index: 1, LogTerm: 1}, true, false},
+		"pre-vote, short log":       {10, stateWithLog(0, 1, 1), &raftpb.Message{Kind: kindPreVote, Term: 2, Index: 1, LogTerm: 1}, true, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/raft/scenario_test.go
+++ b/internal/raft/scenario_test.go
@@ -221,3 +221,27 @@
 	s.runTicks(30)
 	assert.Assert(t, s.leader() != nil, "a suspected failure of the leader's host must wake the followers")
 }
+
+// TestRestartedGroupElectsItsLeaderSoon crashes all replicas of a group. Their disks took
+// six ticks to read, which count towards the election timeout, and the former leader does
+// not wait for a random time on top of it.
+func TestRestartedGroupElectsItsLeaderSoon(t *testing.T) {
+	const silentTicks = 6
+	for seed := range uint64(20) {
+		s := newSim(t, seed+1, 3)
+		s.runTicks(60)
+		former := s.leader()
+		assert.Assert(t, former != nil, "seed %d", s.seed)
+		s.runWrites(4)
+		s.runTicks(5)
+		for _, h := range s.hosts {
+			s.crash(h)
+		}
+		s.runTicks(silentTicks)
+		for _, h := range s.hosts {
+			s.start(h)
+		}
+		s.runTicks(DefaultElectionTicks)
+		assert.Assert(t, s.leader() != nil, "seed %d: no leader %d ticks after the restart", s.seed, DefaultElectionTicks)
+	}
+}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -60,6 +60,7 @@
 	node               *Node // nil: not running
 	disk               disk
 	epoch              int // crashes so far; events of earlier epochs are ignored
+	crashedAt          int64
 	tickLen            int64
 	nextTick           int64
 	pausedUntil        int64
@@ -146,6 +147,9 @@
 // start starts the replica of a host from the state on its disk.
 func (s *sim) start(h *host) {
 	initial := InitialState{HardState: h.disk.hardState, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)}
+	if h.epoch > 0 {
+		initial.SilentTicks = int((s.now - h.crashedAt) / h.tickLen)
+	}
 	node, err := New(Config{Group: 1, ID: h.id, Seed: s.rng.Uint64(), MaxEntriesPerMessage: 4, MaxInFlight: 3, QuiesceTicks: 5, QuorumTicks: s.quorumTicks}, initial)
 	assert.NilError(s.t, err, "seed %d", s.seed)
 	h.node = node
@@ -164,6 +168,7 @@
 func (s *sim) crash(h *host) {
 	h.node, h.unpersisted = nil, nil
 	h.epoch++
+	h.crashedAt = s.now
 }
 
 // onHost calls run on a host now, or when the host is no longer paused. Overdue
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -149,6 +149,7 @@
 	cfg.Group = g.id
 	cfg.ID = g.replicaID
 	cfg.Seed = g.host.opts.Seed + g.id
+	initial.SilentTicks = g.host.silentTicks()
 	node, err := raft.New(cfg, initial)
 	if err != nil {
 		return err
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -28,6 +28,7 @@
 	applyWorkers *runQueue
 	outbox       *outbox
 	snapshots    snapshotStore
+	openedTick   uint64 // when opening the data directory began
 	peers        *peerTable
 
 	// groups is copied on write when a group is added or removed.
@@ -66,6 +67,7 @@
 		done:          make(chan struct{}),
 	}
 	h.groups.Store(&map[uint64]*group{})
+	h.openedTick = h.ticks()
 	if err := h.openStorage(); err != nil {
 		return nil, err
 	}
@@ -112,6 +114,12 @@
 	return uint64(h.opts.Clock() / h.opts.TickInterval)
 }
 
+// silentTicks returns the number of whole ticks since this host began to open its data
+// directory. The process that used the directory before had ended then.
+func (h *Host) silentTicks() int {
+	return int(max(h.ticks(), h.openedTick+1) - h.openedTick - 1)
+}
+
 // lookup returns the replica of a group on this host, or ErrUnknownGroup.
 func (h *Host) lookup(id uint64) (*group, error) {
 	if g, found := (*h.groups.Load())[id]; found {
