State hosts describe themselves in the watch streams between them

Cause: an idle state host used 0.015 cores, most of it for announcements: a call to each other host every 0.4 s beside the watch stream that already runs between them. With standby hosts there are 30 of these calls each 0.4 s in place of 6.

Change: the updates between state hosts carry the sender's description, the retirements that it knows and the viewer's stale replicas; the announcements are removed. Status of a group is asked for only where its leader runs.

--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -107,8 +107,7 @@
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
-	peerWatcher  *fleetwatch.Watcher
-	announceWake loop.Waker // wakes the announcements
+	peerWatcher *fleetwatch.Watcher
 
 	pendingProposals singleflight.Group // commands to the ledger by kind and call ID
 	pendingCommands  atomic.Int64
@@ -147,7 +146,6 @@
 		crashes:  newCrashLog(),
 		hosts:    newHostTable(),
 
-		announceWake:       loop.NewWaker(),
 		replicaReplacement: make(chan struct{}, 1),
 
 		started: time.Now(),
@@ -240,7 +238,6 @@
 // Register registers the methods that other processes call.
 func (h *Host) Register(server *transport.Server) {
 	peer.Register(server, h.replicas)
-	server.Handle(transport.MethodHostAnnounce, transport.Unary(h.handleAnnouncement))
 	server.Handle(transport.MethodHostMembers, transport.Unary(h.handleMembers))
 	server.Handle(transport.MethodReplicaStatus, transport.Unary(h.handleStatus))
 	server.Handle(transport.MethodRoutes, transport.Unary(h.handleConfig))
@@ -253,7 +250,7 @@
 func (h *Host) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.background.Go(func() { loop.EveryOrWoken(ctx, announceInterval, h.announceWake, h.announce) })
+	h.background.Go(func() { loop.Every(ctx, fleetwatch.KeepAliveInterval, h.recordSelf) })
 	h.background.Go(func() { h.peerWatcher.Run(ctx) })
 	for group := range h.stateMachines() {
 		h.background.Go(func() { loop.Every(ctx, membershipInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) }) })
--- a/internal/statehost/hosts.go
+++ b/internal/statehost/hosts.go
@@ -6,16 +6,14 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibistray.example/ibistray/proto/fleetpb"
 )
 
 // hostRetentionPeriod is how long a silent state host stays in the table. Until then this host
-// continues to announce itself to it.
+// continues to watch it.
 const hostRetentionPeriod = 60 * time.Second
 
-// hostTable holds the known state hosts: those that announced themselves and those that
+// hostTable holds the known state hosts: those that described themselves and those that
 // other hosts named. It is kept in memory only and is safe for concurrent use.
 type hostTable struct {
 	mu       sync.Mutex
@@ -23,18 +21,18 @@
 	retiring map[string]bool      // by address
 }
 
-// knownHost is a state host with the time of its last announcement.
+// knownHost is a state host with the time of its last update.
 type knownHost struct {
 	host       *fleetpb.Host
-	firstHeard time.Time // zero: the host has not announced itself yet
-	lastHeard  time.Time // zero: the host has not announced itself yet
+	firstHeard time.Time // zero: the host has not described itself yet
+	lastHeard  time.Time // zero: the host has not described itself yet
 }
 
 func newHostTable() *hostTable {
 	return &hostTable{hosts: make(map[string]knownHost), retiring: make(map[string]bool)}
 }
 
-// record stores an announcement and removes hosts that have been silent for longer than
+// record stores the description of a host and removes hosts that have been silent for longer than
 // hostRetentionPeriod. It reports whether the host was not known before.
 func (t *hostTable) record(host *fleetpb.Host, now time.Time) bool {
 	t.mu.Lock()
@@ -54,7 +52,7 @@
 }
 
 // addAddresses adds the addresses of hosts that are not known yet, so that this host
-// announces itself to them, and reports whether there were any.
+// watches them, and reports whether there were any.
 func (t *hostTable) addAddresses(addresses []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,6 +96,13 @@
 	return slices.Collect(maps.Values(t.hosts))
 }
 
+// replicasOf returns the replicas that the host at the address holds.
+func (t *hostTable) replicasOf(address string) []*fleetpb.Replica {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hosts[address].host.GetReplicas()
+}
+
 // byName returns the host with the name, or nil if it is not known.
 func (t *hostTable) byName(name string) *fleetpb.Host {
 	t.mu.Lock()
@@ -109,15 +114,3 @@
 	}
 	return nil
 }
-
-// digestAddresses returns a hash of the addresses, which must be sorted.
-func digestAddresses(addresses []string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, address := range addresses {
-		// Writes to a Digest never fail.
-		_, _ = d.WriteString(address)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
-}
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -6,28 +6,26 @@
 	"strings"
 	"time"
 
+	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/policy/membership"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
-	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 	"ibistray.example/ibistray/proto/raftpb"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
 const (
-	announceInterval   = 400 * time.Millisecond
-	announceTimeout    = time.Second
 	membershipInterval = 200 * time.Millisecond
 	// stepTimeout limits one membership change. A learner is promoted when it has caught
 	// up; until then the step fails and is retried.
 	stepTimeout = time.Second
 	// hostResponseTimeout is the silence up to which a host counts as responding: three
-	// announcements.
-	hostResponseTimeout = 3 * announceInterval
+	// updates.
+	hostResponseTimeout = 3 * fleetwatch.KeepAliveInterval
 	// hostLossTimeout is how long a host must be silent before its replica is replaced,
-	// if another host can take its place. It tolerates a few lost announcements.
+	// if another host can take its place. It tolerates a few lost updates.
 	hostLossTimeout = 2500 * time.Millisecond
 	// standbyDelay is how long a host must be silent before a standby host replaces it.
 	// Restarts and partitions are usually shorter, and each replacement copies the state
@@ -40,18 +38,12 @@
 	leaderCallTimeout = 500 * time.Millisecond
 )
 
-// announce sends the description of this host and the IDs of its replicas to the other
-// state hosts.
-func (h *Host) announce(ctx context.Context) {
-	now := time.Now()
-	self := h.describeSelf()
-	h.hosts.record(self, now)
-	req := &fleetpb.Announcement{Host: self, KnownDigest: digestAddresses(h.hosts.addresses()), Retirements: h.config.retirementList()}
-	for _, address := range h.peerAddresses() {
-		h.background.Go(func() { h.announceTo(ctx, address, req) })
-	}
+// recordSelf updates the entry of this host in the host table.
+func (h *Host) recordSelf(context.Context) {
+	h.hosts.record(h.describeSelf(), time.Now())
 }
 
+// describeSelf returns the description of this host that the other state hosts receive.
 func (h *Host) describeSelf() *fleetpb.Host {
 	self := &fleetpb.Host{
 		Address:       h.cfg.Address,
@@ -72,22 +64,6 @@
 	return self
 }
 
-// announceTo sends an announcement to one host. It stores the addresses in the reply and
-// replaces the replicas that the reply reports as stale.
-func (h *Host) announceTo(ctx context.Context, address string, req *fleetpb.Announcement) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	reply := new(fleetpb.AnnouncementReply)
-	if err := h.pool.Call(ctx, address, transport.MethodHostAnnounce, req, reply); err != nil {
-		h.log.Debug("host not announced", "peer", address, "error", err)
-		return
-	}
-	h.addHosts(reply.Addresses)
-	for _, stale := range reply.Stale {
-		h.replaceReplica(stale)
-	}
-}
-
 // addHosts adds hosts that other processes named.
 func (h *Host) addHosts(addresses []string) {
 	if h.hosts.addAddresses(addresses) {
@@ -95,36 +71,38 @@
 	}
 }
 
-// hostsChanged makes this host announce itself to new hosts and watch them at once. After
-// a restart, each such step would otherwise wait for the next interval.
-func (h *Host) hostsChanged() {
-	h.announceWake.Wake()
-	h.peerWatcher.Refresh()
-}
-
-// handleAnnouncement records the sender, and returns the known addresses if the sender
-// knows others. As the leader of a group it also reports the sender's replica as stale
-// if the replica is not a member and cannot become one, because its ID is not higher
-// than all IDs that members have had. The reply then holds the lowest usable ID.
-func (h *Host) handleAnnouncement(ctx context.Context, req *fleetpb.Announcement) (*fleetpb.AnnouncementReply, error) {
-	if h.hosts.record(req.Host, time.Now()) {
+// recordHost records the description of another state host.
+func (h *Host) recordHost(host *fleetpb.Host) {
+	if h.hosts.record(host, time.Now()) {
 		h.hostsChanged()
 	}
-	h.hosts.addRetirements(req.Retirements)
-	reply := new(fleetpb.AnnouncementReply)
-	if known := h.hosts.addresses(); digestAddresses(known) != req.KnownDigest {
-		reply.Addresses = known
-	}
-	for _, r := range req.Host.Replicas {
-		status, err := h.replicas.Status(ctx, r.Group)
-		if err != nil || status.Role != raft.RoleLeader {
-			continue
-		}
-		if memberByID(status, r.Id) == nil && r.Id <= status.Membership.GetLastId() {
-			reply.Stale = append(reply.Stale, &fleetpb.Replica{Group: r.Group, Id: status.Membership.GetLastId() + 1})
+}
+
+// hostsChanged makes this host watch new hosts at once, which tells them about it. After a
+// restart, each such step would otherwise wait for the next interval.
+func (h *Host) hostsChanged() { h.peerWatcher.Refresh() }
+
+// staleReplicas returns the replicas of another host that are not members of the groups
+// that this host leads and cannot become any, because their IDs are not higher than all
+// IDs that members have had. Each is returned with the lowest usable ID.
+func (h *Host) staleReplicas(ctx context.Context, address string) []*fleetpb.Replica {
+	var stale []*fleetpb.Replica
+	for _, r := range h.hosts.replicasOf(address) {
+		status, leads := h.leaderStatus(ctx, r.Group)
+		if leads && memberByID(status, r.Id) == nil && r.Id <= status.Membership.GetLastId() {
+			stale = append(stale, &fleetpb.Replica{Group: r.Group, Id: status.Membership.GetLastId() + 1})
 		}
 	}
-	return reply, nil
+	return stale
+}
+
+// leaderStatus returns the status of a group if this host leads it.
+func (h *Host) leaderStatus(ctx context.Context, group uint64) (replica.GroupStatus, bool) {
+	if h.replicas.Leader(group) != h.cfg.Address {
+		return replica.GroupStatus{}, false
+	}
+	status, err := h.replicas.Status(ctx, group)
+	return status, err == nil && status.Role == raft.RoleLeader
 }
 
 // memberByID returns the member with the replica ID, or nil if there is none.
@@ -165,8 +143,8 @@
 // adjustMembers performs the next membership step of a group if this host leads it and
 // the members differ from the wanted ones.
 func (h *Host) adjustMembers(ctx context.Context, group uint64) {
-	status, err := h.replicas.Status(ctx, group)
-	if err != nil || status.Role != raft.RoleLeader {
+	status, leads := h.leaderStatus(ctx, group)
+	if !leads {
 		return
 	}
 	next := membership.Plan(h.newPlanInput(group, status, time.Now()))
@@ -175,7 +153,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	err = h.performStep(ctx, group, next)
+	err := h.performStep(ctx, group, next)
 	h.metrics.membershipSteps.WithLabelValues(next.Kind.String()).Inc()
 	h.log.Info("membership step", "group", group, "step", next.Kind.String(), "replica", next.Member.Id, "address", next.Member.Address, "error", err)
 }
@@ -256,7 +234,7 @@
 }
 
 // isRetiring reports whether the host at the address was asked to retire. A host without
-// a replica of the configuration learns it from the announcements of the others.
+// a replica of the configuration learns it from the updates of the others.
 func (h *Host) isRetiring(address string) bool {
 	return h.config.isRetiring(address) || h.hosts.isRetiring(address)
 }
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -30,9 +30,12 @@
 	h.metrics.watchers.Inc()
 	defer h.metrics.watchers.Dec()
 	h.log.Info("watcher connected", "viewer", req.Viewer, "routes_version", req.RoutesVersion)
-	w := watcher{host: h, peer: req.Peer, routesVersion: req.RoutesVersion}
+	w := watcher{host: h, peer: req.Peer, address: req.GetHost().GetAddress(), routesVersion: req.RoutesVersion}
+	if w.address != "" {
+		h.recordHost(req.Host)
+	}
 	for {
-		update, changed := w.nextUpdate()
+		update, changed := w.nextUpdate(ctx)
 		if err := stream.SetDeadline(time.Now().Add(fleetwatch.SilenceTimeout)); err != nil {
 			return transport.ErrInterrupted
 		}
@@ -73,6 +76,7 @@
 type watcher struct {
 	host             *Host
 	peer             bool   // the watcher is another state host
+	address          string // of another state host, for calls between processes
 	serversRevision  uint64 // revision of the server table
 	crashesRevision  uint64 // revision of the crash log
 	routesVersion    uint64
@@ -82,7 +86,7 @@
 // nextUpdate returns what the watcher has not received yet, and channels that are closed
 // at the next change of the servers, the configuration and the crash reports. The last
 // channel is nil for other state hosts, which receive no crash reports.
-func (w *watcher) nextUpdate() (*fleetpb.Update, [3]<-chan struct{}) {
+func (w *watcher) nextUpdate(ctx context.Context) (*fleetpb.Update, [3]<-chan struct{}) {
 	h := w.host
 	serversChanged := h.servers.Changed(w.peer)
 	config, configChanged := h.config.read()
@@ -101,6 +105,11 @@
 		update.Control = control
 		w.controlAddresses = control
 	}
+	if w.peer {
+		update.Sender = h.describeSelf()
+		update.Retirements = h.config.retirementList()
+		update.Stale = h.staleReplicas(ctx, w.address)
+	}
 	var crashesChanged <-chan struct{}
 	if !w.peer {
 		update.Crashes, w.crashesRevision, crashesChanged = h.crashes.since(w.crashesRevision, now)
@@ -112,16 +121,26 @@
 // the other state hosts.
 func (h *Host) newPeerWatcher() *fleetwatch.Watcher {
 	return fleetwatch.NewWatcher(fleetwatch.Options{
-		Pool:       h.pool,
-		Logger:     h.log.Named("watch"),
-		Addresses:  h.peerAddresses,
-		NewRequest: func() *fleetpb.WatchRequest { return &fleetpb.WatchRequest{Viewer: h.cfg.Name, Peer: true} },
-		OnUpdate:   h.mergePeerUpdate,
+		Pool:      h.pool,
+		Logger:    h.log.Named("watch"),
+		Addresses: h.peerAddresses,
+		NewRequest: func() *fleetpb.WatchRequest {
+			return &fleetpb.WatchRequest{Viewer: h.cfg.Name, Peer: true, Host: h.describeSelf()}
+		},
+		OnUpdate: h.mergePeerUpdate,
 	})
 }
 
-// mergePeerUpdate merges the servers and addresses that another state host sent.
+// mergePeerUpdate merges what another state host sent: its description, the servers, hosts
+// and retirements that it knows, and which replicas of this host must be replaced.
 func (h *Host) mergePeerUpdate(_ string, update *fleetpb.Update) {
+	if update.Sender != nil {
+		h.recordHost(update.Sender)
+	}
+	h.hosts.addRetirements(update.Retirements)
+	for _, stale := range update.Stale {
+		h.background.Go(func() { h.replaceReplica(stale) })
+	}
 	now := time.Now()
 	for _, m := range update.Instances {
 		instance := fleet.FromProto(m, now)
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -18,7 +18,6 @@
 	MethodReplicaStatus     = "replica.status"
 
 	// Methods of state hosts, which serve pass-through routes.
-	MethodHostAnnounce = "host.announce"
 	MethodHostMembers  = "host.members"
 	MethodFleetWatch   = "fleet.watch"
 	MethodCrashReport  = "fleet.crash"
