Turns go to the server of the turn before, new programs to their failure domain

Cause: a hash of the program chose the engine among all failure domains, so two thirds of the prompts, which contain all earlier turns, crossed between domains.

Change: the ledger keeps with each turn the server that ran it and returns it when the next turn begins, through any entry. A program starts on the least used engine of the entry's own failure domain while this entry's share of its slots is free; sub-agents and later turns go where the prompt is cached, and what does not fit there goes to one other engine as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,6 +116,8 @@
 			servers:       c.g.view.usableServers(c.service.Name),
 			exclude:       c.triedServers,
 			key:           c.affinityKey(),
+			home:          c.previousServer,
+			newHome:       c.route.KeepTurns && c.previousServer == "",
 			failureDomain: c.g.cfg.FailureDomain,
 			now:           time.Now(),
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,6 +57,7 @@
 	request passthrough.Request
 
 	deadline         time.Time
+	previousServer   string          // ID of the server that ran the turn before, "" if not known
 	triedServers     map[string]bool // servers that refused the request or failed, by ID
 	possibleRuns     int             // attempts that a server may have executed
 	server           *fleet.Instance // of the latest attempt
@@ -178,7 +179,7 @@
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventTimeout()-firstEventMargin))
 	defer cancelBegin()
 	start := time.Now()
-	turns, err := c.g.ledger.begin(beginCtx, &c.meta, c.queueOptions())
+	previous, err := c.g.ledger.begin(beginCtx, &c.meta, c.queueOptions())
 	c.beginDuration = time.Since(start)
 	if errors.Is(err, errMayBeReserved) {
 		c.settleAsync()
@@ -186,7 +187,8 @@
 	if err != nil {
 		return err
 	}
-	c.prependTurns(turns)
+	c.prependTurns(previous.turns)
+	c.previousServer = previous.server
 	err = c.tryServers(ctx)
 	if err == nil && c.route.KeepTurns {
 		return c.keepTurn(ctx)
@@ -225,6 +227,7 @@
 		f.Input = c.body
 		f.Output = c.output.Bytes()
 		f.RetentionMs = c.route.TurnRetention.Milliseconds()
+		f.Server = c.server.ID
 	}
 	return f
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -63,17 +63,17 @@
 	mu           sync.Mutex
 	beginErr     error
 	keepErr      error // returned for each Finish with Keep
-	earlierTurns []*ledgerpb.Exchange
+	previous     history // returned by begin
 	beginIDs     []string
 	finished     []*ledgerpb.Finish
 	settled      chan *ledgerpb.Finish // receives each element of finished
 }
 
-func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, _ queueOptions) ([]*ledgerpb.Exchange, error) {
+func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, _ queueOptions) (history, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.beginIDs = append(l.beginIDs, meta.ID)
-	return l.earlierTurns, l.beginErr
+	return l.previous, l.beginErr
 }
 
 func (l *fakeLedger) finish(_ context.Context, f *ledgerpb.Finish) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -172,6 +172,17 @@
 	assert.Equal(t, settled.Previous, "0")
 	assert.Equal(t, string(settled.Input), "input")
 	assert.Equal(t, string(settled.Output), "token 1\ntoken 2\n")
+	assert.Equal(t, settled.Server, "a")
+}
+
+func TestTurnGoesToServerOfPreviousTurn(t *testing.T) {
+	for _, home := range []string{"a", "b"} {
+		f := newFixture(t, newBackend(t, "a", streamEvents(1, 2, true)), newBackend(t, "b", streamEvents(1, 2, true)))
+		f.ledger.previous.server = home
+		got := f.send(t, http.MethodPost, "/chat/x", "input", "Id", "1", "Program", "p", "Previous", "0", "Budget", "1")
+		assert.NilError(t, got.err)
+		assert.Equal(t, (<-f.ledger.settled).Server, home)
+	}
 }
 
 func TestResponseFailsWhenTurnIsNotKept(t *testing.T) {
@@ -184,7 +195,7 @@
 func TestEarlierTurnsArePrependedToInput(t *testing.T) {
 	b := newBackend(t, "a", streamEvents(1, 1, true))
 	f := newFixture(t, b)
-	f.ledger.earlierTurns = []*ledgerpb.Exchange{
+	f.ledger.previous.turns = []*ledgerpb.Exchange{
 		{Input: []byte("in1"), Output: []byte("out1\n")},
 		{Input: []byte("in2"), Output: []byte("out2\n")},
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -113,6 +113,8 @@
 	servers       []*fleet.Instance
 	exclude       map[string]bool // servers that are not eligible, by ID
 	key           string          // requests with the same key prefer the same server, "": the least loaded one
+	home          string          // ID of the server that caches the prompt, "" if not known
+	newHome       bool            // later requests name the selected server as their home
 	failureDomain string          // of this entry
 	now           time.Time
 }
@@ -122,6 +124,7 @@
 	server    *fleet.Instance
 	penalized bool   // failed recently or is silent
 	saturated bool   // this entry has used up its share of the slots
+	home      bool   // caches the prompt
 	weight    uint64 // rendezvous hash of key and server; random without a key
 	running   int
 	remote    bool // in another failure domain
@@ -142,7 +145,10 @@
 		return nil
 	}
 	order := compareByLoad
-	if sel.key != "" {
+	switch {
+	case sel.newHome:
+		order = compareForNewHome
+	case sel.key != "":
 		order = compareByAffinity
 	}
 	chosen := slices.MinFunc(candidates, order).server
@@ -167,6 +173,7 @@
 		cand.penalized = load.isSilent(server, sel.now)
 	}
 	cand.weight = xxhash.Sum64String(sel.key + " " + server.ID)
+	cand.home = server.ID == sel.home
 	cand.saturated = load.running >= max(minSlotShare, server.Slots/slotShareDivisor)
 	return cand
 }
@@ -177,6 +184,20 @@
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
 		compare.Bool(a.saturated, b.saturated),
+		compare.Bool(b.home, a.home),
+		cmp.Compare(b.weight, a.weight),
+	)
+}
+
+// compareForNewHome ranks servers for the first turn of a program whose later turns stay
+// at the server. Each turn sends the whole prompt, so the servers of the entry's own
+// failure domain come first as long as they have free slots.
+func compareForNewHome(a, b candidate) int {
+	return cmp.Or(
+		compare.Bool(a.penalized, b.penalized),
+		compare.Bool(a.saturated, b.saturated),
+		compare.Bool(a.remote, b.remote),
+		cmp.Compare(a.running, b.running),
 		cmp.Compare(b.weight, a.weight),
 	)
 }
--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -35,6 +35,54 @@
 	assert.Equal(t, loads.acquire(sel).ID, home)
 }
 
+// TestProgramStaysAtItsServerThroughAnyEntry replays the turns of a program that reach the
+// entries of several failure domains: each goes to the server that caches the prompt. If
+// that one is in use, further ones go to one other server.
+func TestProgramStaysAtItsServerThroughAnyEntry(t *testing.T) {
+	servers := testServers(9)
+	for i, server := range servers {
+		server.FailureDomain = fmt.Sprint("domain-", i%3)
+	}
+	for domain := range 3 {
+		loads := newLoadTracker()
+		sel := selection{servers: servers, key: "program", home: "s4", failureDomain: fmt.Sprint("domain-", domain), now: testTime}
+		for range minSlotShare {
+			assert.Equal(t, loads.acquire(sel).ID, "s4")
+		}
+		second := loads.acquire(sel).ID
+		assert.Assert(t, second != "s4")
+		assert.Equal(t, loads.acquire(sel).ID, second)
+	}
+}
+
+// TestNewProgramsSpreadInTheirFailureDomain replays a calm load and a burst of programs:
+// they are spread over the servers of the own failure domain, and cross to others only
+// when those are in use.
+func TestNewProgramsSpreadInTheirFailureDomain(t *testing.T) {
+	loads := newLoadTracker()
+	servers := testServers(9)
+	for i, server := range servers {
+		server.FailureDomain = fmt.Sprint("domain-", i%3)
+	}
+	counts := make(map[string]int)
+	start := func(programs int) {
+		for i := range programs {
+			server := loads.acquire(selection{servers: servers, key: fmt.Sprint("program ", i), newHome: true, failureDomain: "domain-1", now: testTime})
+			counts[server.ID]++
+		}
+	}
+	start(6)
+	assert.DeepEqual(t, counts, map[string]int{"s1": 2, "s4": 2, "s7": 2})
+	start(6)
+	assert.DeepEqual(t, counts, map[string]int{"s1": 4, "s4": 4, "s7": 4})
+	start(12)
+	for _, server := range servers {
+		if server.FailureDomain != "domain-1" {
+			assert.Equal(t, counts[server.ID], 2, server.ID)
+		}
+	}
+}
+
 func TestRequestsWithoutKeyGoToLeastLoadedServer(t *testing.T) {
 	loads := newLoadTracker()
 	sel := selection{servers: testServers(4), now: testTime}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -50,16 +50,21 @@
 
 // ledgerClient reserves and settles turns in the ledger.
 type ledgerClient interface {
-	// begin reserves the tokens of a turn and returns the earlier turns that it
-	// continues. It waits for a leader until ctx ends. Errors: errBudgetSpent,
+	// begin reserves the tokens of a turn and returns what it continues from. It waits for a leader until ctx ends. Errors: errBudgetSpent,
 	// errUnknownTurn, *gate.OverloadError with the delay before a retry,
 	// leaderclient.ErrRefused, and leaderclient.ErrUnavailable, wrapped with
 	// errMayBeReserved if the request was sent.
-	begin(ctx context.Context, meta *RequestMeta, opts queueOptions) ([]*ledgerpb.Exchange, error)
+	begin(ctx context.Context, meta *RequestMeta, opts queueOptions) (history, error)
 	// finish settles a turn. The settlement is durable when it returns nil.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
 }
 
+// history is what a turn continues from.
+type history struct {
+	turns  []*ledgerpb.Exchange // earlier turns, oldest first
+	server string               // ID of the server that ran the latest one, or ""
+}
+
 // queueOptions says how a turn waits to be sent to the ledger.
 type queueOptions struct {
 	priority int       // of its route; 0 is the most urgent
@@ -95,7 +100,7 @@
 }
 
 // begin implements ledgerClient.
-func (l *remoteLedger) begin(ctx context.Context, meta *RequestMeta, opts queueOptions) ([]*ledgerpb.Exchange, error) {
+func (l *remoteLedger) begin(ctx context.Context, meta *RequestMeta, opts queueOptions) (history, error) {
 	newProgram := meta.PreviousTurn == "" && !l.recentPrograms.has(meta.Program, time.Now())
 	priority := gate.BeginPriority(opts.priority, newProgram)
 	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
@@ -103,7 +108,7 @@
 	sendCtx, cancel := context.WithDeadline(ctx, opts.sendBy)
 	defer cancel()
 	if err := l.gate.acquire(sendCtx, call, admission); err != nil {
-		return nil, err
+		return history{}, err
 	}
 	resp, err := l.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
 		CallId:      meta.ID,
@@ -114,16 +119,16 @@
 		Limited:     meta.HasBudget,
 	}}})
 	if err != nil {
-		return nil, err
+		return history{}, err
 	}
 	l.recentPrograms.add(meta.Program, time.Now())
 	switch resp.Outcome {
 	case ledgerpb.Outcome_OUTCOME_BUDGET_SPENT:
-		return nil, errBudgetSpent
+		return history{}, errBudgetSpent
 	case ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN:
-		return nil, errUnknownTurn
+		return history{}, errUnknownTurn
 	}
-	return resp.Chain, nil
+	return history{turns: resp.Chain, server: resp.Server}, nil
 }
 
 // finish implements ledgerClient.
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -60,7 +60,7 @@
 		written[t] = true
 	}
 	for _, t := range slices.Backward(chain) {
-		record := &ledgerpb.Turn{Id: t.id, Input: t.input, Output: t.output, ExpiresMs: t.expiresMs}
+		record := &ledgerpb.Turn{Id: t.id, Input: t.input, Output: t.output, Server: t.server, ExpiresMs: t.expiresMs}
 		if t.previous != nil {
 			record.Previous = t.previous.id
 		}
@@ -143,7 +143,7 @@
 }
 
 func (s *State) restoreTurn(record *ledgerpb.Turn, hidden map[string]*turn) error {
-	t := &turn{id: record.Id, input: record.Input, output: record.Output, expiresMs: record.ExpiresMs}
+	t := &turn{id: record.Id, input: record.Input, output: record.Output, server: record.Server, expiresMs: record.ExpiresMs}
 	if record.Previous != "" {
 		t.previous = s.turns[record.Previous]
 		if t.previous == nil {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -53,6 +53,7 @@
 	previous  *turn
 	input     []byte
 	output    []byte
+	server    string // that ran the turn
 	expiresMs int64
 }
 
@@ -85,6 +86,15 @@
 	return exchanges
 }
 
+// PreviousServer returns the backend server that ran the turn that a Begin continues
+// from, or "" if there is none.
+func (r Result) PreviousServer() string {
+	if r.previous == nil {
+		return ""
+	}
+	return r.previous.server
+}
+
 // Apply implements replica.StateMachine. The returned value is a Result. A command
 // that cannot be decoded changes nothing.
 func (s *State) Apply(_ uint64, data []byte) any {
@@ -149,7 +159,7 @@
 	if !f.Keep || s.turns[f.CallId] != nil {
 		return Result{}
 	}
-	t := &turn{id: f.CallId, input: f.Input, output: f.Output}
+	t := &turn{id: f.CallId, input: f.Input, output: f.Output, server: f.Server}
 	if f.Previous != "" {
 		t.previous = s.turns[f.Previous]
 		if t.previous == nil {
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -88,6 +88,22 @@
 	assert.Equal(t, body.String(), "in1out1\nin2out2\n")
 }
 
+// TestServerOfPreviousTurnIsReturned also restores the state from a snapshot.
+func TestServerOfPreviousTurnIsReturned(t *testing.T) {
+	s := New()
+	first := storeTurn("a", "p", "", "in", "out\n", 1)
+	first.GetFinish().Server = "i-1"
+	apply(t, s, startMs, first)
+	assert.Equal(t, apply(t, s, startMs, begin("b", "p", "a", 1, 10)).PreviousServer(), "i-1")
+	assert.Equal(t, apply(t, s, startMs, begin("c", "p", "", 1, 10)).PreviousServer(), "")
+	var snapshot bytes.Buffer
+	assert.NilError(t, s.Snapshot(&snapshot))
+	restored := New()
+	assert.NilError(t, restored.Restore(&snapshot))
+	assert.Equal(t, apply(t, restored, startMs, begin("d", "p", "a", 1, 10)).PreviousServer(), "i-1")
+	assert.Equal(t, restored.Stats(), s.Stats())
+}
+
 func TestBeginFromUnknownTurnReservesNothing(t *testing.T) {
 	s := New()
 	assert.Equal(t, apply(t, s, startMs, begin("c", "p", "unknown", 100, 100)).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN)
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -126,6 +126,8 @@
 			address: address, fs: waltest.New(), syncDelay: defaultSyncDelay, dir: dir,
 			bootstrap: true, standby: strings.HasPrefix(address, standbyPrefix),
 		}
+	}
+	for _, address := range sc.hosts {
 		if !strings.HasPrefix(address, latePrefix) {
 			c.start(address)
 		}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -145,7 +145,7 @@
 	if busy {
 		h.metrics.busyResponses.Inc()
 	}
-	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.PreviousTurns(), Busy: busy}, nil
+	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.PreviousTurns(), Server: result.PreviousServer(), Busy: busy}, nil
 }
 
 const (
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -18,11 +18,11 @@
 	MethodReplicaStatus     = "replica.status"
 
 	// Methods of state hosts, which serve pass-through routes.
-	MethodHostMembers  = "host.members"
-	MethodFleetWatch   = "fleet.watch"
-	MethodCrashReport  = "fleet.crash"
-	MethodRoutes       = "routes.call"
-	MethodLedger       = "ledger.call"
+	MethodHostMembers = "host.members"
+	MethodFleetWatch  = "fleet.watch"
+	MethodCrashReport = "fleet.crash"
+	MethodRoutes      = "routes.call"
+	MethodLedger      = "ledger.call"
 
 	// Methods of the sidecar role.
 	MethodRun     = "sidecar.run"
