A state host on a full disk waits longer each time before it is opened again

Cause: a disk that is still full after the host was opened again ends it at its first write, and it was opened again at once, each time reading the whole log.

Change: the pause before a state host is opened again doubles from 0.5 to 15 s and starts over after 30 s without a full disk.

Tests: TestFullDiskDoesNotEndTheProcess asserts the pauses, TestPauseStartsOverAfterAStableRun, TestStopEndsTheWaitForAFullDisk.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -60,13 +60,13 @@
 
 // fakeLedger is an in-memory ledgerClient that records its calls.
 type fakeLedger struct {
-	mu           sync.Mutex
-	beginErr     error
-	keepErr      error // returned for each Finish with Keep
-	previous     history // returned by begin
-	beginIDs     []string
-	finished     []*ledgerpb.Finish
-	settled      chan *ledgerpb.Finish // receives each element of finished
+	mu       sync.Mutex
+	beginErr error
+	keepErr  error   // returned for each Finish with Keep
+	previous history // returned by begin
+	beginIDs []string
+	finished []*ledgerpb.Finish
+	settled  chan *ledgerpb.Finish // receives each element of finished
 }
 
 func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, _ queueOptions) (history, error) {
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -44,7 +44,13 @@
 	deregistrationDelay = 3 * time.Second
 	// diskRetryInterval is the pause between attempts to open a data directory on a full disk.
 	diskRetryInterval = 300 * time.Millisecond
-	dirMode           = 0o700
+	// A state host whose disk filled up while it ran is opened again after a pause that
+	// doubles each time, since every opening reads the whole log and the group sends it
+	// what it lacks. The pause starts over once the host has run for stableRunTime.
+	minReopenDelay = 500 * time.Millisecond
+	maxReopenDelay = 15 * time.Second
+	stableRunTime  = 30 * time.Second
+	dirMode        = 0o700
 	// shutdownMargin is the time reserved before the process is killed for the rest of the
 	// shutdown, after the wait for running requests.
 	shutdownMargin = 700 * time.Millisecond
@@ -219,19 +225,31 @@
 // meanwhile. It returns an error if the state host cannot start or fails otherwise.
 // newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
-	return reopenOnFullDisk(opts.Logger, func() error {
+	return reopenOnFullDisk(opts.Logger, stop, func() error {
 		return runStateHost(cfg, addresses, newControlHandler, opts, stop)
 	})
 }
 
-// reopenOnFullDisk calls run until it returns something else than a full disk.
-func reopenOnFullDisk(log hclog.Logger, run func() error) error {
+// reopenOnFullDisk calls run until it returns something else than a full disk, or until
+// stop is closed. It pauses between the calls.
+func reopenOnFullDisk(log hclog.Logger, stop <-chan struct{}, run func() error) error {
+	delay := minReopenDelay
 	for {
+		start := time.Now()
 		err := run()
 		if !errors.Is(err, syscall.ENOSPC) {
 			return err
 		}
-		log.Error("disk is full: the state host is opened again", "error", err)
+		if time.Since(start) >= stableRunTime {
+			delay = minReopenDelay
+		}
+		log.Error("disk is full: the state host is opened again", "after_ms", delay.Milliseconds(), "error", err)
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, maxReopenDelay)
 	}
 }
 
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -45,17 +45,60 @@
 }
 
 // TestFullDiskDoesNotEndTheProcess guards against a process that ends each time that a
-// disk fills up while it runs.
+// disk fills up while it runs, and against one that opens the same disk again without a
+// pause: a standby host whose disk is too small for the state did so for ever.
 func TestFullDiskDoesNotEndTheProcess(t *testing.T) {
-	other := errors.New("other failure")
-	results := []error{fmt.Errorf("write: %w", syscall.ENOSPC), fmt.Errorf("write: %w", syscall.ENOSPC), other}
+	synctest.Test(t, func(t *testing.T) {
+		other := errors.New("other failure")
+		start := time.Now()
+		var opened []time.Duration
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() error {
+			opened = append(opened, time.Since(start))
+			if len(opened) < 8 {
+				return fmt.Errorf("write: %w", syscall.ENOSPC)
+			}
+			return other
+		})
+		assert.ErrorIs(t, err, other)
+		for i := 1; i < len(opened); i++ {
+			pause := opened[i] - opened[i-1]
+			assert.Equal(t, pause, min(minReopenDelay<<(i-1), maxReopenDelay))
+		}
+	})
+}
+
+func TestPauseStartsOverAfterAStableRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ended []time.Time
+		var pauses []time.Duration
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() error {
+			if len(ended) > 0 {
+				pauses = append(pauses, time.Since(ended[len(ended)-1]))
+			}
+			if len(ended) == 3 {
+				return nil
+			}
+			if len(ended) == 2 {
+				time.Sleep(stableRunTime)
+			}
+			ended = append(ended, time.Now())
+			return syscall.ENOSPC
+		})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, pauses, []time.Duration{minReopenDelay, 2 * minReopenDelay, minReopenDelay})
+	})
+}
+
+func TestStopEndsTheWaitForAFullDisk(t *testing.T) {
+	stop := make(chan struct{})
+	close(stop)
 	runs := 0
-	err := reopenOnFullDisk(hclog.NewNullLogger(), func() error {
+	err := reopenOnFullDisk(hclog.NewNullLogger(), stop, func() error {
 		runs++
-		return results[runs-1]
+		return syscall.ENOSPC
 	})
-	assert.ErrorIs(t, err, other)
-	assert.Equal(t, runs, 3)
+	assert.NilError(t, err)
+	assert.Equal(t, runs, 1)
 }
 
 func TestOpenOnFullDiskReturnsWhenStopped(t *testing.T) {
