One copy of the periodic loop and of the check of a chain in cluster tests

Cause: reading the diff. Every and EveryOrWoken had the same body; the check that a turn can be continued stood four times.

Measured: go test of internal/loop and internal/statehost, ok.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,15 +9,7 @@
 // Every calls f immediately and then once per interval until ctx is done. Calls do not
 // overlap: ticks that fall into a call are merged into one.
 func Every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
+	EveryOrWoken(ctx, interval, nil, f)
 }
 
 // EveryOrWoken is like Every, and also calls f after each value from wake.
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -313,6 +313,15 @@
 	assert.Equal(t, resp.Outcome, ledgerpb.Outcome_OUTCOME_OK)
 }
 
+// checkChain checks that a new turn can continue from an earlier one, which is the last of
+// a chain of length turns.
+func (l *ledgerCaller) checkChain(t *testing.T, previous string, length int) {
+	t.Helper()
+	resp, err := l.call(t, recoveryTimeout, beginCommand("next", "q", previous, 1, 10))
+	assert.NilError(t, err)
+	assert.Equal(t, len(resp.Chain), length)
+}
+
 // applyRoutes puts a version of the routes in force through any running host.
 func (c *cluster) applyRoutes(version int) {
 	c.t.Helper()
@@ -435,9 +444,7 @@
 		previous = turn
 	}
 	c.checkRoutes(6)
-	resp, err := l.call(t, recoveryTimeout, beginCommand("next", "q", previous, 1, 10))
-	assert.NilError(t, err)
-	assert.Equal(t, len(resp.Chain), 6)
+	l.checkChain(t, previous, 6)
 }
 
 // hostReplacement powers off a host for good. A spare host must take its place, so that
@@ -456,9 +463,7 @@
 	c.applyRoutes(2)
 	c.powerOff("c")
 	c.checkRoutes(2)
-	resp, err := l.call(t, recoveryTimeout, beginCommand("next", "q", "turn 2", 1, 10))
-	assert.NilError(t, err)
-	assert.Equal(t, len(resp.Chain), 2)
+	l.checkChain(t, "turn 2", 2)
 }
 
 // routesAtIsolatedHost changes the routes while one host is isolated, which may be the
--- a/internal/statehost/retirement_test.go
+++ b/internal/statehost/retirement_test.go
@@ -47,9 +47,7 @@
 	c.checkRoutes(1)
 	time.Sleep(catchUpDelay)
 	c.powerOff("c")
-	resp, err := l.call(t, recoveryTimeout, beginCommand("next", "q", "turn", 1, 10))
-	assert.NilError(t, err)
-	assert.Equal(t, len(resp.Chain), 1)
+	l.checkChain(t, "turn", 1)
 }
 
 // replacementDuringRetirement loses a host for good while another one retires. Its
@@ -85,9 +83,7 @@
 	time.Sleep(2 * catchUpDelay)
 	c.powerOff("standby-1", "standby-2", "standby-3")
 	c.checkRoutes(1)
-	resp, err := l.call(t, recoveryTimeout, beginCommand("next", "q", "turn", 1, 10))
-	assert.NilError(t, err)
-	assert.Equal(t, len(resp.Chain), 1)
+	l.checkChain(t, "turn", 1)
 }
 
 // leaderOf returns the host that leads a group, or nil.
