An entry that is cut off from the quorum refuses requests

Standby hosts run on entry hosts, so that these are split with the stores: two entries heard one store and their standby hosts, none of them with contact to the quorum, and went on with version 2 while 10 and 16 were acknowledged on the other side.

Change: updates say whether the sender knows the leader of the configuration. An entry that hears state hosts, but for the platform's config_ms less 0.6 s none that knows a leader, is not ready and answers 503 with a time to retry (`partitioned`). One that hears no state host goes on: all of them may be down, and nothing changes then.

Tests: TestPartitionedEntryRefusesRequests.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -156,6 +156,7 @@
 		FailureDomain: s.FailureDomain,
 		DecodeRoutes:  platform.DecodeRoutes,
 		Codec:         platform.HeaderCodec{},
+		RoutesTimeout: s.RoutesTimeout,
 	}
 	addresses := hosted.Addresses{Clients: s.ClientAddress, Ready: s.ReadyAddress}
 	return hosted.RunEntry(cfg, addresses, platform.NewReadyHandler, p.options, p.stop)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,7 @@
 // Errors that end a request. refusals maps them to responses.
 var (
 	errNoRoutes       = errors.New("gateway: no routes received yet")
+	errPartitioned    = errors.New("gateway: this entry is cut off from the quorum of the state hosts")
 	errNoRoute        = errors.New("gateway: no route matches host and path")
 	errNoServer       = errors.New("gateway: no backend server accepted the request")
 	errOutcomeUnknown = errors.New("gateway: the request may have run, but its response is lost")
@@ -106,6 +107,11 @@
 	if c.routes = c.waitForRoutes(); c.routes == nil {
 		return errNoRoutes
 	}
+	if c.g.isPartitioned() {
+		// Its routes and servers may be outdated. The client reaches other entries.
+		c.w.Header().Set("Connection", "close")
+		return errPartitioned
+	}
 	target := c.r.RequestURI
 	path, _, _ := strings.Cut(target, "?")
 	if c.route = c.routes.Match(c.r.Host, path); c.route == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,11 @@
 	// reports that it is not ready: another entry may still be connected to them.
 	maxViewAge    = 3 * time.Second
 	pruneInterval = 30 * time.Second
+	// leaderLossDelay is the longest time for which a state host that was cut off from its
+	// leader does not notice it, with a margin.
+	leaderLossDelay = 600 * time.Millisecond
+	// minPartitionDelay is longer than an election, during which no host knows a leader.
+	minPartitionDelay = 1200 * time.Millisecond
 	// Refused clients are told to retry after a random time in this range, or later if
 	// the ledger is overloaded.
 	minRetryAfter = 200 * time.Millisecond
@@ -45,6 +50,9 @@
 	// DecodeRoutes decodes and validates a route document.
 	DecodeRoutes func(document []byte) (*routing.Document, error)
 	Codec        Codec
+	// RoutesTimeout is the time within which acknowledged routes must be in force at all
+	// entries that can learn them.
+	RoutesTimeout time.Duration
 }
 
 // Gateway forwards client requests to backend servers. It implements http.Handler.
@@ -115,7 +123,13 @@
 // Ready reports whether the entry should receive new clients: it has routes, a state
 // host sent an update within maxViewAge, and it is not draining.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.view.routes.Load() != nil && g.view.isFresh(maxViewAge)
+	return !g.draining.Load() && g.view.routes.Load() != nil && g.view.isFresh(maxViewAge) && !g.isPartitioned()
+}
+
+// isPartitioned reports whether this entry may miss acknowledged routes. Followers keep
+// claiming contact to their leader for leaderLossDelay, which is taken off.
+func (g *Gateway) isPartitioned() bool {
+	return g.view.isPartitioned(max(g.cfg.RoutesTimeout-leaderLossDelay, minPartitionDelay))
 }
 
 // Drain makes the gateway report that it is not ready and close client connections
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,9 +10,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/internal/policy/gate"
+	"ibistray.example/ibistray/proto/fleetpb"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
@@ -338,3 +340,26 @@
 	f := newFixture(t)
 	assert.Assert(t, !f.Ready())
 }
+
+// TestPartitionedEntryRefusesRequests covers an entry that still hears state hosts, but none
+// with contact to a quorum: routes may have changed without it. An entry that hears no state
+// host at all goes on serving.
+func TestPartitionedEntryRefusesRequests(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", respondOK))
+	f.view.apply("majority", &fleetpb.Update{Quorum: true})
+	long := minPartitionDelay + time.Second
+	f.view.lastQuorum.Add(-long.Nanoseconds())
+	f.view.apply("minority", &fleetpb.Update{})
+	got := f.send(t, http.MethodGet, "/safe/x", "", "Id", "1")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.close && got.header.Get("Retry-After") != "")
+	assert.Assert(t, !f.Ready())
+
+	f.view.lastUpdate.Add(-long.Nanoseconds())
+	f.view.lastUpdate.Add(-fleetwatch.SilenceTimeout.Nanoseconds())
+	assert.Equal(t, f.send(t, http.MethodGet, "/safe/x", "", "Id", "2").status, http.StatusOK)
+
+	f.view.apply("majority", &fleetpb.Update{Quorum: true})
+	assert.Equal(t, f.send(t, http.MethodGet, "/safe/x", "", "Id", "3").status, http.StatusOK)
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -14,6 +14,7 @@
 const (
 	reasonNoRoutes          = "no_routes"
 	reasonNoRoute           = "no_route"
+	reasonPartitioned       = "partitioned"
 	reasonBadRequest        = "bad_request"
 	reasonBodyTooLarge      = "body_too_large"
 	reasonBudgetSpent       = "budget_spent"
@@ -40,6 +41,7 @@
 	refusal
 }{
 	{errNoRoutes, refusal{reasonNoRoutes, http.StatusServiceUnavailable, true}},
+	{errPartitioned, refusal{reasonPartitioned, http.StatusServiceUnavailable, true}},
 	{errNoRoute, refusal{reasonNoRoute, http.StatusNotFound, false}},
 	{ErrBadRequest, refusal{reasonBadRequest, http.StatusBadRequest, false}},
 	{errBodyTooLarge, refusal{reasonBodyTooLarge, http.StatusRequestEntityTooLarge, false}},
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -29,6 +29,10 @@
 	routes  atomic.Pointer[routing.Document]
 	servers atomic.Pointer[serverIndex]
 
+	// Unix times in nanoseconds of the latest update, and of the latest one from a host with
+	// contact to a quorum.
+	lastUpdate, lastQuorum atomic.Int64
+
 	mu             sync.Mutex // guards the fields below
 	table          *fleet.Table
 	announcedHosts []string      // state hosts named by the latest update
@@ -43,6 +47,7 @@
 func newView(cfg Config, log hclog.Logger, pool *transport.Pool, detector *crashDetector) *view {
 	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, table: fleet.NewTable(), changed: make(chan struct{})}
 	v.servers.Store(&serverIndex{})
+	v.lastQuorum.Store(time.Now().UnixNano())
 	v.watcher = fleetwatch.NewWatcher(fleetwatch.Options{
 		Pool:       pool,
 		Logger:     log,
@@ -74,6 +79,11 @@
 
 // apply applies an update from the state host at address.
 func (v *view) apply(address string, update *fleetpb.Update) {
+	heard := time.Now().UnixNano()
+	v.lastUpdate.Store(heard)
+	if update.Quorum {
+		v.lastQuorum.Store(heard)
+	}
 	if update.Routes != nil {
 		v.applyRoutes(address, update.Routes)
 	}
@@ -177,6 +187,17 @@
 	return false
 }
 
+// isPartitioned reports whether this entry hears only state hosts that have no contact to
+// a quorum, and has done so for limit. It may then miss routes and servers that changed. An
+// entry that hears no state host at all is not counted as partitioned: all of them may be
+// down, and nothing changes then.
+func (v *view) isPartitioned(limit time.Duration) bool {
+	now := time.Now().UnixNano()
+	sinceQuorum := time.Duration(now - v.lastQuorum.Load())
+	sinceUpdate := time.Duration(now - v.lastUpdate.Load())
+	return sinceQuorum > limit && sinceUpdate < fleetwatch.SilenceTimeout
+}
+
 // run receives updates until ctx ends.
 func (v *view) run(ctx context.Context) {
 	v.watcher.Run(ctx)
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -110,6 +110,7 @@
 		update.Retirements = h.config.retirementList()
 		update.Stale = h.staleReplicas(ctx, w.address)
 	}
+	update.Quorum = h.knowsConfigLeader()
 	var crashesChanged <-chan struct{}
 	if !w.peer {
 		update.Crashes, w.crashesRevision, crashesChanged = h.crashes.since(w.crashesRevision, now)
@@ -117,6 +118,10 @@
 	return update, [3]<-chan struct{}{serversChanged, configChanged, crashesChanged}
 }
 
+// knowsConfigLeader reports whether this host holds a replica of the configuration that
+// has recent contact with a leader. Without, it may miss changes that were acknowledged.
+func (h *Host) knowsConfigLeader() bool { return h.replicas.Leader(ConfigGroup) != "" }
+
 // newPeerWatcher returns the watcher that receives the heartbeats of backend servers from
 // the other state hosts.
 func (h *Host) newPeerWatcher() *fleetwatch.Watcher {
