--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -29,7 +29,7 @@
 	return func(address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		return firstAnswer(ctx, dialInterval, func(ctx context.Context) (net.Conn, error) {
+		return firstAnswer(ctx, func(ctx context.Context) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp", address)
 		})
 	}
@@ -41,10 +41,10 @@
 	err  error
 }
 
-// firstAnswer starts attempts with the given interval until one of them has a result, and
+// firstAnswer starts an attempt each dialInterval until one of them has a result, and
 // returns it. The other attempts are cancelled, and connections that they open
 // nevertheless are closed.
-func firstAnswer(ctx context.Context, interval time.Duration, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+func firstAnswer(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan dialResult)
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(dialInterval)
 	defer ticker.Stop()
 	go attempt()
 	for {
--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -45,7 +45,7 @@
 		defer cancel()
 		up := time.Now().Add(200 * time.Millisecond)
 		dial, open := hostThatStarts(up)
-		conn, err := firstAnswer(ctx, dialInterval, dial)
+		conn, err := firstAnswer(ctx, dial)
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(up) <= dialInterval+time.Millisecond, "reached %s after it started", time.Since(up))
 		assert.NilError(t, conn.Close())
@@ -63,7 +63,7 @@
 			*open++
 			return countedConn{open: open}, nil
 		}
-		_, err := firstAnswer(t.Context(), dialInterval, slow)
+		_, err := firstAnswer(t.Context(), slow)
 		assert.NilError(t, err)
 		time.Sleep(time.Second)
 		assert.Equal(t, *open, 1)
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		refused := errors.New("connection refused")
 		start := time.Now()
-		_, err := firstAnswer(t.Context(), dialInterval, func(context.Context) (net.Conn, error) { return nil, refused })
+		_, err := firstAnswer(t.Context(), func(context.Context) (net.Conn, error) { return nil, refused })
 		assert.ErrorIs(t, err, refused)
 		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
@@ -85,7 +85,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
 		dial, _ := hostThatStarts(time.Now().Add(time.Hour))
-		_, err := firstAnswer(ctx, dialInterval, dial)
+		_, err := firstAnswer(ctx, dial)
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
 	})
 }
