--- a/internal/policy/membership/plan.go
+++ b/internal/policy/membership/plan.go
@@ -18,8 +18,8 @@
 	Address       string
 	FailureDomain string
 	ReplicaID     uint64        // ID of its replica of the group; 0: none
-	Silence       time.Duration // time since its last announcement
-	Known         time.Duration // time since its first announcement
+	Silence       time.Duration // time since its last update
+	Known         time.Duration // time since its first update
 	Retiring      bool
 	// Standby hosts hold a replica only while too few other hosts can.
 	Standby bool
@@ -123,7 +123,7 @@
 	return v
 }
 
-// holdsReplica reports whether the host of a member announces the member's replica and
+// holdsReplica reports whether the host of a member says that it holds the member's replica and
 // has not been silent for limit. The leader always does.
 func (in Input) holdsReplica(m *raftpb.Member, limit time.Duration) bool {
 	host, known := in.Hosts[m.Address]
--- a/internal/policy/membership/series_test.go
+++ b/internal/policy/membership/series_test.go
@@ -36,7 +36,7 @@
 }
 
 type simHost struct {
-	Host             // as it announced itself last
+	Host             // as it described itself last
 	stored    uint64 // ID of the replica on its disk
 	downUntil int    // tick at which it runs and is connected again
 	lostUntil int    // tick until which it counts as lost
@@ -167,7 +167,7 @@
 		h.Silence += tick
 		h.Known += tick
 		if w.isUp(h) {
-			w.announce(h)
+			w.describe(h)
 		}
 	}
 	w.elect()
@@ -184,9 +184,9 @@
 	w.check()
 }
 
-// announce tells the leader which replica a host holds. A replica that is not a member and
+// describe tells the leader which replica a host holds. A replica that is not a member and
 // cannot become one any more gets a new ID.
-func (w *world) announce(h *simHost) {
+func (w *world) describe(h *simHost) {
 	isMember := slices.ContainsFunc(w.members, func(m *raftpb.Member) bool { return m.Id == h.stored })
 	if !isMember && h.stored <= w.lastID {
 		h.stored = w.newID()
