Times of updates are monotonic; hosts that are gone for good are forgotten

An entry measured the time since it heard of a quorum with the time of day, which may jump by seconds: a jump back hid a partition. Hosts that were only named by others never left the table of state hosts, and hosts that others still named came back.

Change: the times are counted from the start of the view. Hosts without a sign of life are removed after 60 s, described or not, and are not added by name again for another 120 s. After 10 s without contact the pause between attempts is 1 s.

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -22,7 +22,12 @@
 	// SilenceTimeout is the time without an update after which a stream counts as lost.
 	SilenceTimeout = 1500 * time.Millisecond
 
+	// reconnectDelay is the pause before a broken stream is opened again, and
+	// longOutageDelay the pause once the host has been out of reach for longOutage: a
+	// restart takes less, and a host that is gone for good must cost little.
 	reconnectDelay  = 50 * time.Millisecond
+	longOutage      = 10 * time.Second
+	longOutageDelay = time.Second
 	refreshInterval = 500 * time.Millisecond
 )
 
@@ -97,22 +102,34 @@
 // and later ones only if there were updates in between.
 func (w *Watcher) maintain(ctx context.Context, address string) {
 	failedBefore := false
+	lastContact := time.Now()
 	for ctx.Err() == nil {
 		received, err := w.watch(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
+		if received {
+			lastContact = time.Now()
+		}
 		if received || !failedBefore {
 			w.opts.Logger.Info("state host is out of reach", "address", address, "error", err)
 		}
 		failedBefore = true
 		w.opts.Pool.CloseSession(address)
-		if !loop.Sleep(ctx, reconnectDelay) {
+		if !loop.Sleep(ctx, pauseAfter(time.Since(lastContact))) {
 			return
 		}
 	}
 }
 
+// pauseAfter returns the pause before the next attempt to reach a host after an outage.
+func pauseAfter(outage time.Duration) time.Duration {
+	if outage < longOutage {
+		return reconnectDelay
+	}
+	return longOutageDelay
+}
+
 // watch receives the updates of one stream until the stream breaks or delivers none for
 // SilenceTimeout. It reports whether there was an update.
 func (w *Watcher) watch(ctx context.Context, address string) (bool, error) {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -50,10 +50,10 @@
 
 // ledgerClient reserves and settles turns in the ledger.
 type ledgerClient interface {
-	// begin reserves the tokens of a turn and returns what it continues from. It waits for a leader until ctx ends. Errors: errBudgetSpent,
-	// errUnknownTurn, *gate.OverloadError with the delay before a retry,
-	// leaderclient.ErrRefused, and leaderclient.ErrUnavailable, wrapped with
-	// errMayBeReserved if the request was sent.
+	// begin reserves the tokens of a turn and returns what it continues from. It waits
+	// for a leader until ctx ends. Errors: errBudgetSpent, errUnknownTurn,
+	// *gate.OverloadError with the delay before a retry, leaderclient.ErrRefused, and
+	// leaderclient.ErrUnavailable, wrapped with errMayBeReserved if the request was sent.
 	begin(ctx context.Context, meta *RequestMeta, opts queueOptions) (history, error)
 	// finish settles a turn. The settlement is durable when it returns nil.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -29,9 +29,10 @@
 	routes  atomic.Pointer[routing.Document]
 	servers atomic.Pointer[serverIndex]
 
-	// Unix times in nanoseconds of the latest update, and of the latest one from a host with
-	// contact to a quorum.
+	// Times of the latest update, and of the latest one from a host with contact to a
+	// quorum, in nanoseconds since started. The time of day may jump.
 	lastUpdate, lastQuorum atomic.Int64
+	started                time.Time
 
 	mu             sync.Mutex // guards the fields below
 	table          *fleet.Table
@@ -45,9 +46,8 @@
 }
 
 func newView(cfg Config, log hclog.Logger, pool *transport.Pool, detector *crashDetector) *view {
-	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, table: fleet.NewTable(), changed: make(chan struct{})}
+	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, started: time.Now(), table: fleet.NewTable(), changed: make(chan struct{})}
 	v.servers.Store(&serverIndex{})
-	v.lastQuorum.Store(time.Now().UnixNano())
 	v.watcher = fleetwatch.NewWatcher(fleetwatch.Options{
 		Pool:       pool,
 		Logger:     log,
@@ -79,7 +79,7 @@
 
 // apply applies an update from the state host at address.
 func (v *view) apply(address string, update *fleetpb.Update) {
-	heard := time.Now().UnixNano()
+	heard := time.Since(v.started).Nanoseconds()
 	v.lastUpdate.Store(heard)
 	if update.Quorum {
 		v.lastQuorum.Store(heard)
@@ -187,15 +187,17 @@
 	return false
 }
 
+// since returns the time since lastUpdate or lastQuorum.
+func (v *view) since(event *atomic.Int64) time.Duration {
+	return time.Since(v.started) - time.Duration(event.Load())
+}
+
 // isPartitioned reports whether this entry hears only state hosts that have no contact to
 // a quorum, and has done so for limit. It may then miss routes and servers that changed. An
 // entry that hears no state host at all is not counted as partitioned: all of them may be
 // down, and nothing changes then.
 func (v *view) isPartitioned(limit time.Duration) bool {
-	now := time.Now().UnixNano()
-	sinceQuorum := time.Duration(now - v.lastQuorum.Load())
-	sinceUpdate := time.Duration(now - v.lastUpdate.Load())
-	return sinceQuorum > limit && sinceUpdate < fleetwatch.SilenceTimeout
+	return v.since(&v.lastQuorum) > limit && v.since(&v.lastUpdate) < fleetwatch.SilenceTimeout
 }
 
 // run receives updates until ctx ends.
--- a/internal/statehost/hosts.go
+++ b/internal/statehost/hosts.go
@@ -9,9 +9,14 @@
 	"ibistray.example/ibistray/proto/fleetpb"
 )
 
-// hostRetentionPeriod is how long a silent state host stays in the table. Until then this host
-// continues to watch it.
-const hostRetentionPeriod = 60 * time.Second
+const (
+	// hostRetentionPeriod is how long a silent state host stays in the table. Until then
+	// this host continues to watch it.
+	hostRetentionPeriod = 60 * time.Second
+	// hostRemovalPeriod is how long a removed host is not added again because another host
+	// names it. The others remove it at other times, and would pass it on for ever.
+	hostRemovalPeriod = 2 * hostRetentionPeriod
+)
 
 // hostTable holds the known state hosts: those that described themselves and those that
 // other hosts named. It is kept in memory only and is safe for concurrent use.
@@ -19,47 +24,75 @@
 	mu       sync.Mutex
 	hosts    map[string]knownHost // by address for calls between processes
 	retiring map[string]bool      // by address
+	removed  map[string]time.Time // by address: time of the removal for silence
 }
 
 // knownHost is a state host with the time of its last update.
 type knownHost struct {
 	host       *fleetpb.Host
+	added      time.Time
 	firstHeard time.Time // zero: the host has not described itself yet
 	lastHeard  time.Time // zero: the host has not described itself yet
 }
 
+// silentSince returns the time of the last update, or of the addition without any.
+func (h knownHost) silentSince() time.Time {
+	if h.lastHeard.IsZero() {
+		return h.added
+	}
+	return h.lastHeard
+}
+
 func newHostTable() *hostTable {
-	return &hostTable{hosts: make(map[string]knownHost), retiring: make(map[string]bool)}
+	return &hostTable{hosts: make(map[string]knownHost), retiring: make(map[string]bool), removed: make(map[string]time.Time)}
 }
 
-// record stores the description of a host and removes hosts that have been silent for longer than
-// hostRetentionPeriod. It reports whether the host was not known before.
+// record stores the description of a host and removes hosts that have been silent for
+// longer than hostRetentionPeriod. It reports whether the host was not known before.
 func (t *hostTable) record(host *fleetpb.Host, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, known := t.hosts[host.Address]
-	firstHeard := t.hosts[host.Address].firstHeard
-	if firstHeard.IsZero() {
-		firstHeard = now
+	entry, known := t.hosts[host.Address]
+	if !known {
+		entry.added = now
+	}
+	if entry.firstHeard.IsZero() {
+		entry.firstHeard = now
 	}
-	t.hosts[host.Address] = knownHost{host: host, firstHeard: firstHeard, lastHeard: now}
+	entry.host, entry.lastHeard = host, now
+	t.hosts[host.Address] = entry
+	delete(t.removed, host.Address)
+	t.removeSilent(now)
+	return !known
+}
+
+// removeSilent removes the hosts that have been silent for longer than
+// hostRetentionPeriod. The caller holds the mutex.
+func (t *hostTable) removeSilent(now time.Time) {
 	for address, h := range t.hosts {
-		if !h.lastHeard.IsZero() && now.Sub(h.lastHeard) > hostRetentionPeriod {
+		if now.Sub(h.silentSince()) > hostRetentionPeriod {
 			delete(t.hosts, address)
+			t.removed[address] = now
+		}
+	}
+	for address, at := range t.removed {
+		if now.Sub(at) > hostRemovalPeriod {
+			delete(t.removed, address)
 		}
 	}
-	return !known
 }
 
-// addAddresses adds the addresses of hosts that are not known yet, so that this host
-// watches them, and reports whether there were any.
-func (t *hostTable) addAddresses(addresses []string) bool {
+// addAddresses adds the addresses of hosts that are neither known nor were removed lately,
+// so that this host watches them, and reports whether there were any.
+func (t *hostTable) addAddresses(addresses []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	added := false
 	for _, address := range addresses {
-		if _, found := t.hosts[address]; !found {
-			t.hosts[address] = knownHost{host: &fleetpb.Host{Address: address}}
+		_, known := t.hosts[address]
+		_, removed := t.removed[address]
+		if !known && !removed {
+			t.hosts[address] = knownHost{host: &fleetpb.Host{Address: address}, added: now}
 			added = true
 		}
 	}
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -66,7 +66,7 @@
 
 // addHosts adds hosts that other processes named.
 func (h *Host) addHosts(addresses []string) {
-	if h.hosts.addAddresses(addresses) {
+	if h.hosts.addAddresses(addresses, time.Now()) {
 		h.hostsChanged()
 	}
 }
@@ -173,7 +173,7 @@
 }
 
 // newPlanInput returns the planner's input from the view of this host. A member that has
-// not announced itself counts as silent since the start of this process.
+// not described itself counts as silent since the start of this process.
 func (h *Host) newPlanInput(group uint64, status replica.GroupStatus, now time.Time) membership.Input {
 	in := membership.Input{
 		LeaderID:        status.ID,
--- a/internal/statehost/serversfile.go
+++ b/internal/statehost/serversfile.go
@@ -88,8 +88,8 @@
 		h.log.Warn("saved backend servers not used", "error", err)
 		return
 	}
-	h.hosts.addAddresses(list.Control)
 	now := time.Now()
+	h.hosts.addAddresses(list.Control, now)
 	lastHeartbeat := now.Add(restoredServerTimeout - maxMissedHeartbeats*h.cfg.HeartbeatInterval)
 	for _, m := range list.Instances {
 		instance := fleet.FromProto(m, now)
