--- a/internal/gateway/selection_test.go
+++ b/internal/gateway/selection_test.go
@@ -20,6 +20,15 @@
 	return list
 }
 
+// testServersInDomains returns servers that take turns in domain-0, domain-1 and so on.
+func testServersInDomains(n, domains int) []*fleet.Instance {
+	list := testServers(n)
+	for i, server := range list {
+		server.FailureDomain = fmt.Sprint("domain-", i%domains)
+	}
+	return list
+}
+
 func TestAffinityKeepsServerUntilShareIsUsed(t *testing.T) {
 	loads := newLoadTracker()
 	sel := selection{servers: testServers(5), key: "program", now: testTime}
@@ -39,10 +48,7 @@
 // entries of several failure domains: each goes to the server that caches the prompt. If
 // that one is in use, further ones go to one other server.
 func TestProgramStaysAtItsServerThroughAnyEntry(t *testing.T) {
-	servers := testServers(9)
-	for i, server := range servers {
-		server.FailureDomain = fmt.Sprint("domain-", i%3)
-	}
+	servers := testServersInDomains(9, 3)
 	for domain := range 3 {
 		loads := newLoadTracker()
 		sel := selection{servers: servers, key: "program", home: "s4", failureDomain: fmt.Sprint("domain-", domain), now: testTime}
@@ -60,10 +66,7 @@
 // when those are in use.
 func TestNewProgramsSpreadInTheirFailureDomain(t *testing.T) {
 	loads := newLoadTracker()
-	servers := testServers(9)
-	for i, server := range servers {
-		server.FailureDomain = fmt.Sprint("domain-", i%3)
-	}
+	servers := testServersInDomains(9, 3)
 	counts := make(map[string]int)
 	start := func(programs int) {
 		for i := range programs {
--- a/internal/policy/membership/series_test.go
+++ b/internal/policy/membership/series_test.go
@@ -18,6 +18,8 @@
 	catchUpTicks = 22
 	learnTicks   = 2   // until a learner has caught up
 	settleTicks  = 200 // within which a group must reach its final membership
+	// seriesPerCheck makes rare series likely in the default number of checks.
+	seriesPerCheck = 10
 )
 
 // world is a group and its hosts, in which hosts retire, are replaced, lose their disks,
@@ -286,13 +288,19 @@
 // disks, new hosts, restarts and partitions.
 func TestSeriesOfLossesLeavesAQuorum(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		for range rapid.IntRange(1, 12).Draw(t, "events") {
-			w.strike()
-			for range rapid.IntRange(1, 40).Draw(t, "ticks until the next event") {
-				w.advance()
-			}
+		for range seriesPerCheck {
+			playSeries(t)
 		}
-		w.checkSettled()
 	})
 }
+
+func playSeries(t *rapid.T) {
+	w := newWorld(t)
+	for range rapid.IntRange(1, 12).Draw(t, "events") {
+		w.strike()
+		for range rapid.IntRange(1, 40).Draw(t, "ticks until the next event") {
+			w.advance()
+		}
+	}
+	w.checkSettled()
+}
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -313,6 +313,15 @@
 	assert.Equal(t, resp.Outcome, ledgerpb.Outcome_OUTCOME_OK)
 }
 
+// keepFirstState waits until the hosts have caught up and stores a first turn and a first
+// version of the routes.
+func (l *ledgerCaller) keepFirstState(t *testing.T, c *cluster) {
+	t.Helper()
+	time.Sleep(catchUpDelay)
+	l.keepTurn(t, "turn 1", "p", "")
+	c.applyRoutes(1)
+}
+
 // checkChain checks that a new turn can continue from an earlier one, which is the last of
 // a chain of length turns.
 func (l *ledgerCaller) checkChain(t *testing.T, previous string, length int) {
@@ -452,9 +461,7 @@
 func hostReplacement(t *testing.T, c *cluster) {
 	l := c.caller()
 	defer l.pool.Close()
-	time.Sleep(catchUpDelay)
-	l.keepTurn(t, "turn 1", "p", "")
-	c.applyRoutes(1)
+	l.keepFirstState(t, c)
 	c.powerOff("a")
 	time.Sleep(hostLossTimeout + catchUpDelay)
 	c.replaceDisk("b")
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -117,6 +117,7 @@
 
 	started            time.Time
 	persistedRevision  uint64        // revision of the servers in serversFile; used by persistServers only
+	persistedHosts     []string      // state hosts in serversFile; used by persistServers only
 	diskTooSmall       bool          // result of the last checkDisk; used by sweep only
 	replicaReplacement chan struct{} // semaphore, held while a replica is replaced on the disk
 	background         sync.WaitGroup
--- a/internal/statehost/retirement_test.go
+++ b/internal/statehost/retirement_test.go
@@ -36,9 +36,7 @@
 func hostRetirement(t *testing.T, c *cluster) {
 	l := c.caller()
 	defer l.pool.Close()
-	time.Sleep(catchUpDelay)
-	l.keepTurn(t, "turn", "p", "")
-	c.applyRoutes(1)
+	l.keepFirstState(t, c)
 	c.startRetirement("a")
 	c.awaitRetirement("a")
 	c.powerOff("a")
@@ -47,7 +45,7 @@
 	c.checkRoutes(1)
 	time.Sleep(catchUpDelay)
 	c.powerOff("c")
-	l.checkChain(t, "turn", 1)
+	l.checkChain(t, "turn 1", 1)
 }
 
 // replacementDuringRetirement loses a host for good while another one retires. Its
@@ -56,9 +54,7 @@
 func replacementDuringRetirement(t *testing.T, c *cluster) {
 	l := c.caller()
 	defer l.pool.Close()
-	time.Sleep(catchUpDelay)
-	l.keepTurn(t, "turn 1", "p", "")
-	c.applyRoutes(1)
+	l.keepFirstState(t, c)
 	c.powerOff("a")
 	c.nodes["late"].bootstrap = false
 	c.start("late")
--- a/internal/statehost/serversfile.go
+++ b/internal/statehost/serversfile.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -26,15 +27,16 @@
 	fileMode              = 0o600
 )
 
-// persistServers writes the backend servers to serversFile if any of them has changed, with
-// the known state hosts.
+// persistServers writes the backend servers and the known state hosts to serversFile if any
+// of them has changed.
 func (h *Host) persistServers(context.Context) {
 	changed, revision := h.servers.ChangedSince(h.persistedRevision, false)
-	if len(changed) == 0 {
+	hosts := h.knownAddresses()
+	if len(changed) == 0 && slices.Equal(hosts, h.persistedHosts) {
 		return
 	}
 	now := time.Now()
-	list := &fleetpb.Update{Control: h.knownAddresses()}
+	list := &fleetpb.Update{Control: hosts}
 	for _, instance := range h.servers.NewestByAddress() {
 		list.Instances = append(list.Instances, fleet.ToProto(instance, now))
 	}
@@ -42,7 +44,7 @@
 		h.log.Warn("backend servers not saved", "error", err)
 		return
 	}
-	h.persistedRevision = revision
+	h.persistedRevision, h.persistedHosts = revision, hosts
 }
 
 // writeFile replaces a file atomically: after a power failure it has either the old or
