Failing test: an error of the next server completes a broken stream

The test fails on this code for each of the five statuses: the body of the error follows the events and the response ends as complete.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -153,6 +153,32 @@
 	assert.Equal(t, settled.Tokens, uint64(18))
 }
 
+// TestBrokenStreamIsNotCompletedByErrorOfNextServer has a stream that breaks and is resumed on a
+// server that responds with an error. The end of the error body must not complete the stream.
+func TestBrokenStreamIsNotCompletedByErrorOfNextServer(t *testing.T) {
+	statuses := []int{http.StatusInternalServerError, http.StatusGatewayTimeout, http.StatusNotFound, http.StatusFound, http.StatusNoContent}
+	for _, status := range statuses {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			var first atomic.Bool
+			respond := func(w http.ResponseWriter, r *http.Request, body string) {
+				if first.CompareAndSwap(false, true) {
+					streamEvents(1, 3, false)(w, r, body)
+					return
+				}
+				w.WriteHeader(status)
+				if _, err := w.Write([]byte("failure")); err != nil && status != http.StatusNoContent {
+					t.Error(err)
+				}
+			}
+			f := newFixture(t, newBackend(t, "a", respond), newBackend(t, "b", respond))
+			got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", "1", "Program", "p", "Budget", "1")
+			assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Equal(t, (<-f.ledger.settled).Tokens, uint64(9))
+		})
+	}
+}
+
 func TestInterruptedStreamOfNonResumableRouteFails(t *testing.T) {
 	a, b := newBackend(t, "a", streamEvents(1, 3, false)), newBackend(t, "b", streamEvents(1, 3, false))
 	f := newFixture(t, a, b)
