The line of an answered request names the server's status

It said 200 for each of them, also for a server's own 500, so that a stream that was completed by an error could be told from a complete one only by its attempts.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -69,6 +69,7 @@
 	eventsSent       int             // events with data that were sent to the client
 	output           bytes.Buffer    // event data of a turn that is kept
 	responseStarted  bool            // status and headers were sent to the client
+	status           int             // that was sent to the client, of a backend server
 	notRunCount      int             // attempts that no server executed
 	waitedForServers bool            // waitForServers was called before
 	// stopSilenceTimers is called at the first output of the current attempt.
@@ -90,7 +91,7 @@
 		return
 	}
 	if err == nil {
-		c.logOutcome("answered", http.StatusOK, nil)
+		c.logOutcome("answered", c.status, nil)
 		return
 	}
 	if c.responseStarted {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -60,6 +60,7 @@
 // writeStatus sends the status line and the headers to the client.
 func (c *call) writeStatus(status int) {
 	c.responseStarted = true
+	c.status = status
 	c.firstOutput = time.Since(c.arrived)
 	c.w.WriteHeader(status)
 }
