A broken stream is not completed by the error of the server that resumes it

Cause: when a server breaks off a stream, the entry resumes it on another server within the same response. If that server responds with an error (500, its 504 at the deadline, 404), and no further attempt is allowed, handleResponse treated it as the first response of the request: it forwarded the error as a plain response. The status could no longer be changed, so its body followed the events, and the handler returned without an error, upon which net/http ends the chunked response as complete.

Fix: once a response has begun, only a response of the same status can continue it; anything else ends the attempt as errNotResumed, so the stream is tried elsewhere or the client's connection is closed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,6 +19,9 @@
 // errQuarantined refuses a request whose content has crashed several servers.
 var errQuarantined = errors.New("gateway: the request is quarantined because it crashed several backend servers")
 
+// errNotResumed says that the server did not continue a stream that another server began.
+var errNotResumed = errors.New("gateway: the backend server did not resume the stream")
+
 // errNotRun says that the server refused the request without running it.
 var errNotRun = errors.New("gateway: the backend server did not run the request")
 
@@ -285,6 +288,10 @@
 	switch {
 	case success && !meta.Signed:
 		return fmt.Errorf("%w: signature is missing", errInvalidResponse)
+	case c.responseStarted && resp.StatusCode != c.status:
+		// The body is not part of the stream, and forwarding it would end the response as
+		// if the stream were complete.
+		return fmt.Errorf("%w: status %d", errNotResumed, resp.StatusCode)
 	case signalsNotRun(resp.StatusCode):
 		// Clients would conclude from the status that the request has not run, which the
 		// server did not confirm.
