Entries learn and log the software version of backend servers

The table of servers carries it to all entries. The request's metadata names the attempt that began a resumed stream.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -33,6 +33,7 @@
 	Address       string
 	FailureDomain string
 	Slots         int
+	Version       string // of its software; the output of two versions does not fit together
 	State         fleetpb.State
 	StartUnixMs   int64     // start time, 0 if unknown
 	Sequence      uint64    // of the latest heartbeat
@@ -133,7 +134,7 @@
 // sameRouting reports whether two reports of an instance agree in everything that
 // affects the routing of requests.
 func sameRouting(a, b *Instance) bool {
-	return sameStart(a, b) && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots && a.Silent == b.Silent
+	return sameStart(a, b) && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots && a.Version == b.Version && a.Silent == b.Silent
 }
 
 // MarkSilent marks the instances that sent no heartbeat for longer than limit and
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -123,7 +123,7 @@
 
 func TestProtoRoundTripPreservesInstance(t *testing.T) {
 	i := heartbeat("a", "10.0.0.1:80", 7, 9, draining)
-	i.FailureDomain, i.Slots, i.Silent = "hall", 32, true
+	i.FailureDomain, i.Slots, i.Silent, i.Version = "hall", 32, true, "v1.1"
 	i.ColdUntil = epoch.Add(time.Second)
 	later := epoch.Add(300 * time.Millisecond)
 	assert.DeepEqual(t, FromProto(ToProto(i, later), later), i)
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -20,6 +20,7 @@
 		AgeMs:         max(0, now.Sub(i.LastHeartbeat).Milliseconds()),
 		ColdMs:        max(0, i.ColdUntil.Sub(now).Milliseconds()),
 		Silent:        i.Silent,
+		Version:       i.Version,
 	}
 }
 
@@ -38,5 +39,6 @@
 		LastHeartbeat: now.Add(-time.Duration(msg.AgeMs) * time.Millisecond),
 		ColdUntil:     now.Add(time.Duration(msg.ColdMs) * time.Millisecond),
 		Silent:        msg.Silent,
+		Version:       msg.Version,
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,6 +16,7 @@
 	Timeout      time.Duration // how long the client waits, 0 if not given
 	Subject      string        // what the request is about; servers may cache data about it
 	LastEventID  string        // the stream resumes after this event, "" for a new stream
+	Resumes      string        // ID of the client attempt that brought the first event of the resumed stream
 	Program      string
 	Session      string
 	FinishWithin time.Duration // time left to finish the program, 0 if not given
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -103,7 +103,7 @@
 	for _, msg := range update.Instances {
 		i := fleet.FromProto(msg, now)
 		if v.table.Merge(i) {
-			v.log.Info("backend server changed", "server", i.ID, "service", i.Service, "address", i.Address,
+			v.log.Info("backend server changed", "server", i.ID, "service", i.Service, "address", i.Address, "version", i.Version,
 				"state", i.State.String(), "silent", i.Silent, "sequence", i.Sequence, "from", address)
 		}
 	}
