A broken stream goes on only at the software version that began it

Cause: an entry knew nothing of versions, so a broken stream was resumed at whichever server came next, and a client's resumption at any server of any version.

Fix: the ledger records the version of a resumable stream with the reservation of its turn, before the request is sent; a request that resumes the stream names the one that began it and gets the recorded version from any entry. internal/policy/streampin decides: without output a stream may move, after another record; with output it stays at its version or is refused at once (unknown_stream, stream_version_gone), upon which the client starts it anew. Clients never hold an event whose version is not recorded, so entries that are killed take nothing with them.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"time"
 
+	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/policy/streampin"
 	"ibistray.example/ibistray/internal/routing"
 )
 
@@ -39,6 +41,9 @@
 		if err := c.selectServer(ctx); err != nil {
 			return err
 		}
+		if err := c.recordVersion(ctx); err != nil {
+			return c.noServerError(err)
+		}
 		err := c.attempt(ctx)
 		c.recordOutcome(err)
 		if err == nil {
@@ -65,7 +70,7 @@
 
 // logFailedAttempt logs an attempt that did not yield a response.
 func (c *call) logFailedAttempt(err error) {
-	c.g.log.Info("attempt ended", "request", c.meta.ID, "program", c.meta.Program, "server", c.server.ID, "address", c.server.Address,
+	c.g.log.Info("attempt ended", "request", c.meta.ID, "program", c.meta.Program, "server", c.server.ID, "address", c.server.Address, "version", c.server.Version,
 		"sends", c.possibleRuns, "may_have_run", !errors.Is(err, errNotRun) && passthrough.MayHaveBeenSent(err), "begun", c.responseStarted,
 		"left_ms", time.Until(c.deadline).Milliseconds(), "heartbeat_ms_ago", time.Since(c.server.LastHeartbeat).Milliseconds(), "error", err)
 }
@@ -115,14 +120,10 @@
 		if ctx.Err() != nil {
 			return c.noServerError(ctx.Err())
 		}
-		sel := selection{
-			servers:       c.g.view.usableServers(c.service.Name),
-			exclude:       c.triedServers,
-			key:           c.affinityKey(),
-			home:          c.previousServer,
-			newHome:       c.route.KeepTurns && c.previousServer == "",
-			failureDomain: c.g.cfg.FailureDomain,
-			now:           time.Now(),
+		sel := c.newSelection(c.g.view.usableServers(c.service.Name))
+		var err error
+		if sel.versions, err = c.pin(sel.servers); err != nil {
+			return c.noServerError(err)
 		}
 		if c.server = c.g.loads.acquire(sel); c.server != nil {
 			return nil
@@ -146,6 +147,19 @@
 	}
 }
 
+// newSelection returns the inputs that select a server for the next attempt.
+func (c *call) newSelection(servers []*fleet.Instance) selection {
+	return selection{
+		servers:       servers,
+		exclude:       c.triedServers,
+		key:           c.affinityKey(),
+		home:          c.previousServer,
+		newHome:       c.route.KeepTurns && c.previousServer == "",
+		failureDomain: c.g.cfg.FailureDomain,
+		now:           time.Now(),
+	}
+}
+
 // waitForServers waits until a server of the service is known, and reports whether one
 // is. After a restart of the state hosts, servers appear one by one with their
 // heartbeats. A request waits at most once.
@@ -166,7 +180,7 @@
 	if c.possibleRuns > 0 {
 		return fmt.Errorf("%w: %w", errOutcomeUnknown, cause)
 	}
-	if errors.Is(cause, errQuarantined) {
+	if errors.Is(cause, errQuarantined) || errors.Is(cause, streampin.ErrUnknownVersion) || errors.Is(cause, streampin.ErrVersionNotServed) {
 		return cause
 	}
 	return fmt.Errorf("%w: %w", errNoServer, cause)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,6 +58,7 @@
 	request passthrough.Request
 
 	deadline         time.Time
+	stream           streamVersion   // on resumable routes
 	previousServer   string          // ID of the server that ran the turn before, "" if not known
 	triedServers     map[string]bool // servers that refused the request or failed, by ID
 	possibleRuns     int             // attempts that a server may have executed
@@ -180,13 +181,18 @@
 func (c *call) forward() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	c.stream = newStreamVersion(&c.meta)
 	if !c.route.ProgramTurns {
+		if err := c.lookUpStream(ctx); err != nil {
+			return err
+		}
 		return c.tryServers(ctx)
 	}
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventTimeout()-firstEventMargin))
 	defer cancelBegin()
 	start := time.Now()
-	previous, err := c.g.ledger.begin(beginCtx, &c.meta, c.queueOptions())
+	stream := c.proposeStream()
+	previous, err := c.g.ledger.begin(beginCtx, &c.meta, stream, c.queueOptions())
 	c.beginDuration = time.Since(start)
 	if errors.Is(err, errMayBeReserved) {
 		c.settleAsync()
@@ -194,6 +200,7 @@
 	if err != nil {
 		return err
 	}
+	c.streamOpened(stream, previous.streamVersion)
 	c.prependTurns(previous.turns)
 	c.previousServer = previous.server
 	err = c.tryServers(ctx)
@@ -286,11 +293,14 @@
 		"sends", c.possibleRuns, "refused", c.notRunCount, "events", c.eventsSent,
 		"begin_ms", c.beginDuration.Milliseconds(), "keep_ms", c.keepDuration.Milliseconds(), "first_ms", c.firstOutput.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
 	}
+	if c.stream.resumed {
+		fields = append(fields, "resumes", c.stream.resumes, "stream_version", c.stream.version)
+	}
 	if c.route != nil {
 		fields = append(fields, "route", c.route.Name, "routes_version", c.routes.Version)
 	}
 	if c.server != nil {
-		fields = append(fields, "server", c.server.ID, "address", c.server.Address)
+		fields = append(fields, "server", c.server.ID, "address", c.server.Address, "version", c.server.Version)
 	}
 	if err != nil {
 		fields = append(fields, "error", err, "attempt_error", c.lastErr)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -27,7 +27,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(header http.Header) (RequestMeta, error) {
-	meta := RequestMeta{ID: header.Get("Id"), LastEventID: header.Get("After"), Program: header.Get("Program"), PreviousTurn: header.Get("Previous")}
+	meta := RequestMeta{ID: header.Get("Id"), LastEventID: header.Get("After"), Resumes: header.Get("Resumes"), Program: header.Get("Program"), PreviousTurn: header.Get("Previous")}
 	if meta.ID == "" {
 		return meta, fmt.Errorf("%w: no ID", ErrBadRequest)
 	}
@@ -65,15 +65,45 @@
 	keepErr  error   // returned for each Finish with Keep
 	previous history // returned by begin
 	beginIDs []string
+	streams  map[string]string // recorded versions by call ID
+	openErr  error             // returned by openStream
 	finished []*ledgerpb.Finish
 	settled  chan *ledgerpb.Finish // receives each element of finished
 }
 
-func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, _ queueOptions) (history, error) {
+func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, _ queueOptions) (history, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.beginIDs = append(l.beginIDs, meta.ID)
-	return l.previous, l.beginErr
+	if stream == nil || l.beginErr != nil {
+		return l.previous, l.beginErr
+	}
+	previous := l.previous
+	var err error
+	previous.streamVersion, err = l.open(stream)
+	return previous, err
+}
+
+func (l *fakeLedger) openStream(_ context.Context, stream *ledgerpb.OpenStream) (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.openErr != nil {
+		return "", l.openErr
+	}
+	return l.open(stream)
+}
+
+// open records or looks up the version of a stream. The caller holds the mutex.
+func (l *fakeLedger) open(stream *ledgerpb.OpenStream) (string, error) {
+	if stream.Resumes != "" {
+		version, found := l.streams[stream.Resumes]
+		if !found {
+			return "", errUnknownStream
+		}
+		return version, nil
+	}
+	l.streams[stream.CallId] = stream.Version
+	return "", nil
 }
 
 func (l *fakeLedger) finish(_ context.Context, f *ledgerpb.Finish) error {
@@ -152,12 +182,13 @@
 	{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.KindSafe, MaxAttempts: 2},
 	{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.KindUnsafe, MaxAttempts: 2},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.KindStream, MaxAttempts: 2, ProgramTurns: true, Resumable: true, SessionAffinity: true},
+	{Name: "feed", Host: "h", Prefix: "/feed/", Kind: routing.KindStream, MaxAttempts: 2, Resumable: true, SessionAffinity: true},
 	{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.KindStream, MaxAttempts: 2, ProgramTurns: true, KeepTurns: true, TurnRetention: time.Minute, SessionAffinity: true},
 }
 
 func newFixture(t *testing.T, servers ...*backend) *fixture {
 	t.Helper()
-	ledger := &fakeLedger{settled: make(chan *ledgerpb.Finish, 16)}
+	ledger := &fakeLedger{streams: make(map[string]string), settled: make(chan *ledgerpb.Finish, 16)}
 	decode := func([]byte) (*routing.Document, error) {
 		doc := &routing.Document{
 			Version:  1,
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -8,6 +8,7 @@
 
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/gate"
+	"ibistray.example/ibistray/internal/policy/streampin"
 )
 
 // Reasons of refusals. Clients, logs and metrics receive them.
@@ -25,6 +26,8 @@
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
 	reasonLedgerBusy        = "ledger_busy"
+	reasonUnknownStream     = "unknown_stream"
+	reasonVersionGone       = "stream_version_gone"
 	reasonInternal          = "internal"
 )
 
@@ -48,6 +51,10 @@
 	{errBudgetSpent, refusal{reasonBudgetSpent, http.StatusPaymentRequired, false}},
 	{errOutcomeUnknown, refusal{reasonUnclear, http.StatusBadGateway, false}},
 	{errUnknownTurn, refusal{reasonUnknownTurn, http.StatusNotFound, false}},
+	// The client starts the stream anew; waiting would not bring its version back.
+	{errUnknownStream, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
+	{streampin.ErrUnknownVersion, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
+	{streampin.ErrVersionNotServed, refusal{reasonVersionGone, http.StatusServiceUnavailable, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -11,6 +11,7 @@
 
 	"ibistray.example/ibistray/internal/compare"
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/policy/streampin"
 )
 
 const (
@@ -116,6 +117,7 @@
 	home          string          // ID of the server that caches the prompt, "" if not known
 	newHome       bool            // later requests name the selected server as their home
 	failureDomain string          // of this entry
+	versions      streampin.Constraint
 	now           time.Time
 }
 
@@ -123,6 +125,7 @@
 type candidate struct {
 	server    *fleet.Instance
 	penalized bool   // failed recently or is silent
+	moved     bool   // of another version than the one that is preferred
 	saturated bool   // this entry has used up its share of the slots
 	home      bool   // caches the prompt
 	weight    uint64 // rendezvous hash of key and server; random without a key
@@ -135,9 +138,26 @@
 func (t *loadTracker) acquire(sel selection) *fleet.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	chosen := t.choose(sel)
+	if chosen != nil {
+		t.load(chosen.ID).running++
+	}
+	return chosen
+}
+
+// peek returns the server that acquire would select.
+func (t *loadTracker) peek(sel selection) *fleet.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.choose(sel)
+}
+
+// choose returns the best server, or nil if every one is excluded. The caller holds the
+// mutex.
+func (t *loadTracker) choose(sel selection) *fleet.Instance {
 	var candidates []candidate
 	for _, server := range sel.servers {
-		if !sel.exclude[server.ID] {
+		if !sel.exclude[server.ID] && sel.versions.Allows(server.Version) {
 			candidates = append(candidates, t.newCandidate(server, sel))
 		}
 	}
@@ -151,9 +171,7 @@
 	case sel.key != "":
 		order = compareByAffinity
 	}
-	chosen := slices.MinFunc(candidates, order).server
-	t.load(chosen.ID).running++
-	return chosen
+	return slices.MinFunc(candidates, order).server
 }
 
 // newCandidate evaluates a server for a selection. The caller holds the mutex.
@@ -162,6 +180,7 @@
 	cand := candidate{
 		server:    server,
 		penalized: load.isSilent(server, sel.now) || sel.now.Before(load.penalizedUntil),
+		moved:     sel.versions.Preferred && server.Version != sel.versions.Version,
 		running:   load.running,
 		remote:    server.FailureDomain != sel.failureDomain,
 	}
@@ -183,6 +202,7 @@
 func compareByAffinity(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
+		compare.Bool(a.moved, b.moved),
 		compare.Bool(a.saturated, b.saturated),
 		compare.Bool(b.home, a.home),
 		cmp.Compare(b.weight, a.weight),
@@ -195,6 +215,7 @@
 func compareForNewHome(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
+		compare.Bool(a.moved, b.moved),
 		compare.Bool(a.saturated, b.saturated),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.running, b.running),
@@ -206,6 +227,7 @@
 func compareByLoad(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
+		compare.Bool(a.moved, b.moved),
 		cmp.Compare(a.running, b.running),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.weight, b.weight),
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -50,19 +50,25 @@
 
 // ledgerClient reserves and settles turns in the ledger.
 type ledgerClient interface {
-	// begin reserves the tokens of a turn and returns what it continues from. It waits
-	// for a leader until ctx ends. Errors: errBudgetSpent, errUnknownTurn,
+	// begin reserves the tokens of a turn, opens its stream and returns what it continues
+	// from. stream is nil on routes whose streams cannot be resumed. It waits for a leader
+	// until ctx ends. Errors: errBudgetSpent, errUnknownTurn, errUnknownStream,
 	// *gate.OverloadError with the delay before a retry, leaderclient.ErrRefused, and
 	// leaderclient.ErrUnavailable, wrapped with errMayBeReserved if the request was sent.
-	begin(ctx context.Context, meta *RequestMeta, opts queueOptions) (history, error)
+	begin(ctx context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error)
+	// openStream records the version of a stream, or returns the version that began the
+	// stream which the call resumes. Errors: errUnknownStream, *gate.OverloadError,
+	// leaderclient.ErrRefused, leaderclient.ErrUnavailable.
+	openStream(ctx context.Context, stream *ledgerpb.OpenStream) (version string, err error)
 	// finish settles a turn. The settlement is durable when it returns nil.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
 }
 
 // history is what a turn continues from.
 type history struct {
-	turns  []*ledgerpb.Exchange // earlier turns, oldest first
-	server string               // ID of the server that ran the latest one, or ""
+	turns         []*ledgerpb.Exchange // earlier turns, oldest first
+	server        string               // ID of the server that ran the latest one, or ""
+	streamVersion string               // software version that began the resumed stream, or ""
 }
 
 // queueOptions says how a turn waits to be sent to the ledger.
@@ -100,7 +106,7 @@
 }
 
 // begin implements ledgerClient.
-func (l *remoteLedger) begin(ctx context.Context, meta *RequestMeta, opts queueOptions) (history, error) {
+func (l *remoteLedger) begin(ctx context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error) {
 	newProgram := meta.PreviousTurn == "" && !l.recentPrograms.has(meta.Program, time.Now())
 	priority := gate.BeginPriority(opts.priority, newProgram)
 	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
@@ -117,6 +123,7 @@
 		MaxTokens:   meta.MaxTokens,
 		TokenBudget: meta.TokenBudget,
 		Limited:     meta.HasBudget,
+		Stream:      stream,
 	}}})
 	if err != nil {
 		return history{}, err
@@ -127,8 +134,26 @@
 		return history{}, errBudgetSpent
 	case ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN:
 		return history{}, errUnknownTurn
+	case ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM:
+		return history{}, errUnknownStream
 	}
-	return history{turns: resp.Chain, server: resp.Server}, nil
+	return history{turns: resp.Chain, server: resp.Server, streamVersion: resp.StreamVersion}, nil
+}
+
+// openStream implements ledgerClient.
+func (l *remoteLedger) openStream(ctx context.Context, stream *ledgerpb.OpenStream) (string, error) {
+	call := order.Call{ID: fmt.Sprintf("stream %s %d", stream.CallId, stream.Revision), Priority: gate.PrioritySettle}
+	if err := l.gate.acquire(ctx, call, nil); err != nil {
+		return "", err
+	}
+	resp, err := l.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_OpenStream{OpenStream: stream}})
+	if err != nil {
+		return "", err
+	}
+	if resp.Outcome == ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM {
+		return "", errUnknownStream
+	}
+	return resp.StreamVersion, nil
 }
 
 // finish implements ledgerClient.
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -34,6 +34,12 @@
 			return err
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.streams)) {
+		// Builds that do not know streams take the record for one of the time stamp.
+		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs, Stream: s.streams[id].record(id)}); err != nil {
+			return err
+		}
+	}
 	written := make(map[*turn]bool, len(s.turns))
 	for _, id := range slices.Sorted(maps.Keys(s.turns)) {
 		if err := s.writeChain(buffered, s.turns[id], written); err != nil {
@@ -107,6 +113,7 @@
 	defer s.mu.Unlock()
 	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
 	s.programs, s.turns, s.turnBytes = restored.programs, restored.turns, restored.turnBytes
+	s.streams = restored.streams
 	return nil
 }
 
@@ -118,6 +125,8 @@
 		s.programs[record.Program.Id] = restoreProgram(record.Program)
 	case record.Turn != nil:
 		return s.restoreTurn(record.Turn, hidden)
+	case record.Stream != nil:
+		s.streams[record.Stream.CallId] = restoreStream(record.Stream)
 	default:
 		s.nowMs = record.NowMs
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -1,7 +1,8 @@
 // Package ledger implements the replicated state machine for programs on
 // pass-through routes. It tracks the token budget of each program, which a turn
 // reserves from before it runs and settles afterwards, and stores finished turns
-// so that later turns can continue from them.
+// so that later turns can continue from them. It also records the software version
+// that runs each stream which clients may resume.
 package ledger
 
 import (
@@ -34,6 +35,7 @@
 	programs     map[string]*program // by program ID
 	turns        map[string]*turn    // by call ID
 	turnBytes    int64               // of the input and output of turns
+	streams      map[string]stream   // that can be resumed, by the ID of the call that began them
 }
 
 // program is the token budget of a program and what its turns took from it.
@@ -62,15 +64,20 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{programs: make(map[string]*program), turns: make(map[string]*turn)}
+	return &State{programs: make(map[string]*program), turns: make(map[string]*turn), streams: make(map[string]stream)}
 }
 
 // Result is the outcome of a command.
 type Result struct {
-	Outcome  ledgerpb.Outcome
-	previous *turn // turn that a Begin continues from, or nil
+	Outcome       ledgerpb.Outcome
+	previous      *turn  // turn that a Begin continues from, or nil
+	streamVersion string // software version that began the resumed stream, or ""
 }
 
+// StreamVersion returns the software version that began the stream which a call
+// resumes, or "" if it resumes none.
+func (r Result) StreamVersion() string { return r.streamVersion }
+
 // PreviousTurns returns the turn that a Begin continues from and all its
 // ancestors, oldest first.
 func (r Result) PreviousTurns() []*ledgerpb.Exchange {
@@ -111,11 +118,14 @@
 		return s.begin(kind.Begin)
 	case *ledgerpb.Command_Finish:
 		return s.finish(kind.Finish)
+	case *ledgerpb.Command_OpenStream:
+		return s.openStreamOnly(kind.OpenStream)
 	}
 	return Result{}
 }
 
-// begin reserves the tokens of a turn and looks up the turn that it continues from.
+// begin reserves the tokens of a turn and looks up the turn that it continues from and
+// the version of the stream that it resumes.
 func (s *State) begin(b *ledgerpb.Begin) Result {
 	var previous *turn
 	if b.Previous != "" {
@@ -123,10 +133,17 @@
 			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN}
 		}
 	}
+	var version string
+	if b.Stream != nil {
+		var found bool
+		if version, found = s.openStream(b.Stream); !found {
+			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM}
+		}
+	}
 	if b.Limited && !s.reserve(b) {
 		return Result{Outcome: ledgerpb.Outcome_OUTCOME_BUDGET_SPENT}
 	}
-	return Result{previous: previous}
+	return Result{previous: previous, streamVersion: version}
 }
 
 // reserve reserves the maximum number of tokens that a turn may generate and
@@ -195,7 +212,7 @@
 	p.expiresMs = s.nowMs + programRetentionPeriod.Milliseconds()
 }
 
-// expire removes expired programs and turns. It depends only on the time stamps
+// expire removes expired programs, turns and streams. It depends only on the time stamps
 // of commands, so all replicas remove them at the same log entry.
 func (s *State) expire() {
 	if s.nowMs-s.lastExpiryMs < expiryInterval.Milliseconds() {
@@ -213,18 +230,20 @@
 			s.turnBytes -= t.size()
 		}
 	}
+	s.expireStreams()
 }
 
 // Stats holds the numbers of stored records, for metrics.
 type Stats struct {
 	Programs int
 	Turns    int
+	Streams  int
 	Bytes    int64 // of the input and output of the turns
 }
 
-// Stats returns the current numbers of stored programs and turns.
+// Stats returns the current numbers of stored records.
 func (s *State) Stats() Stats {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return Stats{Programs: len(s.programs), Turns: len(s.turns), Bytes: s.turnBytes}
+	return Stats{Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams), Bytes: s.turnBytes}
 }
--- /dev/null
+++ b/internal/ledger/stream_test.go
@@ -0,0 +1,68 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/proto/ledgerpb"
+)
+
+const streamRetention = 5 * time.Second
+
+func openStream(call, version string, revision uint32) *ledgerpb.Command {
+	return &ledgerpb.Command{Kind: &ledgerpb.Command_OpenStream{OpenStream: &ledgerpb.OpenStream{
+		CallId: call, Version: version, Revision: revision, RetentionMs: streamRetention.Milliseconds(),
+	}}}
+}
+
+func resumeStream(call, resumes string) *ledgerpb.Command {
+	return &ledgerpb.Command{Kind: &ledgerpb.Command_OpenStream{OpenStream: &ledgerpb.OpenStream{CallId: call, Resumes: resumes}}}
+}
+
+func TestResumedStreamHasVersionOfItsFirstCall(t *testing.T) {
+	s := New()
+	first := begin("a", "p", "", 10, 100)
+	first.GetBegin().Stream = openStream("a", "v1", 0).GetOpenStream()
+	assert.Equal(t, apply(t, s, startMs, first).Outcome, ledgerpb.Outcome_OUTCOME_OK)
+	s = restartFromSnapshot(t, s)
+
+	again := begin("b", "p", "", 10, 100)
+	again.GetBegin().Stream = resumeStream("b", "a").GetOpenStream()
+	result := apply(t, s, startMs, again)
+	assert.Equal(t, result.Outcome, ledgerpb.Outcome_OUTCOME_OK)
+	assert.Equal(t, result.StreamVersion(), "v1")
+	assert.Equal(t, apply(t, s, startMs, resumeStream("c", "a")).StreamVersion(), "v1")
+}
+
+func TestUnknownStreamReservesNothing(t *testing.T) {
+	s := New()
+	unknown := begin("b", "p", "", 100, 100)
+	unknown.GetBegin().Stream = resumeStream("b", "a").GetOpenStream()
+	assert.Equal(t, apply(t, s, startMs, unknown).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM)
+	assert.Equal(t, apply(t, s, startMs, resumeStream("b", "a")).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM)
+	assert.Equal(t, apply(t, s, startMs, begin("c", "p", "", 100, 100)).Outcome, ledgerpb.Outcome_OUTCOME_OK)
+}
+
+// TestDelayedRecordDoesNotReplaceLaterVersion has a stream that moved to another version
+// before its first event, and a delayed copy of its first record.
+func TestDelayedRecordDoesNotReplaceLaterVersion(t *testing.T) {
+	s := New()
+	for _, cmd := range []*ledgerpb.Command{openStream("a", "v1", 0), openStream("a", "v2", 1), openStream("a", "v1", 0)} {
+		assert.Equal(t, apply(t, s, startMs, cmd).Outcome, ledgerpb.Outcome_OUTCOME_OK)
+		s = restartFromSnapshot(t, s)
+	}
+	assert.Equal(t, apply(t, s, startMs, resumeStream("b", "a")).StreamVersion(), "v2")
+}
+
+func TestStreamExpiresAfterItsRetention(t *testing.T) {
+	s := New()
+	apply(t, s, startMs, openStream("a", "v1", 0))
+	last := startMs + (streamRetention + retentionMargin).Milliseconds()
+	assert.Equal(t, apply(t, s, last, resumeStream("b", "a")).StreamVersion(), "v1")
+	assert.Equal(t, s.Stats().Streams, 1)
+	later := last + expiryInterval.Milliseconds() + 1
+	assert.Equal(t, apply(t, s, later, resumeStream("b", "a")).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM)
+	assert.Equal(t, s.Stats().Streams, 0)
+}
--- /dev/null
+++ b/internal/policy/streampin/streampin_test.go
@@ -0,0 +1,66 @@
+package streampin
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestDecide(t *testing.T) {
+	both := []string{"v1", "v1.1"}
+	cases := map[string]struct {
+		stream  Stream
+		serving []string
+		want    Constraint
+		err     error
+	}{
+		"new stream":                       {Stream{}, both, Constraint{}, nil},
+		"new stream without servers":       {Stream{}, nil, Constraint{}, nil},
+		"assigned, no output yet":          {Stream{Assigned: true, Version: "v1"}, both, Constraint{Preferred: true, Version: "v1"}, nil},
+		"assigned, no output, gone":        {Stream{Assigned: true, Version: "v0"}, both, Constraint{Preferred: true, Version: "v0"}, nil},
+		"output":                           {Stream{HasOutput: true, Assigned: true, Version: "v1"}, both, Constraint{Required: true, Version: "v1"}, nil},
+		"output, version gone":             {Stream{HasOutput: true, Assigned: true, Version: "v0"}, both, Constraint{}, ErrVersionNotServed},
+		"output, version without name":     {Stream{HasOutput: true, Assigned: true}, []string{""}, Constraint{Required: true}, nil},
+		"output, not recorded":             {Stream{HasOutput: true, Named: true}, []string{"v1"}, Constraint{}, ErrUnknownVersion},
+		"not named, one version":           {Stream{HasOutput: true}, []string{"v1"}, Constraint{Required: true, Version: "v1"}, nil},
+		"not named, several versions":      {Stream{HasOutput: true}, both, Constraint{}, ErrUnknownVersion},
+		"not named, no servers":            {Stream{HasOutput: true}, nil, Constraint{}, ErrUnknownVersion},
+		"output, version without a server": {Stream{HasOutput: true, Assigned: true, Version: "v1"}, nil, Constraint{}, ErrVersionNotServed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := Decide(c.stream, c.serving)
+			assert.Equal(t, got, c.want)
+			assert.Equal(t, err, c.err)
+		})
+	}
+}
+
+// TestStreamNeverMixesVersionsDuringRelease replays releases in which servers of versions
+// come and go while a stream breaks and is resumed.
+func TestStreamNeverMixesVersionsDuringRelease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v1.1", "v1.2", ""}), 1, 3, rapid.ID[string])
+		s := Stream{Named: true}
+		output := map[string]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "attempts") {
+			serving := versions.Draw(t, "serving")
+			constraint, err := Decide(s, serving)
+			if err != nil {
+				assert.Assert(t, s.HasOutput)
+				continue
+			}
+			server := rapid.SampledFrom(serving).Draw(t, "server")
+			if !constraint.Allows(server) {
+				continue
+			}
+			s.Assigned, s.Version = true, server
+			if rapid.Bool().Draw(t, "output") {
+				s.HasOutput = true
+				output[server] = true
+			}
+			assert.Assert(t, len(output) <= 1, "output of %v", output)
+		}
+	})
+}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -271,6 +271,7 @@
 	stats := h.ledger.Stats()
 	h.metrics.turns.Set(float64(stats.Turns))
 	h.metrics.programs.Set(float64(stats.Programs))
+	h.metrics.streams.Set(float64(stats.Streams))
 	h.metrics.turnBytes.Set(float64(stats.Bytes))
 	h.checkDisk(stats.Bytes)
 }
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -14,6 +14,7 @@
 	busyResponses    prometheus.Counter     // responses that told an entry to send less
 	watchers         prometheus.Gauge
 	programs         prometheus.Gauge
+	streams          prometheus.Gauge
 	turns            prometheus.Gauge
 	turnBytes        prometheus.Gauge
 }
@@ -38,9 +39,10 @@
 		}),
 		watchers:  gauge("watchers", "Processes that watch the backend servers and routes here."),
 		programs:  gauge("ledger_programs", "Programs in the ledger."),
+		streams:   gauge("ledger_streams", "Streams in the ledger that clients can resume."),
 		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.busyResponses, m.watchers, m.programs, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -128,7 +128,7 @@
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
 	}
 	kind := commandKind(req.Command)
-	applied, err := h.proposeOnce(ctx, kind+" "+callID(req.Command), data)
+	applied, err := h.proposeOnce(ctx, commandKey(req.Command), data)
 	if err != nil {
 		h.metrics.ledgerCommands.WithLabelValues(kind, "failed").Inc()
 		return nil, err
@@ -145,7 +145,7 @@
 	if busy {
 		h.metrics.busyResponses.Inc()
 	}
-	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.PreviousTurns(), Server: result.PreviousServer(), Busy: busy}, nil
+	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.PreviousTurns(), Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}, nil
 }
 
 const (
@@ -190,22 +190,36 @@
 	}
 }
 
-// callID returns the ID of the call that the command begins or finishes.
+// commandKey returns the key under which copies of a command share one proposal.
+func commandKey(cmd *ledgerpb.Command) string {
+	key := commandKind(cmd) + " " + callID(cmd)
+	if open := cmd.GetOpenStream(); open != nil {
+		key += fmt.Sprintf(" %d", open.Revision)
+	}
+	return key
+}
+
+// callID returns the ID of the call that the command begins or finishes, or whose stream
+// it opens.
 func callID(cmd *ledgerpb.Command) string {
-	return cmd.GetBegin().GetCallId() + cmd.GetFinish().GetCallId()
+	return cmd.GetBegin().GetCallId() + cmd.GetFinish().GetCallId() + cmd.GetOpenStream().GetCallId()
 }
 
 // logRefusal logs a command that the ledger refused.
 func (h *Host) logRefusal(cmd *ledgerpb.Command, outcome ledgerpb.Outcome, index uint64) {
 	begin, finish := cmd.GetBegin(), cmd.GetFinish()
-	h.log.Info("ledger refused", "request", begin.GetCallId()+finish.GetCallId(), "program", begin.GetProgram()+finish.GetProgram(),
-		"previous", begin.GetPrevious()+finish.GetPrevious(), "outcome", outcome.String(),
+	h.log.Info("ledger refused", "request", callID(cmd), "program", begin.GetProgram()+finish.GetProgram(),
+		"previous", begin.GetPrevious()+finish.GetPrevious(),
+		"resumes", begin.GetStream().GetResumes()+cmd.GetOpenStream().GetResumes(), "outcome", outcome.String(),
 		"max_tokens", begin.GetMaxTokens(), "token_budget", begin.GetTokenBudget(), "log_index", index)
 }
 
 func commandKind(cmd *ledgerpb.Command) string {
-	if cmd.GetBegin() != nil {
+	switch cmd.Kind.(type) {
+	case *ledgerpb.Command_Begin:
 		return "begin"
+	case *ledgerpb.Command_OpenStream:
+		return "open_stream"
 	}
 	return "finish"
 }
