A reset response without a length is not complete

Cause: a request body above maxInlineBodyBytes is written by a goroutine while the response is read. Linux reports the error of a connection once per socket: if the write receives ECONNRESET or ETIMEDOUT, the next read returns the end of file, as after a normal close. A body without Content-Length and chunks ends there, and its reader did not look at the result of the write.

Fix: at the end of such a body the write is stopped by a write deadline and its result is checked. A read reports the end of file without a close by the server only once the write has received the error, so the result of the write tells the two apart. A deadline means that the write was blocked and the server closed normally. EPIPE does too: Linux sets it instead of ECONNRESET if the server's FIN came before the reset, as with a server that closes its side first and then drops the rest of the request. Any other error is ErrConnectionLost.

The result of the write is now kept in requestWrite, because it is read at the end of the body, by later reads and by prepareReuse, and a channel value can be received once.

Ruled out in the same package: headers, bodies with Content-Length and chunked bodies already take an early end of file as an error; bodies up to maxInlineBodyBytes are written before the response is read and return the error of the write; an idle connection whose error is consumed by the check in reusable is closed.

--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -110,16 +111,30 @@
 	return err == nil && open
 }
 
+// requestWrite is the writing of a request, which may still be in progress.
+type requestWrite struct {
+	done chan struct{} // closed when the writing has ended
+	err  error         // result, valid once done is closed
+}
+
+func newRequestWrite() *requestWrite {
+	return &requestWrite{done: make(chan struct{})}
+}
+
+func (w *requestWrite) end(err error) {
+	w.err = err
+	close(w.done)
+}
+
 // send writes a request and reads the status line and header of the response. The
-// channel receives the result of writing the request, which may still be in progress
-// when send returns. Errors: ErrNotSent, ErrConnectionLost; the caller closes the
-// connection after an error.
-func (c *conn) send(req *Request, deadline time.Time) (*http.Response, <-chan error, error) {
+// writing may still be in progress when send returns. Errors: ErrNotSent,
+// ErrConnectionLost; the caller closes the connection after an error.
+func (c *conn) send(req *Request, deadline time.Time) (*http.Response, *requestWrite, error) {
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	header := req.encodeHeader()
-	written := make(chan error, 1)
+	write := newRequestWrite()
 	if len(req.Body) <= maxInlineBodyBytes {
 		n, err := c.net.Write(append(header, req.Body...))
 		if err != nil && n == 0 {
@@ -128,19 +143,19 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("%w: write: %w", ErrConnectionLost, err)
 		}
-		written <- nil
+		write.end(nil)
 	} else {
 		go func() {
 			buffers := net.Buffers{header, req.Body}
 			_, err := buffers.WriteTo(c.net)
-			written <- err
+			write.end(err)
 		}()
 	}
 	resp, err := c.readHeader(req.Method)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: read: %w", ErrConnectionLost, err)
 	}
-	return resp, written, nil
+	return resp, write, nil
 }
 
 // readHeader reads the status line and header of the final response and skips interim
@@ -176,24 +191,29 @@
 
 // prepareReuse reports whether the connection can carry another request after a
 // complete response, and stores the idle timeout that the server stated.
-func (c *conn) prepareReuse(resp *http.Response, written <-chan error) bool {
+func (c *conn) prepareReuse(resp *http.Response, write *requestWrite) bool {
 	select {
-	case err := <-written:
-		if err != nil {
+	case <-write.done:
+		if write.err != nil {
 			return false
 		}
 	default:
 		// The server responded before it had read the whole request body.
 		return false
 	}
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if resp.Close || !delimited || c.reader.Buffered() > 0 || resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.Close || !delimited(resp) || c.reader.Buffered() > 0 || resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
 	c.idleTimeout = parseIdleTimeout(resp.Header)
 	return true
 }
 
+// delimited reports whether a response states where its body ends. Otherwise the body
+// ends when the server closes the connection.
+func delimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // parseIdleTimeout returns the timeout of the Keep-Alive header field, or
 // defaultIdleTimeout if there is no valid one.
 func parseIdleTimeout(header http.Header) time.Duration {
@@ -215,13 +235,48 @@
 // ErrConnectionLost.
 type responseBody struct {
 	reader io.Reader
+	conn   *conn
+	write  *requestWrite // checked at the end of the connection, nil if the body is delimited
+}
+
+// newResponseBody returns the body of a response to the request that write sends.
+func (c *conn) newResponseBody(resp *http.Response, write *requestWrite) responseBody {
+	if delimited(resp) || resp.Body == http.NoBody {
+		return responseBody{reader: resp.Body}
+	}
+	return responseBody{reader: resp.Body, conn: c, write: write}
 }
 
 // Read implements io.Reader. An error other than io.EOF wraps ErrConnectionLost.
 func (b responseBody) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
+	if errors.Is(err, io.EOF) && b.write != nil {
+		err = b.conn.checkClosed(b.write)
+	}
 	if err != nil && !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return n, fmt.Errorf("%w: body: %w", ErrConnectionLost, err)
 	}
 	return n, err
 }
+
+// checkClosed returns io.EOF if the server has closed the connection on which a read
+// reported the end of file, or the error by which the connection was lost. It ends the
+// writing of the request.
+//
+// The kernel reports such an error once: if it ends the write, the read reports the end
+// of file. A write that has not failed by then is blocked or still succeeds.
+func (c *conn) checkClosed(write *requestWrite) error {
+	if err := c.net.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	<-write.done
+	switch {
+	case write.err == nil, errors.Is(write.err, os.ErrDeadlineExceeded):
+		return io.EOF
+	case errors.Is(write.err, syscall.EPIPE):
+		// Linux reports EPIPE instead of ECONNRESET if the server has closed its side
+		// before the reset, so the response is complete.
+		return io.EOF
+	}
+	return fmt.Errorf("write: %w", write.err)
+}
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -47,11 +47,11 @@
 	Response *http.Response // status and header; its Body must not be used
 	Body     io.Reader      // errors other than io.EOF wrap ErrConnectionLost
 
-	pool    *Pool
-	server  Server
-	conn    *conn
-	written <-chan error // result of writing the request
-	stop    func() bool  // stops closing the connection at the end of the context
+	pool   *Pool
+	server Server
+	conn   *conn
+	write  *requestWrite
+	stop   func() bool // stops closing the connection at the end of the context
 }
 
 // Do sends a request and returns when the header of the response has arrived. If ctx
@@ -68,7 +68,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	deadline, _ := ctx.Deadline()
-	resp, written, err := c.send(req, deadline) //nolint:bodyclose // Exchange.Close closes or reuses the connection that carries the body
+	resp, write, err := c.send(req, deadline) //nolint:bodyclose // Exchange.Close closes or reuses the connection that carries the body
 	if err != nil {
 		stop()
 		c.close()
@@ -79,11 +79,11 @@
 	}
 	return &Exchange{
 		Response: resp,
-		Body:     responseBody{reader: resp.Body},
+		Body:     c.newResponseBody(resp, write),
 		pool:     p,
 		server:   server,
 		conn:     c,
-		written:  written,
+		write:    write,
 		stop:     stop,
 	}, nil
 }
@@ -91,7 +91,7 @@
 // Close ends the exchange. complete says that the body was read up to io.EOF; only then
 // may the connection be reused, otherwise it is closed.
 func (e *Exchange) Close(complete bool) {
-	if !e.stop() || !complete || !e.conn.prepareReuse(e.Response, e.written) {
+	if !e.stop() || !complete || !e.conn.prepareReuse(e.Response, e.write) {
 		e.conn.close()
 		return
 	}
