Failing test: a malformed body is answered as a success

The test fails on this code for each of its three bodies (an invalid chunk size, a chunk longer than its size, an invalid trailer):

response_test.go:43: assertion failed: 200 (resp.StatusCode int) != 400 (http.StatusBadRequest int)

--- /dev/null
+++ b/internal/gateway/response_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// openRequest writes the start of a request, as it is on the wire, on a new connection.
+func (f *fixture) openRequest(t *testing.T, request string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.DialTCP("tcp", nil, f.front.Listener.Addr().(*net.TCPAddr))
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	return conn
+}
+
+// TestMalformedBodyIsNotAnsweredAsSuccess has a connected client; bytes after the body look like a request.
+func TestMalformedBodyIsNotAnsweredAsSuccess(t *testing.T) {
+	const header = "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const next = "\r\nGET /safe/x HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n"
+	cases := map[string]string{
+		"invalid chunk size":         "2\r\nok\r\nzz\r\n",
+		"chunk longer than its size": "2\r\nokay\r\n0\r\n",
+		"invalid trailer":            "2\r\nok\r\n0\r\nno trailer\r\n",
+	}
+	for name, body := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, "a", respondOK)
+			f := newFixture(t, b)
+			reader := bufio.NewReader(f.openRequest(t, header+body+next))
+			resp, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+			assert.Assert(t, resp.Close)
+			_, err = reader.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, len(b.executed()), 0)
+		})
+	}
+}
