A malformed body is refused as a bad request

Callers whose chunked body is malformed would see 200 OK with an empty body and without a backend server's signature, though no server ran the request.

Cause: readBody reported every error of reading the body as errClientGone, also while the client is connected. The request then ended without a response, which net/http completes as an empty 200.

The errors of the chunk and trailer parsers are mostly untyped (errors.New) and leave the context as it is.

Fix: the context of the request decides. If it has ended, the client is gone; else the body is malformed, which is ErrBadRequest: 400, reason bad_request, not run. No error text is compared.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -168,13 +168,23 @@
 		return errBodyTooLarge
 	}
 	if err != nil {
-		return fmt.Errorf("%w: read body: %w", errClientGone, err)
+		return c.bodyError(err)
 	}
 	c.body = body
 	c.request = passthrough.Request{Method: c.r.Method, Target: target, Host: c.r.Host, Body: body}
 	return nil
 }
 
+// bodyError returns the error of a request whose body could not be read. net/http ends the
+// request's context before it returns an error of the client's connection. Any other error says
+// that the body is malformed.
+func (c *call) bodyError(err error) error {
+	if c.r.Context().Err() != nil {
+		return fmt.Errorf("%w: read body: %w", errClientGone, err)
+	}
+	return fmt.Errorf("%w: malformed body: %w", ErrBadRequest, err)
+}
+
 // forward forwards the request to a backend server. On routes with program turns, it
 // reserves the turn before and settles it afterwards.
 func (c *call) forward() error {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// ErrBadRequest is wrapped by errors about invalid request metadata. The request was
-// not run.
-var ErrBadRequest = errors.New("gateway: invalid request metadata")
+// ErrBadRequest is wrapped by errors about invalid request metadata and malformed request
+// bodies. The request was not run.
+var ErrBadRequest = errors.New("gateway: invalid request")
 
 // RequestMeta is the metadata of a client request.
 type RequestMeta struct {
