Failing test: a request that ends without a response is answered as a success

The test fails on this code for each of its five requests (in a chunk, between chunks, in the trailer, in a body of a length, after the body). In place of a closed connection the client reads (with Connection: close for the chunked ones):

HTTP/1.1 200 OK Date: ... Content-Length: 0

--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -48,3 +48,26 @@
 		})
 	}
 }
+
+// TestRequestWithoutResponseIsNotAnsweredAsSuccess has a client that closes its sending side and still reads.
+func TestRequestWithoutResponseIsNotAnsweredAsSuccess(t *testing.T) {
+	const header = "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+	cases := map[string]string{
+		"in a chunk":          header + "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+		"between chunks":      header + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"in the trailer":      header + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+		"in a body of length": header + "Content-Length: 8\r\n\r\nhalf",
+		"after the body":      header + "Content-Length: 4\r\n\r\nbody",
+	}
+	for name, request := range cases {
+		t.Run(name, func(t *testing.T) {
+			silent := func(_ http.ResponseWriter, r *http.Request, _ string) { <-r.Context().Done() }
+			f := newFixture(t, newBackend(t, "a", silent))
+			conn := f.openRequest(t, request)
+			assert.NilError(t, conn.CloseWrite())
+			response, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Equal(t, string(response), "")
+		})
+	}
+}
