A request that ends without a response closes its connection

Callers that close only their sending side before the response begins would see 200 OK with an empty body and without a backend server's signature.

Cause: net/http takes the end of the client's sending side for the end of the client and ends the request's context. serve returned then without having written anything, and net/http completes the response of a handler that returns: status 200, Content-Length 0. A client that still reads receives it.

Fix: serve panics with http.ErrAbortHandler in each of these cases, not only after a partial response. net/http then closes the connection without completing the response. A closed connection promises nothing, which holds also for a request that a server has begun to run.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -77,7 +77,8 @@
 }
 
 // serve handles the request, sends the response or a refusal and logs the outcome. It
-// panics with http.ErrAbortHandler to close the connection after a partial response.
+// panics with http.ErrAbortHandler to close the connection after a partial response or
+// without one. If it returned, net/http would complete the response as a success.
 func (c *call) serve() {
 	err := c.prepare()
 	if err == nil {
@@ -85,10 +86,7 @@
 	}
 	if errors.Is(err, errClientGone) || c.r.Context().Err() != nil {
 		c.logOutcome("caller_gone", 0, err)
-		if c.responseStarted {
-			panic(http.ErrAbortHandler)
-		}
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if err == nil {
 		c.logOutcome("answered", c.status, nil)
