Failing test: a failed turn is kept

The test fails on this code for each of its three statuses:

response_test.go:87: assertion failed: settled.Keep is true

--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -71,3 +71,20 @@
 		})
 	}
 }
+
+// TestFailedTurnIsNotKept has a server that fails: a turn that continues from the failed one would lack its output.
+func TestFailedTurnIsNotKept(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound, http.StatusFound} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			f := newFixture(t, newBackend(t, "a", func(w http.ResponseWriter, _ *http.Request, _ string) { w.WriteHeader(status) }))
+			f.front.Client().CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+			got := f.send(t, http.MethodPost, "/chat/x", "input", "Id", "1", "Program", "p", "Budget", "1")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, status)
+			settled := <-f.ledger.settled
+			assert.Equal(t, settled.CallId, "1")
+			assert.Equal(t, settled.Tokens, uint64(0))
+			assert.Assert(t, !settled.Keep)
+		})
+	}
+}
