A turn that failed is not kept

Callers could continue from a turn that the backend server answered with a failure of its own (500, 404, 302): the server would receive that turn's input without an output, and then the new input.

Cause: forward kept the turn whenever tryServers returned no error. tryServers also returns none for a failure of the server that is forwarded as the response.

Fix: forward keeps the turn only if the status that was sent (c.status) is 2xx. tryServers returns an error for a 2xx stream that did not end whole, so only whole ones are kept. Any other turn is only settled, as before on routes that keep no turns, with the tokens that were sent: none.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -184,7 +184,7 @@
 }
 
 // forward forwards the request to a backend server. On routes with program turns, it
-// reserves the turn before and settles it afterwards.
+// reserves the turn before and settles it afterwards. Only a turn that succeeded is kept.
 func (c *call) forward() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
@@ -205,7 +205,7 @@
 	c.prependTurns(previous.turns)
 	c.previousServer = previous.server
 	err = c.tryServers(ctx)
-	if err == nil && c.route.KeepTurns {
+	if err == nil && c.route.KeepTurns && c.status/100 == 2 {
 		return c.keepTurn(ctx)
 	}
 	c.settleAsync()
