--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,7 +78,8 @@
 }
 
 // serve handles the request, sends the response or a refusal and logs the outcome. It
-// panics with http.ErrAbortHandler to close the connection after a partial response.
+// panics with http.ErrAbortHandler to close the connection after a partial response or
+// without one. If it returned, net/http would complete the response as a success.
 func (c *call) serve() {
 	err := c.prepare()
 	if err == nil {
@@ -86,10 +87,7 @@
 	}
 	if errors.Is(err, errClientGone) || c.r.Context().Err() != nil {
 		c.logOutcome("caller_gone", 0, err)
-		if c.responseStarted {
-			panic(http.ErrAbortHandler)
-		}
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if err == nil {
 		c.logOutcome("answered", c.status, nil)
@@ -169,15 +167,25 @@
 		return errBodyTooLarge
 	}
 	if err != nil {
-		return fmt.Errorf("%w: read body: %w", errClientGone, err)
+		return c.bodyError(err)
 	}
 	c.body = body
 	c.request = passthrough.Request{Method: c.r.Method, Target: target, Host: c.r.Host, Body: body}
 	return nil
 }
 
+// bodyError returns the error of a request whose body could not be read. net/http ends the
+// request's context before it returns an error of the client's connection. Any other error says
+// that the body is malformed.
+func (c *call) bodyError(err error) error {
+	if c.r.Context().Err() != nil {
+		return fmt.Errorf("%w: read body: %w", errClientGone, err)
+	}
+	return fmt.Errorf("%w: malformed body: %w", ErrBadRequest, err)
+}
+
 // forward forwards the request to a backend server. On routes with program turns, it
-// reserves the turn before and settles it afterwards.
+// reserves the turn before and settles it afterwards. Only a turn that succeeded is kept.
 func (c *call) forward() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
@@ -204,7 +212,7 @@
 	c.prependTurns(previous.turns)
 	c.previousServer = previous.server
 	err = c.tryServers(ctx)
-	if err == nil && c.route.KeepTurns {
+	if err == nil && c.route.KeepTurns && c.status/100 == 2 {
 		return c.keepTurn(ctx)
 	}
 	c.settleAsync()
