An error response that broke off is not continued by the next server

Only a successful event stream can be continued; isStream says so for both places that decide it.

TestBrokenErrorResponseIsNotCompletedByNextServer fails on the code before ("the response looks complete: 522247 bytes") and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,12 +107,18 @@
 
 // mayRetry reports whether a request that may have run can be sent to another server.
 func (c *call) mayRetry(ctx context.Context) bool {
-	if c.responseStarted && c.route.Kind != routing.KindStream {
+	if c.responseStarted && !c.isStream(c.status) {
 		return false
 	}
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && ctx.Err() == nil
 }
 
+// isStream reports whether a response of the given status is an event stream. Only such a
+// response can be continued by another server once it has started.
+func (c *call) isStream(status int) bool {
+	return c.route.Kind == routing.KindStream && status/100 == 2
+}
+
 // selectServer selects the server of the next attempt. When all servers were tried, it
 // starts over after busyRetryDelay, until less than half of the time is left.
 func (c *call) selectServer(ctx context.Context) error {
@@ -312,7 +318,7 @@
 		return fmt.Errorf("%w: status %d without confirmation that the request did not run", errInvalidResponse, resp.StatusCode)
 	case resp.StatusCode >= http.StatusInternalServerError && c.route.Repeatable() && c.possibleRuns+1 < c.route.MaxAttempts:
 		return fmt.Errorf("gateway: the backend server failed with status %d", resp.StatusCode)
-	case success && c.route.Kind == routing.KindStream:
+	case c.isStream(resp.StatusCode):
 		return c.forwardStream(exchange)
 	}
 	return c.forwardPlain(exchange)
