A server that leaves before its first heartbeat is known stays gone

Cause: a deregistration at a state host that has not received a heartbeat of the server yet was acknowledged and forgotten (log: "backend server leaves known=false" at 17.05 s). A delayed heartbeat then made it ready again (19.22 s) until its second deregistration at 20.82 s. The same held for a start of a known ID that the host had not heard of.

Fix: the table records the end of a start that it does not know, later than every heartbeat of that start; other hosts take it over and keep the address that they know.

TestDeregistrationBeforeFirstHeartbeatIsKept and TestDeregistrationOfUnknownStartIsKept failed before and pass.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -97,6 +98,9 @@
 	default:
 		return false
 	}
+	if i.Address == "" {
+		i = known.instance.withEnd(i)
+	}
 	if sameStart(i, known.instance) && known.instance.State > i.State {
 		// The state only advances (ready, draining, gone) until the server restarts.
 		i = withState(i, known.instance.State)
@@ -105,6 +109,17 @@
 	return true
 }
 
+// withEnd returns a copy of i with the end that a tombstone records, so that its address
+// stays known. A tombstone of another start is returned unchanged.
+func (i *Instance) withEnd(end *Instance) *Instance {
+	if i.StartUnixMs != end.StartUnixMs {
+		return end
+	}
+	next := withState(i, end.State)
+	next.Sequence, next.LastHeartbeat = end.Sequence, end.LastHeartbeat
+	return next
+}
+
 func sameStart(a, b *Instance) bool {
 	return a.StartUnixMs == b.StartUnixMs && a.Address == b.Address
 }
@@ -155,17 +170,19 @@
 	return list
 }
 
-// MarkGone records that an instance has left. It changes nothing if the known instance
-// started at another time than startUnixMs; 0 matches any start. It reports whether
-// the ID was known.
+// MarkGone records that an instance has left. startUnixMs is its start, 0 for the latest
+// one that is known. It changes nothing if a later start of the ID is known. A start that is
+// not known is recorded too: its heartbeats went to another host, or come after its
+// deregistration. MarkGone reports whether the start was known.
 func (t *Table) MarkGone(id string, startUnixMs int64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.records[id]
-	if known == nil || startUnixMs != 0 && startUnixMs != known.instance.StartUnixMs {
-		return known != nil
+	if known == nil || startUnixMs > known.instance.StartUnixMs {
+		t.put(tombstone(id, startUnixMs, now), cmp.Or(known, &record{}))
+		return false
 	}
-	if known.instance.State == fleetpb.State_STATE_GONE {
+	if startUnixMs != 0 && startUnixMs < known.instance.StartUnixMs || known.instance.State == fleetpb.State_STATE_GONE {
 		return true
 	}
 	next := withState(known.instance, fleetpb.State_STATE_GONE)
@@ -175,6 +192,12 @@
 	return true
 }
 
+// tombstone returns the record of an instance of which nothing but its end is known. It is
+// later than all heartbeats of that start.
+func tombstone(id string, startUnixMs int64, now time.Time) *Instance {
+	return &Instance{ID: id, State: fleetpb.State_STATE_GONE, StartUnixMs: startUnixMs, Sequence: math.MaxUint64, LastHeartbeat: now}
+}
+
 // ChangedSince returns the instances that changed after a revision, ordered by ID, and
 // the current revision. A heartbeat counts as a change if includeHeartbeats is set.
 func (t *Table) ChangedSince(revision uint64, includeHeartbeats bool) ([]*Instance, uint64) {
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -47,6 +47,40 @@
 	assert.Equal(t, stateOf(t, table, "a"), gone)
 }
 
+// TestDeregistrationBeforeFirstHeartbeatIsKept has an instance that leaves before a host has
+// received a heartbeat of it; a delayed one arrives afterwards.
+func TestDeregistrationBeforeFirstHeartbeatIsKept(t *testing.T) {
+	for _, start := range []int64{0, 7} {
+		table, other := NewTable(), NewTable()
+		assert.Assert(t, !table.MarkGone("a", start, epoch))
+		assert.Assert(t, !table.Merge(heartbeat("a", "10.0.0.1:80", start, 4, ready)))
+		assert.Equal(t, stateOf(t, table, "a"), gone)
+
+		// Another host knows the instance and receives the end from the first one.
+		assert.Assert(t, other.Merge(heartbeat("a", "10.0.0.1:80", start, 4, ready)))
+		changed, _ := table.ChangedSince(0, false)
+		assert.Equal(t, len(changed), 1)
+		assert.Assert(t, other.Merge(FromProto(ToProto(changed[0], epoch), epoch)))
+		assert.Assert(t, !other.Merge(heartbeat("a", "10.0.0.1:80", start, 5, ready)))
+		assert.Equal(t, stateOf(t, other, "a"), gone)
+		assert.Equal(t, other.NewestByAddress()[0].Address, "10.0.0.1:80")
+
+		// A later start under the same ID is not affected.
+		assert.Assert(t, other.Merge(heartbeat("a", "10.0.0.1:80", start+1, 1, ready)))
+		assert.Equal(t, stateOf(t, other, "a"), ready)
+	}
+}
+
+// TestDeregistrationOfUnknownStartIsKept has a restarted instance that leaves before a host
+// has received a heartbeat of its new start.
+func TestDeregistrationOfUnknownStartIsKept(t *testing.T) {
+	table := NewTable()
+	table.Merge(heartbeat("a", "10.0.0.1:80", 1, 9, ready))
+	assert.Assert(t, !table.MarkGone("a", 2, epoch))
+	assert.Assert(t, !table.Merge(heartbeat("a", "10.0.0.1:80", 2, 1, ready)))
+	assert.Equal(t, stateOf(t, table, "a"), gone)
+}
+
 func TestRestartUnderSameIDReplacesInstance(t *testing.T) {
 	table := NewTable()
 	table.Merge(heartbeat("a", "10.0.0.1:80", 1, 50, draining))
