An entry that has just started resumes streams as soon as it knows servers

A resumption that reached an entry before its first update was refused at once (stream_version_gone), while a new stream waits for the servers there. Both wait now, and the version is checked afterwards.

TestStreamIsResumedAtEntryThatHasJustStarted failed before (refused with 503) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,6 +127,12 @@
 			return c.noServerError(ctx.Err())
 		}
 		sel := c.newSelection(c.g.view.usableServers(c.service.Name))
+		if len(sel.servers) == 0 {
+			if !c.waitForServers(ctx) {
+				return c.noServerError(errNoServer)
+			}
+			continue
+		}
 		var err error
 		if sel.versions, err = c.pin(sel.servers); err != nil {
 			return c.noServerError(err)
@@ -134,12 +140,6 @@
 		if c.server = c.g.loads.acquire(sel); c.server != nil {
 			return nil
 		}
-		if len(sel.servers) == 0 {
-			if !c.waitForServers(ctx) {
-				return c.noServerError(errNoServer)
-			}
-			continue
-		}
 		if time.Until(c.deadline) < c.deadline.Sub(c.arrived)/2 {
 			return c.noServerError(errNoServer)
 		}
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -104,6 +105,19 @@
 	}
 }
 
+// TestStreamIsResumedAtEntryThatHasJustStarted has an entry that learns the servers while it
+// handles the request.
+func TestStreamIsResumedAtEntryThatHasJustStarted(t *testing.T) {
+	b := newBackend(t, "b", streamFrom)
+	f := newFixture(t)
+	f.ledger.streams["first"] = "v2"
+	learned := time.AfterFunc(100*time.Millisecond, func() { f.setVersions(map[string]string{"b": "v2"}, b) })
+	defer learned.Stop()
+	got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", "again", "After", "3", "Resumes", "first", "Program", "p")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(4, 6))
+}
+
 // TestMovedStreamIsRecordedBeforeItsFirstEvent has a version whose servers refuse all
 // requests. Before it has output, a stream may move to another version.
 func TestMovedStreamIsRecordedBeforeItsFirstEvent(t *testing.T) {
