The refusal of another request is no proof that the current one has not run

Cause: a server may send an extra response late, at the point where the next response on the connection is expected. handleResponse looked at the sign that a request was not run before it compared the request ID, so the late refusal of an earlier request counted for the current one, which was running and was sent again.

Evidence: TestRefusalOfAnotherRequestIsNoProofOfNotRun failed before: the server ran request 2 twice and the caller got 200. It passes now: one run and 502.

Fix: the request ID is compared first. A refusal counts if it has the ID of the request or none, as servers answer a request whose ID they cannot read or that is meant for another server; TestRefusalWithoutRequestIDIsProofOfNotRun holds that. Any other ID is an invalid response, after which the request may have run and the connection is closed.

go test -race -count=5 ./internal/gateway ./internal/passthrough passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -286,15 +286,18 @@
 func (c *call) handleResponse(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
 	meta := c.g.cfg.Codec.DecodeResponse(resp.StatusCode, resp.Header)
+	// A refusal without a request ID is taken as the request's own: a server that could not
+	// read the ID, or that is not the expected one, has none to return.
+	refusalWithoutID := meta.NotRun && meta.RequestID == ""
+	if meta.RequestID != c.meta.ID && !refusalWithoutID {
+		return fmt.Errorf("%w: request ID is %q, want %q", errInvalidResponse, meta.RequestID, c.meta.ID)
+	}
 	if meta.NotRun {
 		if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
 			c.g.log.Debug("refusal of the backend server not read completely", "request", c.meta.ID, "server", c.server.ID, "error", err)
 		}
 		return fmt.Errorf("%w: status %d", errNotRun, resp.StatusCode)
 	}
-	if meta.RequestID != c.meta.ID {
-		return fmt.Errorf("%w: request ID is %q, want %q", errInvalidResponse, meta.RequestID, c.meta.ID)
-	}
 	if resp.Header.Get("Content-Encoding") != "" {
 		return fmt.Errorf("%w: unexpected content encoding %q", errInvalidResponse, resp.Header.Get("Content-Encoding"))
 	}
