A connection is not reused after a refusal that was not read to its end

Cause: an attempt that a server refused counted as read completely, also when reading the body of the refusal had failed, for example on an invalid chunk. The error was logged and dropped, so the connection went back to the pool with the rest of the body still to come.

Evidence: TestConnectionWithUnreadRefusalIsNotReused failed before: the connection carried the next request. It passes now.

Fix: the error of the body stays in the error of the attempt, beside errNotRun, and the connection is closed. The request is still sent to another server, since the header of the refusal says that it was not run.

go test -race -count=5 ./internal/gateway ./internal/passthrough passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -223,10 +223,16 @@
 		c.g.loads.observeLatency(c.route.Name, time.Since(start))
 	}
 	err = withSilenceCause(ctx, c.handleResponse(exchange))
-	exchange.Close(err == nil || errors.Is(err, errNotRun))
+	exchange.Close(readToEnd(err))
 	return err
 }
 
+// readToEnd reports whether handleResponse, which returned err, has read the response up to
+// its end.
+func readToEnd(err error) bool {
+	return err == nil || errors.Is(err, errNotRun) && !errors.Is(err, passthrough.ErrConnectionLost)
+}
+
 // errSilent ends an attempt whose server sent no output in time.
 var errSilent = errors.New("gateway: the backend server sent no output in time")
 
@@ -293,10 +299,7 @@
 		return fmt.Errorf("%w: request ID is %q, want %q", errInvalidResponse, meta.RequestID, c.meta.ID)
 	}
 	if meta.NotRun {
-		if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
-			c.g.log.Debug("refusal of the backend server not read completely", "request", c.meta.ID, "server", c.server.ID, "error", err)
-		}
-		return fmt.Errorf("%w: status %d", errNotRun, resp.StatusCode)
+		return readRefusal(exchange)
 	}
 	if resp.Header.Get("Content-Encoding") != "" {
 		return fmt.Errorf("%w: unexpected content encoding %q", errInvalidResponse, resp.Header.Get("Content-Encoding"))
@@ -321,6 +324,17 @@
 	return c.forwardPlain(exchange)
 }
 
+// readRefusal reads the rest of a response that says that the request was not run. The
+// error wraps errNotRun, and passthrough.ErrConnectionLost if the body could not be read to
+// its end.
+func readRefusal(exchange *passthrough.Exchange) error {
+	status := exchange.Response.StatusCode
+	if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
+		return fmt.Errorf("%w: status %d: %w", errNotRun, status, err)
+	}
+	return fmt.Errorf("%w: status %d", errNotRun, status)
+}
+
 // signalsNotRun reports whether clients conclude from a status that the request has not
 // run.
 func signalsNotRun(status int) bool {
