A stream is not resumed after an event without an ID

Cause: a stream that breaks off is resumed after the last ID that was forwarded. That ID does not cover events without one that were forwarded after it, and if there was none, the next server starts at the beginning.

Evidence: TestStreamIsNotResumedAfterEventWithoutID failed before: both events came twice, without an error. It passes now: the events come once and the response is broken off.

Fix: the call remembers whether the last event with data that it forwarded had an ID. If it had none, the request is not sent to another server. Events without data, such as comments, do not count: their loss or repetition changes nothing.

go test -race -count=5 ./internal/gateway ./internal/passthrough passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,6 +110,10 @@
 	if c.responseStarted && c.route.Kind != routing.KindStream {
 		return false
 	}
+	if c.lastSentHasNoID {
+		// No server could tell where to continue.
+		return false
+	}
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && ctx.Err() == nil
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -68,6 +68,7 @@
 	beginDuration    time.Duration   // time spent on the reservation before the turn
 	keepDuration     time.Duration   // time spent on storing the turn after it
 	eventsSent       int             // events with data that were sent to the client
+	lastSentHasNoID  bool            // the latest of eventsSent has no ID, so the stream cannot be resumed
 	output           bytes.Buffer    // event data of a turn that is kept
 	responseStarted  bool            // status and headers were sent to the client
 	status           int             // that was sent to the client, of a backend server
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -106,6 +106,7 @@
 	}
 	if ev.hasData {
 		c.eventsSent++
+		c.lastSentHasNoID = ev.id == ""
 		if c.route.KeepTurns {
 			c.output.Write(ev.data)
 			c.output.WriteByte('\n')
