A server that starts a stream anew is not forwarded

Cause: the entry names the last event when it resumes a stream, or forwards the one that its client names, and took it for granted that the server goes on after it. Nothing compared the IDs of the events that came.

Fix: in the response to a resumption, an event whose ID is not after the last one ends the attempt as errNotResumed and is not forwarded, so the stream is tried elsewhere, refused, or broken off. IDs are compared as numbers where both are; of others only the repetition of the last one is noticed. First responses are not checked, nor are routes whose streams cannot be resumed, where the header of a client has no meaning.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,7 +21,8 @@
 // errQuarantined refuses a request whose content has crashed several servers.
 var errQuarantined = errors.New("gateway: the request is quarantined because it crashed several backend servers")
 
-// errNotResumed says that the server did not continue a stream that another server began.
+// errNotResumed says that the server did not continue a stream after the last event that the
+// client has.
 var errNotResumed = errors.New("gateway: the backend server did not resume the stream")
 
 // errNotRun says that the server refused the request without running it.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 )
 
@@ -23,6 +24,17 @@
 	return parts
 }
 
+// isLaterEventID reports whether an event may follow the event with the ID last in the same
+// stream. IDs that are numbers increase. Of others, only equality says something.
+func isLaterEventID(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	lastN, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > lastN
+}
+
 // event is one server-sent event.
 type event struct {
 	raw     []byte // as received, with the blank line that ends it
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -45,6 +45,28 @@
 	}
 }
 
+func TestIsLaterEventID(t *testing.T) {
+	cases := []struct {
+		id, last string
+		want     bool
+	}{
+		{"4", "3", true},
+		{"10", "9", true},
+		{"3", "3", false},
+		{"9", "10", false},
+		{"03", "3", false},
+		{"18446744073709551615", "18446744073709551614", true},
+		{"18446744073709551616", "18446744073709551615", true}, // not a 64-bit number
+		{"-1", "1", true},
+		{"a", "b", true},
+		{"a", "a", false},
+		{"1", "a", true},
+	}
+	for _, c := range cases {
+		assert.Equal(t, isLaterEventID(c.id, c.last), c.want, "%q after %q", c.id, c.last)
+	}
+}
+
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add(":\n\n\ndata")
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -66,10 +66,12 @@
 }
 
 // forwardStream forwards the events of a stream as they arrive. If the stream is interrupted,
-// the client has received only complete events.
+// the client has received only complete events. It returns errNotResumed if the server
+// repeats events that the client has.
 func (c *call) forwardStream(exchange *passthrough.Exchange) error {
 	flusher := http.NewResponseController(c.w)
 	events := newEventReader(exchange.Body)
+	resumed := c.route.Resumable && c.meta.LastEventID != ""
 	for {
 		ev, err := events.next()
 		c.stopSilenceTimers()
@@ -79,6 +81,9 @@
 		if err != nil {
 			return err
 		}
+		if resumed && ev.id != "" && !isLaterEventID(ev.id, c.meta.LastEventID) {
+			return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, c.meta.LastEventID)
+		}
 		if !c.responseStarted {
 			c.copyHeaders(exchange.Response)
 			c.writeStatus(exchange.Response.StatusCode)
