A response that broke off does not look complete to an HTTP/1.0 client

Cause: a response that cannot go on is aborted by closing the connection, which an HTTP/1.1 client notices since the last chunk is missing. A client below HTTP/1.1 gets no chunks, and without a length the regular end of the connection is the end of the response.

Fix: for clients below HTTP/1.1, abort takes the connection over and closes it by a reset, which the client reads as an error. HTTP/1.1 clients see what they saw.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -79,8 +80,8 @@
 }
 
 // serve handles the request, sends the response or a refusal and logs the outcome. It
-// panics with http.ErrAbortHandler to close the connection after a partial response or
-// without one. If it returned, net/http would complete the response as a success.
+// aborts the response if it is partial or missing. If it returned, net/http would complete
+// the response as a success.
 func (c *call) serve() {
 	err := c.prepare()
 	if err == nil {
@@ -88,7 +89,7 @@
 	}
 	if errors.Is(err, errClientGone) || c.r.Context().Err() != nil {
 		c.logOutcome("caller_gone", 0, err)
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	if err == nil {
 		c.logOutcome("answered", c.status, nil)
@@ -96,12 +97,39 @@
 	}
 	if c.responseStarted {
 		c.logOutcome("broken_off", 0, err)
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	refusal := refusalOf(err)
 	c.refuse(refusal, err)
 }
 
+// abort closes the connection after a partial response or without one, so that the client
+// does not take the response for complete. It panics with http.ErrAbortHandler.
+func (c *call) abort() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		// Without chunks, the regular end of the connection would complete the response.
+		if err := resetConnection(c.w); err != nil {
+			c.g.log.Info("connection of the client not reset", "request", c.meta.ID, "protocol", c.r.Proto, "error", err)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a response by a reset, which the client reads as
+// an error.
+func resetConnection(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return fmt.Errorf("gateway: take over the connection: %w", err)
+	}
+	defer conn.Close()
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return fmt.Errorf("gateway: %T cannot be reset", conn)
+	}
+	return tcp.SetLinger(0)
+}
+
 // prepare finds the route and the service of the request and reads its metadata and
 // body.
 func (c *call) prepare() error {
