--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,7 +21,8 @@
 // errQuarantined refuses a request whose content has crashed several servers.
 var errQuarantined = errors.New("gateway: the request is quarantined because it crashed several backend servers")
 
-// errNotResumed says that the server did not continue a stream that another server began.
+// errNotResumed says that the server did not continue a stream after the last event that the
+// client has.
 var errNotResumed = errors.New("gateway: the backend server did not resume the stream")
 
 // errNotRun says that the server refused the request without running it.
@@ -110,6 +111,10 @@
 	if c.responseStarted && !c.isStream(c.status) {
 		return false
 	}
+	if c.lastSentHasNoID {
+		// No server could tell where to continue.
+		return false
+	}
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && ctx.Err() == nil
 }
 
@@ -229,10 +234,16 @@
 		c.g.loads.observeLatency(c.route.Name, time.Since(start))
 	}
 	err = withSilenceCause(ctx, c.handleResponse(exchange))
-	exchange.Close(err == nil || errors.Is(err, errNotRun))
+	exchange.Close(readToEnd(err))
 	return err
 }
 
+// readToEnd reports whether handleResponse, which returned err, has read the response up to
+// its end.
+func readToEnd(err error) bool {
+	return err == nil || errors.Is(err, errNotRun) && !errors.Is(err, passthrough.ErrConnectionLost)
+}
+
 // errSilent ends an attempt whose server sent no output in time.
 var errSilent = errors.New("gateway: the backend server sent no output in time")
 
@@ -292,15 +303,15 @@
 func (c *call) handleResponse(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
 	meta := c.g.cfg.Codec.DecodeResponse(resp.StatusCode, resp.Header)
-	if meta.NotRun {
-		if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
-			c.g.log.Debug("refusal of the backend server not read completely", "request", c.meta.ID, "server", c.server.ID, "error", err)
-		}
-		return fmt.Errorf("%w: status %d", errNotRun, resp.StatusCode)
-	}
-	if meta.RequestID != c.meta.ID {
+	// A refusal without a request ID is taken as the request's own: a server that could not
+	// read the ID, or that is not the expected one, has none to return.
+	refusalWithoutID := meta.NotRun && meta.RequestID == ""
+	if meta.RequestID != c.meta.ID && !refusalWithoutID {
 		return fmt.Errorf("%w: request ID is %q, want %q", errInvalidResponse, meta.RequestID, c.meta.ID)
 	}
+	if meta.NotRun {
+		return readRefusal(exchange)
+	}
 	if resp.Header.Get("Content-Encoding") != "" {
 		return fmt.Errorf("%w: unexpected content encoding %q", errInvalidResponse, resp.Header.Get("Content-Encoding"))
 	}
@@ -324,6 +335,17 @@
 	return c.forwardPlain(exchange)
 }
 
+// readRefusal reads the rest of a response that says that the request was not run. The
+// error wraps errNotRun, and passthrough.ErrConnectionLost if the body could not be read to
+// its end.
+func readRefusal(exchange *passthrough.Exchange) error {
+	status := exchange.Response.StatusCode
+	if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
+		return fmt.Errorf("%w: status %d: %w", errNotRun, status, err)
+	}
+	return fmt.Errorf("%w: status %d", errNotRun, status)
+}
+
 // signalsNotRun reports whether clients conclude from a status that the request has not
 // run.
 func signalsNotRun(status int) bool {
