--- a/internal/ledger/stream_test.go
+++ b/internal/ledger/stream_test.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -66,3 +68,21 @@
 	assert.Equal(t, apply(t, s, later, resumeStream("b", "a")).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM)
 	assert.Equal(t, s.Stats().Streams, 0)
 }
+
+// BenchmarkStreamMemory reports the heap that a recorded stream takes.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 100_000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := New()
+		for i := range streams {
+			apply(b, s, startMs, openStream(fmt.Sprintf("%016x", i), "v1", 0))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/streams, "B/stream")
+		runtime.KeepAlive(s)
+	}
+}
