A service response without a marked end is no answer

Cause: the body of a response with neither a length nor chunks ends with its connection, and the HTTP library (readBodyIdentity) returns the bytes so far without an error whatever the read error was. CallService cannot tell a reset from a close.

Fix: CallService returns ErrConnectionLost for such a response. Of what remains, the end is known: the library returns an error for a body that is shorter than its length or ends before its last chunk, and 204 and 304 have no body. A status that reports a failure (429, 500 and above) still counts, since it stands in the header. A service that does not, for example one that answers with HTTP/1.0 and no length, gets no answers through any more.

Ruled out: telling the two apart as internal/passthrough does is not possible, because the library drops the read error. Streams of model engines have an end marker. Other requests (health, load, cache) are unchanged: their JSON is parsed whole, and nothing uses the opaque ExportCache yet.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -157,7 +157,8 @@
 
 // CallService runs one operation of a service that is not a model engine. Status 429, by
 // which the server reports that it did not run the operation, and statuses from 500 on
-// are returned as *StatusError; any other status is a response of the service.
+// are returned as *StatusError; any other status is a response of the service. If its body
+// has no marked end, the result is ErrConnectionLost.
 func (c *Client) CallService(ctx context.Context, service, operation, requestID string, body []byte) (ServiceResponse, error) {
 	path := "/v1/services/" + url.PathEscape(service) + "/" + url.PathEscape(operation)
 	req, resp := c.newRequest(consts.MethodPost, path, body, requestID)
@@ -173,9 +174,23 @@
 	if status == statusTooManyRequests || status >= consts.StatusInternalServerError {
 		return ServiceResponse{}, newStatusError(resp, data)
 	}
+	if !hasMarkedEnd(resp) {
+		return ServiceResponse{}, fmt.Errorf("%w: the response has neither a length nor chunks, so its end cannot be told from a break", ErrConnectionLost)
+	}
 	return ServiceResponse{Status: status, Body: append([]byte(nil), data...)}, nil
 }
 
+// identityLength is the length that the HTTP library reports for a response which states
+// neither a length nor chunks. The library returns no error when the connection of such a
+// response is reset.
+const identityLength = -2
+
+// hasMarkedEnd reports whether a response that was received without an error is complete:
+// it states its length, it is sent in chunks, or its status allows no body.
+func hasMarkedEnd(resp *protocol.Response) bool {
+	return resp.Header.ContentLength() != identityLength || resp.MustSkipBody()
+}
+
 // get reads the JSON document at path into v. Errors: as fetch, and ErrInvalidResponse.
 func (c *Client) get(ctx context.Context, path string, v any) error {
 	data, err := c.fetch(ctx, consts.MethodGet, path, nil)
