Sidecars do not take a forgotten attempt for one that never started

The entry takes this as the proof that the attempt is fenced, and the shard accepts a next attempt with it. It happens when an attempt failed after it may have run, or its answer could not be committed, while its entry was gone, and the caller sends the call again more than 30 s later, within its deadline.

Evidence: TestLateResendOfBookingOfKilledServer (built programs) counted two effects of one booking on the earlier code.

Fix: the table remembers the number of each swept attempt that may have run for 75 minutes: the longest deadline, the time after which the shard closes an overdue call, and 10 minutes for clocks. An attempt with a committed answer is remembered apart, since its shard accepts no other attempt. One that was refused as not run needs no record. For a remembered attempt, attaching is refused as FENCED without NotRun, upon which the entry reads the record of the call again: it delivers an outcome that was recorded meanwhile, else the outcome is unknown, or a repeatable call is tried again. A request to start it is refused too; it would have started again.

Memory: 200,000 records, and 20,000 with a committed answer. When one without a committed answer is dropped, no unknown attempt is reported as never started until the dropped one expires, except those that are fenced.

"A newer epoch is known", "the attempt is fenced" and "a newer attempt is known" also said NotRun of attempts that may have run. The shard refuses what follows from it, so that nobody could act on it; they are now held to the same rule.

Not covered: a shard that cannot record the end of an overdue call for more than 10 minutes after it was due, or clocks that differ by more. The records have expired then, and a failure could be recorded as not run.

Both tests failed before and pass. TestNotRunIsCertainInAnyOrder passes 20,000 random sequences (-rapid.checks=20000).

./internal/processtest failed in one of two runs, at load averages of 18 to 21: TestOverload got deadline_exceeded without NotRun. It then passed 3 of 3 times alone and 6 of 6 three at once. No attempt is swept in the 20 s that the test took.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -28,8 +28,10 @@
 	headerParent        = "Ibistray-Parent"
 )
 
+// MaxDeadline is the longest time that a caller may give for a call.
+const MaxDeadline = time.Hour
+
 const (
-	maxDeadline             = time.Hour
 	maxMessages             = 256
 	defaultDeadline         = 10 * time.Minute
 	tokensPerMessage        = 16 // upper bound of the tokens that a chat template adds to each message
@@ -251,8 +253,8 @@
 	r.Timeout = defaultDeadline
 	if text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
-			return invalidRequest("header %s: %q is not a number of milliseconds from 1 to %d", headerDeadline, text, maxDeadline.Milliseconds())
+		if err != nil || ms <= 0 || ms > MaxDeadline.Milliseconds() {
+			return invalidRequest("header %s: %q is not a number of milliseconds from 1 to %d", headerDeadline, text, MaxDeadline.Milliseconds())
 		}
 		r.Timeout = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -67,6 +67,10 @@
 	}
 }
 
+func (a *attempt) number() attemptNumber {
+	return attemptNumber{epoch: a.request.Epoch, number: a.request.Attempt}
+}
+
 // attemptState is a snapshot of an attempt.
 type attemptState struct {
 	output    []byte // from the requested offset on; must not be modified
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -22,7 +22,8 @@
 //
 // Invariants: an attempt starts at most once, and not at all if its number is not above
 // the fence of its call. Fences are kept until the process ends, so that even a request
-// that was delayed for long cannot start a fenced attempt.
+// that was delayed for long cannot start a fenced attempt. An attempt is reported as not
+// run only if that is certain: swept attempts are remembered, see sweptAttempts.
 type attemptTable struct {
 	mu      sync.Mutex
 	calls   map[callID]*attempt  // newest attempt of each call
@@ -30,6 +31,12 @@
 	fences  map[callID]uint64    // highest fenced attempt number
 	epochs  map[programID]uint64 // highest epoch seen
 	running int
+
+	// swept has the attempts that may have run and whose call may still be open, answered
+	// has those with a committed answer. They are apart because an answered attempt may be
+	// dropped early: its shard accepts no other attempt, whatever this table reports.
+	swept    *sweptAttempts
+	answered *sweptAttempts
 }
 
 func newAttemptTable() *attemptTable {
@@ -38,6 +45,9 @@
 		ended:  make(map[callID]time.Time),
 		fences: make(map[callID]uint64),
 		epochs: make(map[programID]uint64),
+
+		swept:    newSweptAttempts(maxSwept),
+		answered: newSweptAttempts(maxAnswered),
 	}
 }
 
@@ -61,18 +71,12 @@
 	defer t.mu.Unlock()
 	id := callIDOf(req.Key)
 	program := id.programID()
-	if req.Epoch < t.epochs[program] {
-		return admission{refused: newRefusal(rpcpb.RunRefusal_RUN_REFUSAL_FENCED, true, "a newer epoch of the program is known")}
-	}
 	existing := t.calls[id]
-	if existing != nil && existing.request.Attempt == req.Attempt {
+	if existing != nil && existing.request.Attempt == req.Attempt && req.Epoch >= t.epochs[program] {
 		return admission{attempt: existing}
 	}
-	if req.Attempt <= t.fences[id] {
-		return admission{refused: newRefusal(rpcpb.RunRefusal_RUN_REFUSAL_FENCED, true, "the attempt is fenced")}
-	}
-	if existing != nil && existing.request.Attempt > req.Attempt {
-		return admission{refused: newRefusal(rpcpb.RunRefusal_RUN_REFUSAL_FENCED, true, "a newer attempt is known")}
+	if refused := t.refuseOutdated(id, req); refused != nil {
+		return admission{refused: refused}
 	}
 	if req.AttachOnly {
 		t.fence(id, req.Attempt)
@@ -95,13 +99,60 @@
 	return admission{attempt: a, started: true}
 }
 
+// refuseOutdated refuses an attempt that must not start any more, and an attachment to an
+// attempt that may have run. It returns nil for others. The caller holds mu.
+func (t *attemptTable) refuseOutdated(id callID, req *rpcpb.RunRequest) *rpcpb.RunRefused {
+	n := attemptNumber{epoch: req.Epoch, number: req.Attempt}
+	notRun := !t.mayHaveRun(id, n)
+	existing := t.calls[id]
+	detail := ""
+	switch {
+	case req.Epoch < t.epochs[id.programID()]:
+		detail = "a newer epoch of the program is known"
+	case req.Attempt <= t.fences[id]:
+		detail = "the attempt is fenced"
+	case existing != nil && existing.request.Attempt > req.Attempt:
+		detail = "a newer attempt is known"
+	case t.wasSwept(id, n):
+		detail = "the attempt may have run; its result is no longer kept"
+	case req.AttachOnly && !notRun:
+		detail = "the attempt is not known, but it may have run"
+	default:
+		return nil
+	}
+	return newRefusal(rpcpb.RunRefusal_RUN_REFUSAL_FENCED, notRun, detail)
+}
+
+// mayHaveRun reports whether an attempt may have run here. False is certain. The caller
+// holds mu.
+func (t *attemptTable) mayHaveRun(id callID, n attemptNumber) bool {
+	if existing := t.calls[id]; existing != nil && existing.number().includes(n) {
+		return true
+	}
+	if t.wasSwept(id, n) {
+		return true
+	}
+	return n.number != t.fences[id] && !t.swept.complete()
+}
+
+// wasSwept reports whether this or a newer attempt of the call is among the swept ones. The
+// caller holds mu.
+func (t *attemptTable) wasSwept(id callID, n attemptNumber) bool {
+	for _, swept := range []*sweptAttempts{t.swept, t.answered} {
+		if newest, ok := swept.newest(id); ok && newest.includes(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // fence records that an attempt must never start. The caller holds mu.
 func (t *attemptTable) fence(id callID, number uint64) {
 	t.fences[id] = max(t.fences[id], number)
 }
 
 // fenceUnlessStarted fences an attempt that has not started and returns true, or returns
-// false if this or a newer attempt of the call has started.
+// false if this or a newer attempt of the call may have started.
 func (t *attemptTable) fenceUnlessStarted(key *shardpb.CallKey, number uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,10 +160,27 @@
 	if existing := t.calls[id]; existing != nil && existing.request.Attempt >= number {
 		return false
 	}
+	if t.mayHaveRun(id, attemptNumber{epoch: t.newestEpoch(id), number: number}) {
+		return false
+	}
 	t.fence(id, number)
 	return true
 }
 
+// newestEpoch returns the epoch of the newest known attempt of a call, or 0. The caller holds
+// mu.
+func (t *attemptTable) newestEpoch(id callID) uint64 {
+	epoch := uint64(0)
+	if existing := t.calls[id]; existing != nil {
+		epoch = existing.request.Epoch
+	}
+	for _, swept := range []*sweptAttempts{t.swept, t.answered} {
+		newest, _ := swept.newest(id)
+		epoch = max(epoch, newest.epoch)
+	}
+	return epoch
+}
+
 // fencesFull reports whether there are maxFences fences. The caller holds mu.
 func (t *attemptTable) fencesFull() bool {
 	return len(t.fences) >= maxFences
@@ -129,22 +197,42 @@
 	}
 }
 
-// sweep removes attempts that ended at least endedRetentionPeriod ago. None of them can start
-// again: an entry requests the start of an attempt once, and then only attaches to it.
+// sweep removes attempts that ended at least endedRetentionPeriod ago, and remembers those
+// that may have run.
 func (t *attemptTable) sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.swept.expire(now)
+	t.answered.expire(now)
 	for id, endedAt := range t.ended {
 		if now.Sub(endedAt) < endedRetentionPeriod {
 			continue
 		}
 		if a := t.calls[id]; a != nil {
+			t.remember(a, now)
 			delete(t.calls, id)
 		}
 		delete(t.ended, id)
 	}
 }
 
+// remember records a swept attempt. Of an attempt that was refused as not run, only the
+// earlier ones of its call may have run. The caller holds mu.
+func (t *attemptTable) remember(a *attempt, now time.Time) {
+	st := a.state(0)
+	n := a.number()
+	if st.committed {
+		t.answered.add(a.id, n, now)
+		return
+	}
+	if st.refused.GetNotRun() {
+		n.number--
+	}
+	if n.number > 0 {
+		t.swept.add(a.id, n, now)
+	}
+}
+
 // runningCount returns the number of attempts that have not ended.
 func (t *attemptTable) runningCount() int {
 	t.mu.Lock()
