--- a/internal/backend/response_end_test.go
+++ b/internal/backend/response_end_test.go
@@ -55,11 +55,18 @@
 
 // callServiceWith calls a service that sends the given text and closes the connection.
 func callServiceWith(t *testing.T, response string) (ServiceResponse, error) {
+	t.Helper()
+	return callServiceEnding(t, response, func(*net.TCPConn) error { return nil })
+}
+
+// callServiceEnding calls a service that sends the given text, calls end and closes the
+// connection.
+func callServiceEnding(t *testing.T, response string, end func(conn *net.TCPConn) error) (ServiceResponse, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	served := make(chan error, 1)
-	go func() { served <- respondAndClose(listener, response) }()
+	go func() { served <- respondAndClose(listener, response, end) }()
 	client, err := New("http://" + listener.Addr().String())
 	assert.NilError(t, err)
 	got, err := client.CallService(t.Context(), "service", "operation", "id", []byte("{}"))
@@ -67,9 +74,9 @@
 	return got, err
 }
 
-// respondAndClose accepts one connection, reads a request, sends the text and closes the
-// connection.
-func respondAndClose(listener net.Listener, response string) error {
+// respondAndClose accepts one connection, reads a request, sends the text, calls end and
+// closes the connection.
+func respondAndClose(listener net.Listener, response string, end func(conn *net.TCPConn) error) error {
 	defer listener.Close()
 	conn, err := listener.Accept()
 	if err != nil {
@@ -83,6 +90,8 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return err
 	}
-	_, err = io.WriteString(conn, response)
-	return err
+	if _, err := io.WriteString(conn, response); err != nil {
+		return err
+	}
+	return end(conn.(*net.TCPConn))
 }
