A deregistration outranks the heartbeats that other hosts hold

Cause: the end of a server was recorded one sequence number above the latest heartbeat that the acknowledging host knew (27, so 28). Another host held heartbeats 28 and 29 already, ignored the end as outdated, and its own report of 29 made the server ready again everywhere. It is the class of the deregistration before the first heartbeat: an end was ordered among the heartbeats of the same start instead of after all of them.

Fix: the end of a start has the highest sequence number, for known servers as for unknown ones.

TestDeregistrationOutranksHeartbeatsOfOtherHosts failed before (READY) and passes.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -185,17 +185,17 @@
 	if startUnixMs != 0 && startUnixMs < known.instance.StartUnixMs || known.instance.State == fleetpb.State_STATE_GONE {
 		return true
 	}
-	next := withState(known.instance, fleetpb.State_STATE_GONE)
-	next.Sequence++
-	next.LastHeartbeat = now
-	t.put(next, known)
+	t.put(known.instance.withEnd(tombstone(id, known.instance.StartUnixMs, now)), known)
 	return true
 }
 
-// tombstone returns the record of an instance of which nothing but its end is known. It is
-// later than all heartbeats of that start.
+// endSequence is the sequence number of the end of a start. It is later than that of each
+// heartbeat, since other hosts may hold heartbeats that this one has not received.
+const endSequence = math.MaxUint64
+
+// tombstone returns the record of an instance of which nothing but its end is known.
 func tombstone(id string, startUnixMs int64, now time.Time) *Instance {
-	return &Instance{ID: id, State: fleetpb.State_STATE_GONE, StartUnixMs: startUnixMs, Sequence: math.MaxUint64, LastHeartbeat: now}
+	return &Instance{ID: id, State: fleetpb.State_STATE_GONE, StartUnixMs: startUnixMs, Sequence: endSequence, LastHeartbeat: now}
 }
 
 // ChangedSince returns the instances that changed after a revision, ordered by ID, and
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// TestDeregistrationOutranksHeartbeatsOfOtherHosts has a host that receives a deregistration
+// while another one holds later heartbeats of the instance.
+func TestDeregistrationOutranksHeartbeatsOfOtherHosts(t *testing.T) {
+	for _, later := range []uint64{27, 28, 29} {
+		table, other := NewTable(), NewTable()
+		table.Merge(heartbeat("a", "10.0.0.1:80", 1, 27, ready))
+		other.Merge(heartbeat("a", "10.0.0.1:80", 1, later, ready))
+		assert.Assert(t, table.MarkGone("a", 0, epoch))
+		changed, _ := table.ChangedSince(0, false)
+		other.Merge(changed[0])
+		table.Merge(heartbeat("a", "10.0.0.1:80", 1, later, ready))
+		assert.Equal(t, stateOf(t, other, "a"), gone)
+		assert.Equal(t, stateOf(t, table, "a"), gone)
+	}
+}
+
 // TestDeregistrationOfUnknownStartIsKept has a restarted instance that leaves before a host
 // has received a heartbeat of its new start.
 func TestDeregistrationOfUnknownStartIsKept(t *testing.T) {
