Failing tests: a waiting call that cannot end in time is not refused

A call is admitted if its expected wait and run time end before its deadline. Nothing looks at the deadline again while it waits. Both tests let a call wait longer than was expected at its admission.

go test -run WaitingCallThat ./internal/sidecar --- FAIL: TestWaitingCallThatCannotEndInTimeTakesNoSlot: the attempt was started --- FAIL: TestWaitingCallThatCannotEndInTimeIsRefusedWithoutFreeSlot: the attempt still waits

--- a/internal/sidecar/slots_test.go
+++ b/internal/sidecar/slots_test.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"context"
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -114,3 +117,83 @@
 	later := tracker.add(newAttempt(&rpcpb.RunRequest{Key: runRequest("d", 1, 1).Key}))
 	assert.Equal(t, later.size(), 1, "a new group begins after a crash")
 }
+
+// lateCalls is the setting of the tests of calls that wait longer than was expected when
+// they were admitted: one slot, which the first attempt holds.
+type lateCalls struct {
+	slots  *slots
+	holder *attempt
+}
+
+func newLateCalls(t *testing.T) *lateCalls {
+	t.Helper()
+	c := &lateCalls{slots: newSlots(1), holder: newAttempt(runRequest("holder", 1, 1))}
+	assert.Assert(t, c.slots.acquire(t.Context(), c.holder) == nil)
+	return c
+}
+
+// wait lets an attempt with the given time until its deadline wait for the slot. The
+// channel receives the result of acquire.
+func (c *lateCalls) wait(t *testing.T, call string, timeout time.Duration) (*attempt, <-chan *rpcpb.RunRefused) {
+	t.Helper()
+	a := newAttempt(runRequest(call, 1, 1))
+	a.request.TimeoutMs = timeout.Milliseconds()
+	result := make(chan *rpcpb.RunRefused, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		result <- c.slots.acquire(ctx, a)
+	}()
+	synctest.Wait()
+	return a, result
+}
+
+// assertRefusedForDeadline checks that an attempt was refused as it would be at its
+// admission: not run, because of its deadline, with a delay for a retry.
+func assertRefusedForDeadline(t *testing.T, result <-chan *rpcpb.RunRefused) {
+	t.Helper()
+	synctest.Wait()
+	select {
+	case refused := <-result:
+		assert.Assert(t, refused != nil, "the attempt was started")
+		assert.Equal(t, refused.Reason, rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED)
+		assert.Equal(t, refused.Detail, "not admitted: deadline")
+		assert.Assert(t, refused.NotRun)
+		assert.Assert(t, refused.RetryAfterMs > 0)
+	default:
+		t.Fatal("the attempt still waits")
+	}
+}
+
+// TestWaitingCallThatCannotEndInTimeTakesNoSlot lets calls wait until a slot becomes free.
+// The one whose remaining time is then below the expected run time is refused as not run,
+// and the slot goes to the call behind it.
+func TestWaitingCallThatCannotEndInTimeTakesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLateCalls(t)
+		_, late := c.wait(t, "late", initialRunTime+time.Second)
+		inTime, started := c.wait(t, "in time", time.Minute)
+		time.Sleep(2 * time.Second)
+		c.slots.release(c.holder)
+		assertRefusedForDeadline(t, late)
+		assert.Assert(t, <-started == nil)
+		running, waiting := c.slots.counts()
+		assert.Equal(t, running, 1)
+		assert.Equal(t, waiting, 0)
+		c.slots.release(inTime)
+	})
+}
+
+// TestWaitingCallThatCannotEndInTimeIsRefusedWithoutFreeSlot checks that such a call is
+// refused at the next report of the backend server, before its deadline, although no slot
+// has become free.
+func TestWaitingCallThatCannotEndInTimeIsRefusedWithoutFreeSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLateCalls(t)
+		_, late := c.wait(t, "late", initialRunTime+time.Second)
+		time.Sleep(2 * time.Second)
+		c.slots.update(1, 0)
+		assertRefusedForDeadline(t, late)
+		c.slots.release(c.holder)
+	})
+}
