A waiting call that cannot end in time is refused as not run

Cause: the deadline of a call was compared with its expected end at admission only. Calls that arrive together are admitted before any of them is counted as waiting, so that more wait than can be run before their deadline. These waited until it. At that moment the entry stops reading from the sidecar, and its caller is told that the call may have run.

Change: admit.Policy.DecideStart compares the deadline with the expected end again when a slot becomes free, and at each probe of the backend server while none does. Late calls are refused as at admission (not_admitted, deadline) and take no slot. order.Queue.RemoveIf removes them without a charge to their customer.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -94,7 +94,7 @@
 // Decide admits or refuses a call. The refusal's RetryAfter is the time in which
 // the load is expected to fall below the limit, within the policy's limits.
 func (p Policy) Decide(req Request, load Load, now time.Duration) Decision {
-	if p.EnforceDeadlines && req.Deadline != 0 && now+load.ExpectedWait+req.RunTime > req.Deadline {
+	if p.missesDeadline(req, load.ExpectedWait, now) {
 		return p.refuse(ReasonDeadline, load.ExpectedWait+req.RunTime-max(req.Deadline-now, 0))
 	}
 	if p.Capacity > 0 && load.Waiting >= p.Capacity {
@@ -110,6 +110,25 @@
 	return Decision{Admit: true}
 }
 
+// DecideStart admits a waiting call to a free slot, or refuses it if it is not expected
+// to end before its deadline any more. It answers the load under which the wait that
+// Decide expected was too short: calls that arrive together are admitted before any of
+// them is counted as waiting, calls of higher priority go first, and a server becomes
+// slower. Without it the calls at the head of such a queue use up slots for answers that
+// come too late, and the others wait until their callers give up.
+func (p Policy) DecideStart(req Request, now time.Duration) Decision {
+	if p.missesDeadline(req, 0, now) {
+		return p.refuse(ReasonDeadline, req.RunTime-max(req.Deadline-now, 0))
+	}
+	return Decision{Admit: true}
+}
+
+// missesDeadline reports whether a call is refused because it is expected to end after
+// its deadline.
+func (p Policy) missesDeadline(req Request, wait, now time.Duration) bool {
+	return p.EnforceDeadlines && req.Deadline != 0 && now+wait+req.RunTime > req.Deadline
+}
+
 // normalizedPriority maps the priority to the range 0 (lowest) to 1 (highest).
 func (r Request) normalizedPriority() float64 {
 	return float64(min(max(r.Priority, 0), maxPriority)) / maxPriority
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -46,6 +46,39 @@
 	}
 }
 
+func TestDecideStart(t *testing.T) {
+	policy := Policy{EnforceDeadlines: true, Capacity: 1, MaxWait: 1, MinRetryAfter: time.Second, MaxRetryAfter: 30 * time.Second}
+	const now = 3 * time.Second
+	inTime := Request{Deadline: 7 * time.Second, RunTime: 4 * time.Second}
+	assert.Equal(t, policy.DecideStart(inTime, now), Decision{Admit: true})
+	late := inTime
+	late.Deadline--
+	assert.Equal(t, policy.DecideStart(late, now), Decision{Reason: ReasonDeadline, RetryAfter: time.Second})
+	passed := Request{Deadline: time.Second, RunTime: 4 * time.Second}
+	assert.Equal(t, policy.DecideStart(passed, now), Decision{Reason: ReasonDeadline, RetryAfter: 4 * time.Second})
+	assert.Equal(t, policy.DecideStart(Request{RunTime: time.Hour}, now), Decision{Admit: true}, "no deadline")
+	policy.EnforceDeadlines = false
+	assert.Equal(t, policy.DecideStart(passed, now), Decision{Admit: true}, "deadlines are not enforced")
+}
+
+// TestAdmittedCallMayStartWithinExpectedWait checks that a call which Decide admits is not
+// refused at its start unless it has waited longer than Decide expected.
+func TestAdmittedCallMayStartWithinExpectedWait(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := DefaultPolicy()
+		draw := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, name))
+		}
+		now, expected := draw("now"), draw("expected wait")
+		req := Request{Priority: 9, RunTime: draw("run time"), Deadline: now + draw("time left")}
+		if !policy.Decide(req, Load{ExpectedWait: expected}, now).Admit {
+			return
+		}
+		wait := time.Duration(rapid.Int64Range(0, int64(expected)).Draw(t, "wait"))
+		assert.Assert(t, policy.DecideStart(req, now+wait).Admit)
+	})
+}
+
 // TestLowerPriorityIsRefusedFirst checks that a call is refused for overload
 // whenever a call of higher priority is, and that the Retry-After hint of each
 // refusal is within the policy's limits.
--- a/internal/policy/order/queue.go
+++ b/internal/policy/order/queue.go
@@ -124,20 +124,26 @@
 // Expire removes and returns the calls whose deadline has passed, in the order in
 // which they were pushed. The caller must respond to them at once.
 func (q *Queue[T]) Expire(now time.Duration) []Item[T] {
-	var expired []Item[T]
+	return q.RemoveIf(func(c *Call) bool { return c.expired(now) })
+}
+
+// RemoveIf removes and returns the calls for which remove returns true, in the order in
+// which they were pushed. The caller must respond to them at once.
+func (q *Queue[T]) RemoveIf(remove func(*Call) bool) []Item[T] {
+	var removed []Item[T]
 	for {
 		first := -1
 		for i := range q.items {
-			if q.items[i].Call.expired(now) && (first < 0 || q.items[i].seq < q.items[first].seq) {
+			if remove(&q.items[i].Call) && (first < 0 || q.items[i].seq < q.items[first].seq) {
 				first = i
 			}
 		}
 		if first < 0 {
-			return expired
+			return removed
 		}
 		item := q.removeAt(first)
 		q.customers.remove(item.Call.Customer)
-		expired = append(expired, item)
+		removed = append(removed, item)
 	}
 }
 
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -15,8 +15,10 @@
 	announceTimeout = time.Second
 )
 
-// probe checks the health of the backend server and reads the load of an engine.
+// probe refuses waiting calls that can no longer end in time, checks the health of the
+// backend server and reads the load of an engine.
 func (s *Sidecar) probe(ctx context.Context) {
+	s.slots.refuseLateNow()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if err := s.backend.Health(ctx); err != nil {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -70,7 +70,7 @@
 		return newRetryRefusal(rpcpb.RunRefusal_RUN_REFUSAL_FULL, "the sidecar remembers too many fenced attempts", queueFullRetryAfter)
 	}
 	if d := s.slots.decideAdmission(req); !d.Admit {
-		return newRetryRefusal(rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED, "not admitted: "+string(d.Reason), d.RetryAfter)
+		return newAdmissionRefusal(d)
 	}
 	if s.needsHistory(req) {
 		return newRefusal(rpcpb.RunRefusal_RUN_REFUSAL_NEED_HISTORY, false, "the program's history is not known here")
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -31,7 +31,14 @@
 // waiter is an attempt that waits for a slot.
 type waiter struct {
 	alone   bool
-	granted chan bool // receives true with a slot, false if the attempt is shed
+	granted chan bool         // receives true with a slot, false with a refusal
+	refused *rpcpb.RunRefused // set before granted receives false
+}
+
+// refuse ends the wait of an attempt that was removed from the queue.
+func (w *waiter) refuse(refused *rpcpb.RunRefused) {
+	w.refused = refused
+	w.granted <- false
 }
 
 const (
@@ -61,6 +68,15 @@
 	s.grant()
 }
 
+// refuseLateNow refuses the waiting calls that can no longer end in time while no slot
+// becomes free. Otherwise they would wait until the deadline, at which their entry ends
+// them without knowing that they were not run.
+func (s *slots) refuseLateNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant()
+}
+
 // decideAdmission decides whether an attempt may wait for a slot.
 func (s *slots) decideAdmission(req *rpcpb.RunRequest) admit.Decision {
 	s.mu.Lock()
@@ -87,8 +103,9 @@
 }
 
 // acquire waits for a slot and returns nil when it has one. It returns a refusal if the
-// queue is full, if a call of higher priority displaces the attempt from the queue, or if
-// ctx ends first. A refused attempt was not run.
+// queue is full, if a call of higher priority displaces the attempt from the queue, if the
+// attempt can no longer end before its deadline, or if ctx ends first. A refused attempt
+// was not run.
 func (s *slots) acquire(ctx context.Context, a *attempt) *rpcpb.RunRefused {
 	w := &waiter{alone: a.alone, granted: make(chan bool, 1)}
 	call := s.newQueuedCall(a.request, a.alone)
@@ -98,7 +115,7 @@
 	select {
 	case ok := <-w.granted:
 		if !ok {
-			return newRetryRefusal(rpcpb.RunRefusal_RUN_REFUSAL_SHED, "a call of higher priority took the place in the queue", queueFullRetryAfter)
+			return w.refused
 		}
 		a.started = time.Now()
 		return nil
@@ -123,9 +140,15 @@
 	return r
 }
 
+// newAdmissionRefusal returns the refusal of an attempt that admission control refused.
+func newAdmissionRefusal(d admit.Decision) *rpcpb.RunRefused {
+	return newRetryRefusal(rpcpb.RunRefusal_RUN_REFUSAL_NOT_ADMITTED, "not admitted: "+string(d.Reason), d.RetryAfter)
+}
+
 // newQueuedCall returns the call that represents an attempt in the queue.
 func (s *slots) newQueuedCall(req *rpcpb.RunRequest, alone bool) order.Call {
 	id := callIDOf(req.Key)
+	now := time.Since(s.start)
 	return order.Call{
 		ID:             id.programID().String() + "/" + id.call + "#" + strconv.FormatUint(req.Attempt, 10),
 		Program:        id.programID().String(),
@@ -134,11 +157,20 @@
 		SharePermille:  req.EngineSharePermille,
 		AttainedTokens: req.AttainedTokens,
 		Cost:           req.MaxOutputTokens,
-		Arrived:        time.Since(s.start),
+		Arrived:        now,
+		Deadline:       deadlineOf(req, now),
 		Alone:          alone,
 	}
 }
 
+// deadlineOf returns the deadline of an attempt that arrives now, or 0 if it has none.
+func deadlineOf(req *rpcpb.RunRequest, now time.Duration) time.Duration {
+	if req.TimeoutMs <= 0 {
+		return 0
+	}
+	return now + time.Duration(req.TimeoutMs)*time.Millisecond
+}
+
 // enqueue adds a call to the queue and grants free slots. It returns false if the queue is
 // full. A call that it displaces is refused through its waiter.
 func (s *slots) enqueue(call order.Call, w *waiter) bool {
@@ -153,7 +185,7 @@
 	}
 	if displaced != nil {
 		s.recordDequeue(displaced.Value)
-		displaced.Value.granted <- false
+		displaced.Value.refuse(newRetryRefusal(rpcpb.RunRefusal_RUN_REFUSAL_SHED, "a call of higher priority took the place in the queue", queueFullRetryAfter))
 	}
 	s.grant()
 	return true
@@ -195,8 +227,9 @@
 
 // grant gives free slots to the next calls. While an attempt that must run alone waits,
 // no other attempt is started, so that the running ones end and free the server for it.
-// The caller holds mu.
+// Before that it refuses the calls that can no longer end in time. The caller holds mu.
 func (s *slots) grant() {
+	s.refuseLate()
 	for s.running < s.limit {
 		item, ok := s.popNext()
 		if !ok {
@@ -211,6 +244,21 @@
 	}
 }
 
+// refuseLate refuses the waiting calls that are not expected to end before their deadline
+// any more. The caller holds mu.
+func (s *slots) refuseLate() {
+	now := time.Since(s.start)
+	late := s.queue.RemoveIf(func(c *order.Call) bool { return !s.decideStart(c, now).Admit })
+	for _, item := range late {
+		s.recordDequeue(item.Value)
+		item.Value.refuse(newAdmissionRefusal(s.decideStart(&item.Call, now)))
+	}
+}
+
+func (s *slots) decideStart(c *order.Call, now time.Duration) admit.Decision {
+	return s.policy.DecideStart(admit.Request{RunTime: s.meanRunTime, Deadline: c.Deadline}, now)
+}
+
 // popNext removes the next call that may start now from the queue. The caller holds mu.
 func (s *slots) popNext() (order.Item[*waiter], bool) {
 	aloneFirst := s.aloneWaiting > 0
