Refusals keep their reason when no server is left; names of the stream commands

A stream whose new version could not be recorded was refused as no_server; it is ledger_unavailable now, checked by TestStreamDoesNotMoveWithoutRecord. Only stream routes are resumable, whatever a route of another kind says.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,7 +10,6 @@
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/passthrough"
-	"ibistray.example/ibistray/internal/policy/streampin"
 	"ibistray.example/ibistray/internal/routing"
 )
 
@@ -191,7 +190,7 @@
 	if c.possibleRuns > 0 {
 		return fmt.Errorf("%w: %w", errOutcomeUnknown, cause)
 	}
-	if errors.Is(cause, errQuarantined) || errors.Is(cause, streampin.ErrUnknownVersion) || errors.Is(cause, streampin.ErrVersionNotServed) {
+	if refusalOf(cause).Reason != reasonInternal {
 		return cause
 	}
 	return fmt.Errorf("%w: %w", errNoServer, cause)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -228,7 +228,7 @@
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventTimeout()-firstEventMargin))
 	defer cancelBegin()
 	start := time.Now()
-	stream := c.proposeStream()
+	stream := c.openStreamCommand()
 	previous, err := c.g.ledger.begin(beginCtx, &c.meta, stream, c.queueOptions())
 	c.beginDuration = time.Since(start)
 	if errors.Is(err, errMayBeReserved) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -71,7 +71,7 @@
 func (c *call) forwardStream(exchange *passthrough.Exchange) error {
 	flusher := http.NewResponseController(c.w)
 	events := newEventReader(exchange.Body)
-	resumed := c.route.Resumable && c.meta.LastEventID != ""
+	resumed := c.route.ResumableStream() && c.meta.LastEventID != ""
 	for {
 		ev, err := events.next()
 		c.stopSilenceTimers()
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -40,7 +40,7 @@
 // pin returns the versions that may run the call's stream. Errors are those of
 // streampin.Decide.
 func (c *call) pin(servers []*fleet.Instance) (streampin.Constraint, error) {
-	if !c.route.Resumable {
+	if !c.route.ResumableStream() {
 		return streampin.Constraint{}, nil
 	}
 	return streampin.Decide(streampin.Stream{
@@ -62,11 +62,11 @@
 	return versions
 }
 
-// proposeStream returns the command that opens the call's stream, or nil on routes whose
+// openStreamCommand returns the command that opens the call's stream, or nil on routes whose
 // streams cannot be resumed. A new stream is assigned to the version of the server that
 // would be selected now.
-func (c *call) proposeStream() *ledgerpb.OpenStream {
-	if !c.route.Resumable {
+func (c *call) openStreamCommand() *ledgerpb.OpenStream {
+	if !c.route.ResumableStream() {
 		return nil
 	}
 	if c.stream.resumed {
@@ -79,11 +79,11 @@
 	if server == nil {
 		return nil
 	}
-	return c.streamRecord(server.Version)
+	return c.assignCommand(server.Version)
 }
 
-// streamRecord returns the command that assigns the call's stream to a version.
-func (c *call) streamRecord(version string) *ledgerpb.OpenStream {
+// assignCommand returns the command that assigns the call's stream to a version.
+func (c *call) assignCommand(version string) *ledgerpb.OpenStream {
 	return &ledgerpb.OpenStream{
 		CallId:      c.meta.ID,
 		Version:     version,
@@ -111,7 +111,7 @@
 	if !c.stream.resumed {
 		return nil
 	}
-	command := c.proposeStream()
+	command := c.openStreamCommand()
 	if command == nil {
 		return nil
 	}
@@ -130,7 +130,7 @@
 // the stream. A record that replaces another one is.
 func (c *call) recordVersion(ctx context.Context) error {
 	version := c.server.Version
-	if !c.route.Resumable || c.stream.assigned && c.stream.version == version {
+	if !c.route.ResumableStream() || c.stream.assigned && c.stream.version == version {
 		return nil
 	}
 	if c.stream.resumed {
@@ -140,7 +140,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, openStreamTimeout)
 	defer cancel()
-	command := c.streamRecord(version)
+	command := c.assignCommand(version)
 	if _, err := c.g.ledger.openStream(ctx, command); err != nil {
 		if c.stream.revision > 0 {
 			c.g.loads.release(c.server.ID, outcomeInconclusive, time.Now())
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -144,7 +144,8 @@
 	f.setVersions(map[string]string{"a": "v1", "b": "v2"}, a, b)
 	refused := 0
 	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
-		if f.send(t, http.MethodPost, "/stream/x", "in", "Id", id, "Program", id).status == http.StatusServiceUnavailable {
+		if got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", id, "Program", id); got.status == http.StatusServiceUnavailable {
+			assert.Equal(t, got.body, reasonLedgerUnavailable+"\n")
 			assert.Equal(t, f.ledger.streams[id], "v1")
 			refused++
 			continue
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -49,7 +49,12 @@
 
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
+	return r.Kind == KindSafe || r.ResumableStream()
+}
+
+// ResumableStream reports whether the responses are streams that may be resumed.
+func (r *Route) ResumableStream() bool {
+	return r.Kind == KindStream && r.Resumable
 }
 
 // A client closes a stream that delivers no event for the longest of minEventTimeout,
