Candidates of another version are named so

Cause: the field was called moved, which says nothing of versions to a reader of the ranking. Change: it is called otherVersion. No change of behaviour; the tests of internal/gateway pass.

--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -123,14 +123,14 @@
 
 // candidate is a server with the properties by which it is ranked.
 type candidate struct {
-	server    *fleet.Instance
-	penalized bool   // failed recently or is silent
-	moved     bool   // of another version than the one that is preferred
-	saturated bool   // this entry has used up its share of the slots
-	home      bool   // caches the prompt
-	weight    uint64 // rendezvous hash of key and server; random without a key
-	running   int
-	remote    bool // in another failure domain
+	server       *fleet.Instance
+	penalized    bool   // failed recently or is silent
+	otherVersion bool   // than the one that is preferred
+	saturated    bool   // this entry has used up its share of the slots
+	home         bool   // caches the prompt
+	weight       uint64 // rendezvous hash of key and server; random without a key
+	running      int
+	remote       bool // in another failure domain
 }
 
 // acquire selects a server and counts the request there until release is called. It
@@ -178,11 +178,11 @@
 func (t *loadTracker) newCandidate(server *fleet.Instance, sel selection) candidate {
 	load := t.load(server.ID)
 	cand := candidate{
-		server:    server,
-		penalized: load.isSilent(server, sel.now) || sel.now.Before(load.penalizedUntil),
-		moved:     sel.versions.Preferred && server.Version != sel.versions.Version,
-		running:   load.running,
-		remote:    server.FailureDomain != sel.failureDomain,
+		server:       server,
+		penalized:    load.isSilent(server, sel.now) || sel.now.Before(load.penalizedUntil),
+		otherVersion: sel.versions.Preferred && server.Version != sel.versions.Version,
+		running:      load.running,
+		remote:       server.FailureDomain != sel.failureDomain,
 	}
 	if sel.key == "" {
 		cand.weight = rand.Uint64()
@@ -202,7 +202,7 @@
 func compareByAffinity(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
-		compare.Bool(a.moved, b.moved),
+		compare.Bool(a.otherVersion, b.otherVersion),
 		compare.Bool(a.saturated, b.saturated),
 		compare.Bool(b.home, a.home),
 		cmp.Compare(b.weight, a.weight),
@@ -215,7 +215,7 @@
 func compareForNewHome(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
-		compare.Bool(a.moved, b.moved),
+		compare.Bool(a.otherVersion, b.otherVersion),
 		compare.Bool(a.saturated, b.saturated),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.running, b.running),
@@ -227,7 +227,7 @@
 func compareByLoad(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
-		compare.Bool(a.moved, b.moved),
+		compare.Bool(a.otherVersion, b.otherVersion),
 		cmp.Compare(a.running, b.running),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.weight, b.weight),
