The deadline of one call no longer ends the streams of others

Calls on the same sidecar failed with "stream closed" or "unexpected EOF" when another call reached its deadline (traced behind failures of TestOverload, which is listed as known to fail).

Cause: the stream's read deadline is that of the call's context, and fires before the context ends; the entry took the failure for a lost connection and closed the session that all its calls use. It did so for a matter of microseconds in each call that ran into its deadline.

Fix: a failure at or after the call's deadline ends the call only.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -340,12 +340,13 @@
 
 // handleConnectionLoss handles a stream that failed when the sidecar may already have
 // received the attempt. The entry attaches to the attempt on a new connection, up to
-// maxAttachAttempts times.
+// maxAttachAttempts times. A stream that reached the deadline of its call says nothing
+// about the connection, which carries the streams of other calls.
 func (c *call) handleConnectionLoss(ctx context.Context, err error) callTrigger {
 	c.closeStream()
 	c.log.Debug("run interrupted", telemetry.KeyAttempt, c.attempt, telemetry.KeyServer, c.target.Server, telemetry.KeyError, err)
 	c.attachAttempts++
-	if c.attachAttempts <= maxAttachAttempts && ctx.Err() == nil {
+	if c.attachAttempts <= maxAttachAttempts && !hasEnded(ctx) {
 		c.entry.metrics.Retries.WithLabelValues("attach").Inc()
 		c.entry.pool.CloseSession(c.target.Sidecar)
 		if c.attachAttempts > 1 && !loop.Sleep(ctx, attachRetryInterval) {
@@ -356,6 +357,13 @@
 	return c.retryOrGiveUp(ctx, retry.Failure{Kind: retry.KindConnectionLost, Err: c.connectionFailure(err)}, c.target.Server)
 }
 
+// hasEnded reports whether ctx has ended or its deadline has passed. A stream with the same
+// deadline may fail before the context ends.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 func (c *call) connectionFailure(err error) *Failure {
 	return &Failure{Status: statusBadGateway, Reason: reasonServerError, Message: err.Error()}
 }
