A call that never started at its server is told when to come back

A refused call that had not run ended as backend_error (502) without a retry hint when the sidecar did not know its attempt (traced behind failures of TestOverload, limits_test.go:84). It is a temporary refusal like a server that leaves: 503, no_backend_server, one second.

TestTemporaryRefusalsHaveRetryAfter with this refusal failed before (502) and passes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -285,6 +285,7 @@
 	rpcpb.RunRefusal_RUN_REFUSAL_LEAVING:             {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
 	rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN:         {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
 	rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION: {Status: statusUnavailable, Reason: reasonStaleConfiguration, RetryAfter: time.Second},
+	rpcpb.RunRefusal_RUN_REFUSAL_UNKNOWN_ATTEMPT:     {Status: statusUnavailable, Reason: reasonNoServer, RetryAfter: time.Second},
 	rpcpb.RunRefusal_RUN_REFUSAL_TIMEOUT:             {Status: statusTimeout, Reason: reasonDeadlineExceeded},
 }
 
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -17,6 +17,7 @@
 		rpcpb.RunRefusal_RUN_REFUSAL_LEAVING,
 		rpcpb.RunRefusal_RUN_REFUSAL_SERVER_DOWN,
 		rpcpb.RunRefusal_RUN_REFUSAL_STALE_CONFIGURATION,
+		rpcpb.RunRefusal_RUN_REFUSAL_UNKNOWN_ATTEMPT,
 	} {
 		f := c.runRefusalFailure(&rpcpb.RunRefused{Reason: reason, NotRun: true})
 		assert.Equal(t, f.Status, statusUnavailable)
