A server that has run nothing admits calls with short deadlines

A fresh sidecar refused every call whose deadline is below 6 s, the run time that it assumes before it has measured one, and so never measured one.

The run time counts as unknown until an attempt has ended, and no deadline is too short for it; the first run times are a plain average, so that the estimate no longer starts from the assumption. The tests of late calls measure a run time first instead of relying on the assumed one; with refuseLate removed both still fail.

TestShortCallsAreAdmittedByNewServer failed before and passes.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -66,7 +66,7 @@
 type Request struct {
 	Priority   int32         // of the contract, 0 to 9
 	NewProgram bool          // this is the program's first call
-	RunTime    time.Duration // expected time from start to end
+	RunTime    time.Duration // expected time from start to end, 0 if unknown
 	Deadline   time.Duration // on the clock of Decide; 0 means none
 }
 
--- a/internal/sidecar/slots.go
+++ b/internal/sidecar/slots.go
@@ -22,6 +22,7 @@
 	limit        int
 	cacheShare   float64       // share of the engine's cache that prefixes occupy, 0 to 1
 	meanRunTime  time.Duration // moving average over the ended attempts
+	runTimes     int           // number of ended attempts
 	running      int
 	aloneWaiting int // waiting attempts that must run alone
 	queue        *order.Queue[*waiter]
@@ -42,9 +43,11 @@
 }
 
 const (
-	// initialRunTime is the assumed mean run time before any attempt has ended.
+	// initialRunTime is the assumed mean run time in estimates of the wait before any
+	// attempt has ended.
 	initialRunTime = 6 * time.Second
-	// runTimeWeight is the weight of the newest run time in the moving average.
+	// runTimeWeight is the weight of the newest run time in the moving average, which
+	// starts as a plain average.
 	runTimeWeight = 0.05
 )
 
@@ -85,12 +88,21 @@
 	request := admit.Request{
 		Priority:   req.Priority,
 		NewProgram: req.HistoryTurns == 0,
-		RunTime:    s.meanRunTime,
+		RunTime:    s.expectedRunTime(),
 		Deadline:   now + time.Duration(req.TimeoutMs)*time.Millisecond,
 	}
 	return s.policy.Decide(request, s.estimateLoad(req.Priority), now)
 }
 
+// expectedRunTime returns the expected run time of an attempt, or 0 if none has ended yet. No
+// deadline is too short for an unknown run time. The caller holds mu.
+func (s *slots) expectedRunTime() time.Duration {
+	if s.runTimes == 0 {
+		return 0
+	}
+	return s.meanRunTime
+}
+
 // estimateLoad returns the load with the expected wait of a new attempt of the given
 // priority. The caller holds mu.
 func (s *slots) estimateLoad(priority int32) admit.Load {
@@ -218,7 +230,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	s.meanRunTime += time.Duration(runTimeWeight * float64(time.Since(a.started)-s.meanRunTime))
+	s.runTimes++
+	weight := max(runTimeWeight, 1/float64(s.runTimes))
+	s.meanRunTime += time.Duration(weight * float64(time.Since(a.started)-s.meanRunTime))
 	if a.alone {
 		s.aloneRunning = nil
 	}
@@ -256,7 +270,7 @@
 }
 
 func (s *slots) decideStart(c *order.Call, now time.Duration) admit.Decision {
-	return s.policy.DecideStart(admit.Request{RunTime: s.meanRunTime, Deadline: c.Deadline}, now)
+	return s.policy.DecideStart(admit.Request{RunTime: s.expectedRunTime(), Deadline: c.Deadline}, now)
 }
 
 // popNext removes the next call that may start now from the queue. The caller holds mu.
--- a/internal/sidecar/slots_test.go
+++ b/internal/sidecar/slots_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"ibistray.example/ibistray/internal/policy/admit"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -118,6 +119,31 @@
 	assert.Equal(t, later.size(), 1, "a new group begins after a crash")
 }
 
+// runFor runs an attempt that takes the given time.
+func runFor(t *testing.T, s *slots, runTime time.Duration) {
+	t.Helper()
+	a := newAttempt(runRequest("earlier", 1, 1))
+	assert.Assert(t, s.acquire(t.Context(), a) == nil)
+	time.Sleep(runTime)
+	s.release(a)
+}
+
+// TestShortCallsAreAdmittedByNewServer has calls whose deadline is shorter than the assumed
+// run time of a server that has not run any. If they were refused, its run time would never
+// be measured.
+func TestShortCallsAreAdmittedByNewServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlots(1)
+		req := runRequest("short", 1, 1)
+		req.TimeoutMs = 1500
+		assert.Assert(t, s.decideAdmission(req).Admit)
+		runFor(t, s, 400*time.Millisecond)
+		assert.Assert(t, s.decideAdmission(req).Admit)
+		req.TimeoutMs = 300
+		assert.Equal(t, s.decideAdmission(req).Reason, admit.ReasonDeadline)
+	})
+}
+
 // lateCalls is the setting of the tests of calls that wait longer than was expected when
 // they were admitted: one slot, which the first attempt holds.
 type lateCalls struct {
@@ -125,9 +151,13 @@
 	holder *attempt
 }
 
+// lateRunTime is the expected run time in these tests.
+const lateRunTime = 6 * time.Second
+
 func newLateCalls(t *testing.T) *lateCalls {
 	t.Helper()
 	c := &lateCalls{slots: newSlots(1), holder: newAttempt(runRequest("holder", 1, 1))}
+	runFor(t, c.slots, lateRunTime)
 	assert.Assert(t, c.slots.acquire(t.Context(), c.holder) == nil)
 	return c
 }
@@ -171,9 +201,9 @@
 func TestWaitingCallThatCannotEndInTimeTakesNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newLateCalls(t)
-		_, late := c.wait(t, "late", initialRunTime+time.Second)
+		_, late := c.wait(t, "late", 2*lateRunTime-time.Second)
 		inTime, started := c.wait(t, "in time", time.Minute)
-		time.Sleep(2 * time.Second)
+		time.Sleep(lateRunTime)
 		c.slots.release(c.holder)
 		assertRefusedForDeadline(t, late)
 		assert.Assert(t, <-started == nil)
@@ -190,7 +220,7 @@
 func TestWaitingCallThatCannotEndInTimeIsRefusedWithoutFreeSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newLateCalls(t)
-		_, late := c.wait(t, "late", initialRunTime+time.Second)
+		_, late := c.wait(t, "late", lateRunTime+time.Second)
 		time.Sleep(2 * time.Second)
 		c.slots.update(1, 0)
 		assertRefusedForDeadline(t, late)
