A version constraint has one strength; the orders of servers share their first part

Cause: a reading of the whole change. Constraint had two flags that exclude each other, Decide's last step was a loop that slices.Contains is, and the three orders of servers each began with the same comparisons. compareByLoad now compares saturation too, which is never set without a key.

Change: Strength in place of the flags, compareAvailability for the common part. No change of behaviour.

--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -180,7 +180,7 @@
 	cand := candidate{
 		server:       server,
 		penalized:    load.isSilent(server, sel.now) || sel.now.Before(load.penalizedUntil),
-		otherVersion: sel.versions.Preferred && server.Version != sel.versions.Version,
+		otherVersion: !sel.versions.Prefers(server.Version),
 		running:      load.running,
 		remote:       server.FailureDomain != sel.failureDomain,
 	}
@@ -197,13 +197,21 @@
 	return cand
 }
 
-// compareByAffinity ranks servers for requests whose prompt is cached where earlier
-// requests with the same key ran.
-func compareByAffinity(a, b candidate) int {
+// compareAvailability ranks servers by whether they can take a request now. It comes first
+// in each order.
+func compareAvailability(a, b candidate) int {
 	return cmp.Or(
 		compare.Bool(a.penalized, b.penalized),
 		compare.Bool(a.otherVersion, b.otherVersion),
 		compare.Bool(a.saturated, b.saturated),
+	)
+}
+
+// compareByAffinity ranks servers for requests whose prompt is cached where earlier
+// requests with the same key ran.
+func compareByAffinity(a, b candidate) int {
+	return cmp.Or(
+		compareAvailability(a, b),
 		compare.Bool(b.home, a.home),
 		cmp.Compare(b.weight, a.weight),
 	)
@@ -214,9 +222,7 @@
 // failure domain come first as long as they have free slots.
 func compareForNewHome(a, b candidate) int {
 	return cmp.Or(
-		compare.Bool(a.penalized, b.penalized),
-		compare.Bool(a.otherVersion, b.otherVersion),
-		compare.Bool(a.saturated, b.saturated),
+		compareAvailability(a, b),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.running, b.running),
 		cmp.Compare(b.weight, a.weight),
@@ -226,8 +232,7 @@
 // compareByLoad ranks servers for requests that every server handles equally well.
 func compareByLoad(a, b candidate) int {
 	return cmp.Or(
-		compare.Bool(a.penalized, b.penalized),
-		compare.Bool(a.otherVersion, b.otherVersion),
+		compareAvailability(a, b),
 		cmp.Compare(a.running, b.running),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.weight, b.weight),
--- a/internal/policy/streampin/streampin.go
+++ b/internal/policy/streampin/streampin.go
@@ -5,7 +5,10 @@
 // of two versions does not fit together.
 package streampin
 
-import "errors"
+import (
+	"errors"
+	"slices"
+)
 
 // Reasons why a stream cannot run at any serving version.
 var (
@@ -23,16 +26,30 @@
 	Named     bool   // the client names the request that began it
 }
 
-// Constraint restricts the servers of a stream by version.
+// Constraint restricts the servers of a stream by version. The zero value allows all.
 type Constraint struct {
-	Required  bool // other versions may not run the stream
-	Preferred bool // other versions may run it, at the price of another record
-	Version   string
+	Strength Strength
+	Version  string // empty if Unrestricted
 }
 
+// Strength says how a Constraint binds.
+type Strength uint8
+
+// Strengths of a constraint.
+const (
+	Unrestricted Strength = iota // any version may run the stream
+	Preferred                    // other versions may run it, at the price of another record
+	Required                     // other versions may not run it
+)
+
 // Allows reports whether a server of the given version may run the stream.
 func (c Constraint) Allows(version string) bool {
-	return !c.Required || c.Version == version
+	return c.Strength != Required || c.Version == version
+}
+
+// Prefers reports whether a server of the given version is as good as any for the stream.
+func (c Constraint) Prefers(version string) bool {
+	return c.Strength == Unrestricted || c.Version == version
 }
 
 // Decide returns the versions that may run a stream. serving are the versions of the
@@ -44,20 +61,13 @@
 	case !s.HasOutput && !s.Assigned:
 		return Constraint{}, nil
 	case !s.HasOutput:
-		return Constraint{Preferred: true, Version: s.Version}, nil
+		return Constraint{Strength: Preferred, Version: s.Version}, nil
+	case s.Assigned && slices.Contains(serving, s.Version):
+		return Constraint{Strength: Required, Version: s.Version}, nil
 	case s.Assigned:
-		return require(s.Version, serving)
+		return Constraint{}, ErrVersionNotServed
 	case !s.Named && len(serving) == 1:
-		return Constraint{Required: true, Version: serving[0]}, nil
+		return Constraint{Strength: Required, Version: serving[0]}, nil
 	}
 	return Constraint{}, ErrUnknownVersion
 }
-
-func require(version string, serving []string) (Constraint, error) {
-	for _, v := range serving {
-		if v == version {
-			return Constraint{Required: true, Version: version}, nil
-		}
-	}
-	return Constraint{}, ErrVersionNotServed
-}
