A call whose deadline passes in its shard is reported as what it is

Callers saw deadline_exceeded with not run: false for bookings that had never been sent to a server, and for bookings whose answer was ready (TestOverload, seen twice, listed as known to fail).

Cause: the commands Begin, Dispatch and Commit ended with the call's deadline, and the caller was then told the one failure that fits no case: without the command's result the entry did not know whether an attempt was recorded. A Dispatch that the shard refused because of the deadline was even reloaded until the deadline, although the refusal is the proof.

Change: a command waits for its result up to settleTimeout after the deadline (unless the caller has left).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -36,6 +36,7 @@
 	fencingToken    uint64   // fencing token of the attempt
 	fencedAttempt   uint64   // newest attempt that is proven never to start
 	sentAttempt     bool     // the latest request to the sidecar sent the attempt; false: it attached
+	reloadedLate    bool     // the record was reloaded after the deadline
 	reloadedAttempt uint64   // attempt for which the record was reloaded after a fencing refusal
 	excludedServers []string // IDs of servers on which this call failed
 	history         []byte   // JSON array of earlier messages, loaded when the sidecar needs it
@@ -76,7 +77,7 @@
 		stateBegin:    c.begin,
 		stateDispatch: c.dispatch,
 		stateRun:      func(ctx context.Context) callTrigger { return c.execute(ctx, false) },
-		stateAttach:   func(ctx context.Context) callTrigger { return c.execute(ctx, true) },
+		stateAttach:   c.attach,
 		stateCommit:   c.commit,
 		stateFail:     c.fail,
 		stateAbandon:  c.abandon,
@@ -114,7 +115,7 @@
 		Target:            c.firstTarget(),
 		ParentProgram:     c.req.ParentProgram,
 	}}}
-	result, err := c.entry.shards.Propose(ctx, c.req.Key.Customer, cmd, time.Until(c.req.Deadline))
+	result, err := c.propose(ctx, cmd, max(0, time.Until(c.req.Deadline)))
 	if err != nil {
 		return c.deliverFailure(c.controlFailure(err))
 	}
@@ -124,6 +125,31 @@
 	return c.resume(result.GetBegin())
 }
 
+// propose sends a command to the call's shard, whose result decides what the caller is
+// told. Therefore it waits for the result beyond the call's deadline, for at most
+// settleTimeout, unless ctx is cancelled. wait limits how long a Begin waits for earlier
+// calls of its program.
+func (c *call) propose(ctx context.Context, cmd *shardpb.Command, wait time.Duration) (*shardpb.Result, error) {
+	ctx, cancel := c.settleContext(ctx)
+	defer cancel()
+	return c.entry.shards.Propose(ctx, c.req.Key.Customer, cmd, wait)
+}
+
+// settleContext returns a context that ends settleTimeout after the call's deadline, or
+// when ctx is cancelled.
+func (c *call) settleContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	settling, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(settleTimeout))
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	return settling, func() {
+		stop()
+		cancel()
+	}
+}
+
 // resume continues the call from the state that the shard has recorded.
 func (c *call) resume(record *shardpb.BeginResult) callTrigger {
 	c.record = record
@@ -223,12 +249,15 @@
 		Target:        target,
 		FencedAttempt: c.fencedAttempt,
 	}}}
-	result, err := c.entry.shards.Propose(ctx, c.req.Key.Customer, cmd, 0)
+	result, err := c.propose(ctx, cmd, 0)
 	if err != nil {
 		return c.deliverFailure(c.controlFailure(err))
 	}
 	if result.Refusal != nil {
 		c.log.Debug("dispatch refused", "reason", result.Refusal.Reason.String())
+		if result.Refusal.Reason == shardpb.Reason_REASON_DEADLINE_EXCEEDED {
+			return c.giveUp(c.deadlineFailure())
+		}
 		return c.reload(ctx)
 	}
 	c.noServerSince = 0
@@ -298,16 +327,21 @@
 // reloadDelay is the pause before the record is read again.
 const reloadDelay = 50 * time.Millisecond
 
-// reload makes the call read its record again, after another process changed it.
+// reload makes the call read its record again, after another process changed it. Once the
+// deadline has passed it does so a last time, to learn the outcome of the call.
 func (c *call) reload(ctx context.Context) callTrigger {
-	if !loop.Sleep(ctx, reloadDelay) {
+	if loop.Sleep(ctx, reloadDelay) {
+		return triggerReload
+	}
+	if c.reloadedLate || errors.Is(ctx.Err(), context.Canceled) {
 		return c.deliverFailure(c.deadlineFailure())
 	}
+	c.reloadedLate = true
 	return triggerReload
 }
 
 // commit makes the answer durable, acknowledges it to the sidecar, and then delivers it
-// to the caller.
+// to the caller, also when the deadline has passed meanwhile.
 func (c *call) commit(ctx context.Context) callTrigger {
 	defer c.closeStream()
 	cmd := &shardpb.Command{Op: &shardpb.Command_Commit{Commit: &shardpb.Commit{
@@ -316,7 +350,7 @@
 		Attempt: c.attempt,
 		Answer:  c.answer,
 	}}}
-	result, err := c.entry.shards.Propose(ctx, c.req.Key.Customer, cmd, 0)
+	result, err := c.propose(ctx, cmd, 0)
 	if err != nil {
 		return c.deliverFailure(c.controlFailure(err))
 	}
@@ -334,7 +368,7 @@
 // recorded another outcome, for example an answer that the sidecar committed in the
 // meantime, that record stays.
 func (c *call) fail(ctx context.Context) callTrigger {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordFailureTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	cmd := &shardpb.Command{Op: &shardpb.Command_Fail{Fail: &shardpb.Fail{
 		Key:     c.req.Key,
@@ -366,9 +400,9 @@
 	return c.deliverFailure(c.failure)
 }
 
-// recordFailureTimeout limits the recording of a final failure. It applies also when the
-// call's own deadline has passed.
-const recordFailureTimeout = 5 * time.Second
+// settleTimeout limits how long a call waits for its shard after its deadline has passed:
+// to record its final failure, or to learn the outcome of a command in progress.
+const settleTimeout = 5 * time.Second
 
 // deliverFailure ends the output with a failure, counts and logs it.
 func (c *call) deliverFailure(f *Failure) callTrigger {
