A heartbeat travels once between state hosts

Cause: each heartbeat that a state host received went to all others, and each of them merged it, woke all its own watchers among the state hosts and sent it on: servers x hosts x hosts reports an interval, about 66,000 a second with 30 state hosts and 91 backend servers.

Change: a host offers the heartbeats that it received itself. Reports that affect routing still travel through every host, so that a partition between two of them delays no change. A host that lost contact to the receiver of a server's heartbeats takes the server for silent and says so to the others; one that knows a later heartbeat then offers it again.

Counters: ibistray_watch_reports_total and ibistray_watch_updates_total by kind of watcher.

Scenario 'heartbeats reach a host that is cut off from their receiver' fails without Resend. TestChangedSince...: the case of a heartbeat that another host received is new; the former assertions stand with Receive in place of Merge.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -62,31 +62,70 @@
 
 // Table holds the latest report for each instance ID. It is safe for concurrent use.
 type Table struct {
-	mu         sync.Mutex
-	revision   uint64             // incremented by each stored report
-	records    map[string]*record // by instance ID
-	heartbeats chan struct{}      // closed and replaced by each stored report
-	changes    chan struct{}      // closed and replaced by reports that affect routing
+	mu       sync.Mutex
+	revision uint64             // incremented by each stored report
+	records  map[string]*record // by instance ID
+	received chan struct{}      // closed and replaced by changes and by reports to Receive
+	changes  chan struct{}      // closed and replaced by reports that affect routing
 }
 
 // record is the latest report for an ID with the revisions at which it changed.
 type record struct {
-	instance          *Instance
-	heartbeatRevision uint64 // of the latest report
-	changeRevision    uint64 // of the latest report that affects routing
+	instance         *Instance
+	receivedRevision uint64 // of the latest report that other hosts may lack
+	changeRevision   uint64 // of the latest report that affects routing
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[string]*record), heartbeats: make(chan struct{}), changes: make(chan struct{})}
+	return &Table{records: make(map[string]*record), received: make(chan struct{}), changes: make(chan struct{})}
 }
 
-// Merge stores a report unless a later one about the same instance is known. The same
-// report replaces the known one if it adds that the instance is silent. Merge reports
-// whether the report was stored.
+// Receive stores the heartbeat of an instance, like Merge. This host is the only one that
+// has received it.
+func (t *Table) Receive(i *Instance) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.merge(i) {
+		return false
+	}
+	t.markReceived(t.records[i.ID])
+	return true
+}
+
+// Merge stores a report of another host unless a later one about the same instance is
+// known. The same report replaces the known one if it adds that the instance is silent.
+// Merge reports whether the report was stored.
 func (t *Table) Merge(i *Instance) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.merge(i)
+}
+
+// Resend marks the report of an instance as one that other hosts may lack, if it is later
+// than i. Hosts receive each heartbeat from the one that received it, so that a host that
+// lost contact to that one takes the instance for silent.
+func (t *Table) Resend(i *Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[i.ID]
+	if known == nil || known.instance.Silent || !known.instance.newerThan(i) {
+		return
+	}
+	t.revision++
+	t.markReceived(known)
+}
+
+// markReceived marks the latest report of an instance as one that other hosts may lack.
+// The caller holds the mutex.
+func (t *Table) markReceived(r *record) {
+	r.receivedRevision = t.revision
+	close(t.received)
+	t.received = make(chan struct{})
+}
+
+// merge stores a report if it is later than the known one. The caller holds the mutex.
+func (t *Table) merge(i *Instance) bool {
 	known := t.records[i.ID]
 	if known == nil {
 		t.put(i, &record{})
@@ -134,16 +173,14 @@
 // the mutex.
 func (t *Table) put(i *Instance, r *record) {
 	t.revision++
-	r.heartbeatRevision = t.revision
 	if r.instance == nil || !sameRouting(i, r.instance) {
 		r.changeRevision = t.revision
 		close(t.changes)
 		t.changes = make(chan struct{})
+		t.markReceived(r)
 	}
 	r.instance = i
 	t.records[i.ID] = r
-	close(t.heartbeats)
-	t.heartbeats = make(chan struct{})
 }
 
 // sameRouting reports whether two reports of an instance agree in everything that
@@ -199,13 +236,14 @@
 }
 
 // ChangedSince returns the instances that changed after a revision, ordered by ID, and
-// the current revision. A heartbeat counts as a change if includeHeartbeats is set.
-func (t *Table) ChangedSince(revision uint64, includeHeartbeats bool) ([]*Instance, uint64) {
+// the current revision. A heartbeat that this host received counts as a change if
+// includeReceived is set. One that another host received does not: that host sends it.
+func (t *Table) ChangedSince(revision uint64, includeReceived bool) ([]*Instance, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []*Instance
 	for _, r := range t.records {
-		if r.changeRevision > revision || includeHeartbeats && r.heartbeatRevision > revision {
+		if r.changeRevision > revision || includeReceived && r.receivedRevision > revision {
 			list = append(list, r.instance)
 		}
 	}
@@ -213,13 +251,12 @@
 	return list, t.revision
 }
 
-// Changed returns a channel that is closed at the next change. A heartbeat counts as a
-// change if includeHeartbeats is set.
-func (t *Table) Changed(includeHeartbeats bool) <-chan struct{} {
+// Changed returns a channel that is closed at the next change, see ChangedSince.
+func (t *Table) Changed(includeReceived bool) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if includeHeartbeats {
-		return t.heartbeats
+	if includeReceived {
+		return t.received
 	}
 	return t.changes
 }
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -11,6 +11,8 @@
 	operatorRequests *prometheus.CounterVec // by kind and outcome: requests of operators
 	ledgerCommands   *prometheus.CounterVec // by kind and outcome: commands to the ledger
 	membershipSteps  *prometheus.CounterVec // by kind: membership changes
+	reportsSent      *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
+	updatesSent      *prometheus.CounterVec // by watcher: updates, empty ones included
 	busyResponses    prometheus.Counter     // responses that told an entry to send less
 	watchers         prometheus.Gauge
 	programs         prometheus.Gauge
@@ -21,6 +23,12 @@
 
 const namespace = "ibistray"
 
+// Kinds of watchers, as labels of metrics.
+const (
+	watcherPeer  = "statehost"
+	watcherEntry = "entry"
+)
+
 func newMetrics(registry prometheus.Registerer) *metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
@@ -34,6 +42,8 @@
 		operatorRequests: counter("orders_total", "Requests of operators, by kind and outcome.", "kind", "outcome"),
 		ledgerCommands:   counter("ledger_commands_total", "Commands to the program ledger, by kind and outcome.", "kind", "outcome"),
 		membershipSteps:  counter("membership_steps_total", "Membership change steps, by kind.", "kind"),
+		reportsSent:      counter("watch_reports_total", "Reports of backend servers sent to watchers, by kind of watcher.", "watcher"),
+		updatesSent:      counter("watch_updates_total", "Updates sent to watchers, empty ones included, by kind of watcher.", "watcher"),
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
@@ -43,6 +53,6 @@
 		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -237,7 +237,7 @@
 		h.log.Warn("heartbeat refused", "server", instance.ID, "error", err)
 		return err
 	}
-	if !h.servers.Merge(instance) {
+	if !h.servers.Receive(instance) {
 		h.metrics.heartbeats.WithLabelValues("late").Inc()
 		return nil
 	}
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -43,6 +43,8 @@
 			h.log.Info("watcher disconnected", "viewer", req.Viewer, "error", err)
 			return transport.ErrInterrupted
 		}
+		h.metrics.reportsSent.WithLabelValues(w.kind()).Add(float64(len(update.Instances)))
+		h.metrics.updatesSent.WithLabelValues(w.kind()).Inc()
 		if err := waitForChange(ctx, changed); err != nil {
 			return transport.Errorf(rpcpb.Code_CODE_STOPPING, "%s", err)
 		}
@@ -83,6 +85,14 @@
 	controlAddresses []string
 }
 
+// kind returns the kind of the watcher as a label of metrics.
+func (w *watcher) kind() string {
+	if w.peer {
+		return watcherPeer
+	}
+	return watcherEntry
+}
+
 // nextUpdate returns what the watcher has not received yet, and channels that are closed
 // at the next change of the servers, the configuration and the crash reports. The last
 // channel is nil for other state hosts, which receive no crash reports.
@@ -149,6 +159,9 @@
 	now := time.Now()
 	for _, m := range update.Instances {
 		instance := fleet.FromProto(m, now)
+		if instance.Silent {
+			h.servers.Resend(instance)
+		}
 		instance.Silent = false // each host decides this from the heartbeats that it knows
 		h.servers.Merge(instance)
 	}
