An entry watches as many state hosts as it needs

Cause: each entry held a stream to each state host: 62 x 30 streams with a keep-alive every 0.4 s each, and after a change as many updates, although only the 2f + 1 hosts with replicas can bring routes.

Names rank the hosts differently for each entry, so that all get a part.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -152,11 +152,12 @@
 		return fmt.Errorf("entry: %w", errIncompleteSettings)
 	}
 	cfg := gateway.Config{
-		Name:          s.Host,
-		FailureDomain: s.FailureDomain,
-		DecodeRoutes:  platform.DecodeRoutes,
-		Codec:         platform.HeaderCodec{},
-		RoutesTimeout: s.RoutesTimeout,
+		Name:                s.Host,
+		FailureDomain:       s.FailureDomain,
+		DecodeRoutes:        platform.DecodeRoutes,
+		Codec:               platform.HeaderCodec{},
+		RoutesTimeout:       s.RoutesTimeout,
+		ToleratedHostLosses: s.ToleratedHostLosses,
 	}
 	addresses := hosted.Addresses{Clients: s.ClientAddress, Ready: s.ReadyAddress}
 	return hosted.RunEntry(cfg, addresses, platform.NewReadyHandler, p.options, p.stop)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	// RoutesTimeout is the time within which acknowledged routes must be in force at all
 	// entries that can learn them.
 	RoutesTimeout time.Duration
+	// ToleratedHostLosses is the number of state hosts that may be lost at the same time.
+	ToleratedHostLosses int
 }
 
 // Gateway forwards client requests to backend servers. It implements http.Handler.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -23,6 +23,7 @@
 	decode  func([]byte) (*routing.Document, error)
 	seeds   func() []string
 	watcher *fleetwatch.Watcher
+	watched *watchedHosts
 	// crashDetector receives crash reports and the current servers.
 	crashDetector *crashDetector
 
@@ -47,11 +48,12 @@
 
 func newView(cfg Config, log hclog.Logger, pool *transport.Pool, detector *crashDetector) *view {
 	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, started: time.Now(), table: fleet.NewTable(), changed: make(chan struct{})}
+	v.watched = newWatchedHosts(cfg.Name, cfg.ToleratedHostLosses)
 	v.servers.Store(&serverIndex{})
 	v.watcher = fleetwatch.NewWatcher(fleetwatch.Options{
 		Pool:       pool,
 		Logger:     log,
-		Addresses:  v.stateHosts,
+		Addresses:  func() []string { return v.watched.choose(v.stateHosts(), time.Now()) },
 		NewRequest: func() *fleetpb.WatchRequest { return v.watchRequest(cfg.Name) },
 		OnUpdate:   v.apply,
 	})
@@ -84,6 +86,9 @@
 	if update.Quorum {
 		v.lastQuorum.Store(heard)
 	}
+	if v.watched.recordUpdate(address, update.Quorum, time.Now()) {
+		v.watcher.Refresh()
+	}
 	if update.Routes != nil {
 		v.applyRoutes(address, update.Routes)
 	}
