Bytes without end before the end of a response's header are cut off

Cause: a server in trouble may send bytes that are no answer until the caller closes the connection. readHeader read status line, header lines and interim responses without a limit: one such server took hundreds of megabytes from an entry that has 112.

Change: at most 64 KB before the end of a header, interim responses included, and at most 8 interim responses.

--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -30,6 +30,11 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeaderBytes limits what a server may send before the end of a response's header,
+	// interim responses included. It is four times what clients may send as a header.
+	maxHeaderBytes = 64 << 10
+	// maxInterimResponses limits the interim (1xx) responses before a final one.
+	maxInterimResponses = 8
 	// maxInlineBodyBytes is the largest body that is written before the response is read.
 	// It fits into the socket buffers, so a server that does not read cannot block the write.
 	maxInlineBodyBytes = 32 << 10
@@ -57,6 +62,7 @@
 // conn is one connection to a backend server. It carries one exchange at a time.
 type conn struct {
 	net         net.Conn
+	header      *headerLimit // between net and reader
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration // after which the server closes the idle connection
@@ -78,7 +84,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &conn{net: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	header := &headerLimit{reader: c}
+	return &conn{net: c, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) close() {
@@ -158,10 +169,37 @@
 	return resp, write, nil
 }
 
+// errHeaderTooLarge means that a server sent more than maxHeaderBytes or
+// maxInterimResponses before the end of a response's header.
+var errHeaderTooLarge = errors.New("passthrough: header of the response is too large")
+
+// headerLimit is a reader that fails with errHeaderTooLarge after a number of bytes while
+// the limit is set.
+type headerLimit struct {
+	reader    io.Reader
+	set       bool
+	remaining int // bytes, if set
+}
+
+// Read implements io.Reader.
+func (l *headerLimit) Read(p []byte) (int, error) {
+	if !l.set {
+		return l.reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // readHeader reads the status line and header of the final response and skips interim
 // (1xx) responses.
 func (c *conn) readHeader(method string) (*http.Response, error) {
-	for {
+	c.header.set, c.header.remaining = true, maxHeaderBytes
+	defer func() { c.header.set = false }()
+	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -170,6 +208,7 @@
 			return resp, nil
 		}
 	}
+	return nil, fmt.Errorf("%w: more than %d interim responses", errHeaderTooLarge, maxInterimResponses)
 }
 
 // encodeHeader returns the request line and the header fields.
