A response that goes on without end is cut off

Cause: an entry read the body of a refusal, a body without a stated length and a stream of comments or blank lines for as long as the request had time, at the rate of the link, and held up to 256 KB or 1 MB a request while it did.

Change: 64 KB of a refusal are read; a body without a length ends after 16 MB, as a response that does not look complete; an event with all that comes before it since the last event with data has at most 64 KB.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -339,7 +339,11 @@
 // its end.
 func readRefusal(exchange *passthrough.Exchange) error {
 	status := exchange.Response.StatusCode
-	if _, err := io.Copy(io.Discard, exchange.Body); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(exchange.Body, maxRefusalBytes))
+	if err == nil && n == maxRefusalBytes {
+		err = fmt.Errorf("%w: the body is larger than %d bytes", passthrough.ErrConnectionLost, maxRefusalBytes)
+	}
+	if err != nil {
 		return fmt.Errorf("%w: status %d: %w", errNotRun, status, err)
 	}
 	return fmt.Errorf("%w: status %d", errNotRun, status)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -10,8 +10,10 @@
 	"strings"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of one event of a stream with the comments and blank
+// lines before it. Bytes without an event are no progress: a server in trouble may send them
+// without end.
+const maxEventBytes = 64 << 10
 
 var errEventTooLarge = fmt.Errorf("gateway: event is larger than %d bytes", maxEventBytes)
 
@@ -45,17 +47,34 @@
 
 // eventReader reads server-sent events. It returns complete events only.
 type eventReader struct {
-	buf *bufio.Reader
+	buf         *bufio.Reader
+	withoutData int // bytes since the latest event with data
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{buf: bufio.NewReaderSize(r, 2<<10)}
 }
 
-// next returns the next complete event. It returns io.EOF after the last one,
-// io.ErrUnexpectedEOF if the stream ends inside an event and errEventTooLarge if an
-// event exceeds maxEventBytes.
+// next returns the next complete event, which may be a comment. It returns io.EOF after the
+// last one, io.ErrUnexpectedEOF if the stream ends inside an event and errEventTooLarge if an
+// event, or what comes since the last one with data, exceeds maxEventBytes.
 func (r *eventReader) next() (event, error) {
+	ev, err := r.read()
+	if err != nil {
+		return event{}, err
+	}
+	r.withoutData += len(ev.raw)
+	if ev.hasData {
+		r.withoutData = 0
+	}
+	if r.withoutData > maxEventBytes {
+		return event{}, errEventTooLarge
+	}
+	return ev, nil
+}
+
+// read reads the lines of the next event.
+func (r *eventReader) read() (event, error) {
 	var ev event
 	for {
 		line, err := r.buf.ReadSlice('\n')
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -14,7 +14,17 @@
 
 // maxBufferedResponseBytes is the largest response body that is read in full before
 // any of it is forwarded, so that the request can be retried if the response breaks.
-const maxBufferedResponseBytes = 256 << 10
+const maxBufferedResponseBytes = 64 << 10
+
+const (
+	// maxOpenEndedBytes limits a response body whose length the server does not state.
+	maxOpenEndedBytes = 16 << 20
+	// maxRefusalBytes limits the body of a response that says that the request was not run,
+	// which is not forwarded.
+	maxRefusalBytes = 64 << 10
+)
+
+var errResponseTooLarge = fmt.Errorf("gateway: body without a stated length is larger than %d bytes", maxOpenEndedBytes)
 
 // copyHeaders copies the server's end-to-end headers to the client's response.
 func (c *call) copyHeaders(resp *http.Response) {
@@ -51,12 +61,25 @@
 	if buffered {
 		return nil
 	}
-	if _, err := io.Copy(c.w, exchange.Body); err != nil {
+	if err := c.forwardRest(exchange); err != nil {
 		return fmt.Errorf("gateway: response interrupted: %w", err)
 	}
 	return nil
 }
 
+// forwardRest forwards the part of a body that follows the buffered one.
+func (c *call) forwardRest(exchange *passthrough.Exchange) error {
+	if exchange.Response.ContentLength >= 0 {
+		_, err := io.Copy(c.w, exchange.Body)
+		return err
+	}
+	n, err := io.Copy(c.w, io.LimitReader(exchange.Body, maxOpenEndedBytes))
+	if err == nil && n == maxOpenEndedBytes {
+		return errResponseTooLarge
+	}
+	return err
+}
+
 // writeStatus sends the status line and the headers to the client.
 func (c *call) writeStatus(status int) {
 	c.responseStarted = true
