A process that ends answers the requests that it has accepted

Cause: when a state host stopped, its servers were closed at once, so that a heartbeat or an operator's order that was in progress ended with a closed connection instead of an answer.

Change: all servers of a process shut down for up to 0.5 s, a part of the margin that the stop leaves before the kill, and are closed then.

Measured: TestClosingProcessAnswersAcceptedRequests got EOF before, passes now.

--- /dev/null
+++ b/internal/hosted/close_test.go
@@ -0,0 +1,62 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/localcluster"
+)
+
+// TestClosingProcessAnswersAcceptedRequests has a request in progress when the process closes
+// its servers.
+func TestClosingProcessAnswersAcceptedRequests(t *testing.T) {
+	addresses, err := localcluster.FreeAddresses(1)
+	assert.NilError(t, err)
+	p := newProcess(Options{Logger: hclog.NewNullLogger()})
+	accepted, closing := make(chan struct{}), make(chan struct{})
+	server, err := p.serveHTTP(addresses[0], http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(accepted)
+		<-closing
+		_, err := io.WriteString(w, "ok")
+		assert.Check(t, err)
+	}))
+	assert.NilError(t, err)
+	server.RegisterOnShutdown(func() { close(closing) })
+
+	type result struct {
+		body string
+		err  error
+	}
+	results := make(chan result, 1)
+	go func() {
+		body, err := get(t.Context(), "http://"+addresses[0])
+		results <- result{body, err}
+	}()
+	<-accepted
+	p.close()
+	got := <-results
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "ok")
+}
+
+// get returns the body of a response, waiting for the server to listen.
+func get(ctx context.Context, url string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return "", err
+	}
+	client := &http.Client{Timeout: 10 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -54,6 +54,9 @@
 	// shutdownMargin is the time reserved before the process is killed for the rest of the
 	// shutdown, after the wait for running requests.
 	shutdownMargin = 700 * time.Millisecond
+	// requestEndTimeout limits the wait for requests in progress when a process closes its
+	// servers. It is a part of shutdownMargin.
+	requestEndTimeout = 500 * time.Millisecond
 	// TCP keep-alive probes detect client connections whose peer does not respond.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
@@ -156,10 +159,20 @@
 	return err
 }
 
+// close ends the process's servers and connections. Requests that were accepted get their
+// response, within requestEndTimeout.
 func (p *process) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), requestEndTimeout)
+	defer cancel()
+	var ending sync.WaitGroup
 	for _, server := range p.servers {
-		server.Close()
+		ending.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				server.Close()
+			}
+		})
 	}
+	ending.Wait()
 	for _, closeServer := range p.closers {
 		closeServer()
 	}
