A sidecar cuts off responses of its server that have no end

Cause: the HTTP library reads a header, a line that frames a chunk and a body without a length into memory until they are complete, and closing a body reads the rest of it. A server in trouble that sends bytes without end took 256 MB in each of seven ways (the test's end), and a sidecar's memory with it.

Change: connections on which a header or a framing line ends after 64 KB and the whole response after 4 MB, twice the default limit of a request body (256 MB for exported prefixes and streams); bodies are read up to that limit and the connection is closed beyond it. The call ends as one that may have run.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -162,9 +162,9 @@
 	case consts.StatusConflict:
 		return nil, ErrFenced
 	default:
-		body, err := resp.BodyE()
+		body, err := readBody(resp, maxBodyBytes)
 		if err != nil {
-			return nil, wrapTransportError(err)
+			return nil, err
 		}
 		return nil, newStatusError(resp, body)
 	}
@@ -239,8 +239,11 @@
 }
 
 // Abort closes the connection. A concurrent Next returns an error.
-func (s *Stream) Abort() {
-	if f, ok := s.resp.BodyStream().(forceCloser); ok {
+func (s *Stream) Abort() { forceClose(s.resp) }
+
+// forceClose closes the connection of a response without reading the rest of its body.
+func forceClose(resp *protocol.Response) {
+	if f, ok := resp.BodyStream().(forceCloser); ok {
 		_ = f.ForceClose()
 	}
 }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -10,7 +10,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/app/client/retry"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 )
@@ -38,13 +37,27 @@
 // concurrent use.
 type Client struct {
 	baseURL string
-	http    *client.Client
+	http    *client.Client // for responses of at most maxBodyBytes
+	large   *client.Client // for streams and exports
 }
 
 // New returns a client for the server at baseURL.
 func New(baseURL string) (*Client, error) {
+	small, err := newHTTPClient(maxBodyBytes + framingBytes)
+	if err != nil {
+		return nil, err
+	}
+	large, err := newHTTPClient(maxExportBytes + framingBytes)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{baseURL: baseURL, http: small, large: large}, nil
+}
+
+// newHTTPClient returns a client whose connections end after a number of bytes.
+func newHTTPClient(limit int) (*client.Client, error) {
 	h, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(newLimitedDialer(limit)),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(maxConns),
 		client.WithKeepAlive(false),
@@ -55,7 +68,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("backend: create HTTP client: %w", err)
 	}
-	return &Client{baseURL: baseURL, http: h}, nil
+	return h, nil
 }
 
 // Health returns nil if the health check of the server succeeds.
@@ -133,7 +146,7 @@
 
 // ExportCache returns the cached prefix of a program in the engine's own format.
 func (c *Client) ExportCache(ctx context.Context, program string) ([]byte, error) {
-	return c.fetch(ctx, consts.MethodGet, "/v1/cache/"+url.PathEscape(program), nil)
+	return c.fetchLimited(ctx, consts.MethodGet, "/v1/cache/"+url.PathEscape(program), nil, maxExportBytes)
 }
 
 // ImportCache loads a prefix that ExportCache returned into the engine's cache.
@@ -163,12 +176,12 @@
 	path := "/v1/services/" + url.PathEscape(service) + "/" + url.PathEscape(operation)
 	req, resp := c.newRequest(consts.MethodPost, path, body, requestID)
 	defer release(req, resp)
-	if err := c.do(ctx, req, resp); err != nil {
+	if err := do(ctx, c.http, req, resp); err != nil {
 		return ServiceResponse{}, err
 	}
-	data, err := resp.BodyE()
+	data, err := readBody(resp, maxBodyBytes)
 	if err != nil {
-		return ServiceResponse{}, wrapTransportError(err)
+		return ServiceResponse{}, err
 	}
 	status := resp.StatusCode()
 	if status == statusTooManyRequests || status >= consts.StatusInternalServerError {
@@ -177,7 +190,7 @@
 	if !hasMarkedEnd(resp) {
 		return ServiceResponse{}, fmt.Errorf("%w: the response has neither a length nor chunks, so its end cannot be told from a break", ErrConnectionLost)
 	}
-	return ServiceResponse{Status: status, Body: append([]byte(nil), data...)}, nil
+	return ServiceResponse{Status: status, Body: data}, nil
 }
 
 // identityLength is the length that the HTTP library reports for a response which states
@@ -204,23 +217,32 @@
 }
 
 // fetch sends a request that must end within requestTimeout and returns the body of the
-// response. Errors: ErrUnreachable, ErrConnectionLost, *StatusError.
+// response, of at most maxBodyBytes. Errors: ErrUnreachable, ErrConnectionLost, *StatusError.
 func (c *Client) fetch(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	return c.fetchLimited(ctx, method, path, body, maxBodyBytes)
+}
+
+// fetchLimited is fetch with a limit of the response body in bytes.
+func (c *Client) fetchLimited(ctx context.Context, method, path string, body []byte, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	req, resp := c.newRequest(method, path, body, "")
 	defer release(req, resp)
-	if err := c.do(ctx, req, resp); err != nil {
+	httpClient := c.http
+	if limit > maxBodyBytes {
+		httpClient = c.large
+	}
+	if err := do(ctx, httpClient, req, resp); err != nil {
 		return nil, err
 	}
-	data, err := resp.BodyE()
+	data, err := readBody(resp, limit)
 	if err != nil {
-		return nil, wrapTransportError(err)
+		return nil, err
 	}
 	if resp.StatusCode() >= consts.StatusMultipleChoices {
 		return nil, newStatusError(resp, data)
 	}
-	return append([]byte(nil), data...), nil
+	return data, nil
 }
 
 func (c *Client) newRequest(method, path string, body []byte, requestID string) (*protocol.Request, *protocol.Response) {
@@ -241,12 +263,12 @@
 // do sends a request and reads the header of the response. The deadline of ctx
 // limits the whole request, including the body. Errors: ErrUnreachable,
 // ErrConnectionLost.
-func (c *Client) do(ctx context.Context, req *protocol.Request, resp *protocol.Response) error {
+func do(ctx context.Context, httpClient *client.Client, req *protocol.Request, resp *protocol.Response) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	req.SetOptions(readTimeoutOption(ctx))
-	if err := c.http.Do(ctx, req, resp); err != nil {
+	if err := httpClient.Do(ctx, req, resp); err != nil {
 		return wrapTransportError(err)
 	}
 	return nil
