A large routes document is fetched once by each entry

Cause: a configuration with 1,800 routes went whole to each entry, from each state host that the entry watches: 30 copies of some 600 KB over a link of 30 Mbit/s, at each change and again after each restart.

Change: internal/routesync. A document of more than 16 KB is announced by its version; the entry fetches the newest one, compressed, from the first host that announced it, and from another one after 0.5 s. Hosts that failed come last, so that a host which is cut off cannot hold back an older version of another.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -207,7 +207,7 @@
 	t.Cleanup(pool.Close)
 	g := New(Config{Name: "entry", Seeds: func() []string { return nil }, DecodeRoutes: decode, Codec: testCodec{}}, hclog.NewNullLogger(), telemetry.NewMetrics(), pool, pool)
 	g.ledger = ledger
-	update := &fleetpb.Update{Routes: &fleetpb.Routes{Version: 1}}
+	update := &fleetpb.Update{Routes: &fleetpb.Routes{Version: 1, Document: []byte("routes")}}
 	for _, server := range servers {
 		update.Instances = append(update.Instances, instanceOf(server))
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -11,6 +11,7 @@
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/fleetwatch"
+	"ibistray.example/ibistray/internal/routesync"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
@@ -24,6 +25,7 @@
 	seeds   func() []string
 	watcher *fleetwatch.Watcher
 	watched *watchedHosts
+	fetcher *routesync.Fetcher
 	// crashDetector receives crash reports and the current servers.
 	crashDetector *crashDetector
 
@@ -57,16 +59,41 @@
 		NewRequest: func() *fleetpb.WatchRequest { return v.watchRequest(cfg.Name) },
 		OnUpdate:   v.apply,
 	})
+	v.fetcher = routesync.NewFetcher(routesync.Options{
+		Logger: log,
+		Fetch: func(ctx context.Context, address string, version uint64) (*fleetpb.Routes, error) {
+			return fetchRoutes(ctx, pool, address, version)
+		},
+		InForce: v.routesVersion,
+		Apply:   v.applyRoutes,
+	})
 	return v
 }
 
-// watchRequest returns the request that watches updates.
-func (v *view) watchRequest(name string) *fleetpb.WatchRequest {
-	req := &fleetpb.WatchRequest{Viewer: name}
+// fetchRoutes fetches the routes of at least a version from a state host.
+func fetchRoutes(ctx context.Context, pool *transport.Pool, address string, version uint64) (*fleetpb.Routes, error) {
+	packed := new(fleetpb.Routes)
+	if err := pool.Call(ctx, address, transport.MethodRoutesFetch, &fleetpb.Routes{Version: version}, packed); err != nil {
+		return nil, err
+	}
+	document, err := routesync.Unpack(packed.Document)
+	if err != nil {
+		return nil, err
+	}
+	return &fleetpb.Routes{Version: packed.Version, Document: document}, nil
+}
+
+// routesVersion returns the version of the routes in force, 0 if there are none.
+func (v *view) routesVersion() uint64 {
 	if doc := v.routes.Load(); doc != nil {
-		req.RoutesVersion = doc.Version
+		return doc.Version
 	}
-	return req
+	return 0
+}
+
+// watchRequest returns the request that watches updates.
+func (v *view) watchRequest(name string) *fleetpb.WatchRequest {
+	return &fleetpb.WatchRequest{Viewer: name, RoutesVersion: v.routesVersion()}
 }
 
 // stateHosts returns the addresses of the known state hosts: those named by updates and
@@ -89,7 +116,11 @@
 	if v.watched.recordUpdate(address, update.Quorum, time.Now()) {
 		v.watcher.Refresh()
 	}
-	if update.Routes != nil {
+	switch {
+	case update.Routes == nil:
+	case len(update.Routes.Document) == 0:
+		v.fetcher.Announce(address, update.Routes.Version)
+	default:
 		v.applyRoutes(address, update.Routes)
 	}
 	if len(update.Crashes) > 0 {
@@ -207,5 +238,8 @@
 
 // run receives updates until ctx ends.
 func (v *view) run(ctx context.Context) {
+	var fetching sync.WaitGroup
+	fetching.Go(func() { v.fetcher.Run(ctx) })
 	v.watcher.Run(ctx)
+	fetching.Wait()
 }
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -101,6 +101,7 @@
 	peers    *peer.Transport
 	replicas *replica.Host
 	config   *configState
+	packed   packedRoutes
 	ledger   *ledger.State
 	servers  *fleet.Table
 	crashes  *crashLog
@@ -242,6 +243,7 @@
 	server.Handle(transport.MethodHostMembers, transport.Unary(h.handleMembers))
 	server.Handle(transport.MethodReplicaStatus, transport.Unary(h.handleStatus))
 	server.Handle(transport.MethodRoutes, transport.Unary(h.handleConfig))
+	server.Handle(transport.MethodRoutesFetch, transport.Unary(h.handleRoutesFetch))
 	server.Handle(transport.MethodLedger, transport.SharedUnary(h.handleLedger))
 	server.Handle(transport.MethodCrashReport, transport.Unary(h.handleCrashReport))
 	server.Handle(transport.MethodFleetWatch, h.handleWatch)
--- /dev/null
+++ b/internal/statehost/routesdoc_test.go
@@ -0,0 +1,38 @@
+package statehost
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/routesync"
+	"ibistray.example/ibistray/proto/fleetpb"
+)
+
+// TestLargeRoutesAreFetchedNotPushed puts documents of several sizes in force. Watchers must
+// receive a large one as its version only, and fetch it as it is.
+func TestLargeRoutesAreFetchedNotPushed(t *testing.T) {
+	h := &Host{config: newConfigState()}
+	_, err := h.handleRoutesFetch(t.Context(), &fleetpb.Routes{Version: 1})
+	assert.ErrorContains(t, err, "not in force")
+	for version, size := range []int{100, routesync.MaxPushedBytes, routesync.MaxPushedBytes + 1, 4 << 20} {
+		routes := &fleetpb.Routes{Version: uint64(version + 1), Document: bytes.Repeat([]byte("r"), size)}
+		data, err := proto.Marshal(&fleetpb.ConfigCommand{Kind: &fleetpb.ConfigCommand_PutRoutes{PutRoutes: routes}})
+		assert.NilError(t, err)
+		assert.Assert(t, h.config.Apply(0, data) == nil)
+		pushed := announcement(routes)
+		assert.Equal(t, pushed.Version, routes.Version)
+		assert.Equal(t, len(pushed.Document) > 0, size <= routesync.MaxPushedBytes)
+		for range 2 {
+			packed, err := h.handleRoutesFetch(t.Context(), &fleetpb.Routes{Version: routes.Version})
+			assert.NilError(t, err)
+			document, err := routesync.Unpack(packed.Document)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(document, routes.Document))
+		}
+		_, err = h.handleRoutesFetch(t.Context(), &fleetpb.Routes{Version: routes.Version + 1})
+		assert.ErrorContains(t, err, "not in force")
+	}
+}
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -108,7 +108,7 @@
 		update.Instances = append(update.Instances, fleet.ToProto(instance, now))
 	}
 	if config.Routes != nil && config.Routes.Version > w.routesVersion && !w.peer {
-		update.Routes = config.Routes
+		update.Routes = announcement(config.Routes)
 		w.routesVersion = config.Routes.Version
 	}
 	if control := h.knownAddresses(); !slices.Equal(control, w.controlAddresses) {
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -22,6 +22,7 @@
 	MethodFleetWatch  = "fleet.watch"
 	MethodCrashReport = "fleet.crash"
 	MethodRoutes      = "routes.call"
+	MethodRoutesFetch = "routes.fetch"
 	MethodLedger      = "ledger.call"
 
 	// Methods of the sidecar role.
