--- a/internal/hosted/close_test.go
+++ b/internal/hosted/close_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,3 +62,27 @@
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
+
+// TestEndlessRequestHeaderIsRefused has a client that sends header lines without end.
+func TestEndlessRequestHeaderIsRefused(t *testing.T) {
+	addresses, err := localcluster.FreeAddresses(1)
+	assert.NilError(t, err)
+	p := newProcess(Options{Logger: hclog.NewNullLogger()})
+	defer p.close()
+	_, err = p.serveHTTP(addresses[0], http.NotFoundHandler())
+	assert.NilError(t, err)
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[0])
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n")
+	assert.NilError(t, err)
+	const endless = 32 << 20
+	line := "X-Filler: " + strings.Repeat("x", 4000) + "\r\n"
+	written := 0
+	for err == nil && written < endless {
+		var n int
+		n, err = io.WriteString(conn, line)
+		written += n
+	}
+	assert.Assert(t, written < endless, "the header was read without end")
+}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -51,6 +51,9 @@
 	maxReopenDelay = 15 * time.Second
 	stableRunTime  = 30 * time.Second
 	dirMode        = 0o700
+	// maxHeaderBytes limits the header of a request, which is held in memory. Routes
+	// documents may set a lower limit.
+	maxHeaderBytes = 64 << 10
 	// shutdownMargin is the time reserved before the process is killed for the rest of the
 	// shutdown, after the wait for running requests.
 	shutdownMargin = 700 * time.Millisecond
@@ -137,6 +140,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(p.opts.Logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
 	}
 	p.servers = append(p.servers, server)
