A stream that sends only comments counts as silent

Cause: the timers that move a request on from a silent server stopped at the first bytes of its stream that end in a blank line, also for a comment or a blank line. A server that stalls but keeps its stream alive so held the request until its deadline, and the comment had begun the response.

Change: only an event with data stops the timers and begins the response.

Measured: TestStalledStreamThatSendsBytesIsMovedOn: comments and blank lines ended in a broken response before, an event without an end did not; all three are answered by the other server now.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -95,21 +95,31 @@
 	flusher := http.NewResponseController(c.w)
 	events := newEventReader(exchange.Body)
 	resumed := c.route.ResumableStream() && c.meta.LastEventID != ""
+	var comments []byte // received before the first event with data
 	for {
 		ev, err := events.next()
-		c.stopSilenceTimers()
 		if errors.Is(err, io.EOF) {
-			return c.finishStream(exchange)
+			c.stopSilenceTimers()
+			return c.finishStream(exchange, comments)
 		}
 		if err != nil {
 			return err
 		}
+		if !ev.hasData && !c.responseStarted {
+			// A comment is no output: until there is some, another server may still answer.
+			comments = append(comments, ev.raw...)
+			continue
+		}
+		if ev.hasData {
+			c.stopSilenceTimers()
+		}
 		if resumed && ev.id != "" && !isLaterEventID(ev.id, c.meta.LastEventID) {
 			return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, c.meta.LastEventID)
 		}
 		if !c.responseStarted {
 			c.copyHeaders(exchange.Response)
 			c.writeStatus(exchange.Response.StatusCode)
+			ev.raw = append(comments, ev.raw...)
 		}
 		if err := c.forwardEvent(ev, flusher); err != nil {
 			return err
@@ -117,12 +127,16 @@
 	}
 }
 
-// finishStream completes the response of a stream that ended normally. It sends the
-// headers if the stream had no events.
-func (c *call) finishStream(exchange *passthrough.Exchange) error {
-	if !c.responseStarted {
-		c.copyHeaders(exchange.Response)
-		c.writeStatus(exchange.Response.StatusCode)
+// finishStream completes the response of a stream that ended normally. If the stream had no
+// events with data, it sends the headers and the comments.
+func (c *call) finishStream(exchange *passthrough.Exchange, comments []byte) error {
+	if c.responseStarted {
+		return nil
+	}
+	c.copyHeaders(exchange.Response)
+	c.writeStatus(exchange.Response.StatusCode)
+	if _, err := c.w.Write(comments); err != nil {
+		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
 	return nil
 }
