A host whose trial has ended is not tried again before the others

TestEnoughServingHostsAreFound failed once in a run of all policies (rapid, wanted 3 of 10 hosts, 4 phases: the healthy host-3 was not found).

Cause: the order of trials compared LastTried also for hosts that are watched. The caller of the test keeps the age of the trial before for them, so that a host whose trial had ended came first again and others never. The entry passes 0 there, so that it was not affected; the contract of the field did not say so.

Change: a watched host counts as tried just now.

Measured: the saved case failed before and passes now, the row in TestChoose too; 20,000 checks of the property pass.

--- a/internal/policy/watchset/watchset.go
+++ b/internal/policy/watchset/watchset.go
@@ -73,13 +73,21 @@
 	return cmp.Or(
 		compareBool(a.onTrial(), b.onTrial()),
 		compareBool(a.isNew(), b.isNew()),
-		cmp.Compare(b.LastTried, a.LastTried),
+		cmp.Compare(b.sinceTrial(), a.sinceTrial()),
 		cmp.Compare(rank(a.Address), rank(b.Address)),
 	)
 }
 
 func (h Host) onTrial() bool { return h.Watched && h.WatchedFor < TrialPeriod }
 
+// sinceTrial returns the time since the latest trial, 0 for a host that is still watched.
+func (h Host) sinceTrial() time.Duration {
+	if h.Watched {
+		return 0
+	}
+	return h.LastTried
+}
+
 func (h Host) isNew() bool { return !h.Watched && !h.Tried }
 
 // compareBool orders true before false.
--- a/internal/policy/watchset/watchset_test.go
+++ b/internal/policy/watchset/watchset_test.go
@@ -36,6 +36,11 @@
 		{"a trial goes on", []Host{serving("a"), serving("b"), onTrial("e", time.Second), fresh("c"), fresh("d")}, []string{"a", "b", "c", "e"}},
 		{"a trial ends", []Host{serving("a"), serving("b"), onTrial("e", TrialPeriod), fresh("c"), fresh("d")}, []string{"a", "b", "c", "d"}},
 		{"the oldest trial is repeated first", []Host{serving("a"), serving("b"), tried("c", time.Second), tried("d", time.Minute), tried("e", 2*time.Minute)}, []string{"a", "b", "d", "e"}},
+		{
+			"a host whose trial has just ended comes last, whenever it was watched before",
+			[]Host{serving("a"), serving("b"), {Address: "e", Watched: true, WatchedFor: TrialPeriod, Tried: true, LastTried: time.Hour}, tried("c", time.Second), tried("d", 2*time.Second)},
+			[]string{"a", "b", "c", "d"},
+		},
 		{"few hosts", []Host{serving("a"), fresh("b")}, []string{"a", "b"}},
 	}
 	for _, test := range tests {
