--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -32,17 +32,6 @@
 // that the caller has already received.
 var errOutputDiverged = errors.New("entry: output differs from what the caller has received")
 
-// attach attaches to the recorded attempt. Once the deadline has passed it still does so
-// for a short time, which fences an attempt that never started.
-func (c *call) attach(ctx context.Context) callTrigger {
-	if !hasEnded(ctx) {
-		return c.execute(ctx, true)
-	}
-	ctx, cancel := c.settleContext(ctx)
-	defer cancel()
-	return c.execute(ctx, true)
-}
-
 // execute sends the attempt to its sidecar, or attaches to the running attempt if
 // attachOnly is set, and streams the output to the caller.
 func (c *call) execute(ctx context.Context, attachOnly bool) callTrigger {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -125,31 +125,6 @@
 	return c.resume(result.GetBegin())
 }
 
-// propose sends a command to the call's shard, whose result decides what the caller is
-// told. Therefore it waits for the result beyond the call's deadline, for at most
-// settleTimeout, unless ctx is cancelled. wait limits how long a Begin waits for earlier
-// calls of its program.
-func (c *call) propose(ctx context.Context, cmd *shardpb.Command, wait time.Duration) (*shardpb.Result, error) {
-	ctx, cancel := c.settleContext(ctx)
-	defer cancel()
-	return c.entry.shards.Propose(ctx, c.req.Key.Customer, cmd, wait)
-}
-
-// settleContext returns a context that ends settleTimeout after the call's deadline, or
-// when ctx is cancelled.
-func (c *call) settleContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	settling, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(settleTimeout))
-	stop := context.AfterFunc(ctx, func() {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			cancel()
-		}
-	})
-	return settling, func() {
-		stop()
-		cancel()
-	}
-}
-
 // resume continues the call from the state that the shard has recorded.
 func (c *call) resume(record *shardpb.BeginResult) callTrigger {
 	c.record = record
@@ -324,22 +299,6 @@
 	}
 }
 
-// reloadDelay is the pause before the record is read again.
-const reloadDelay = 50 * time.Millisecond
-
-// reload makes the call read its record again, after another process changed it. Once the
-// deadline has passed it does so a last time, to learn the outcome of the call.
-func (c *call) reload(ctx context.Context) callTrigger {
-	if loop.Sleep(ctx, reloadDelay) {
-		return triggerReload
-	}
-	if c.reloadedLate || errors.Is(ctx.Err(), context.Canceled) {
-		return c.deliverFailure(c.deadlineFailure())
-	}
-	c.reloadedLate = true
-	return triggerReload
-}
-
 // commit makes the answer durable, acknowledges it to the sidecar, and then delivers it
 // to the caller, also when the deadline has passed meanwhile.
 func (c *call) commit(ctx context.Context) callTrigger {
@@ -400,10 +359,6 @@
 	return c.deliverFailure(c.failure)
 }
 
-// settleTimeout limits how long a call waits for its shard after its deadline has passed:
-// to record its final failure, or to learn the outcome of a command in progress.
-const settleTimeout = 5 * time.Second
-
 // deliverFailure ends the output with a failure, counts and logs it.
 func (c *call) deliverFailure(f *Failure) callTrigger {
 	c.closeStream()
--- a/internal/passthrough/endless_test.go
+++ b/internal/passthrough/endless_test.go
@@ -43,10 +43,24 @@
 	return server, &written
 }
 
+// endlessResponse is a response that goes on with part after part.
+type endlessResponse struct{ name, start, part string }
+
+// checkCutOff checks that an exchange with such a response fails as a lost connection, and
+// that the server is not read without end.
+func checkCutOff(t *testing.T, response endlessResponse) {
+	t.Helper()
+	server, written := startEndlessServer(t, response.start, response.part)
+	p, _ := newCountingPool(t)
+	_, err := doExchange(t, p, server, getRequest)
+	assert.ErrorIs(t, err, ErrConnectionLost)
+	assertCutOff(t, written)
+}
+
 // TestEndlessHeaderIsCutOff has servers that send bytes without end before the end of the
 // response's header. The exchange must fail at the limit and close the connection.
 func TestEndlessHeaderIsCutOff(t *testing.T) {
-	tests := []struct{ name, start, part string }{
+	tests := []endlessResponse{
 		{"no line end at all", "", "x"},
 		{"status line", "HTTP/1.1 200 O", "K"},
 		{"header lines", "HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n"},
@@ -56,13 +70,7 @@
 		{"interim responses with a header", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			server, written := startEndlessServer(t, test.start, test.part)
-			p, _ := newCountingPool(t)
-			_, err := doExchange(t, p, server, getRequest)
-			assert.ErrorIs(t, err, ErrConnectionLost)
-			assertCutOff(t, written)
-		})
+		t.Run(test.name, func(t *testing.T) { checkCutOff(t, test) })
 	}
 }
 
@@ -70,7 +78,7 @@
 // the size, the extension or the trailers of a chunk.
 func TestEndlessFramingIsCutOff(t *testing.T) {
 	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	tests := []struct{ name, start, part string }{
+	tests := []endlessResponse{
 		{"chunk size", chunked, "0"},
 		{"chunk extension", chunked + "5;", "x"},
 		{"extensions of many chunks", chunked, "1;" + strings.Repeat("x", 1000) + "\r\na\r\n"},
@@ -79,13 +87,7 @@
 		{"one trailer", chunked + "0\r\nX-Filler: ", "x"},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			server, written := startEndlessServer(t, test.start, test.part)
-			p, _ := newCountingPool(t)
-			_, err := doExchange(t, p, server, getRequest)
-			assert.ErrorIs(t, err, ErrConnectionLost)
-			assertCutOff(t, written)
-		})
+		t.Run(test.name, func(t *testing.T) { checkCutOff(t, test) })
 	}
 }
 
