Entries log and count what backend servers say about themselves

Entries dropped the headers in which a server names a limit or says that it leaves, so that logs and metrics could not tell whether a limit was unknown to the entries, kept by each alone, or exceeded by retries.

passthrough hands on each header of a response, the platform decodes the notices (table test and fuzz target), and the entry logs each change ("backend server said") and counts them (ibistray_server_notices_total). Only a response to the entry's own request speaks for a server. No request is routed differently.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 # Runs each fuzz target for FUZZTIME.
 FUZZTIME ?= 10s
 fuzz:
-	@for package in $$(go list ./internal/...); do \
+	@for package in $$(go list ./internal/... ./platform/...); do \
 		for target in $$(go test -list '^Fuzz' $$package | grep '^Fuzz'); do \
 			echo "$$package $$target"; \
 			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$package || exit 1; \
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -216,6 +216,7 @@
 	defer cancel(nil)
 	c.stopSilenceTimers = c.startSilenceTimers(cancel)
 	defer c.stopSilenceTimers()
+	c.interimLeaving = false
 	start := time.Now()
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, AttemptMeta{
 		Timeout:     time.Until(c.deadline),
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,6 +75,7 @@
 	status           int             // that was sent to the client, of a backend server
 	notRunCount      int             // attempts that no server executed
 	waitedForServers bool            // waitForServers was called before
+	interimLeaving   bool            // an interim response of the current attempt said that its server leaves
 	// stopSilenceTimers is called at the first output of the current attempt.
 	stopSilenceTimers func()
 }
@@ -199,7 +200,7 @@
 		return c.bodyError(err)
 	}
 	c.body = body
-	c.request = passthrough.Request{Method: c.r.Method, Target: target, Host: c.r.Host, Body: body}
+	c.request = passthrough.Request{Method: c.r.Method, Target: target, Host: c.r.Host, Body: body, OnHeader: c.observeHeader}
 	return nil
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -54,6 +54,18 @@
 	return ResponseMeta{RequestID: header.Get("Id"), Signed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != ""}
 }
 
+func (testCodec) DecodeNotice(header http.Header) ServerNotice {
+	notice := ServerNotice{Leaving: header.Get("Leaving") != ""}
+	if value := header.Get("Limit"); value != "" {
+		limit, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return ServerNotice{Limit: LimitInvalid}
+		}
+		notice.Limit, notice.RequestsPerSecond = LimitNamed, limit
+	}
+	return notice
+}
+
 func (testCodec) EncodeRetryAfter(header http.Header, after time.Duration) {
 	header.Set("Retry-After", after.String())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	view    *view
 	ledger  ledgerClient
 	loads   *loadTracker
+	notices *noticeLog
 	servers *passthrough.Pool
 	pool    *transport.Pool
 
@@ -84,6 +85,7 @@
 		log:     log,
 		metrics: metrics,
 		loads:   newLoadTracker(),
+		notices: newNoticeLog(log.Named("notices"), metrics.ServerNotices),
 		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
@@ -111,7 +113,7 @@
 	g.background.Go(func() { loop.Every(ctx, pruneInterval, g.pruneLoads) })
 }
 
-// pruneLoads removes the load data of servers that were removed.
+// pruneLoads removes the load data and the notices of servers that were removed.
 func (g *Gateway) pruneLoads(context.Context) {
 	known := make(map[string]bool)
 	for _, list := range g.view.servers.Load().byService {
@@ -120,6 +122,7 @@
 		}
 	}
 	g.loads.prune(known)
+	g.notices.prune(known)
 }
 
 // Ready reports whether the entry should receive new clients: it has routes, a state
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,6 +50,25 @@
 	NotRun    bool   // the server did not and will not run the request
 }
 
+// ServerNotice is what a backend server says about itself in the header of a response.
+type ServerNotice struct {
+	Leaving bool // it is about to stop and takes no new requests
+	Limit   LimitNotice
+	// RequestsPerSecond is the rate that the server accepts from all entries together. It is
+	// set if Limit is LimitNamed.
+	RequestsPerSecond float64
+}
+
+// LimitNotice says whether a response names a limit of requests per second.
+type LimitNotice uint8
+
+// Values of LimitNotice.
+const (
+	LimitAbsent  LimitNotice = iota // the server has no limit
+	LimitNamed                      // the server names one
+	LimitInvalid                    // malformed, which says nothing
+)
+
 // Codec translates between metadata and the headers of a platform. It contains no
 // policy.
 type Codec interface {
@@ -60,6 +79,9 @@
 	EncodeRequest(header http.Header, attempt AttemptMeta)
 	// DecodeResponse reads the metadata of a response.
 	DecodeResponse(status int, header http.Header) ResponseMeta
+	// DecodeNotice reads what a response says about its server. A malformed notice does not
+	// count as one.
+	DecodeNotice(header http.Header) ServerNotice
 	// EncodeRetryAfter writes the delay after which the client should retry.
 	EncodeRetryAfter(header http.Header, after time.Duration)
 }
--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -57,6 +57,9 @@
 	Host   string
 	Header http.Header // end-to-end header fields
 	Body   []byte
+	// OnHeader, if not nil, is called with each status line and header of a response, interim
+	// (1xx) ones included, before the exchange returns.
+	OnHeader func(status int, header http.Header)
 }
 
 // conn is one connection to a backend server. It carries one exchange at a time.
@@ -162,7 +165,7 @@
 			write.end(err)
 		}()
 	}
-	resp, err := c.readHeader(req.Method)
+	resp, err := c.readHeader(req)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: read: %w", ErrConnectionLost, err)
 	}
@@ -196,14 +199,17 @@
 
 // readHeader reads the status line and header of the final response and skips interim
 // (1xx) responses.
-func (c *conn) readHeader(method string) (*http.Response, error) {
+func (c *conn) readHeader(req *Request) (*http.Response, error) {
 	c.header.set, c.header.remaining = true, maxHeaderBytes
 	defer func() { c.header.set = false }()
 	for range maxInterimResponses + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
 		}
+		if req.OnHeader != nil {
+			req.OnHeader(resp.StatusCode, resp.Header)
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	ReleasedHolds      *prometheus.CounterVec   // by reason: programs whose engine memory was released
 	AnnounceErrors     prometheus.Counter       // announcements that no control process accepted
 	ServerConnections  *prometheus.CounterVec   // by outcome, for pass-through routes
+	ServerNotices      *prometheus.CounterVec   // by kind, of backend servers of pass-through routes
 	LedgerWindow       prometheus.Gauge         // maximum number of concurrent requests to the ledger
 	LedgerWaiting      prometheus.Gauge         // requests that wait to be sent to the ledger
 }
@@ -52,13 +53,14 @@
 		ReleasedHolds:      counterVec("released_holds_total", "Programs whose engine memory was released, by reason.", "reason"),
 		AnnounceErrors:     counter("announce_errors_total", "Announcements that no control process accepted."),
 		ServerConnections:  counterVec("server_connections_total", "Connections to backend servers of pass-through routes, by outcome.", "outcome"),
+		ServerNotices:      counterVec("server_notices_total", "Responses in which a backend server said that it leaves or has a limit, by kind.", "kind"),
 		LedgerWindow:       gauge("ledger_window", "Maximum number of concurrent requests from this entry to the program ledger."),
 		LedgerWaiting:      gauge("ledger_waiting", "Requests that wait in this entry to be sent to the program ledger."),
 	}
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
-		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections,
+		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices,
 		m.LedgerWindow, m.LedgerWaiting,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
