Requests to a server with a limit need a permit of the state hosts' leader

What callers saw: nothing; servers in need did. A server that names a limit in its responses got the whole load, 58 requests in 4 s where 29 are allowed.

Cause: entries chose servers without reading the limit. Class: a limit over all entries cannot be kept by entries that do not know of each other.

Change: entries read the limit and spread it with the reports of servers, and ask the leader of the configuration group for a permit for each request to such a server, under its lease. internal/policy/ratelimit divides the rate by demand and decides what waits and what is refused at once (server_limit). Ages and permits are measured on a clock that counts suspension (internal/clock). docs/design/server-limits.md has the options.

--- /dev/null
+++ b/internal/fleet/notice_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func limitAt(at time.Duration, named bool, rate float64) *Limit {
+	return &Limit{Named: named, RequestsPerSecond: rate, ReceivedAt: at, Source: "entry"}
+}
+
+func noticeOf(i *Instance, limit *Limit) Notice {
+	return Notice{ID: i.ID, Address: i.Address, StartUnixMs: i.StartUnixMs, Limit: limit, Source: "entry"}
+}
+
+func find(t *testing.T, table *Table, id string) *Instance {
+	t.Helper()
+	for _, i := range table.NewestByAddress() {
+		if i.ID == id {
+			return i
+		}
+	}
+	t.Fatalf("no instance %s", id)
+	return nil
+}
+
+func TestLimitOutlivesHeartbeatsOfTheSameStart(t *testing.T) {
+	table := NewTable()
+	a := heartbeat("a", "10.0.0.1:80", 1, 5, ready)
+	table.Merge(a)
+	_, changed := table.Note(noticeOf(a, limitAt(time.Second, true, 4)), epoch)
+	assert.Assert(t, changed)
+	table.Receive(heartbeat("a", "10.0.0.1:80", 1, 6, ready))
+	assert.Assert(t, find(t, table, "a").Limited())
+
+	table.Merge(heartbeat("a", "10.0.0.1:80", 2, 1, ready))
+	assert.Assert(t, !find(t, table, "a").Limited(), "the limit of an earlier start")
+	server, _ := table.Note(noticeOf(a, limitAt(2*time.Second, true, 4)), epoch)
+	assert.Assert(t, server == nil, "a notice of an earlier start")
+}
+
+func TestLaterLimitReplacesEarlier(t *testing.T) {
+	table := NewTable()
+	a := heartbeat("a", "10.0.0.1:80", 1, 5, ready)
+	table.Merge(a)
+	table.Note(noticeOf(a, limitAt(2*time.Second, false, 0)), epoch)
+	_, changed := table.Note(noticeOf(a, limitAt(time.Second, true, 4)), epoch)
+	assert.Assert(t, !changed, "a delayed limit after it was withdrawn")
+	assert.Assert(t, !find(t, table, "a").Limited())
+	_, changed = table.Note(noticeOf(a, limitAt(3*time.Second, true, 2)), epoch)
+	assert.Assert(t, changed)
+	_, changed = table.Note(noticeOf(a, limitAt(4*time.Second, true, 2)), epoch)
+	assert.Assert(t, !changed, "the same limit again")
+}
+
+// TestLimitReachesOtherTables has a host that learns of a limit from an entry, one that
+// received a later heartbeat, and an entry.
+func TestLimitReachesOtherTables(t *testing.T) {
+	receiver, other, entry := NewTable(), NewTable(), NewTable()
+	a := heartbeat("a", "10.0.0.1:80", 1, 5, ready)
+	for _, table := range []*Table{receiver, other, entry} {
+		table.Merge(a)
+	}
+	_, known := receiver.ChangedSince(0, true)
+	other.Receive(heartbeat("a", "10.0.0.1:80", 1, 6, ready))
+	receiver.Note(noticeOf(a, limitAt(time.Second, true, 4)), epoch)
+	list, _ := receiver.ChangedSince(known, true)
+	assert.Equal(t, len(list), 1)
+	sent := FromProto(ToProto(list[0], epoch), epoch)
+	assert.Assert(t, other.Merge(sent))
+	assert.Assert(t, entry.Merge(sent))
+	for _, table := range []*Table{other, entry} {
+		assert.Equal(t, find(t, table, "a").Limit.RequestsPerSecond, 4.0)
+	}
+	assert.Equal(t, find(t, other, "a").Sequence, uint64(6))
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -41,6 +41,8 @@
 	LastHeartbeat time.Time // when any host received the latest heartbeat
 	ColdUntil     time.Time // end of the warm-up in which it is slow
 	Silent        bool      // its heartbeats have stopped
+	Limit         *Limit    // what its responses said about the rate that it accepts, nil: nothing
+	LeavingSource string    // the entry to which it said that it leaves, "": its heartbeats said so, or nothing did
 }
 
 // Validate returns an error that wraps ErrInvalid if the ID, the service or a numeric
@@ -135,7 +137,7 @@
 	case i.newerThan(known.instance):
 	case i.Silent && !known.instance.Silent && !known.instance.newerThan(i):
 	default:
-		return false
+		return t.mergeNotices(i, known)
 	}
 	if i.Address == "" {
 		i = known.instance.withEnd(i)
@@ -144,10 +146,28 @@
 		// The state only advances (ready, draining, gone) until the server restarts.
 		i = withState(i, known.instance.State)
 	}
+	if sameStart(i, known.instance) {
+		i = i.withNotices(known.instance)
+	}
 	t.put(i, known)
 	return true
 }
 
+// mergeNotices stores the notices of a report whose heartbeat is not later than the known
+// one, and reports whether that changed the routing of requests. The caller holds the mutex.
+func (t *Table) mergeNotices(i *Instance, known *record) bool {
+	if !sameStart(i, known.instance) {
+		return false
+	}
+	next := known.instance.withNotices(i)
+	if i.LeavingSource != "" {
+		next.State = max(next.State, i.State)
+	}
+	changed := !sameRouting(next, known.instance)
+	t.put(next, known)
+	return changed
+}
+
 // withEnd returns a copy of i with the end that a tombstone records, so that its address
 // stays known. A tombstone of another start is returned unchanged.
 func (i *Instance) withEnd(end *Instance) *Instance {
@@ -186,7 +206,8 @@
 // sameRouting reports whether two reports of an instance agree in everything that
 // affects the routing of requests.
 func sameRouting(a, b *Instance) bool {
-	return sameStart(a, b) && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots && a.Version == b.Version && a.Silent == b.Silent
+	return sameStart(a, b) && a.State == b.State && a.Service == b.Service && a.Slots == b.Slots && a.Version == b.Version &&
+		a.Silent == b.Silent && a.Limit.same(b.Limit)
 }
 
 // MarkSilent marks the instances that sent no heartbeat for longer than limit and
@@ -261,12 +282,12 @@
 	return t.changes
 }
 
-// Sweep removes instances that sent no heartbeat for longer than goneRetentionPeriod.
+// Sweep removes instances that sent no heartbeat for longer than their retention period.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.records {
-		if now.Sub(r.instance.LastHeartbeat) > goneRetentionPeriod {
+		if now.Sub(r.instance.LastHeartbeat) > r.instance.retentionPeriod() {
 			delete(t.records, id)
 		}
 	}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/proto/fleetpb"
 )
 
@@ -21,6 +22,8 @@
 		ColdMs:        max(0, i.ColdUntil.Sub(now).Milliseconds()),
 		Silent:        i.Silent,
 		Version:       i.Version,
+		Limit:         LimitToProto(i.Limit),
+		LeavingSource: i.LeavingSource,
 	}
 }
 
@@ -40,5 +43,36 @@
 		ColdUntil:     now.Add(time.Duration(msg.ColdMs) * time.Millisecond),
 		Silent:        msg.Silent,
 		Version:       msg.Version,
+		Limit:         LimitFromProto(msg.Limit),
+		LeavingSource: msg.LeavingSource,
 	}
 }
+
+// LimitToProto converts a limit to its wire format.
+func LimitToProto(l *Limit) *fleetpb.Limit {
+	if l == nil {
+		return nil
+	}
+	age := max(0, clock.SinceBoot()-l.ReceivedAt)
+	return &fleetpb.Limit{Named: l.Named, RequestsPerSecond: l.RequestsPerSecond, AgeMs: age.Milliseconds(), Source: l.Source}
+}
+
+// LimitFromProto converts a limit from its wire format. It returns nil if there is none, or
+// if its rate is not valid.
+func LimitFromProto(msg *fleetpb.Limit) *Limit {
+	if msg == nil || !(msg.RequestsPerSecond >= 0) {
+		return nil
+	}
+	age := time.Duration(max(0, msg.AgeMs)) * time.Millisecond
+	return &Limit{Named: msg.Named, RequestsPerSecond: msg.RequestsPerSecond, ReceivedAt: clock.SinceBoot() - age, Source: msg.Source}
+}
+
+// NoticeToProto converts a notice to its wire format.
+func NoticeToProto(n Notice) *fleetpb.Notice {
+	return &fleetpb.Notice{Server: n.ID, Address: n.Address, BornMs: n.StartUnixMs, Leaving: n.Leaving, Limit: LimitToProto(n.Limit)}
+}
+
+// NoticeFromProto converts a notice that an entry sent from its wire format.
+func NoticeFromProto(msg *fleetpb.Notice, source string) Notice {
+	return Notice{ID: msg.Server, Address: msg.Address, StartUnixMs: msg.BornMs, Leaving: msg.Leaving, Limit: LimitFromProto(msg.Limit), Source: source}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,7 @@
 	c.request.Header = c.r.Header.Clone()
 	removeHopByHopHeaders(c.request.Header)
 	c.request.Header.Del("Content-Length")
+	defer c.leaveQueue()
 	for {
 		if c.g.crashDetector.hasCrashes.Load() && c.g.crashDetector.isQuarantined(c.fingerprint(), time.Now()) {
 			return c.noServerError(errQuarantined)
@@ -49,6 +50,10 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, errNotAsked) {
+			c.g.metrics.Retries.WithLabelValues("not_asked").Inc()
+			continue
+		}
 		c.lastErr = err
 		c.triedServers[c.server.ID] = true
 		c.logFailedAttempt(err)
@@ -96,6 +101,8 @@
 	switch {
 	case err == nil, errors.Is(err, errNotRun):
 		return outcomeOK
+	case errors.Is(err, errNotAsked):
+		return outcomeInconclusive
 	case errors.Is(err, errSilent), c.r.Context().Err() != nil:
 		// A silent server was penalized when its output was overdue.
 		return outcomeInconclusive
@@ -124,7 +131,8 @@
 }
 
 // selectServer selects the server of the next attempt. When all servers were tried, it
-// starts over after busyRetryDelay, until less than half of the time is left.
+// starts over after busyRetryDelay, until less than half of the time is left. While those
+// that are left have reached their limits, it waits for a permit.
 func (c *call) selectServer(ctx context.Context) error {
 	for {
 		if ctx.Err() != nil {
@@ -141,11 +149,27 @@
 		if sel.versions, err = c.pin(sel.servers); err != nil {
 			return c.noServerError(err)
 		}
+		c.permit = nil
 		if c.server = c.g.loads.acquire(sel); c.server != nil {
+			c.leaveQueue()
 			return nil
 		}
-		if time.Until(c.deadline) < c.deadline.Sub(c.arrived)/2 {
+		if preferred := c.g.loads.preferences(sel); len(preferred) > 0 {
+			if c.obtainPermit(ctx, preferred) {
+				c.leaveQueue()
+				return nil
+			}
+			continue
+		}
+		blocked := c.blockedServers(sel)
+		switch {
+		case time.Until(c.deadline) < c.deadline.Sub(c.arrived)/2:
 			return c.noServerError(errNoServer)
+		case len(blocked) > 0:
+			if err := c.waitForPermit(ctx, blocked); err != nil {
+				return c.noServerError(err)
+			}
+			continue
 		}
 		clear(c.triedServers)
 		timer := time.NewTimer(busyRetryDelay)
@@ -166,10 +190,23 @@
 		home:          c.previousServer,
 		newHome:       c.route.KeepTurns && c.previousServer == "",
 		failureDomain: c.g.cfg.FailureDomain,
+		blocked:       c.isBlocked,
 		now:           time.Now(),
 	}
 }
 
+// blockedServers returns the servers of a selection that are not eligible only because of
+// their limits.
+func (c *call) blockedServers(sel selection) []*fleet.Instance {
+	var list []*fleet.Instance
+	for _, server := range sel.servers {
+		if sel.versions.Allows(server.Version) && server.Limited() {
+			list = append(list, server)
+		}
+	}
+	return list
+}
+
 // waitForServers waits until a server of the service is known, and reports whether one
 // is. After a restart of the state hosts, servers appear one by one with their
 // heartbeats. A request waits at most once.
@@ -214,6 +251,9 @@
 func (c *call) attempt(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if err := c.checkServer(); err != nil {
+		return err
+	}
 	c.stopSilenceTimers = c.startSilenceTimers(cancel)
 	defer c.stopSilenceTimers()
 	c.interimLeaving = false
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,6 +75,9 @@
 	status           int             // that was sent to the client, of a backend server
 	notRunCount      int             // attempts that no server executed
 	waitedForServers bool            // waitForServers was called before
+	newProgram       bool            // the turn begins a program
+	waiter           *permitWaiter   // while the request waits for a permit
+	permit           *permit         // of the current attempt, nil if its server has no limit
 	interimLeaving   bool            // an interim response of the current attempt said that its server leaves
 	// stopSilenceTimers is called at the first output of the current attempt.
 	stopSilenceTimers func()
@@ -240,7 +243,7 @@
 	}
 	c.streamOpened(stream, previous.streamVersion)
 	c.prependTurns(previous.turns)
-	c.previousServer = previous.server
+	c.previousServer, c.newProgram = previous.server, previous.newProgram
 	err = c.tryServers(ctx)
 	if err == nil && c.route.KeepTurns && c.status/100 == 2 {
 		return c.keepTurn(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/policy/gate"
@@ -65,11 +66,13 @@
 	view    *view
 	ledger  ledgerClient
 	loads   *loadTracker
-	notices *noticeLog
+	permits *permitClient
+	queues  *permitQueues
 	servers *passthrough.Pool
 	pool    *transport.Pool
 
-	crashDetector *crashDetector
+	crashDetector  *crashDetector
+	noticeReporter *noticeReporter
 
 	draining   atomic.Bool
 	inFlight   sync.WaitGroup // requests, settlements and crash reports
@@ -85,12 +88,14 @@
 		log:     log,
 		metrics: metrics,
 		loads:   newLoadTracker(),
-		notices: newNoticeLog(log.Named("notices"), metrics.ServerNotices),
+		queues:  newPermitQueues(),
 		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
 	g.crashDetector = newCrashDetector(log.Named("suspects"), g.reportCrash)
 	g.view = newView(cfg, log.Named("view"), pool, g.crashDetector)
+	g.permits = newPermitClient(cfg.Name, pool, g.view.stateHosts, metrics, func(n fleet.Notice) { g.view.note(n) })
+	g.noticeReporter = newNoticeReporter(cfg.Name, log.Named("notices"), pool, g.view.noticeTargets, &g.inFlight)
 	g.ledger = newRemoteLedger(pool, hedgePool, g.view.stateHosts, metrics)
 	return g
 }
@@ -113,7 +118,7 @@
 	g.background.Go(func() { loop.Every(ctx, pruneInterval, g.pruneLoads) })
 }
 
-// pruneLoads removes the load data and the notices of servers that were removed.
+// pruneLoads removes the load data and the permits of servers that were removed.
 func (g *Gateway) pruneLoads(context.Context) {
 	known := make(map[string]bool)
 	for _, list := range g.view.servers.Load().byService {
@@ -122,7 +127,7 @@
 		}
 	}
 	g.loads.prune(known)
-	g.notices.prune(known)
+	g.permits.prune(known)
 }
 
 // Ready reports whether the entry should receive new clients: it has routes, a state
@@ -188,5 +193,9 @@
 	if errors.As(cause, &overload) {
 		after = overload.RetryAfter
 	}
+	var limited *limitedError
+	if errors.As(cause, &limited) {
+		after = limited.retryAfter
+	}
 	return after + rand.N(maxRetryAfter-minRetryAfter)
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -2,12 +2,9 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus"
-
+	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/internal/fleet"
 )
 
@@ -18,6 +15,9 @@
 	noticeLimitInvalid = "limit_invalid"
 )
 
+// limitRefreshInterval is the age at which a limit that is named again is stored again.
+const limitRefreshInterval = time.Second
+
 // serverStart identifies one start of a backend server. A server that starts anew under the
 // same ID or address is another one.
 type serverStart struct {
@@ -29,57 +29,6 @@
 	return serverStart{id: server.ID, address: server.Address, startUnixMs: server.StartUnixMs}
 }
 
-// noticeLog logs when a backend server changes what it says about itself. It is safe for
-// concurrent use.
-type noticeLog struct {
-	log     hclog.Logger
-	notices *prometheus.CounterVec
-
-	mu     sync.Mutex
-	latest map[serverStart]ServerNotice
-}
-
-func newNoticeLog(log hclog.Logger, notices *prometheus.CounterVec) *noticeLog {
-	return &noticeLog{log: log, notices: notices, latest: make(map[serverStart]ServerNotice)}
-}
-
-// record counts a notice and logs it if it differs from the one before.
-func (l *noticeLog) record(server *fleet.Instance, notice ServerNotice) {
-	if notice.Leaving {
-		l.notices.WithLabelValues(noticeLeaving).Inc()
-	}
-	switch notice.Limit {
-	case LimitNamed:
-		l.notices.WithLabelValues(noticeLimit).Inc()
-	case LimitInvalid:
-		l.notices.WithLabelValues(noticeLimitInvalid).Inc()
-	}
-	start := startOf(server)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.latest[start] == notice {
-		return
-	}
-	if notice == (ServerNotice{}) {
-		delete(l.latest, start)
-	} else {
-		l.latest[start] = notice
-	}
-	l.log.Info("backend server said", "server", server.ID, "service", server.Service, "address", server.Address, "born", server.StartUnixMs,
-		"leaving", notice.Leaving, "limited", notice.Limit == LimitNamed, "requests_per_second", notice.RequestsPerSecond, "malformed", notice.Limit == LimitInvalid)
-}
-
-// prune removes the servers that are not known any more.
-func (l *noticeLog) prune(known map[string]bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for start := range l.latest {
-		if !known[start.id] {
-			delete(l.latest, start)
-		}
-	}
-}
-
 // observeHeader reads the notices in the header of a response. Only a response to this
 // request, from the server that was asked for it, speaks for that server: another one that
 // took over its address answers 421. An interim response without a request ID counts once
@@ -96,10 +45,46 @@
 		notice.Limit = LimitInvalid // the final response says whether there is a limit
 	}
 	notice.Leaving = notice.Leaving || c.interimLeaving
-	c.g.observe(c.server, notice, time.Now())
+	c.g.observe(c.server, notice)
 }
 
-// observe handles a notice of a server.
-func (g *Gateway) observe(server *fleet.Instance, notice ServerNotice, _ time.Time) {
-	g.notices.record(server, notice)
+// observe stores a notice of a server and tells the state hosts if it is news.
+func (g *Gateway) observe(server *fleet.Instance, notice ServerNotice) {
+	g.countNotice(notice)
+	news := fleet.Notice{ID: server.ID, Address: server.Address, StartUnixMs: server.StartUnixMs, Source: g.cfg.Name}
+	if latest := g.view.latest(server); latest != nil {
+		server = latest
+	}
+	if notice.Limit == LimitNamed || notice.Limit == LimitAbsent && server.Limit != nil {
+		news.Limit = &fleet.Limit{
+			Named: notice.Limit == LimitNamed, RequestsPerSecond: notice.RequestsPerSecond, ReceivedAt: clock.SinceBoot(), Source: g.cfg.Name,
+		}
+	}
+	if news.Limit == nil || !isNews(server.Limit, news.Limit) {
+		return
+	}
+	if g.view.note(news) {
+		g.log.Info("backend server said", "server", server.ID, "service", server.Service, "address", server.Address, "born", server.StartUnixMs,
+			"leaving", notice.Leaving, "limited", notice.Limit == LimitNamed, "requests_per_second", notice.RequestsPerSecond)
+		g.noticeReporter.add(news)
+	}
+}
+
+// isNews reports whether a limit differs from the known one, or is so much later that the
+// known one must be refreshed.
+func isNews(known, limit *fleet.Limit) bool {
+	return known == nil || known.Named != limit.Named || known.RequestsPerSecond != limit.RequestsPerSecond ||
+		limit.ReceivedAt-known.ReceivedAt > limitRefreshInterval
+}
+
+func (g *Gateway) countNotice(notice ServerNotice) {
+	if notice.Leaving {
+		g.metrics.ServerNotices.WithLabelValues(noticeLeaving).Inc()
+	}
+	switch notice.Limit {
+	case LimitNamed:
+		g.metrics.ServerNotices.WithLabelValues(noticeLimit).Inc()
+	case LimitInvalid:
+		g.metrics.ServerNotices.WithLabelValues(noticeLimitInvalid).Inc()
+	}
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -23,6 +23,7 @@
 	reasonUnknownTurn       = "unknown_turn"
 	reasonNoServer          = "no_server"
 	reasonQuarantined       = "quarantined"
+	reasonServerLimit       = "server_limit"
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
 	reasonLedgerBusy        = "ledger_busy"
@@ -56,6 +57,7 @@
 	{streampin.ErrUnknownVersion, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
 	{streampin.ErrVersionNotServed, refusal{reasonVersionGone, http.StatusServiceUnavailable, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
+	{errLimited, refusal{reasonServerLimit, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrUnavailable, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -118,6 +118,7 @@
 	newHome       bool            // later requests name the selected server as their home
 	failureDomain string          // of this entry
 	versions      streampin.Constraint
+	blocked       func(*fleet.Instance) bool // servers that are not eligible because of their limits, nil: none
 	now           time.Time
 }
 
@@ -131,47 +132,83 @@
 	weight       uint64 // rendezvous hash of key and server; random without a key
 	running      int
 	remote       bool // in another failure domain
+	limited      bool // accepts a limited rate of requests
 }
 
 // acquire selects a server and counts the request there until release is called. It
-// returns nil if every server is excluded.
+// returns nil if every server is excluded, or if the best one has a limit: the request then
+// needs a permit for one of the preferences.
 func (t *loadTracker) acquire(sel selection) *fleet.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	chosen := t.choose(sel)
-	if chosen != nil {
-		t.load(chosen.ID).running++
+	candidates := t.candidates(sel)
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(candidates, sel.order()).server
+	if best.Limited() {
+		return nil
+	}
+	t.load(best.ID).running++
+	return best
+}
+
+// preferences returns the servers that are not excluded in order, up to the first one
+// without a limit.
+func (t *loadTracker) preferences(sel selection) []*fleet.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := t.candidates(sel)
+	slices.SortFunc(candidates, sel.order())
+	var list []*fleet.Instance
+	for _, cand := range candidates {
+		list = append(list, cand.server)
+		if !cand.limited {
+			break
+		}
 	}
-	return chosen
+	return list
 }
 
-// peek returns the server that acquire would select.
+// acquireServer counts a request at a server until release is called.
+func (t *loadTracker) acquireServer(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load(id).running++
+}
+
+// peek returns the best server, or nil if every one is excluded.
 func (t *loadTracker) peek(sel selection) *fleet.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.choose(sel)
+	candidates := t.candidates(sel)
+	if len(candidates) == 0 {
+		return nil
+	}
+	return slices.MinFunc(candidates, sel.order()).server
 }
 
-// choose returns the best server, or nil if every one is excluded. The caller holds the
-// mutex.
-func (t *loadTracker) choose(sel selection) *fleet.Instance {
-	var candidates []candidate
+// candidates returns the servers that are not excluded. The caller holds the mutex.
+func (t *loadTracker) candidates(sel selection) []candidate {
+	var list []candidate
 	for _, server := range sel.servers {
-		if !sel.exclude[server.ID] && sel.versions.Allows(server.Version) {
-			candidates = append(candidates, t.newCandidate(server, sel))
+		eligible := !sel.exclude[server.ID] && sel.versions.Allows(server.Version) && (sel.blocked == nil || !sel.blocked(server))
+		if eligible {
+			list = append(list, t.newCandidate(server, sel))
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	order := compareByLoad
+	return list
+}
+
+// order returns the order in which the selection ranks servers, the best first.
+func (sel *selection) order() func(a, b candidate) int {
 	switch {
 	case sel.newHome:
-		order = compareForNewHome
+		return compareForNewHome
 	case sel.key != "":
-		order = compareByAffinity
+		return compareByAffinity
 	}
-	return slices.MinFunc(candidates, order).server
+	return compareByLoad
 }
 
 // newCandidate evaluates a server for a selection. The caller holds the mutex.
@@ -183,6 +220,7 @@
 		otherVersion: !sel.versions.Prefers(server.Version),
 		running:      load.running,
 		remote:       server.FailureDomain != sel.failureDomain,
+		limited:      server.Limited(),
 	}
 	if sel.key == "" {
 		cand.weight = rand.Uint64()
@@ -218,11 +256,13 @@
 }
 
 // compareForNewHome ranks servers for the first turn of a program whose later turns stay
-// at the server. Each turn sends the whole prompt, so the servers of the entry's own
-// failure domain come first as long as they have free slots.
+// at the server, so that those without a limit come first. Each turn sends the whole prompt,
+// so the servers of the entry's own failure domain come before others as long as they have
+// free slots.
 func compareForNewHome(a, b candidate) int {
 	return cmp.Or(
 		compareAvailability(a, b),
+		compare.Bool(a.limited, b.limited),
 		compare.Bool(a.remote, b.remote),
 		cmp.Compare(a.running, b.running),
 		cmp.Compare(b.weight, a.weight),
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -68,6 +68,7 @@
 type history struct {
 	turns         []*ledgerpb.Exchange // earlier turns, oldest first
 	server        string               // ID of the server that ran the latest one, or ""
+	newProgram    bool                 // the turn is the first one that this entry has seen of its program lately
 	streamVersion string               // software version that began the resumed stream, or ""
 }
 
@@ -137,7 +138,7 @@
 	case ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM:
 		return history{}, errUnknownStream
 	}
-	return history{turns: resp.Chain, server: resp.Server, streamVersion: resp.StreamVersion}, nil
+	return history{turns: resp.Chain, server: resp.Server, newProgram: newProgram, streamVersion: resp.StreamVersion}, nil
 }
 
 // openStream implements ledgerClient.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -140,7 +140,7 @@
 		i := fleet.FromProto(msg, now)
 		if v.table.Merge(i) {
 			v.log.Info("backend server changed", "server", i.ID, "service", i.Service, "address", i.Address, "version", i.Version,
-				"state", i.State.String(), "silent", i.Silent, "sequence", i.Sequence, "from", address)
+				"state", i.State.String(), "silent", i.Silent, "sequence", i.Sequence, "limited", i.Limited(), "leaving_source", i.LeavingSource, "from", address)
 		}
 	}
 	v.table.Sweep(now)
@@ -212,6 +212,29 @@
 	return v.servers.Load().byService[service]
 }
 
+// latest returns the usable server that is the same start as server, nil if there is none.
+func (v *view) latest(server *fleet.Instance) *fleet.Instance {
+	start := startOf(server)
+	for _, known := range v.usableServers(server.Service) {
+		if startOf(known) == start {
+			return known
+		}
+	}
+	return nil
+}
+
+// note stores what a server said about itself and reports whether that changed the routing
+// of requests.
+func (v *view) note(notice fleet.Notice) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	server, changed := v.table.Note(notice, time.Now())
+	if server != nil {
+		v.rebuildIndex()
+	}
+	return changed
+}
+
 // isFresh reports whether a state host sent an update within maxAge.
 func (v *view) isFresh(maxAge time.Duration) bool {
 	now := time.Now()
--- a/internal/gateway/watched_hosts.go
+++ b/internal/gateway/watched_hosts.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"ibistray.example/ibistray/internal/compare"
 	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/policy/watchset"
 )
@@ -88,6 +89,23 @@
 	return host
 }
 
+// servingFirst sorts hosts so that those with contact to a quorum come first.
+func (w *watchedHosts) servingFirst(hosts []string, now time.Time) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slices.SortStableFunc(hosts, func(a, b string) int {
+		return compare.Bool(!w.serves(a, now), !w.serves(b, now))
+	})
+	return hosts
+}
+
+// serves reports whether a host is known to have contact to a quorum. The caller holds the
+// mutex.
+func (w *watchedHosts) serves(address string, now time.Time) bool {
+	h := w.hosts[address]
+	return h != nil && h.watched && h.serving(now)
+}
+
 func (h *watchedHost) serving(now time.Time) bool {
 	return !h.lastQuorum.IsZero() && now.Sub(h.lastQuorum) <= servingTimeout
 }
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/singleflight"
 
+	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/leaderclient"
@@ -105,6 +106,7 @@
 	ledger   *ledger.State
 	servers  *fleet.Table
 	crashes  *crashLog
+	permits  *permitAllocator
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
@@ -146,6 +148,7 @@
 		ledger:   ledger.New(),
 		servers:  fleet.NewTable(),
 		crashes:  newCrashLog(),
+		permits:  newPermitAllocator(),
 		hosts:    newHostTable(),
 
 		replicaReplacement: make(chan struct{}, 1),
@@ -169,10 +172,10 @@
 
 // openReplicas opens the log in the data directory.
 func openReplicas(cfg Config, peers *peer.Transport, log hclog.Logger, registry prometheus.Registerer, onFailure func(error)) (*replica.Host, error) {
-	clock := cfg.Clock
-	if clock == nil {
+	bootTime := cfg.Clock
+	if bootTime == nil {
 		var err error
-		if clock, err = replica.BootTimeClock(); err != nil {
+		if bootTime, err = clock.BootTime(); err != nil {
 			return nil, fmt.Errorf("statehost: open clock: %w", err)
 		}
 	}
@@ -186,7 +189,7 @@
 		SnapshotEntries: snapshotEntries,
 		SnapshotBytes:   int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
 		SegmentSize:     diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
-		Clock:           clock,
+		Clock:           bootTime,
 		Logger:          log.Named("replica"),
 		Registerer:      registry,
 		OnFailure:       onFailure,
@@ -246,6 +249,8 @@
 	server.Handle(transport.MethodRoutesFetch, transport.Unary(h.handleRoutesFetch))
 	server.Handle(transport.MethodLedger, transport.SharedUnary(h.handleLedger))
 	server.Handle(transport.MethodCrashReport, transport.Unary(h.handleCrashReport))
+	server.Handle(transport.MethodNotices, transport.Unary(h.handleNotices))
+	server.Handle(transport.MethodPermits, transport.SharedUnary(h.handlePermits))
 	server.Handle(transport.MethodFleetWatch, h.handleWatch)
 }
 
@@ -267,6 +272,7 @@
 func (h *Host) sweep(context.Context) {
 	now := time.Now()
 	h.servers.Sweep(now)
+	h.permits.prune(clock.SinceBoot())
 	for _, instance := range h.servers.MarkSilent(now, maxMissedHeartbeats*h.cfg.HeartbeatInterval) {
 		h.log.Warn("backend server is silent", "server", instance.ID, "service", instance.Service, "address", instance.Address, "heard_ms_ago", now.Sub(instance.LastHeartbeat).Milliseconds())
 	}
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -13,6 +13,7 @@
 	membershipSteps  *prometheus.CounterVec // by kind: membership changes
 	reportsSent      *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
 	updatesSent      *prometheus.CounterVec // by watcher: updates, empty ones included
+	permits          *prometheus.CounterVec // by outcome, granted or denied: permits to send to servers with a limit
 	busyResponses    prometheus.Counter     // responses that told an entry to send less
 	watchers         prometheus.Gauge
 	programs         prometheus.Gauge
@@ -44,6 +45,7 @@
 		membershipSteps:  counter("membership_steps_total", "Membership change steps, by kind.", "kind"),
 		reportsSent:      counter("watch_reports_total", "Reports of backend servers sent to watchers, by kind of watcher.", "watcher"),
 		updatesSent:      counter("watch_updates_total", "Updates sent to watchers, empty ones included, by kind of watcher.", "watcher"),
+		permits:          counter("permits_total", "Permits to send to backend servers with a limit, by outcome.", "outcome"),
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
@@ -53,6 +55,6 @@
 		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.permits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -21,6 +21,8 @@
 	MethodHostMembers = "host.members"
 	MethodFleetWatch  = "fleet.watch"
 	MethodCrashReport = "fleet.crash"
+	MethodNotices     = "fleet.notices"
+	MethodPermits     = "fleet.permits"
 	MethodRoutes      = "routes.call"
 	MethodRoutesFetch = "routes.fetch"
 	MethodLedger      = "ledger.call"
