Windows of servers, and new programs are refused while running ones lack servers

What callers saw: with nearly all servers of a service at their limits, 14 to 29 percent of the programs failed midway. Cause: what the limits turned away all went to the one server without a limit, whose first events then took 0.8 to 1.4 s, and each request was refused with the same probability, so that nearly every program lost one. Class: overload that is shed by request.

Change: an entry runs at most as many requests at a server as that has slots, fewer while it refuses, stays silent or is slow (policy/window); while requests of running programs wait or are refused, programs that begin are refused at once, less urgent ones first (policy/shed).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,8 +99,12 @@
 // classifyAttempt returns what the error of an attempt shows about its server.
 func (c *call) classifyAttempt(err error) attemptOutcome {
 	switch {
-	case err == nil, errors.Is(err, errNotRun):
+	case err == nil && c.route.LatencyTarget > 0 && c.attemptOutput > slowTargetFactor*c.route.LatencyTarget:
+		return outcomeSlow
+	case err == nil:
 		return outcomeOK
+	case errors.Is(err, errNotRun):
+		return outcomeRefused
 	case errors.Is(err, errNotAsked):
 		return outcomeInconclusive
 	case errors.Is(err, errSilent), c.r.Context().Err() != nil:
@@ -191,16 +195,20 @@
 		newHome:       c.route.KeepTurns && c.previousServer == "",
 		failureDomain: c.g.cfg.FailureDomain,
 		blocked:       c.isBlocked,
+		mayAsk:        c.g.queues.mayAsk(c.service.Name, c.waiter),
 		now:           time.Now(),
 	}
 }
 
-// blockedServers returns the servers of a selection that are not eligible only because of
-// their limits.
+// blockedServers returns the servers of a selection that take no request now, because of
+// their limits or since their windows are full.
 func (c *call) blockedServers(sel selection) []*fleet.Instance {
 	var list []*fleet.Instance
 	for _, server := range sel.servers {
-		if sel.versions.Allows(server.Version) && server.Limited() {
+		if !sel.versions.Allows(server.Version) {
+			continue
+		}
+		if server.Limited() || !c.g.loads.isOpen(server, sel.mayAsk) {
 			list = append(list, server)
 		}
 	}
@@ -258,6 +266,7 @@
 	defer c.stopSilenceTimers()
 	c.interimLeaving = false
 	start := time.Now()
+	c.attemptStarted, c.attemptOutput = start, 0
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, AttemptMeta{
 		Timeout:     time.Until(c.deadline),
 		InstanceID:  c.server.ID,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,6 +66,8 @@
 	server           *fleet.Instance // of the latest attempt
 	lastErr          error           // of the latest attempt
 	firstOutput      time.Duration   // time until the response started
+	attemptStarted   time.Time       // start of the current attempt
+	attemptOutput    time.Duration   // from the start of the current attempt until the response started, 0: not yet
 	beginDuration    time.Duration   // time spent on the reservation before the turn
 	keepDuration     time.Duration   // time spent on storing the turn after it
 	eventsSent       int             // events with data that were sent to the client
@@ -229,6 +231,12 @@
 		}
 		return c.tryServers(ctx)
 	}
+	c.newProgram = c.g.ledger.isNewProgram(&c.meta)
+	if c.newProgram {
+		if err := c.g.shedder.admit(c.route.Priority); err != nil {
+			return err
+		}
+	}
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventTimeout()-firstEventMargin))
 	defer cancelBegin()
 	start := time.Now()
@@ -243,7 +251,7 @@
 	}
 	c.streamOpened(stream, previous.streamVersion)
 	c.prependTurns(previous.turns)
-	c.previousServer, c.newProgram = previous.server, previous.newProgram
+	c.previousServer = previous.server
 	err = c.tryServers(ctx)
 	if err == nil && c.route.KeepTurns && c.status/100 == 2 {
 		return c.keepTurn(ctx)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -83,6 +83,8 @@
 	settled  chan *ledgerpb.Finish // receives each element of finished
 }
 
+func (l *fakeLedger) isNewProgram(meta *RequestMeta) bool { return meta.PreviousTurn == "" }
+
 func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, _ queueOptions) (history, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
@@ -14,6 +15,9 @@
 // wait on.
 const maxPermitPause = 250 * time.Millisecond
 
+// shortageDelay is the wait of a request of a running program that shows a lack of servers.
+const shortageDelay = 100 * time.Millisecond
+
 // errLimited says that the backend servers of the service accept no more requests now.
 var errLimited = errors.New("gateway: the backend servers have reached the limits that they named")
 
@@ -68,6 +72,10 @@
 		c.g.metrics.PermitWaiting.Inc()
 	}
 	delay, share := c.g.permits.outlook(blocked)
+	if slices.ContainsFunc(blocked, func(server *fleet.Instance) bool { return !server.Limited() }) {
+		delay = min(delay, windowPollInterval)
+	}
+	share += c.g.loads.throughput(blocked, time.Now())
 	decision := ratelimit.Decide(ratelimit.Waiting{
 		NewProgram: c.newProgram,
 		Waited:     time.Since(c.waiter.joined),
@@ -91,6 +99,9 @@
 	if c.waiter == nil {
 		return
 	}
+	if !c.newProgram && time.Since(c.waiter.joined) > shortageDelay {
+		c.g.shedder.recordShortage()
+	}
 	c.g.queues.leave(c.waiter)
 	c.g.metrics.PermitWaiting.Dec()
 	c.waiter = nil
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -27,8 +27,6 @@
 	unreachableDelay = 200 * time.Millisecond
 	// prefetchPeriod is the period whose permits are asked for at once, by the latest use.
 	prefetchPeriod = 100 * time.Millisecond
-	// usagePeriod is the period over which the use of permits is counted.
-	usagePeriod = time.Second
 	// maxPermitCandidates limits the servers in one request for permits.
 	maxPermitCandidates = 16
 )
@@ -61,9 +59,7 @@
 	spare       int     // permits in hand
 	askedAt     time.Duration
 	returned    int // permits that expired unused
-	// Permits used in the current usagePeriod and in the one before.
-	used, usedBefore int
-	periodStart      time.Duration
+	used        rateCounter
 }
 
 // newPermitClient returns a client that finds the leader of the state hosts at addresses.
@@ -92,7 +88,7 @@
 func (p *permitClient) state(server *fleet.Instance) *permitState {
 	start := startOf(server)
 	if p.byServer[start] == nil {
-		p.byServer[start] = &permitState{periodStart: p.now()}
+		p.byServer[start] = new(permitState)
 	}
 	return p.byServer[start]
 }
@@ -108,13 +104,17 @@
 	return s.spareAt(p.now()) == 0 && p.now() < s.deniedUntil
 }
 
-// outlook returns the time until permits may be asked for again for one of the servers, and
-// the requests a second that the entry can expect from all of them, 0 if that is unknown.
+// outlook returns the time until permits may be asked for again for one of the servers that
+// have a limit, and the requests a second that the entry can expect from all of them, 0 if
+// that is unknown.
 func (p *permitClient) outlook(servers []*fleet.Instance) (wait time.Duration, share float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait = unreachableDelay
 	for _, server := range servers {
+		if !server.Limited() {
+			continue
+		}
 		s := p.state(server)
 		wait = min(wait, max(0, s.deniedUntil-p.now()))
 		share += s.share
@@ -131,21 +131,9 @@
 	return s.spare
 }
 
-// use counts a permit that is used.
-func (s *permitState) use(now time.Duration) {
-	if elapsed := now - s.periodStart; elapsed >= usagePeriod {
-		s.usedBefore = 0
-		if elapsed < 2*usagePeriod {
-			s.usedBefore = s.used
-		}
-		s.used, s.periodStart = 0, now
-	}
-	s.used++
-}
-
 // wanted returns the number of permits to ask for.
-func (s *permitState) wanted() uint32 {
-	return uint32(1 + max(s.used, s.usedBefore)*int(prefetchPeriod)/int(usagePeriod))
+func (s *permitState) wanted(now time.Duration) uint32 {
+	return uint32(1 + s.used.perSecond(now)*prefetchPeriod.Seconds())
 }
 
 // permit allows one request to a server until it expires.
@@ -167,7 +155,7 @@
 	for _, server := range servers {
 		if s := p.state(server); s.spareAt(now) > 0 {
 			s.spare--
-			s.use(now)
+			s.used.add(now)
 			return permit{server: server, askedAt: s.askedAt}, true
 		}
 	}
@@ -205,7 +193,7 @@
 		s := p.state(server)
 		notice := fleet.Notice{ID: server.ID, Address: server.Address, StartUnixMs: server.StartUnixMs, Limit: server.Limit}
 		req.Candidates = append(req.Candidates, &fleetpb.PermitCandidate{
-			Notice: fleet.NoticeToProto(notice), Wanted: s.wanted(), Returned: uint32(s.returned),
+			Notice: fleet.NoticeToProto(notice), Wanted: s.wanted(p.now()), Returned: uint32(s.returned),
 		})
 		s.returned = 0
 	}
@@ -248,7 +236,7 @@
 	s := p.state(granted)
 	s.spareAt(now)
 	s.spare, s.askedAt = s.spare+int(resp.Permits)-1, askedAt
-	s.use(now)
+	s.used.add(now)
 	return permit{server: granted, askedAt: askedAt}, true
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -39,7 +39,9 @@
 type attemptOutcome uint8
 
 const (
-	outcomeOK           attemptOutcome = iota // responded, or refused without running the request
+	outcomeOK           attemptOutcome = iota // responded
+	outcomeSlow                               // responded much later than the route aims for
+	outcomeRefused                            // refused without running the request
 	outcomeFailed                             // connection lost, or the response was invalid
 	outcomeUnreachable                        // accepted no connection
 	outcomeSilent                             // sent no output in time
@@ -54,6 +56,7 @@
 	lastFailure    time.Time
 	lastResponse   time.Time
 	penalizedUntil time.Time // ranked behind the others until then
+	window         *serverWindow
 }
 
 // isSilent reports whether the heartbeats of a server have stopped and no recent
@@ -66,13 +69,14 @@
 // loadTracker tracks the requests of this entry by server and the latency by route. It
 // is safe for concurrent use.
 type loadTracker struct {
+	started   time.Time // reference point of the windows' clocks
 	mu        sync.Mutex
 	byServer  map[string]*serverLoad
 	latencies map[string]*meanLatency // by route
 }
 
 func newLoadTracker() *loadTracker {
-	return &loadTracker{byServer: make(map[string]*serverLoad), latencies: make(map[string]*meanLatency)}
+	return &loadTracker{started: time.Now(), byServer: make(map[string]*serverLoad), latencies: make(map[string]*meanLatency)}
 }
 
 // load returns the load of a server and adds it if necessary. The caller holds the
@@ -87,7 +91,7 @@
 // recordOutcome updates failures and penalty after an attempt.
 func (s *serverLoad) recordOutcome(outcome attemptOutcome, now time.Time) {
 	switch outcome {
-	case outcomeOK:
+	case outcomeOK, outcomeSlow, outcomeRefused:
 		s.lastResponse = now
 		return
 	case outcomeInconclusive:
@@ -119,6 +123,7 @@
 	failureDomain string          // of this entry
 	versions      streampin.Constraint
 	blocked       func(*fleet.Instance) bool // servers that are not eligible because of their limits, nil: none
+	mayAsk        bool                       // no other request waits for a place at a server
 	now           time.Time
 }
 
@@ -192,8 +197,10 @@
 func (t *loadTracker) candidates(sel selection) []candidate {
 	var list []candidate
 	for _, server := range sel.servers {
-		eligible := !sel.exclude[server.ID] && sel.versions.Allows(server.Version) && (sel.blocked == nil || !sel.blocked(server))
-		if eligible {
+		if sel.exclude[server.ID] || !sel.versions.Allows(server.Version) || sel.blocked != nil && sel.blocked(server) {
+			continue
+		}
+		if t.windowOpen(server, sel.mayAsk) {
 			list = append(list, t.newCandidate(server, sel))
 		}
 	}
@@ -286,6 +293,46 @@
 	load := t.load(id)
 	load.running--
 	load.recordOutcome(outcome, now)
+	t.updateWindow(load, outcome, now)
+}
+
+// updateWindow updates the window of a server after an attempt. The caller holds the mutex.
+func (t *loadTracker) updateWindow(load *serverLoad, outcome attemptOutcome, now time.Time) {
+	if load.window != nil {
+		load.window.record(outcome, now.Sub(t.started))
+	}
+}
+
+// windowOpen reports whether this entry may send another request to a server. While a window
+// recovers from an overload, its places go to the requests that wait. The caller holds the
+// mutex.
+func (t *loadTracker) windowOpen(server *fleet.Instance, mayAsk bool) bool {
+	load := t.load(server.ID)
+	if load.window == nil {
+		load.window = newServerWindow(server)
+	}
+	return load.running < load.window.window.Limit() && (mayAsk || !load.window.window.BelowMax())
+}
+
+// isOpen is like windowOpen for callers that do not hold the mutex.
+func (t *loadTracker) isOpen(server *fleet.Instance, mayAsk bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.windowOpen(server, mayAsk)
+}
+
+// throughput returns the requests a second that servers without a limit have answered to
+// this entry.
+func (t *loadTracker) throughput(servers []*fleet.Instance, now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0.0
+	for _, server := range servers {
+		if load := t.load(server.ID); !server.Limited() && load.window != nil {
+			total += load.window.completed.perSecond(now.Sub(t.started))
+		}
+	}
+	return total
 }
 
 // recordSilence penalizes a server that sent no output in time while the request is
@@ -293,7 +340,9 @@
 func (t *loadTracker) recordSilence(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.load(id).recordOutcome(outcomeSilent, now)
+	load := t.load(id)
+	load.recordOutcome(outcomeSilent, now)
+	t.updateWindow(load, outcomeSilent, now)
 }
 
 // prune removes the servers that are not known any more and run no requests.
--- /dev/null
+++ b/internal/gateway/shedding_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestNewProgramIsRefusedWhileRunningOnesLackServers has calls of running programs that are
+// refused, and turns that begin programs meanwhile.
+func TestNewProgramIsRefusedWhileRunningOnesLackServers(t *testing.T) {
+	b := newBackend(t, "a", streamEvents(1, 2, true))
+	f := newFixture(t, b)
+	turn := func(id, previous string) clientResponse {
+		return f.send(t, http.MethodPost, "/chat/x", "in", "Id", id, "Program", "p "+id, "Previous", previous, "Budget", "1")
+	}
+	assert.Equal(t, turn("1", "").status, http.StatusOK)
+	<-f.ledger.settled
+
+	f.shedder.level.RecordShortage(0)
+	f.shedder.draw = func() float64 { return 0.99 }
+	got := turn("2", "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.body, reasonShed+"\n")
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, len(f.ledger.beginIDs), 1, "a refused turn reserves nothing")
+	assert.Equal(t, turn("3", "1").status, http.StatusOK, "a running program")
+	<-f.ledger.settled
+}
+
+func TestRefusedCallOfRunningProgramIsAShortage(t *testing.T) {
+	f := newFixture(t)
+	f.send(t, http.MethodPost, "/unsafe/x", "", "Id", "1", "Timeout-Ms", "200")
+	assert.Assert(t, f.shedder.admitWith(0, 0.999) == nil, "a request without a program")
+	f.send(t, http.MethodPost, "/unsafe/x", "", "Id", "2", "Program", "p", "Timeout-Ms", "200")
+	assert.ErrorIs(t, f.shedder.admitWith(1, 0.999), errShed)
+}
+
+// TestSlowServerGetsFewerConcurrentRequests has a server that responds late, beyond what its
+// route aims for, while more requests come than it has slots.
+func TestSlowServerGetsFewerConcurrentRequests(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", respondOK))
+	servers := f.view.usableServers("s")
+	sel := selection{servers: servers, now: testTime, mayAsk: true}
+	fill := func() int {
+		n := 0
+		for f.loads.acquire(sel) != nil {
+			n++
+		}
+		return n
+	}
+	full := fill()
+	assert.Equal(t, full, servers[0].Slots)
+	for range full {
+		f.loads.release("a", outcomeSlow, testTime)
+	}
+	reduced := fill()
+	assert.Assert(t, reduced <= full/2, "%d of %d", reduced, full)
+	for range reduced {
+		f.loads.release("a", outcomeOK, testTime)
+	}
+	waiting := sel
+	waiting.mayAsk = false
+	assert.Assert(t, f.loads.acquire(waiting) == nil, "places of a reduced window go to those that wait")
+	for range 200 {
+		f.loads.acquireServer("a")
+		f.loads.release("a", outcomeOK, testTime)
+	}
+	assert.Equal(t, fill(), full)
+}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -50,6 +50,8 @@
 
 // ledgerClient reserves and settles turns in the ledger.
 type ledgerClient interface {
+	// isNewProgram reports whether a turn begins a program, as far as this entry knows.
+	isNewProgram(meta *RequestMeta) bool
 	// begin reserves the tokens of a turn, opens its stream and returns what it continues
 	// from. stream is nil on routes whose streams cannot be resumed. It waits for a leader
 	// until ctx ends. Errors: errBudgetSpent, errUnknownTurn, errUnknownStream,
@@ -68,7 +70,6 @@
 type history struct {
 	turns         []*ledgerpb.Exchange // earlier turns, oldest first
 	server        string               // ID of the server that ran the latest one, or ""
-	newProgram    bool                 // the turn is the first one that this entry has seen of its program lately
 	streamVersion string               // software version that began the resumed stream, or ""
 }
 
@@ -106,9 +107,14 @@
 	}
 }
 
+// isNewProgram implements ledgerClient.
+func (l *remoteLedger) isNewProgram(meta *RequestMeta) bool {
+	return meta.PreviousTurn == "" && !l.recentPrograms.has(meta.Program, time.Now())
+}
+
 // begin implements ledgerClient.
 func (l *remoteLedger) begin(ctx context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error) {
-	newProgram := meta.PreviousTurn == "" && !l.recentPrograms.has(meta.Program, time.Now())
+	newProgram := l.isNewProgram(meta)
 	priority := gate.BeginPriority(opts.priority, newProgram)
 	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
 	admission := &admit.Request{Priority: priority, NewProgram: newProgram}
@@ -138,7 +144,7 @@
 	case ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM:
 		return history{}, errUnknownStream
 	}
-	return history{turns: resp.Chain, server: resp.Server, newProgram: newProgram, streamVersion: resp.StreamVersion}, nil
+	return history{turns: resp.Chain, server: resp.Server, streamVersion: resp.StreamVersion}, nil
 }
 
 // openStream implements ledgerClient.
