A server that says in a response that it leaves gets no further requests

What servers saw: one that says so in its responses, while its heartbeats that say ready are still on their way or go to a state host that the entry does not hear, went on getting requests. Cause: entries knew of leaving servers from the directory alone. Class: what a process has seen itself was outranked by a report that is late.

Change: such a notice ends the start of the server in the entry's own table (fleet.Table.Note): later heartbeats of the same start, other hosts and a directory that starts anew do not bring it back, a new start does. It is reported to one state host and spreads from there, with its source.

--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -61,7 +61,8 @@
 			return nil, false
 		}
 		known = new(record)
-		known.instance = &Instance{ID: n.ID, Address: n.Address, StartUnixMs: n.StartUnixMs, LastHeartbeat: now}
+		// It must not rank as the newest server at its address.
+		known.instance = &Instance{ID: n.ID, Address: n.Address, StartUnixMs: n.StartUnixMs, LastHeartbeat: now.Add(-goneRetentionPeriod)}
 	}
 	current := known.instance
 	if current.StartUnixMs != n.StartUnixMs || current.Address != n.Address {
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -76,3 +76,40 @@
 	}
 	assert.Equal(t, find(t, other, "a").Sequence, uint64(6))
 }
+
+// TestServerThatSaidItLeavesStaysDraining has ready heartbeats of the same start, from the same
+// and from other hosts, before and after its record would expire.
+func TestServerThatSaidItLeavesStaysDraining(t *testing.T) {
+	table, other := NewTable(), NewTable()
+	a := heartbeat("a", "10.0.0.1:80", 1, 5, ready)
+	table.Merge(a)
+	other.Merge(a)
+	n := noticeOf(a, nil)
+	n.Leaving = true
+	_, changed := table.Note(n, epoch)
+	assert.Assert(t, changed)
+	table.Receive(heartbeat("a", "10.0.0.1:80", 1, 6, ready))
+	assert.Equal(t, stateOf(t, table, "a"), draining)
+
+	assert.Assert(t, other.Merge(FromProto(ToProto(find(t, table, "a"), epoch), epoch)))
+	other.Receive(heartbeat("a", "10.0.0.1:80", 1, 9, ready))
+	assert.Equal(t, stateOf(t, other, "a"), draining)
+
+	table.Sweep(epoch.Add(2 * goneRetentionPeriod))
+	table.Receive(heartbeat("a", "10.0.0.1:80", 1, 7, ready))
+	assert.Equal(t, stateOf(t, table, "a"), draining)
+	table.Receive(heartbeat("a", "10.0.0.1:80", 2, 1, ready))
+	assert.Equal(t, stateOf(t, table, "a"), ready)
+}
+
+// TestLeavingOfUnknownServerIsKept has a host that hears that a server leaves before its first
+// heartbeat.
+func TestLeavingOfUnknownServerIsKept(t *testing.T) {
+	table := NewTable()
+	a := heartbeat("a", "10.0.0.1:80", 1, 5, ready)
+	n := noticeOf(a, nil)
+	n.Leaving = true
+	table.Note(n, epoch)
+	table.Receive(a)
+	assert.Equal(t, stateOf(t, table, "a"), draining)
+}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -53,19 +53,19 @@
 	g.countNotice(notice)
 	news := fleet.Notice{ID: server.ID, Address: server.Address, StartUnixMs: server.StartUnixMs, Source: g.cfg.Name}
 	if latest := g.view.latest(server); latest != nil {
-		server = latest
+		server, news.Leaving = latest, notice.Leaving
 	}
 	if notice.Limit == LimitNamed || notice.Limit == LimitAbsent && server.Limit != nil {
 		news.Limit = &fleet.Limit{
 			Named: notice.Limit == LimitNamed, RequestsPerSecond: notice.RequestsPerSecond, ReceivedAt: clock.SinceBoot(), Source: g.cfg.Name,
 		}
 	}
-	if news.Limit == nil || !isNews(server.Limit, news.Limit) {
+	if !news.Leaving && (news.Limit == nil || !isNews(server.Limit, news.Limit)) {
 		return
 	}
 	if g.view.note(news) {
 		g.log.Info("backend server said", "server", server.ID, "service", server.Service, "address", server.Address, "born", server.StartUnixMs,
-			"leaving", notice.Leaving, "limited", notice.Limit == LimitNamed, "requests_per_second", notice.RequestsPerSecond)
+			"leaving", news.Leaving, "limited", notice.Limit == LimitNamed, "requests_per_second", notice.RequestsPerSecond)
 		g.noticeReporter.add(news)
 	}
 }
