Windows shrink on refusals and silence alone; one short wait is no shortage

Change: slow responses no longer count, and new programs are refused only when the level has fallen below 0.75.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,8 +99,6 @@
 // classifyAttempt returns what the error of an attempt shows about its server.
 func (c *call) classifyAttempt(err error) attemptOutcome {
 	switch {
-	case err == nil && c.route.LatencyTarget > 0 && c.attemptOutput > slowTargetFactor*c.route.LatencyTarget:
-		return outcomeSlow
 	case err == nil:
 		return outcomeOK
 	case errors.Is(err, errNotRun):
@@ -266,7 +264,6 @@
 	defer c.stopSilenceTimers()
 	c.interimLeaving = false
 	start := time.Now()
-	c.attemptStarted, c.attemptOutput = start, 0
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, AttemptMeta{
 		Timeout:     time.Until(c.deadline),
 		InstanceID:  c.server.ID,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,8 +66,6 @@
 	server           *fleet.Instance // of the latest attempt
 	lastErr          error           // of the latest attempt
 	firstOutput      time.Duration   // time until the response started
-	attemptStarted   time.Time       // start of the current attempt
-	attemptOutput    time.Duration   // from the start of the current attempt until the response started, 0: not yet
 	beginDuration    time.Duration   // time spent on the reservation before the turn
 	keepDuration     time.Duration   // time spent on storing the turn after it
 	eventsSent       int             // events with data that were sent to the client
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -85,7 +85,6 @@
 	c.responseStarted = true
 	c.status = status
 	c.firstOutput = time.Since(c.arrived)
-	c.attemptOutput = time.Since(c.attemptStarted)
 	c.w.WriteHeader(status)
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -40,7 +40,6 @@
 
 const (
 	outcomeOK           attemptOutcome = iota // responded
-	outcomeSlow                               // responded much later than the route aims for
 	outcomeRefused                            // refused without running the request
 	outcomeFailed                             // connection lost, or the response was invalid
 	outcomeUnreachable                        // accepted no connection
@@ -91,7 +90,7 @@
 // recordOutcome updates failures and penalty after an attempt.
 func (s *serverLoad) recordOutcome(outcome attemptOutcome, now time.Time) {
 	switch outcome {
-	case outcomeOK, outcomeSlow, outcomeRefused:
+	case outcomeOK, outcomeRefused:
 		s.lastResponse = now
 		return
 	case outcomeInconclusive:
--- a/internal/gateway/server_window.go
+++ b/internal/gateway/server_window.go
@@ -13,9 +13,6 @@
 	// windowDecreaseFactor multiplies the window when a server refuses requests or sends no
 	// output in time.
 	windowDecreaseFactor = 0.5
-	// slowTargetFactor is the time to the first output, as a multiple of the latency target,
-	// above which a response counts as slow.
-	slowTargetFactor = 2
 	// windowPollInterval is the pause after which a waiting request looks for a free place in
 	// a window.
 	windowPollInterval = 20 * time.Millisecond
@@ -47,9 +44,6 @@
 	case outcomeOK:
 		w.window.RecordSuccess(now, 0)
 		w.completed.add(now)
-	case outcomeSlow:
-		w.window.RecordOverload(now)
-		w.completed.add(now)
 	case outcomeRefused, outcomeSilent:
 		w.window.RecordOverload(now)
 	}
--- a/internal/policy/shed/shed.go
+++ b/internal/policy/shed/shed.go
@@ -20,6 +20,9 @@
 	decreaseInterval = 100 * time.Millisecond
 	// increasePerSecond is by how much the level grows while no such request lacks one.
 	increasePerSecond = 0.2
+	// toleratedLevel is the level above which all programs are admitted: one request that waits
+	// is no shortage.
+	toleratedLevel = 0.75
 	// minLevel keeps some programs of each kind.
 	minLevel = 0.05
 	// minRetryAfter and maxRetryAfter limit when refused programs may return.
@@ -56,7 +59,7 @@
 // refused first.
 func (l *Level) Admit(now time.Duration, priority int, draw float64) bool {
 	level := l.value(now)
-	if level >= 1 {
+	if level > toleratedLevel {
 		return true
 	}
 	return draw < math.Pow(level, exponent(priority))
