A strict test of the limit of request headers

TestEndlessRequestHeaderIsRefused passes with any limit, the former 1 MB included, so nothing held the 64 KB. The new test sends headers of 60 and 69 KB; it fails with a limit of 1 MB (404 instead of 431) and passes with 64 KB.

--- a/internal/hosted/close_test.go
+++ b/internal/hosted/close_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -86,3 +87,27 @@
 	}
 	assert.Assert(t, written < endless, "the header was read without end")
 }
+
+// TestRequestHeaderHasAtMost64KB sends headers below and above the limit. net/http allows 4 KB
+// beyond it for the request line.
+func TestRequestHeaderHasAtMost64KB(t *testing.T) {
+	addresses, err := localcluster.FreeAddresses(1)
+	assert.NilError(t, err)
+	p := newProcess(Options{Logger: hclog.NewNullLogger()})
+	defer p.close()
+	_, err = p.serveHTTP(addresses[0], http.NotFoundHandler())
+	assert.NilError(t, err)
+	cases := map[int]int{60 << 10: http.StatusNotFound, 69 << 10: http.StatusRequestHeaderFieldsTooLarge}
+	for size, status := range cases {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[0])
+		assert.NilError(t, err)
+		defer conn.Close()
+		const start, end = "GET / HTTP/1.1\r\nHost: h\r\nX-Filler: ", "\r\n\r\n"
+		_, err = io.WriteString(conn, start+strings.Repeat("x", size-len(start)-len(end))+end)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, status, "a header of %d bytes", size)
+	}
+}
