An entry that was suspended waits for an update before it serves

What callers could see: routes and servers of the time before the suspension of a host, served as current ones. Cause: the age of an entry's view was measured on a clock that stands still meanwhile, so that routes last heard of seconds ago seemed fresh. Class: a permission that outlasts a pause.

Change: the ages are measured on the clock that counts suspension. After a suspension the entry is not ready, and requests wait for the next update, for as long as after a start at most.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -167,15 +167,16 @@
 
 // waitForRoutes returns the routes in force, or nil if there are none after
 // viewTimeout. An entry that has just started receives them sooner than a refused
-// client could retry.
+// client could retry. One that was suspended first waits for an update, since its routes
+// may be outdated.
 func (c *call) waitForRoutes() *routing.Document {
 	view := c.g.view
-	if doc := view.routes.Load(); doc != nil {
+	if doc := view.routes.Load(); doc != nil && !view.wasSuspended() {
 		return doc
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), viewTimeout)
 	defer cancel()
-	view.waitUntil(ctx, func() bool { return view.routes.Load() != nil })
+	view.waitUntil(ctx, func() bool { return view.routes.Load() != nil && !view.wasSuspended() })
 	return view.routes.Load()
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/routesync"
@@ -17,6 +18,10 @@
 	"ibistray.example/ibistray/proto/fleetpb"
 )
 
+// minSuspension is the shortest suspension after which an entry waits for an update. It covers
+// the distance between the readings of two clocks.
+const minSuspension = 200 * time.Millisecond
+
 // view holds the routes in force and the backend servers that this entry knows.
 // Requests read immutable snapshots, which updates from state hosts replace.
 type view struct {
@@ -33,9 +38,14 @@
 	servers atomic.Pointer[serverIndex]
 
 	// Times of the latest update, and of the latest one from a host with contact to a
-	// quorum, in nanoseconds since started. The time of day may jump.
+	// quorum, in nanoseconds by bootTime: the time of day may jump, and the clock of package
+	// time does not count suspension.
 	lastUpdate, lastQuorum atomic.Int64
-	started                time.Time
+	bootTime               func() time.Duration // clock.SinceBoot
+	// suspension is the time for which the host had been suspended at the latest update, in
+	// nanoseconds, up to a constant.
+	suspension atomic.Int64
+	started    time.Time
 
 	mu             sync.Mutex // guards the fields below
 	table          *fleet.Table
@@ -49,9 +59,11 @@
 }
 
 func newView(cfg Config, log hclog.Logger, pool *transport.Pool, detector *crashDetector) *view {
-	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, started: time.Now(), table: fleet.NewTable(), changed: make(chan struct{})}
+	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, bootTime: clock.SinceBoot, started: time.Now(), table: fleet.NewTable(), changed: make(chan struct{})}
 	v.watched = newWatchedHosts(cfg.Name, cfg.ToleratedHostLosses)
 	v.servers.Store(&serverIndex{})
+	v.lastQuorum.Store(v.bootTime().Nanoseconds())
+	v.suspension.Store(v.suspendedFor().Nanoseconds())
 	v.watcher = fleetwatch.NewWatcher(fleetwatch.Options{
 		Pool:       pool,
 		Logger:     log,
@@ -108,8 +120,9 @@
 
 // apply applies an update from the state host at address.
 func (v *view) apply(address string, update *fleetpb.Update) {
-	heard := time.Since(v.started).Nanoseconds()
+	heard := v.bootTime().Nanoseconds()
 	v.lastUpdate.Store(heard)
+	defer v.recordSuspension()
 	if update.Quorum {
 		v.lastQuorum.Store(heard)
 	}
@@ -126,6 +139,11 @@
 	if len(update.Crashes) > 0 {
 		v.crashDetector.mergeReports(update.Crashes, time.Now())
 	}
+	v.applyServers(address, update)
+}
+
+// applyServers applies the state hosts and backend servers of an update.
+func (v *view) applyServers(address string, update *fleetpb.Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(update.Control) > 0 {
@@ -237,6 +255,9 @@
 
 // isFresh reports whether a state host sent an update within maxAge.
 func (v *view) isFresh(maxAge time.Duration) bool {
+	if v.since(&v.lastUpdate) >= maxAge || v.wasSuspended() {
+		return false
+	}
 	now := time.Now()
 	for _, updated := range v.watcher.LastUpdates() {
 		if now.Sub(updated) < maxAge {
@@ -246,9 +267,32 @@
 	return false
 }
 
+// suspendedFor returns for how long the host has been suspended, up to a constant.
+func (v *view) suspendedFor() time.Duration {
+	return v.bootTime() - time.Since(v.started)
+}
+
+// recordSuspension records that an update has been applied since the host was suspended.
+func (v *view) recordSuspension() {
+	suspended := v.wasSuspended()
+	v.suspension.Store(v.suspendedFor().Nanoseconds())
+	if suspended {
+		v.log.Info("updated after a suspension")
+		v.mu.Lock()
+		v.notify()
+		v.mu.Unlock()
+	}
+}
+
+// wasSuspended reports whether the host has been suspended since the latest update, so that
+// routes and servers may have changed unseen.
+func (v *view) wasSuspended() bool {
+	return v.suspendedFor()-time.Duration(v.suspension.Load()) > minSuspension
+}
+
 // since returns the time since lastUpdate or lastQuorum.
 func (v *view) since(event *atomic.Int64) time.Duration {
-	return time.Since(v.started) - time.Duration(event.Load())
+	return v.bootTime() - time.Duration(event.Load())
 }
 
 // isPartitioned reports whether this entry hears only state hosts that have no contact to
