A resumed stream is not completed by a response without events

What callers could see: a stream that broke off after some events and then ended like a complete one, when the server that should resume it answered 200 without any event. Cause: such a response counted as the rest of the stream, also with a body of length 0 that is no event stream, or without a length, where a lost connection looks the same.

Change: only an event stream whose end is marked by its last chunk shows that nothing is left; any other empty response ends the attempt.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -96,10 +97,14 @@
 	events := newEventReader(exchange.Body)
 	resumed := c.route.ResumableStream() && c.meta.LastEventID != ""
 	var comments []byte // received before the first event with data
+	continued := false  // the exchange brought an event with data
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			c.stopSilenceTimers()
+			if c.responseStarted && !continued && !provesEndOfStream(exchange.Response) {
+				return fmt.Errorf("%w: a response without events", errNotResumed)
+			}
 			return c.finishStream(exchange, comments)
 		}
 		if err != nil {
@@ -111,6 +116,7 @@
 			continue
 		}
 		if ev.hasData {
+			continued = true
 			c.stopSilenceTimers()
 		}
 		if resumed && ev.id != "" && !isLaterEventID(ev.id, c.meta.LastEventID) {
@@ -127,6 +133,13 @@
 	}
 }
 
+// provesEndOfStream reports whether a response without events shows that the stream which it
+// resumes had ended: it is an event stream, and its end is marked by the last chunk.
+func provesEndOfStream(resp *http.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && len(resp.TransferEncoding) > 0
+}
+
 // finishStream completes the response of a stream that ended normally. If the stream had no
 // events with data, it sends the headers and the comments.
 func (c *call) finishStream(exchange *passthrough.Exchange, comments []byte) error {
