Unused permits are kept for a second: entries whose turns fall together lost them

Entries that are denied together come back together, 0.6 to 1 s later, while permits were kept for 0.5 s.

Change: permits are kept for as long as the longest pause between two asks.

--- a/internal/policy/ratelimit/allocator.go
+++ b/internal/policy/ratelimit/allocator.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// burstPeriod is the time for which unused permits are kept.
-	burstPeriod = 500 * time.Millisecond
+	// burstPeriod is the time for which unused permits are kept. It is not shorter than maxRetry:
+	// entries whose turns fall together would lose permits in between.
+	burstPeriod = time.Second
 	// probeRate is the lowest rate, in requests a second, at which a server is asked. A server
 	// that accepts nothing can only say so, or withdraw it, in a response.
 	probeRate = 0.2
--- a/internal/policybench/main.go
+++ b/internal/policybench/main.go
@@ -19,6 +19,7 @@
 	fullSeeds   = 10
 	retrySeeds  = 3 // for the comparison of retries
 	ledgerSeeds = 3 // for the load on the program ledger
+	limitSeeds  = 3 // for servers with limits
 )
 
 // gcPercent makes garbage collection rarer than by default. A run is short, so it can
@@ -31,6 +32,7 @@
 	load := flag.Float64("load", 0, "measure at this load only, and check no bound")
 	knownFile := flag.String("known-red", "KNOWN-RED.txt", "file that lists the bounds known to be broken")
 	ledgerOnly := flag.Bool("ledger", false, "print the load on the program ledger only, and check no bound")
+	limitsOnly := flag.Bool("limits", false, "print the load on servers with limits only, and check no bound")
 	retriesOnly := flag.Bool("retries", false, "print the comparison of retries only, and check no bound")
 	flag.Parse()
 	debug.SetGCPercent(gcPercent)
@@ -38,6 +40,10 @@
 		printRetries(os.Stdout, measureRetries(retrySeeds, false))
 		return
 	}
+	if *limitsOnly {
+		printLimits(os.Stdout, measureLimits(limitSeeds))
+		return
+	}
 	if *ledgerOnly {
 		printLedger(os.Stdout, measureLedger(ledgerSeeds))
 		return
@@ -68,11 +74,13 @@
 	printRetries(w, retryResults)
 	ledgerResults := measureLedger(min(seeds, ledgerSeeds))
 	printLedger(w, ledgerResults)
+	limitResults := measureLimits(min(seeds, limitSeeds))
+	printLimits(w, limitResults)
 	known, err := readKnownViolations(knownFile)
 	if err != nil {
 		return err
 	}
-	return reportChecks(w, slices.Concat(checkResults(results), checkRetries(retryResults), checkLedger(ledgerResults)), known)
+	return reportChecks(w, slices.Concat(checkResults(results), checkRetries(retryResults), checkLedger(ledgerResults), checkLimits(limitResults)), known)
 }
 
 // selectRows returns the variants whose name contains the substring.
