New programs are also refused while many turns are under strain

What callers saw: with 70 percent of the engines at limits, those left took three times their load.

Cause: only waiting and refusal at the entry counted as a shortage. Change: a moving share of turns that servers refused, or answered late or slowly, above a tenth counts too, and the level recovers in ten seconds instead of five.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -27,7 +27,7 @@
 // contextMessages are the messages of log lines that name no request but help to
 // explain one.
 var contextMessages = []string{
-	"leader changed", "state host is out of reach", "state host is watched", "backend server is silent", "backend server changed",
+	"leader changed", "state host is out of reach", "state host is watched", "backend server is silent", "backend server changed", "backend server said",
 	"membership step", "started", "stopping", "routes in force", "disk is full: the state host waits", "process ends",
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,6 +86,7 @@
 	now := time.Now()
 	outcome := c.classifyAttempt(err)
 	c.g.loads.release(c.server.ID, outcome, now)
+	c.recordTurn(outcome, err)
 	switch {
 	case outcome == outcomeUnreachable:
 		c.g.crashDetector.recordUnreachable(c.server, now)
@@ -264,6 +265,7 @@
 	defer c.stopSilenceTimers()
 	c.interimLeaving = false
 	start := time.Now()
+	c.attemptStarted, c.attemptOutput, c.eventsBefore = start, 0, c.eventsSent
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, AttemptMeta{
 		Timeout:     time.Until(c.deadline),
 		InstanceID:  c.server.ID,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,6 +66,9 @@
 	server           *fleet.Instance // of the latest attempt
 	lastErr          error           // of the latest attempt
 	firstOutput      time.Duration   // time until the response started
+	attemptStarted   time.Time       // start of the current attempt
+	attemptOutput    time.Duration   // from the start of the current attempt until its first event, 0: none yet
+	eventsBefore     int             // events that earlier attempts sent
 	beginDuration    time.Duration   // time spent on the reservation before the turn
 	keepDuration     time.Duration   // time spent on storing the turn after it
 	eventsSent       int             // events with data that were sent to the client
--- a/internal/gateway/shedding.go
+++ b/internal/gateway/shedding.go
@@ -20,6 +20,15 @@
 func (e *shedError) Error() string        { return errShed.Error() }
 func (e *shedError) Is(target error) bool { return target == errShed }
 
+const (
+	// slowTargetFactor is the time to the first output, as a multiple of the latency target,
+	// above which a response counts as late.
+	slowTargetFactor = 2
+	// slowGapDivisor divides the longest pause between events that a route allows into the mean
+	// pause above which a stream counts as slow.
+	slowGapDivisor = 2
+)
+
 // shedder admits new programs. It is safe for concurrent use.
 type shedder struct {
 	started time.Time      // reference point of the level's clock
@@ -39,6 +48,38 @@
 	s.level.RecordShortage(time.Since(s.started))
 }
 
+// recordTurn records whether a turn of a running program was under strain.
+func (s *shedder) recordTurn(strained bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.level.RecordTurn(time.Since(s.started), strained)
+}
+
+// recordTurn tells the shedder how an attempt at a turn ended.
+func (c *call) recordTurn(outcome attemptOutcome, err error) {
+	if !c.route.ProgramTurns || c.newProgram || outcome == outcomeUnreachable || errors.Is(err, errNotAsked) {
+		return
+	}
+	c.g.shedder.recordTurn(err != nil || c.isLate() || c.isSlow())
+}
+
+// isLate reports whether the response to the current attempt began much later than the route
+// aims for.
+func (c *call) isLate() bool {
+	return c.route.LatencyTarget > 0 && c.attemptOutput > slowTargetFactor*c.route.LatencyTarget
+}
+
+// isSlow reports whether the pauses between the events of the current attempt come near to
+// the longest one that the route allows.
+func (c *call) isSlow() bool {
+	events := c.eventsSent - c.eventsBefore
+	if c.route.MaxEventGap <= 0 || events < 2 {
+		return false
+	}
+	streaming := time.Since(c.attemptStarted) - c.attemptOutput
+	return streaming/time.Duration(events-1) > c.route.MaxEventGap/slowGapDivisor
+}
+
 // admit returns an error that wraps errShed if a new program must be refused.
 func (s *shedder) admit(priority int) error {
 	return s.admitWith(priority, s.draw())
--- a/internal/policy/shed/shed.go
+++ b/internal/policy/shed/shed.go
@@ -19,7 +19,12 @@
 	decreaseFactor   = 0.8
 	decreaseInterval = 100 * time.Millisecond
 	// increasePerSecond is by how much the level grows while no such request lacks one.
-	increasePerSecond = 0.2
+	increasePerSecond = 0.1
+	// strainSmoothing is the weight of a turn in the moving share of those under strain, and
+	// maxStrainedShare the share above which the servers as a whole are overloaded, rather than
+	// some of them.
+	strainSmoothing  = 0.05
+	maxStrainedShare = 0.1
 	// toleratedLevel is the level above which all programs are admitted: one request that waits
 	// is no shortage.
 	toleratedLevel = 0.75
@@ -36,7 +41,8 @@
 	missing     float64 // of a full level
 	updated     time.Duration
 	decreasedAt time.Duration
-	decreased   bool // decreasedAt is set
+	decreased   bool    // decreasedAt is set
+	strained    float64 // moving share of turns under strain
 }
 
 // value returns the level at a time.
@@ -54,6 +60,19 @@
 	l.updated, l.decreasedAt, l.decreased = now, now, true
 }
 
+// RecordTurn records how a turn of a running program was served. It was under strain if its
+// server refused it or responded late or slowly. Many such turns are a shortage.
+func (l *Level) RecordTurn(now time.Duration, strained bool) {
+	observed := 0.0
+	if strained {
+		observed = 1
+	}
+	l.strained += strainSmoothing * (observed - l.strained)
+	if strained && l.strained > maxStrainedShare {
+		l.RecordShortage(now)
+	}
+}
+
 // Admit reports whether a program that begins on a route of the given priority is admitted,
 // 0 being the most urgent. draw is a random number between 0 and 1. Less urgent programs are
 // refused first.
--- a/internal/policy/shed/shed_test.go
+++ b/internal/policy/shed/shed_test.go
@@ -64,3 +64,15 @@
 		}
 	})
 }
+
+func TestManyStrainedTurnsAreAShortage(t *testing.T) {
+	var few, many Level
+	for i := range 200 {
+		now := time.Duration(i) * 20 * time.Millisecond
+		few.RecordTurn(now, i%20 == 0)
+		many.RecordTurn(now, i%4 == 0)
+	}
+	end := 200 * 20 * time.Millisecond
+	assert.Assert(t, few.Admit(end, 1, 0.999), "one turn of twenty under strain")
+	assert.Assert(t, !many.Admit(end, 1, 0.5), "one turn of four under strain")
+}
