Broken responses and clients that leave are no shortage

Change: only turns that servers refused, that came late or slowly, or whose server stayed silent count.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,7 +86,7 @@
 	now := time.Now()
 	outcome := c.classifyAttempt(err)
 	c.g.loads.release(c.server.ID, outcome, now)
-	c.recordTurn(outcome, err)
+	c.recordTurn(err)
 	switch {
 	case outcome == outcomeUnreachable:
 		c.g.crashDetector.recordUnreachable(c.server, now)
@@ -258,14 +258,14 @@
 func (c *call) attempt(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	start := time.Now()
+	c.attemptStarted, c.attemptOutput, c.eventsBefore = start, 0, c.eventsSent
+	c.interimLeaving = false
 	if err := c.checkServer(); err != nil {
 		return err
 	}
 	c.stopSilenceTimers = c.startSilenceTimers(cancel)
 	defer c.stopSilenceTimers()
-	c.interimLeaving = false
-	start := time.Now()
-	c.attemptStarted, c.attemptOutput, c.eventsBefore = start, 0, c.eventsSent
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, AttemptMeta{
 		Timeout:     time.Until(c.deadline),
 		InstanceID:  c.server.ID,
--- a/internal/gateway/shedding.go
+++ b/internal/gateway/shedding.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"sync"
@@ -55,18 +56,26 @@
 	s.level.RecordTurn(time.Since(s.started), strained)
 }
 
-// recordTurn tells the shedder how an attempt at a turn ended.
-func (c *call) recordTurn(outcome attemptOutcome, err error) {
-	if !c.route.ProgramTurns || c.newProgram || outcome == outcomeUnreachable || errors.Is(err, errNotAsked) {
+// recordTurn tells the shedder how an attempt at a turn ended. Failures that do not come from
+// load count for nothing.
+func (c *call) recordTurn(err error) {
+	if !c.route.ProgramTurns || c.newProgram {
 		return
 	}
-	c.g.shedder.recordTurn(err != nil || c.isLate() || c.isSlow())
+	strained := c.isLate() || c.isSlow() || errors.Is(err, errNotRun) || errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded)
+	if err == nil || strained {
+		c.g.shedder.recordTurn(strained)
+	}
 }
 
-// isLate reports whether the response to the current attempt began much later than the route
-// aims for.
+// isLate reports whether the response to the current attempt began, or is still awaited, much
+// later than the route aims for.
 func (c *call) isLate() bool {
-	return c.route.LatencyTarget > 0 && c.attemptOutput > slowTargetFactor*c.route.LatencyTarget
+	waited := c.attemptOutput
+	if waited == 0 {
+		waited = time.Since(c.attemptStarted)
+	}
+	return c.route.LatencyTarget > 0 && waited > slowTargetFactor*c.route.LatencyTarget
 }
 
 // isSlow reports whether the pauses between the events of the current attempt come near to
--- a/internal/gateway/shedding_test.go
+++ b/internal/gateway/shedding_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/passthrough"
 )
 
 // TestNewProgramIsRefusedWhileRunningOnesLackServers has calls of running programs that are
@@ -73,3 +76,33 @@
 	}
 	assert.Equal(t, fill(), full)
 }
+
+// TestFaultsAndLeavingClientsAreNoShortage has turns of running programs whose responses break
+// off, fail or are given up by their clients, and turns that servers refuse.
+func TestFaultsAndLeavingClientsAreNoShortage(t *testing.T) {
+	cases := []struct {
+		name     string
+		err      error
+		strained bool
+	}{
+		{"broken off", passthrough.ErrConnectionLost, false},
+		{"invalid", errInvalidResponse, false},
+		{"not resumed", errNotResumed, false},
+		{"given up by the client", errClientGone, false},
+		{"refused", errNotRun, true},
+		{"silent", errSilent, true},
+		{"deadline", context.DeadlineExceeded, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			c := &call{g: f.Gateway, route: f.view.routes.Load().Match("h", "/chat/x"), attemptStarted: time.Now()}
+			for range 100 {
+				c.recordTurn(tc.err)
+				f.shedder.started = f.shedder.started.Add(-10 * time.Millisecond)
+			}
+			admitted := f.shedder.admitWith(1, 0.999) == nil
+			assert.Equal(t, admitted, !tc.strained)
+		})
+	}
+}
