Client accounts in the configuration: names, keys, priority, limit

Cause: configurations that name client accounts were decoded without them, so every request was served under whatever key it carried, and the key went on to the backend server. Change: internal/account holds accounts with digests of their keys; the platform's documents and settings are decoded into them, and a configuration in which two accounts share a key is invalid.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -26,6 +26,7 @@
 	MaxTokens    uint64 // maximum output of this request in tokens
 	PreviousTurn string // ID of the turn that this one continues from
 	PromptParts  []PromptPart
+	Key          string // with which the client authenticates, "" if it sent none
 }
 
 // PromptPart is a prompt section that several requests share.
@@ -41,6 +42,7 @@
 	Priority    int           // 0 (most urgent) to 9
 	LastEventID string        // the stream resumes after this event, "" for a new stream
 	ModelEngine bool          // the server is a model engine
+	Account     string        // client account of the request, "" if it has none
 }
 
 // ResponseMeta is the metadata in the headers of a backend server's response.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"ibistray.example/ibistray/internal/account"
 )
 
 // Kind says how often a request may run.
@@ -24,6 +26,8 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Accounts are the client accounts; nil: requests need no key.
+	Accounts *account.Directory
 
 	byHost map[string][]*Route // by host key, longest prefix first; built by Validate
 }
@@ -45,6 +49,7 @@
 	SessionAffinity bool          // prefer the server that handled the program or subject before, which is faster
 	Resumable       bool          // an interrupted stream may be resumed on another server
 	MaxEventGap     time.Duration // longest pause between events of a stream that is on time
+	Public          bool          // requests need no key of a client account
 }
 
 // Repeatable reports whether a request may run more than once.
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -23,6 +23,7 @@
 	MethodCrashReport = "fleet.crash"
 	MethodNotices     = "fleet.notices"
 	MethodPermits     = "fleet.permits"
+	MethodAccounts    = "fleet.accounts"
 	MethodRoutes      = "routes.call"
 	MethodRoutesFetch = "routes.fetch"
 	MethodLedger      = "ledger.call"
