Client accounts at entries: keys, confirmation, permits, priority

Change: an entry finds the account of a request by its key, refuses unknown keys (401), names the account to the backend server, and takes a permit of the account's limit. It asks the leader of the configuration group for permits and for the confirmation of its routes in one message; without a confirmation within the bound for keys that were taken away it refuses requests that need a key (503) and reports that it is not ready. The priority of an account goes before that of the route. Requests over the limit are refused at once (429) with the time that the limit needs.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -158,6 +158,8 @@
 		Codec:               platform.HeaderCodec{},
 		RoutesTimeout:       s.RoutesTimeout,
 		ToleratedHostLosses: s.ToleratedHostLosses,
+
+		KeyRevocationTimeout: s.KeyRevocationTimeout,
 	}
 	addresses := hosted.Addresses{Clients: s.ClientAddress, Ready: s.ReadyAddress}
 	return hosted.RunEntry(cfg, addresses, platform.NewReadyHandler, p.options, p.stop)
@@ -180,6 +182,7 @@
 		DiskBytes:         s.DiskBytes,
 		DecodeRoutes:      platform.DecodeRoutes,
 		HeartbeatInterval: s.HeartbeatInterval,
+		AccountWindow:     s.AccountWindow,
 	}
 	control := func(h *statehost.Host) http.Handler {
 		return platform.NewControlHandler(h, p.options.Logger.Named("control"))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -272,6 +272,7 @@
 		Priority:    c.enginePriority(),
 		LastEventID: c.meta.LastEventID,
 		ModelEngine: c.service.Engine != nil,
+		Account:     c.accountName(),
 	})
 	server := passthrough.Server{ID: c.server.ID, Address: c.server.Address}
 	exchange, err := c.g.servers.Do(ctx, server, &c.request)
@@ -341,12 +342,6 @@
 	return threshold
 }
 
-// enginePriority maps the priority of the route to the range of model engines, in which
-// 0 is the most urgent and 9 the least.
-func (c *call) enginePriority() int {
-	return min(9, 2+2*c.route.Priority)
-}
-
 // handleResponse validates the headers of a response and forwards it.
 func (c *call) handleResponse(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"ibistray.example/ibistray/internal/account"
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/routing"
@@ -55,7 +56,8 @@
 	route   *routing.Route
 	service *routing.Service
 	meta    RequestMeta
-	body    []byte // as received from the client
+	account *account.Account // client account, nil if the request has none
+	body    []byte           // as received from the client
 	request passthrough.Request
 
 	deadline         time.Time
@@ -81,6 +83,8 @@
 	newProgram       bool            // the turn begins a program
 	waiter           *permitWaiter   // while the request waits for a permit
 	permit           *permit         // of the current attempt, nil if its server has no limit
+	hasPermit        bool            // the request took a permit of its account
+	permitTakenAt    time.Duration   // on the clock of the account client
 	interimLeaving   bool            // an interim response of the current attempt said that its server leaves
 	// stopSilenceTimers is called at the first output of the current attempt.
 	stopSilenceTimers func()
@@ -163,6 +167,9 @@
 		timeout = min(timeout, meta.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout)
+	if err := c.identify(); err != nil {
+		return err
+	}
 	service := c.route.ChooseService(c.trafficSplitKey())
 	c.service = c.routes.Services[service]
 	return c.readBody(target)
@@ -228,6 +235,10 @@
 	defer cancel()
 	c.stream = newStreamVersion(&c.meta)
 	if !c.route.ProgramTurns {
+		if err := c.takeAccountPermit(ctx); err != nil {
+			return err
+		}
+		defer c.returnAccountPermit()
 		if err := c.lookUpStream(ctx); err != nil {
 			return err
 		}
@@ -235,10 +246,14 @@
 	}
 	c.newProgram = c.g.ledger.isNewProgram(&c.meta)
 	if c.newProgram {
-		if err := c.g.shedder.admit(c.route.Priority); err != nil {
+		if err := c.g.shedder.admit(c.priority()); err != nil {
 			return err
 		}
 	}
+	if err := c.takeAccountPermit(ctx); err != nil {
+		return err
+	}
+	defer c.returnAccountPermit()
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventTimeout()-firstEventMargin))
 	defer cancelBegin()
 	start := time.Now()
@@ -265,7 +280,7 @@
 // queueOptions returns the options with which the turn waits for the ledger. The send
 // deadline leaves the client enough time for a retry.
 func (c *call) queueOptions() queueOptions {
-	return queueOptions{priority: c.route.Priority, sendBy: c.arrived.Add(c.deadline.Sub(c.arrived) * ledgerWaitPercent / 100)}
+	return queueOptions{priority: c.priority(), sendBy: c.arrived.Add(c.deadline.Sub(c.arrived) * ledgerWaitPercent / 100)}
 }
 
 // prependTurns puts the input and output of earlier turns before the request body.
@@ -353,6 +368,9 @@
 	if c.server != nil {
 		fields = append(fields, "server", c.server.ID, "address", c.server.Address, "version", c.server.Version)
 	}
+	if c.account != nil {
+		fields = append(fields, "account", c.account.Name)
+	}
 	if err != nil {
 		fields = append(fields, "error", err, "attempt_error", c.lastErr)
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -27,7 +27,7 @@
 type testCodec struct{}
 
 func (testCodec) DecodeRequest(header http.Header) (RequestMeta, error) {
-	meta := RequestMeta{ID: header.Get("Id"), LastEventID: header.Get("After"), Resumes: header.Get("Resumes"), Program: header.Get("Program"), PreviousTurn: header.Get("Previous")}
+	meta := RequestMeta{ID: header.Get("Id"), LastEventID: header.Get("After"), Resumes: header.Get("Resumes"), Program: header.Get("Program"), PreviousTurn: header.Get("Previous"), Key: header.Get("Key")}
 	if meta.ID == "" {
 		return meta, fmt.Errorf("%w: no ID", ErrBadRequest)
 	}
@@ -44,6 +44,8 @@
 
 func (testCodec) EncodeRequest(header http.Header, a AttemptMeta) {
 	header.Set("Instance", a.InstanceID)
+	header.Del("Key")
+	header.Set("Account", a.Account)
 	header.Set("Timeout-Ms", strconv.FormatInt(a.Timeout.Milliseconds(), 10))
 	if a.LastEventID != "" {
 		header.Set("After", a.LastEventID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,23 +54,27 @@
 	// RoutesTimeout is the time within which acknowledged routes must be in force at all
 	// entries that can learn them.
 	RoutesTimeout time.Duration
+	// KeyRevocationTimeout is the time within which a key of a client account that was taken
+	// away must be refused, also by an entry without contact; 0: no such bound.
+	KeyRevocationTimeout time.Duration
 	// ToleratedHostLosses is the number of state hosts that may be lost at the same time.
 	ToleratedHostLosses int
 }
 
 // Gateway forwards client requests to backend servers. It implements http.Handler.
 type Gateway struct {
-	cfg     Config
-	log     hclog.Logger
-	metrics *telemetry.Metrics
-	view    *view
-	ledger  ledgerClient
-	loads   *loadTracker
-	permits *permitClient
-	queues  *permitQueues
-	shedder *shedder
-	servers *passthrough.Pool
-	pool    *transport.Pool
+	cfg      Config
+	log      hclog.Logger
+	metrics  *telemetry.Metrics
+	view     *view
+	ledger   ledgerClient
+	loads    *loadTracker
+	permits  *permitClient
+	queues   *permitQueues
+	shedder  *shedder
+	accounts *accountClient
+	servers  *passthrough.Pool
+	pool     *transport.Pool
 
 	crashDetector  *crashDetector
 	noticeReporter *noticeReporter
@@ -97,6 +101,7 @@
 	g.crashDetector = newCrashDetector(log.Named("suspects"), g.reportCrash)
 	g.view = newView(cfg, log.Named("view"), pool, g.crashDetector)
 	g.permits = newPermitClient(cfg.Name, pool, g.view.stateHosts, metrics, func(n fleet.Notice) { g.view.note(n) })
+	g.accounts = newAccountClient(cfg, log.Named("accounts"), pool, g.view, metrics)
 	g.noticeReporter = newNoticeReporter(cfg.Name, log.Named("notices"), pool, g.view.noticeTargets, &g.inFlight)
 	g.ledger = newRemoteLedger(pool, hedgePool, g.view.stateHosts, metrics)
 	return g
@@ -117,6 +122,7 @@
 	g.cancel = cancel
 	g.background.Go(func() { g.view.run(ctx) })
 	g.background.Go(func() { g.servers.Run(ctx) })
+	g.background.Go(func() { g.accounts.run(ctx) })
 	g.background.Go(func() { loop.Every(ctx, pruneInterval, g.pruneLoads) })
 }
 
@@ -133,9 +139,14 @@
 }
 
 // Ready reports whether the entry should receive new clients: it has routes, a state
-// host sent an update within maxViewAge, and it is not draining.
+// host sent an update within maxViewAge, its client accounts are current, and it is not
+// draining.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.view.routes.Load() != nil && g.view.isFresh(maxViewAge) && !g.isPartitioned()
+	routes := g.view.routes.Load()
+	if g.draining.Load() || routes == nil || !g.view.isFresh(maxViewAge) || g.isPartitioned() {
+		return false
+	}
+	return routes.Accounts == nil || g.accounts.current()
 }
 
 // isPartitioned reports whether this entry may miss acknowledged routes. Followers keep
@@ -190,6 +201,10 @@
 // retryAfter returns the delay after which a refused client should retry. The random
 // part prevents clients that were refused together from retrying together.
 func retryAfter(cause error) time.Duration {
+	var overLimit *accountLimitError
+	if errors.As(cause, &overLimit) {
+		return spread(overLimit.retryAfter)
+	}
 	after := minRetryAfter
 	var overload *gate.OverloadError
 	if errors.As(cause, &overload) {
--- /dev/null
+++ b/internal/gateway/identify.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibistray.example/ibistray/internal/account"
+)
+
+const (
+	// accountRouteLevels is the number of route priorities that are told apart within the
+	// priority of an account; less urgent routes are treated as the last one.
+	accountRouteLevels = 3
+	// permitWaitPercent is the share of a request's timeout for which it may wait for the leader
+	// that gives out permits. The client needs the rest to retry at another entry.
+	permitWaitPercent = 45
+)
+
+// Errors of requests whose client account is not known.
+var (
+	errUnknownKey         = errors.New("gateway: no client account holds the key")
+	errAccountUnconfirmed = errors.New("gateway: this entry cannot show that its client accounts are current")
+)
+
+// identify finds the client account of the request by its key. Errors: errUnknownKey, and
+// errAccountUnconfirmed while a key may have been taken away without this entry knowing.
+// Requests of public routes need no key; they count for the account whose key they carry.
+func (c *call) identify() error {
+	if c.routes.Accounts == nil {
+		return nil
+	}
+	if !c.accountsCurrent() {
+		if c.route.Public {
+			return nil
+		}
+		c.w.Header().Set("Connection", "close")
+		return errAccountUnconfirmed
+	}
+	if c.meta.Key != "" {
+		c.account = c.routes.Accounts.ByKey(c.meta.Key)
+	}
+	if c.account == nil && !c.route.Public {
+		return errUnknownKey
+	}
+	return nil
+}
+
+// accountsCurrent reports whether the accounts that this entry knows are current. After a start
+// or a suspension the confirmation arrives sooner than a refused client could retry.
+func (c *call) accountsCurrent() bool {
+	if c.g.accounts.current() {
+		return true
+	}
+	if c.route.Public {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), viewTimeout)
+	defer cancel()
+	if !c.g.accounts.waitUntilCurrent(ctx) {
+		return false
+	}
+	c.routes = c.g.view.routes.Load()
+	return c.routes.Accounts != nil
+}
+
+// accountName returns the name of the request's account, "" if it has none.
+func (c *call) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+// priority returns the priority of the request, 0 being the most urgent. The priority of an
+// account goes before that of the route.
+func (c *call) priority() int {
+	if c.account == nil || c.account.Priority == nil {
+		return c.route.Priority
+	}
+	return *c.account.Priority*accountRouteLevels + min(max(c.route.Priority, 0), accountRouteLevels-1)
+}
+
+// enginePriority maps the priority to the range of model engines, in which 0 is the most
+// urgent and 9 the least.
+func (c *call) enginePriority() int {
+	if c.account == nil || c.account.Priority == nil {
+		return min(9, 2+2*c.route.Priority)
+	}
+	return min(9, 1+c.priority())
+}
+
+// limitedAccount returns the account of the request if it has a limit, else nil.
+func (c *call) limitedAccount() *account.Account {
+	if c.account == nil || !c.account.Limit.Limited() {
+		return nil
+	}
+	return c.account
+}
+
+// takeAccountPermit takes a permit of the request's account, if that has a limit. Errors:
+// *accountLimitError, errAccountUnavailable.
+func (c *call) takeAccountPermit(ctx context.Context) error {
+	acct := c.limitedAccount()
+	if acct == nil {
+		return nil
+	}
+	left := time.Until(c.deadline)
+	ctx, cancel := context.WithTimeout(ctx, left*permitWaitPercent/100)
+	defer cancel()
+	err := c.g.accounts.acquire(ctx, acct, c.newProgram, xxhash.Sum64String(c.meta.Program), left)
+	c.hasPermit, c.permitTakenAt = err == nil, c.g.accounts.now()
+	c.g.metrics.AccountRequests.Inc(acct.Name, accountOutcome(err))
+	return err
+}
+
+// accountOutcome returns the label of the outcome of a request for a permit.
+func accountOutcome(err error) string {
+	switch {
+	case err == nil:
+		return accountAdmitted
+	case errors.Is(err, errAccountLimit):
+		return accountOverLimit
+	}
+	return accountUnavailable
+}
+
+// returnAccountPermit gives the permit of the request's account back if no server may have run
+// the request.
+func (c *call) returnAccountPermit() {
+	if c.hasPermit && c.possibleRuns == 0 && !c.responseStarted {
+		c.g.accounts.refund(c.account, c.permitTakenAt)
+	}
+}
+
+// spread adds a random part to the time after which a refused client should retry, so that
+// clients that were refused together do not return together.
+func spread(after time.Duration) time.Duration {
+	return after + rand.N(after/2+time.Millisecond)
+}
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -68,7 +68,7 @@
 // errLimited if the request would wait for too long.
 func (c *call) waitForPermit(ctx context.Context, blocked []*fleet.Instance) error {
 	if c.waiter == nil {
-		c.waiter = c.g.queues.join(c.service.Name, c.newProgram, c.route.Priority)
+		c.waiter = c.g.queues.join(c.service.Name, c.newProgram, c.priority())
 		c.g.metrics.PermitWaiting.Inc()
 	}
 	delay, share := c.g.permits.outlook(blocked)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -22,6 +22,10 @@
 	reasonUnclear           = "unclear"
 	reasonUnknownTurn       = "unknown_turn"
 	reasonNoServer          = "no_server"
+	reasonUnknownKey        = "unknown_key"
+	reasonAccountLimit      = "account_limit"
+	reasonUnconfirmed       = "account_unconfirmed"
+	reasonNoAccountPermit   = "account_unavailable"
 	reasonQuarantined       = "quarantined"
 	reasonServerLimit       = "server_limit"
 	reasonShed              = "programs_shed"
@@ -47,6 +51,10 @@
 }{
 	{errNoRoutes, refusal{reasonNoRoutes, http.StatusServiceUnavailable, true}},
 	{errPartitioned, refusal{reasonPartitioned, http.StatusServiceUnavailable, true}},
+	{errUnknownKey, refusal{reasonUnknownKey, http.StatusUnauthorized, false}},
+	{errAccountUnconfirmed, refusal{reasonUnconfirmed, http.StatusServiceUnavailable, true}},
+	{errAccountLimit, refusal{reasonAccountLimit, http.StatusTooManyRequests, true}},
+	{errAccountUnavailable, refusal{reasonNoAccountPermit, http.StatusServiceUnavailable, true}},
 	{errNoRoute, refusal{reasonNoRoute, http.StatusNotFound, false}},
 	{ErrBadRequest, refusal{reasonBadRequest, http.StatusBadRequest, false}},
 	{errBodyTooLarge, refusal{reasonBodyTooLarge, http.StatusRequestEntityTooLarge, false}},
--- a/internal/statehost/config.go
+++ b/internal/statehost/config.go
@@ -106,6 +106,13 @@
 	return &fleetpb.ConfigResponse{Routes: s.routes, Retirements: s.sortedRetirements()}, s.changed
 }
 
+// routesInForce returns the routes in force, nil if there are none.
+func (s *configState) routesInForce() *fleetpb.Routes {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.routes
+}
+
 // retirementList returns the hosts that were asked to retire.
 func (s *configState) retirementList() []*fleetpb.Retirement {
 	s.mu.RLock()
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -23,6 +23,7 @@
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
+	"ibistray.example/ibistray/internal/policy/quota"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/routing"
@@ -91,6 +92,8 @@
 	// Clock is a monotonic clock that also advances while the host is suspended; nil:
 	// the boot-time clock of the operating system.
 	Clock func() time.Duration
+	// AccountWindow says how the limits of client accounts are measured.
+	AccountWindow quota.Window
 }
 
 // Host is the state host of this process. Run starts its background work, Stop ends it.
@@ -107,6 +110,7 @@
 	servers  *fleet.Table
 	crashes  *crashLog
 	permits  *permitAllocator
+	accounts *accountAllocator
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
@@ -149,6 +153,7 @@
 		servers:  fleet.NewTable(),
 		crashes:  newCrashLog(),
 		permits:  newPermitAllocator(),
+		accounts: newAccountAllocator(cfg),
 		hosts:    newHostTable(),
 
 		replicaReplacement: make(chan struct{}, 1),
@@ -251,6 +256,7 @@
 	server.Handle(transport.MethodCrashReport, transport.Unary(h.handleCrashReport))
 	server.Handle(transport.MethodNotices, transport.Unary(h.handleNotices))
 	server.Handle(transport.MethodPermits, transport.SharedUnary(h.handlePermits))
+	server.Handle(transport.MethodAccounts, transport.SharedUnary(h.handleAccounts))
 	server.Handle(transport.MethodFleetWatch, h.handleWatch)
 }
 
@@ -273,6 +279,7 @@
 	now := time.Now()
 	h.servers.Sweep(now)
 	h.permits.prune(clock.SinceBoot())
+	h.accounts.prune(clock.SinceBoot())
 	for _, instance := range h.servers.MarkSilent(now, maxMissedHeartbeats*h.cfg.HeartbeatInterval) {
 		h.log.Warn("backend server is silent", "server", instance.ID, "service", instance.Service, "address", instance.Address, "heard_ms_ago", now.Sub(instance.LastHeartbeat).Milliseconds())
 	}
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -14,6 +14,7 @@
 	reportsSent      *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
 	updatesSent      *prometheus.CounterVec // by watcher: updates, empty ones included
 	permits          *prometheus.CounterVec // by outcome, granted or denied: permits to send to servers with a limit
+	accountPermits   *prometheus.CounterVec // by outcome, granted, denied or programs_denied: permits of client accounts
 	busyResponses    prometheus.Counter     // responses that told an entry to send less
 	watchers         prometheus.Gauge
 	programs         prometheus.Gauge
@@ -46,6 +47,7 @@
 		reportsSent:      counter("watch_reports_total", "Reports of backend servers sent to watchers, by kind of watcher.", "watcher"),
 		updatesSent:      counter("watch_updates_total", "Updates sent to watchers, empty ones included, by kind of watcher.", "watcher"),
 		permits:          counter("permits_total", "Permits to send to backend servers with a limit, by outcome.", "outcome"),
+		accountPermits:   counter("account_permits_total", "Permits of client accounts: granted ones, and requests and programs that were denied.", "outcome"),
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
@@ -55,6 +57,6 @@
 		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.permits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -28,6 +28,7 @@
 	AnnounceErrors     prometheus.Counter       // announcements that no control process accepted
 	ServerConnections  *prometheus.CounterVec   // by outcome, for pass-through routes
 	ServerNotices      *prometheus.CounterVec   // by kind, of backend servers of pass-through routes
+	AccountRequests    *AccountRequests         // of client accounts with a limit
 	Permits            *prometheus.CounterVec   // by outcome: requests for permits to send to servers with a limit
 	PermitWaiting      prometheus.Gauge         // requests that wait for a permit
 	LedgerWindow       prometheus.Gauge         // maximum number of concurrent requests to the ledger
@@ -56,6 +57,7 @@
 		AnnounceErrors:     counter("announce_errors_total", "Announcements that no control process accepted."),
 		ServerConnections:  counterVec("server_connections_total", "Connections to backend servers of pass-through routes, by outcome.", "outcome"),
 		ServerNotices:      counterVec("server_notices_total", "Responses in which a backend server said that it leaves or has a limit, by kind.", "kind"),
+		AccountRequests:    newAccountRequests(),
 		Permits:            counterVec("permit_requests_total", "Requests for permits to send to backend servers with a limit, by outcome.", "outcome"),
 		PermitWaiting:      gauge("permit_waiting", "Requests that wait in this entry for a permit to be sent to a backend server with a limit."),
 		LedgerWindow:       gauge("ledger_window", "Maximum number of concurrent requests from this entry to the program ledger."),
@@ -64,7 +66,7 @@
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
-		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.Permits, m.PermitWaiting,
+		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.AccountRequests, m.Permits, m.PermitWaiting,
 		m.LedgerWindow, m.LedgerWaiting,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
