Histories, budgets and streams belong to a client account

Cause: the ledger knew turns, programs and streams by their IDs alone. A client account could continue from the turn of another one, and two accounts that chose the same ID shared a budget, a stored turn or a pending proposal. The commands that an entry builds carry the account of the call, its queue for the ledger, its memory of running programs and the fingerprint of crashes include it, and so does the key under which a state host lets copies of a command share a proposal. Logs name the account.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,6 +55,7 @@
 	route   *routing.Route
 	service *routing.Service
 	meta    RequestMeta
+	account string // client account of the request, "" if it has none
 	body    []byte // as received from the client
 	request passthrough.Request
 
@@ -233,7 +234,7 @@
 		}
 		return c.tryServers(ctx)
 	}
-	c.newProgram = c.g.ledger.isNewProgram(&c.meta)
+	c.newProgram = c.g.ledger.isNewProgram(c.account, &c.meta)
 	if c.newProgram {
 		if err := c.g.shedder.admit(c.route.Priority); err != nil {
 			return err
@@ -243,7 +244,7 @@
 	defer cancelBegin()
 	start := time.Now()
 	stream := c.openStreamCommand()
-	previous, err := c.g.ledger.begin(beginCtx, &c.meta, stream, c.queueOptions())
+	previous, err := c.g.ledger.begin(beginCtx, c.account, &c.meta, stream, c.queueOptions())
 	c.beginDuration = time.Since(start)
 	if errors.Is(err, errMayBeReserved) {
 		c.settleAsync()
@@ -285,7 +286,7 @@
 // finishCommand returns the command that settles the turn, and stores it if keep is
 // set.
 func (c *call) finishCommand(keep bool) *ledgerpb.Finish {
-	f := &ledgerpb.Finish{CallId: c.meta.ID, Program: c.meta.Program, Tokens: c.tokensSent()}
+	f := &ledgerpb.Finish{Account: c.account, CallId: c.meta.ID, Program: c.meta.Program, Tokens: c.tokensSent()}
 	if keep {
 		f.Keep = true
 		f.Previous = c.meta.PreviousTurn
@@ -326,7 +327,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := c.g.ledger.finish(ctx, f); err != nil {
-			c.g.log.Warn("turn not settled: its full reservation is charged", "request", f.CallId, "program", f.Program, "error", err)
+			c.g.log.Warn("turn not settled: its full reservation is charged", "request", f.CallId, "account", f.Account, "program", f.Program, "error", err)
 		}
 	})
 }
@@ -340,7 +341,7 @@
 		c.g.metrics.FirstOutputSeconds.Observe(c.firstOutput.Seconds())
 	}
 	fields := []any{
-		"request", c.meta.ID, "program", c.meta.Program, "previous", c.meta.PreviousTurn, "outcome", outcome, "status", status,
+		"request", c.meta.ID, "account", c.account, "program", c.meta.Program, "previous", c.meta.PreviousTurn, "outcome", outcome, "status", status,
 		"sends", c.possibleRuns, "refused", c.notRunCount, "events", c.eventsSent,
 		"begin_ms", c.beginDuration.Milliseconds(), "keep_ms", c.keepDuration.Milliseconds(), "first_ms", c.firstOutput.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
 	}
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -156,9 +157,13 @@
 	d.hasCrashes.Store(!d.crashes.Empty())
 }
 
-// fingerprint returns the fingerprint of the request content.
+// fingerprint returns the fingerprint of the account and the content of the request.
 func (c *call) fingerprint() quarantine.Fingerprint {
-	return quarantine.ComputeFingerprint(c.request.Method+" "+c.request.Host+" "+c.request.Target, []byte(c.meta.Subject), c.body)
+	head := c.request.Method + " " + c.request.Host + " " + c.request.Target
+	if c.account != "" {
+		head = strconv.Quote(c.account) + " " + head
+	}
+	return quarantine.ComputeFingerprint(head, []byte(c.meta.Subject), c.body)
 }
 
 // reportCrash sends a crash report to all state hosts. It does not block, because the
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -77,18 +77,20 @@
 	keepErr  error   // returned for each Finish with Keep
 	previous history // returned by begin
 	beginIDs []string
+	accounts []string          // of the begun turns and opened streams
 	streams  map[string]string // recorded versions by call ID
 	openErr  error             // returned by openStream
 	finished []*ledgerpb.Finish
 	settled  chan *ledgerpb.Finish // receives each element of finished
 }
 
-func (l *fakeLedger) isNewProgram(meta *RequestMeta) bool { return meta.PreviousTurn == "" }
+func (l *fakeLedger) isNewProgram(_ string, meta *RequestMeta) bool { return meta.PreviousTurn == "" }
 
-func (l *fakeLedger) begin(_ context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, _ queueOptions) (history, error) {
+func (l *fakeLedger) begin(_ context.Context, account string, meta *RequestMeta, stream *ledgerpb.OpenStream, _ queueOptions) (history, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.beginIDs = append(l.beginIDs, meta.ID)
+	l.accounts = append(l.accounts, account)
 	if stream == nil || l.beginErr != nil {
 		return l.previous, l.beginErr
 	}
@@ -109,6 +111,7 @@
 
 // open records or looks up the version of a stream. The caller holds the mutex.
 func (l *fakeLedger) open(stream *ledgerpb.OpenStream) (string, error) {
+	l.accounts = append(l.accounts, stream.Account)
 	if stream.Resumes != "" {
 		version, found := l.streams[stream.Resumes]
 		if !found {
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -73,7 +73,7 @@
 		if c.stream.resumes == "" {
 			return nil
 		}
-		return &ledgerpb.OpenStream{CallId: c.meta.ID, Resumes: c.stream.resumes}
+		return &ledgerpb.OpenStream{Account: c.account, CallId: c.meta.ID, Resumes: c.stream.resumes}
 	}
 	server := c.g.loads.peek(c.newSelection(c.g.view.usableServers(c.service.Name)))
 	if server == nil {
@@ -85,6 +85,7 @@
 // assignCommand returns the command that assigns the call's stream to a version.
 func (c *call) assignCommand(version string) *ledgerpb.OpenStream {
 	return &ledgerpb.OpenStream{
+		Account:     c.account,
 		CallId:      c.meta.ID,
 		Version:     version,
 		Revision:    c.stream.revision,
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -51,13 +51,13 @@
 // ledgerClient reserves and settles turns in the ledger.
 type ledgerClient interface {
 	// isNewProgram reports whether a turn begins a program, as far as this entry knows.
-	isNewProgram(meta *RequestMeta) bool
-	// begin reserves the tokens of a turn, opens its stream and returns what it continues
-	// from. stream is nil on routes whose streams cannot be resumed. It waits for a leader
+	isNewProgram(account string, meta *RequestMeta) bool
+	// begin reserves the tokens of a turn of a client account, opens its stream and returns
+	// what it continues from. stream is nil on routes whose streams cannot be resumed. It waits for a leader
 	// until ctx ends. Errors: errBudgetSpent, errUnknownTurn, errUnknownStream,
 	// *gate.OverloadError with the delay before a retry, leaderclient.ErrRefused, and
 	// leaderclient.ErrUnavailable, wrapped with errMayBeReserved if the request was sent.
-	begin(ctx context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error)
+	begin(ctx context.Context, account string, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error)
 	// openStream records the version of a stream, or returns the version that began the
 	// stream which the call resumes. Errors: errUnknownStream, *gate.OverloadError,
 	// leaderclient.ErrRefused, leaderclient.ErrUnavailable.
@@ -88,7 +88,7 @@
 	leader         leaderclient.LeaderCache
 	onRetry        func(reason string)
 	gate           *ledgerGate
-	recentPrograms *recentSet    // programs that recently began a turn through this entry
+	recentPrograms *recentSet    // programs, by programKey, that recently began a turn through this entry
 	hedgeSlots     chan struct{} // semaphore with maxHedges slots
 }
 
@@ -107,16 +107,25 @@
 	}
 }
 
+// programKey returns the key of an account's program in recentPrograms.
+func programKey(account, program string) string { return fmt.Sprintf("%q %s", account, program) }
+
+// queueID returns the ID of a command in the queue of the gate. The commands of two accounts
+// that use the same call ID differ.
+func queueID(kind, account, callID string) string {
+	return fmt.Sprintf("%s %q %s", kind, account, callID)
+}
+
 // isNewProgram implements ledgerClient.
-func (l *remoteLedger) isNewProgram(meta *RequestMeta) bool {
-	return meta.PreviousTurn == "" && !l.recentPrograms.has(meta.Program, time.Now())
+func (l *remoteLedger) isNewProgram(account string, meta *RequestMeta) bool {
+	return meta.PreviousTurn == "" && !l.recentPrograms.has(programKey(account, meta.Program), time.Now())
 }
 
 // begin implements ledgerClient.
-func (l *remoteLedger) begin(ctx context.Context, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error) {
-	newProgram := l.isNewProgram(meta)
+func (l *remoteLedger) begin(ctx context.Context, account string, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error) {
+	newProgram := l.isNewProgram(account, meta)
 	priority := gate.BeginPriority(opts.priority, newProgram)
-	call := order.Call{ID: "begin " + meta.ID, Program: meta.Program, Priority: priority}
+	call := order.Call{ID: queueID("begin", account, meta.ID), Program: meta.Program, Priority: priority}
 	admission := &admit.Request{Priority: priority, NewProgram: newProgram}
 	sendCtx, cancel := context.WithDeadline(ctx, opts.sendBy)
 	defer cancel()
@@ -131,11 +140,12 @@
 		TokenBudget: meta.TokenBudget,
 		Limited:     meta.HasBudget,
 		Stream:      stream,
+		Account:     account,
 	}}})
 	if err != nil {
 		return history{}, err
 	}
-	l.recentPrograms.add(meta.Program, time.Now())
+	l.recentPrograms.add(programKey(account, meta.Program), time.Now())
 	switch resp.Outcome {
 	case ledgerpb.Outcome_OUTCOME_BUDGET_SPENT:
 		return history{}, errBudgetSpent
@@ -149,7 +159,7 @@
 
 // openStream implements ledgerClient.
 func (l *remoteLedger) openStream(ctx context.Context, stream *ledgerpb.OpenStream) (string, error) {
-	call := order.Call{ID: fmt.Sprintf("stream %s %d", stream.CallId, stream.Revision), Priority: gate.PrioritySettle}
+	call := order.Call{ID: queueID(fmt.Sprintf("stream %d", stream.Revision), stream.Account, stream.CallId), Priority: gate.PrioritySettle}
 	if err := l.gate.acquire(ctx, call, nil); err != nil {
 		return "", err
 	}
@@ -167,10 +177,11 @@
 func (l *remoteLedger) finish(ctx context.Context, f *ledgerpb.Finish) error {
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
-	call := order.Call{ID: "finish " + f.CallId, Program: f.Program, Priority: gate.PrioritySettle}
-	if !f.Keep {
-		call.ID = "settle " + f.CallId
+	kind := "settle"
+	if f.Keep {
+		kind = "finish"
 	}
+	call := order.Call{ID: queueID(kind, f.Account, f.CallId), Program: f.Program, Priority: gate.PrioritySettle}
 	if err := l.gate.acquire(ctx, call, nil); err != nil {
 		return err
 	}
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -54,7 +54,7 @@
 	results := make(chan error, 400)
 	for i := range cap(results) {
 		go func() {
-			_, err := ledger.begin(ctx, &RequestMeta{ID: fmt.Sprint(i), Program: "p"}, nil, queueOptions{sendBy: time.Now().Add(time.Minute)})
+			_, err := ledger.begin(ctx, "", &RequestMeta{ID: fmt.Sprint(i), Program: "p"}, nil, queueOptions{sendBy: time.Now().Add(time.Minute)})
 			results <- err
 		}()
 	}
@@ -65,7 +65,7 @@
 	// caller has given up.
 	assert.Assert(t, maxRunning.Load() <= int64(2*(gate.DefaultPolicy().Window.Max+maxHedges)), "%d concurrent requests at the state host", maxRunning.Load())
 	close(release)
-	_, err = ledger.begin(t.Context(), &RequestMeta{ID: "later", Program: "p"}, nil, queueOptions{sendBy: time.Now().Add(time.Minute)})
+	_, err = ledger.begin(t.Context(), "", &RequestMeta{ID: "later", Program: "p"}, nil, queueOptions{sendBy: time.Now().Add(time.Minute)})
 	assert.NilError(t, err)
 }
 
@@ -78,7 +78,7 @@
 		ledger := newRemoteLedger(pool, pool, func() []string { return nil }, telemetry.NewMetrics())
 		fillGate(t, ledger.gate)
 		start := time.Now()
-		_, err := ledger.begin(t.Context(), &RequestMeta{ID: "1", Program: "p"}, nil, queueOptions{sendBy: start.Add(time.Second)})
+		_, err := ledger.begin(t.Context(), "", &RequestMeta{ID: "1", Program: "p"}, nil, queueOptions{sendBy: start.Add(time.Second)})
 		assert.ErrorIs(t, err, leaderclient.ErrUnavailable)
 		assert.Assert(t, !errors.Is(err, errMayBeReserved))
 		assert.Equal(t, time.Since(start), time.Second)
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -29,26 +29,30 @@
 	if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs}); err != nil {
 		return err
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.programs)) {
-		if err := writeRecord(buffered, &ledgerpb.Record{Program: s.programs[id].record(id)}); err != nil {
+	for _, k := range sortedKeys(s.programs) {
+		if err := writeRecord(buffered, &ledgerpb.Record{Program: s.programs[k].record(k)}); err != nil {
 			return err
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.streams)) {
+	for _, k := range sortedKeys(s.streams) {
 		// Builds that do not know streams take the record for one of the time stamp.
-		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs, Stream: s.streams[id].record(id)}); err != nil {
+		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs, Stream: s.streams[k].record(k)}); err != nil {
 			return err
 		}
 	}
 	written := make(map[*turn]bool, len(s.turns))
-	for _, id := range slices.Sorted(maps.Keys(s.turns)) {
-		if err := s.writeChain(buffered, s.turns[id], written); err != nil {
+	for _, k := range sortedKeys(s.turns) {
+		if err := s.writeChain(buffered, s.turns[k], written); err != nil {
 			return err
 		}
 	}
 	return buffered.Flush()
 }
 
+func sortedKeys[V any](records map[key]V) []key {
+	return slices.SortedFunc(maps.Keys(records), compareKeys)
+}
+
 func writeRecord(w io.Writer, record *ledgerpb.Record) error {
 	if _, err := protodelim.MarshalTo(w, record); err != nil {
 		return fmt.Errorf("ledger: write snapshot: %w", err)
@@ -66,11 +70,11 @@
 		written[t] = true
 	}
 	for _, t := range slices.Backward(chain) {
-		record := &ledgerpb.Turn{Id: t.id, Input: t.input, Output: t.output, Server: t.server, ExpiresMs: t.expiresMs}
+		record := &ledgerpb.Turn{Account: t.key.account, Id: t.key.id, Input: t.input, Output: t.output, Server: t.server, ExpiresMs: t.expiresMs}
 		if t.previous != nil {
-			record.Previous = t.previous.id
+			record.Previous = t.previous.key.id
 		}
-		record.Hidden = s.turns[t.id] != t
+		record.Hidden = s.turns[t.key] != t
 		if err := writeRecord(w, &ledgerpb.Record{Turn: record}); err != nil {
 			return err
 		}
@@ -78,9 +82,10 @@
 	return nil
 }
 
-func (p *program) record(id string) *ledgerpb.Program {
+func (p *program) record(k key) *ledgerpb.Program {
 	return &ledgerpb.Program{
-		Id:          id,
+		Account:     k.account,
+		Id:          k.id,
 		TokenBudget: p.budget,
 		Settled:     p.settledTokens,
 		Open:        p.reservations,
@@ -93,7 +98,7 @@
 // error, which wraps ErrInvalidSnapshot.
 func (s *State) Restore(r io.Reader) error {
 	restored := New()
-	hidden := make(map[string]*turn)
+	hidden := make(map[key]*turn)
 	buffered := bufio.NewReader(r)
 	options := protodelim.UnmarshalOptions{MaxSize: maxRecordBytes}
 	for {
@@ -118,15 +123,15 @@
 }
 
 // restoreRecord adds one snapshot record to the state. Hidden turns go into hidden
-// instead, by call ID.
-func (s *State) restoreRecord(record *ledgerpb.Record, hidden map[string]*turn) error {
+// instead.
+func (s *State) restoreRecord(record *ledgerpb.Record, hidden map[key]*turn) error {
 	switch {
 	case record.Program != nil:
-		s.programs[record.Program.Id] = restoreProgram(record.Program)
+		s.programs[key{record.Program.Account, record.Program.Id}] = restoreProgram(record.Program)
 	case record.Turn != nil:
 		return s.restoreTurn(record.Turn, hidden)
 	case record.Stream != nil:
-		s.streams[record.Stream.CallId] = restoreStream(record.Stream)
+		s.streams[key{record.Stream.Account, record.Stream.CallId}] = restoreStream(record.Stream)
 	default:
 		s.nowMs = record.NowMs
 	}
@@ -151,22 +156,29 @@
 	return p
 }
 
-func (s *State) restoreTurn(record *ledgerpb.Turn, hidden map[string]*turn) error {
-	t := &turn{id: record.Id, input: record.Input, output: record.Output, server: record.Server, expiresMs: record.ExpiresMs}
+func (s *State) restoreTurn(record *ledgerpb.Turn, hidden map[key]*turn) error {
+	t := &turn{
+		key:       key{record.Account, record.Id},
+		input:     record.Input,
+		output:    record.Output,
+		server:    record.Server,
+		expiresMs: record.ExpiresMs,
+	}
 	if record.Previous != "" {
-		t.previous = s.turns[record.Previous]
+		previous := key{record.Account, record.Previous}
+		t.previous = s.turns[previous]
 		if t.previous == nil {
-			t.previous = hidden[record.Previous]
+			t.previous = hidden[previous]
 		}
 		if t.previous == nil {
 			return fmt.Errorf("%w: turn %q continues from turn %q, which is missing", ErrInvalidSnapshot, record.Id, record.Previous)
 		}
 	}
 	if record.Hidden {
-		hidden[t.id] = t
+		hidden[t.key] = t
 		return nil
 	}
-	s.turns[t.id] = t
+	s.turns[t.key] = t
 	s.turnBytes += t.size()
 	return nil
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -2,10 +2,12 @@
 // pass-through routes. It tracks the token budget of each program, which a turn
 // reserves from before it runs and settles afterwards, and stores finished turns
 // so that later turns can continue from them. It also records the software version
-// that runs each stream which clients may resume.
+// that runs each stream which clients may resume. Programs, turns and streams belong to a
+// client account: commands of one account neither see nor change those of another.
 package ledger
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -30,12 +32,23 @@
 // from any goroutine, because the contents of stored turns never change.
 type State struct {
 	mu           sync.RWMutex
-	nowMs        int64               // highest time stamp of a command, in milliseconds since the Unix epoch
-	lastExpiryMs int64               // value of nowMs at the last scan for expired records
-	programs     map[string]*program // by program ID
-	turns        map[string]*turn    // by call ID
-	turnBytes    int64               // of the input and output of turns
-	streams      map[string]stream   // that can be resumed, by the ID of the call that began them
+	nowMs        int64            // highest time stamp of a command, in milliseconds since the Unix epoch
+	lastExpiryMs int64            // value of nowMs at the last scan for expired records
+	programs     map[key]*program // by program ID
+	turns        map[key]*turn    // by call ID
+	turnBytes    int64            // of the input and output of turns
+	streams      map[key]stream   // that can be resumed, by the ID of the call that began them
+}
+
+// key identifies a program, a turn or a stream.
+type key struct {
+	account string // client account, "" in deployments without accounts
+	id      string // of the program or the call
+}
+
+// compareKeys orders keys by account, then by ID.
+func compareKeys(a, b key) int {
+	return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.id, b.id))
 }
 
 // program is the token budget of a program and what its turns took from it.
@@ -51,7 +64,7 @@
 // turn is a stored turn. It is immutable except for expiresMs, which only Apply
 // changes.
 type turn struct {
-	id        string // call ID
+	key       key // with the call ID
 	previous  *turn
 	input     []byte
 	output    []byte
@@ -64,7 +77,7 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{programs: make(map[string]*program), turns: make(map[string]*turn), streams: make(map[string]stream)}
+	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: make(map[key]stream)}
 }
 
 // Result is the outcome of a command.
@@ -129,14 +142,14 @@
 func (s *State) begin(b *ledgerpb.Begin) Result {
 	var previous *turn
 	if b.Previous != "" {
-		if previous = s.turns[b.Previous]; previous == nil {
+		if previous = s.turns[key{b.Account, b.Previous}]; previous == nil {
 			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN}
 		}
 	}
 	var version string
 	if b.Stream != nil {
 		var found bool
-		if version, found = s.openStream(b.Stream); !found {
+		if version, found = s.openStream(b.Account, b.Stream); !found {
 			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM}
 		}
 	}
@@ -150,10 +163,11 @@
 // reports whether the budget allows it. A turn that has not ended counts with its
 // maximum, so a program never generates more tokens than its budget.
 func (s *State) reserve(b *ledgerpb.Begin) bool {
-	p := s.programs[b.Program]
+	programKey := key{b.Account, b.Program}
+	p := s.programs[programKey]
 	if p == nil {
 		p = &program{budget: b.TokenBudget, reservations: make(map[string]uint64), settledCalls: make(map[string]struct{})}
-		s.programs[b.Program] = p
+		s.programs[programKey] = p
 	}
 	p.expiresMs = s.nowMs + programRetentionPeriod.Milliseconds()
 	if _, found := p.reservations[b.CallId]; found {
@@ -173,19 +187,20 @@
 // finish settles a call and stores its turn when the command asks for it.
 func (s *State) finish(f *ledgerpb.Finish) Result {
 	s.settle(f)
-	if !f.Keep || s.turns[f.CallId] != nil {
+	turnKey := key{f.Account, f.CallId}
+	if !f.Keep || s.turns[turnKey] != nil {
 		return Result{}
 	}
-	t := &turn{id: f.CallId, input: f.Input, output: f.Output, server: f.Server}
+	t := &turn{key: turnKey, input: f.Input, output: f.Output, server: f.Server}
 	if f.Previous != "" {
-		t.previous = s.turns[f.Previous]
+		t.previous = s.turns[key{f.Account, f.Previous}]
 		if t.previous == nil {
-			// The previous turn expired while this one ran.
+			// The previous turn expired while this one ran, or belongs to another account.
 			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN}
 		}
 	}
 	t.expiresMs = s.nowMs + f.RetentionMs + retentionMargin.Milliseconds()
-	s.turns[f.CallId] = t
+	s.turns[turnKey] = t
 	s.turnBytes += t.size()
 	for ancestor := t.previous; ancestor != nil && ancestor.expiresMs < t.expiresMs; ancestor = ancestor.previous {
 		ancestor.expiresMs = t.expiresMs
@@ -195,7 +210,7 @@
 
 // settle replaces the reservation of a call by the tokens that it used.
 func (s *State) settle(f *ledgerpb.Finish) {
-	p := s.programs[f.Program]
+	p := s.programs[key{f.Account, f.Program}]
 	if p == nil {
 		return
 	}
@@ -219,14 +234,14 @@
 		return
 	}
 	s.lastExpiryMs = s.nowMs
-	for id, p := range s.programs {
+	for programKey, p := range s.programs {
 		if p.expiresMs < s.nowMs {
-			delete(s.programs, id)
+			delete(s.programs, programKey)
 		}
 	}
-	for id, t := range s.turns {
+	for turnKey, t := range s.turns {
 		if t.expiresMs < s.nowMs {
-			delete(s.turns, id)
+			delete(s.turns, turnKey)
 			s.turnBytes -= t.size()
 		}
 	}
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -191,7 +191,7 @@
 	s := New()
 	apply(t, s, startMs, storeTurn("a", "p", "", "in1", "out1", 1))
 	apply(t, s, startMs, storeTurn("b", "p", "a", "in2", "out2", 1))
-	delete(s.turns, "a")
+	delete(s.turns, key{id: "a"})
 	restored := restartFromSnapshot(t, s)
 	result := apply(t, restored, startMs, begin("c", "p", "b", 1, 10))
 	assert.Equal(t, len(result.PreviousTurns()), 2)
--- a/internal/ledger/stream.go
+++ b/internal/ledger/stream.go
@@ -11,16 +11,17 @@
 }
 
 // openStream records the version of a new stream, or looks up the version of the stream
-// that the call resumes. found is false if that version is not recorded.
-func (s *State) openStream(o *ledgerpb.OpenStream) (version string, found bool) {
+// that the call resumes. found is false if that version is not recorded for the account.
+func (s *State) openStream(account string, o *ledgerpb.OpenStream) (version string, found bool) {
 	if o.Resumes != "" {
-		resumed, known := s.streams[o.Resumes]
+		resumed, known := s.streams[key{account, o.Resumes}]
 		return resumed.version, known
 	}
-	known, recorded := s.streams[o.CallId]
+	streamKey := key{account, o.CallId}
+	known, recorded := s.streams[streamKey]
 	// A delayed copy of an earlier command must not replace a later version.
 	if !recorded || o.Revision > known.revision {
-		s.streams[o.CallId] = stream{
+		s.streams[streamKey] = stream{
 			version:   o.Version,
 			revision:  o.Revision,
 			expiresMs: s.nowMs + o.RetentionMs + retentionMargin.Milliseconds(),
@@ -31,7 +32,7 @@
 
 // openStreamOnly applies an OpenStream command of a call that is not a turn of a program.
 func (s *State) openStreamOnly(o *ledgerpb.OpenStream) Result {
-	version, found := s.openStream(o)
+	version, found := s.openStream(o.Account, o)
 	if !found {
 		return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM}
 	}
@@ -40,15 +41,15 @@
 
 // expireStreams removes the streams that no client can resume any more.
 func (s *State) expireStreams() {
-	for id, open := range s.streams {
+	for streamKey, open := range s.streams {
 		if open.expiresMs < s.nowMs {
-			delete(s.streams, id)
+			delete(s.streams, streamKey)
 		}
 	}
 }
 
-func (st stream) record(callID string) *ledgerpb.Stream {
-	return &ledgerpb.Stream{CallId: callID, Version: st.version, Revision: st.revision, ExpiresMs: st.expiresMs}
+func (st stream) record(k key) *ledgerpb.Stream {
+	return &ledgerpb.Stream{Account: k.account, CallId: k.id, Version: st.version, Revision: st.revision, ExpiresMs: st.expiresMs}
 }
 
 func restoreStream(record *ledgerpb.Stream) stream {
--- a/internal/statehost/host_test.go
+++ b/internal/statehost/host_test.go
@@ -14,6 +14,7 @@
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/ledgerpb"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -106,3 +107,14 @@
 	assert.Assert(t, err != nil, "a host that leads no group accepted a command")
 	assert.Equal(t, h.pendingCommands.Load(), int64(0))
 }
+
+// TestCommandsOfAccountsShareNoProposal has accounts that use the same call ID.
+func TestCommandsOfAccountsShareNoProposal(t *testing.T) {
+	keys := make(map[string]bool)
+	for _, account := range []string{"", "a", "b", "a 1", `a" "1`} {
+		keys[commandKey(&ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{Account: account, CallId: "1"}}})] = true
+		keys[commandKey(&ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: &ledgerpb.Finish{Account: account, CallId: "1"}}})] = true
+		keys[commandKey(&ledgerpb.Command{Kind: &ledgerpb.Command_OpenStream{OpenStream: &ledgerpb.OpenStream{Account: account, CallId: "1"}}})] = true
+	}
+	assert.Equal(t, len(keys), 15)
+}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -192,7 +192,7 @@
 
 // commandKey returns the key under which copies of a command share one proposal.
 func commandKey(cmd *ledgerpb.Command) string {
-	key := commandKind(cmd) + " " + callID(cmd)
+	key := fmt.Sprintf("%s %q %q", commandKind(cmd), accountOf(cmd), callID(cmd))
 	if open := cmd.GetOpenStream(); open != nil {
 		key += fmt.Sprintf(" %d", open.Revision)
 	}
@@ -205,10 +205,15 @@
 	return cmd.GetBegin().GetCallId() + cmd.GetFinish().GetCallId() + cmd.GetOpenStream().GetCallId()
 }
 
+// accountOf returns the client account of the call.
+func accountOf(cmd *ledgerpb.Command) string {
+	return cmd.GetBegin().GetAccount() + cmd.GetFinish().GetAccount() + cmd.GetOpenStream().GetAccount()
+}
+
 // logRefusal logs a command that the ledger refused.
 func (h *Host) logRefusal(cmd *ledgerpb.Command, outcome ledgerpb.Outcome, index uint64) {
 	begin, finish := cmd.GetBegin(), cmd.GetFinish()
-	h.log.Info("ledger refused", "request", callID(cmd), "program", begin.GetProgram()+finish.GetProgram(),
+	h.log.Info("ledger refused", "request", callID(cmd), "account", accountOf(cmd), "program", begin.GetProgram()+finish.GetProgram(),
 		"previous", begin.GetPrevious()+finish.GetPrevious(),
 		"resumes", begin.GetStream().GetResumes()+cmd.GetOpenStream().GetResumes(), "outcome", outcome.String(),
 		"max_tokens", begin.GetMaxTokens(), "token_budget", begin.GetTokenBudget(), "log_index", index)
