--- a/internal/gateway/account_client.go
+++ b/internal/gateway/account_client.go
@@ -117,14 +117,21 @@
 	return doc != nil && a.lease.valid(a.now(), doc.Version)
 }
 
-// waitUntilCurrent waits until the accounts are current or ctx ends, and reports whether they
-// are.
-func (a *accountClient) waitUntilCurrent(ctx context.Context) bool {
+// confirmedSince reports whether the accounts that this entry knows were current at since or
+// later.
+func (a *accountClient) confirmedSince(since time.Duration) bool {
+	doc := a.routes()
+	return doc != nil && a.lease.confirmedSince(since, doc.Version)
+}
+
+// waitUntil waits until done returns true or ctx ends, and reports whether done returned true.
+// It asks the leader meanwhile.
+func (a *accountClient) waitUntil(ctx context.Context, done func() bool) bool {
 	for {
 		a.mu.Lock()
 		changed := a.changed
 		a.mu.Unlock()
-		if a.current() {
+		if done() {
 			return true
 		}
 		a.signal()
@@ -281,7 +288,7 @@
 		req.Demands = append(req.Demands, demand)
 		asked = append(asked, askedStock{stock, programs})
 	}
-	if len(req.Demands) == 0 && !a.renewalDue(now) {
+	if len(req.Demands) == 0 && !a.lease.due(now) {
 		return nil, nil
 	}
 	return req, asked
@@ -292,17 +299,6 @@
 	return slices.ContainsFunc(s.waiters, func(w *accountWaiter) bool { return s.deniedFor(now, w.newProgram) == 0 })
 }
 
-// renewalDue reports whether the entry should ask for a confirmation.
-func (a *accountClient) renewalDue(now time.Duration) bool {
-	l := a.lease
-	if l.duration == 0 {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.confirmed || now-l.at > l.duration/leaseRenewals
-}
-
 // demand returns what to ask for, and the waiters whose programs it names.
 func (s *accountStock) demand(now time.Duration) (*fleetpb.AccountDemand, []*accountWaiter) {
 	var programs []*accountWaiter
--- a/internal/gateway/account_lease.go
+++ b/internal/gateway/account_lease.go
@@ -19,6 +19,7 @@
 	confirmed bool
 	at        time.Duration // of the request whose response confirmed the routes in force
 	pending   *confirmation // of routes that are not in force here yet
+	wantedAt  time.Duration // a confirmation is wanted whose request is not older
 }
 
 type confirmation struct {
@@ -48,6 +49,29 @@
 	l.pending = nil
 }
 
+// confirmedSince reports whether the routes in force were confirmed by a request that was sent
+// at since or later. If not, such a confirmation is wanted from then on.
+func (l *accountLease) confirmedSince(since time.Duration, inForce uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(inForce)
+	if l.confirmed && l.at >= since {
+		return true
+	}
+	l.wantedAt = max(l.wantedAt, since)
+	return false
+}
+
+// due reports whether to ask for a confirmation.
+func (l *accountLease) due(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.confirmed || l.at < l.wantedAt {
+		return l.duration > 0 || l.wantedAt > 0
+	}
+	return l.duration > 0 && now-l.at > l.duration/leaseRenewals
+}
+
 // valid reports whether every key that was taken away before the bound allows to refuse it is
 // missing in the routes that are in force here.
 func (l *accountLease) valid(now time.Duration, inForce uint64) bool {
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -149,6 +149,18 @@
 	assert.Equal(t, f.send(t, http.MethodGet, "/safe/x", "", "Id", "3", "Key", "secret").status, http.StatusOK, "it waits for the leader")
 }
 
+// TestKeyThatWasJustAddedIsNotUnknown has a key in routes that this entry has not received yet.
+func TestKeyThatWasJustAddedIsNotUnknown(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", respondOK))
+	leader := f.withAccounts(t, newTestAccount("customer", "secret", account.Limit{}))
+	leader.set(func(l *fakeAccountLeader) { l.version = 2 })
+	time.AfterFunc(200*time.Millisecond, func() {
+		f.setAccounts(t, 2, newTestAccount("customer", "new", account.Limit{}))
+	})
+	assert.Equal(t, f.send(t, http.MethodGet, "/safe/x", "", "Id", "1", "Key", "new").status, http.StatusOK)
+	assert.Equal(t, f.send(t, http.MethodGet, "/safe/x", "", "Id", "2", "Key", "secret").status, http.StatusUnauthorized)
+}
+
 // TestEntryWithOlderRoutesDoesNotAcceptKeys has a leader that confirms routes that this entry has
 // not received yet.
 func TestEntryWithOlderRoutesDoesNotAcceptKeys(t *testing.T) {
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -27,44 +27,57 @@
 )
 
 // identify finds the client account of the request by its key. Errors: errUnknownKey, and
-// errAccountUnconfirmed while a key may have been taken away without this entry knowing.
-// Requests of public routes need no key; they count for the account whose key they carry.
+// errAccountUnconfirmed while a key may have been taken away or added without this entry
+// knowing. Requests of public routes need no key; they count for the account whose key they
+// carry.
 func (c *call) identify() error {
 	if c.routes.Accounts == nil {
 		return nil
 	}
-	if !c.accountsCurrent() {
-		if c.route.Public {
-			return nil
+	if c.route.Public {
+		if c.g.accounts.current() {
+			c.findAccount()
 		}
-		c.w.Header().Set("Connection", "close")
+		return nil
+	}
+	// After a start or a suspension the confirmation arrives sooner than a refused client could
+	// retry.
+	if !c.g.accounts.current() && !c.waitForAccounts(c.g.accounts.current) {
 		return errAccountUnconfirmed
 	}
-	if c.meta.Key != "" {
-		c.account = c.routes.Accounts.ByKey(c.meta.Key)
+	if c.findAccount() {
+		return nil
+	}
+	// The key may have been added a moment ago, and a client does not retry after this refusal.
+	arrived := c.g.accounts.now()
+	if !c.waitForAccounts(func() bool { return c.g.accounts.confirmedSince(arrived) }) {
+		return errAccountUnconfirmed
 	}
-	if c.account == nil && !c.route.Public {
-		return errUnknownKey
+	if c.findAccount() || c.routes.Accounts == nil {
+		return nil
 	}
-	return nil
+	return errUnknownKey
 }
 
-// accountsCurrent reports whether the accounts that this entry knows are current. After a start
-// or a suspension the confirmation arrives sooner than a refused client could retry.
-func (c *call) accountsCurrent() bool {
-	if c.g.accounts.current() {
-		return true
-	}
-	if c.route.Public {
-		return false
+// findAccount looks the account of the request's key up and reports whether there is one.
+func (c *call) findAccount() bool {
+	if c.meta.Key != "" && c.routes.Accounts != nil {
+		c.account = c.routes.Accounts.ByKey(c.meta.Key)
 	}
+	return c.account != nil
+}
+
+// waitForAccounts waits until done returns true, for viewTimeout at most, and then uses the
+// routes in force. Otherwise the client should go to another entry.
+func (c *call) waitForAccounts(done func() bool) bool {
 	ctx, cancel := context.WithTimeout(c.r.Context(), viewTimeout)
 	defer cancel()
-	if !c.g.accounts.waitUntilCurrent(ctx) {
+	if !c.g.accounts.waitUntil(ctx, done) {
+		c.w.Header().Set("Connection", "close")
 		return false
 	}
 	c.routes = c.g.view.routes.Load()
-	return c.routes.Accounts != nil
+	return true
 }
 
 // accountName returns the name of the request's account, "" if it has none.
