A program that began at another entry is not refused as a new one

Programs that begin with permits in hand were not known to the allocator, so an entry that saw another line of one for the first time asked for a new program, which an account at its limit does not get. Change: entries name the programs that began so with their next request.

--- a/internal/gateway/account_client.go
+++ b/internal/gateway/account_client.go
@@ -74,6 +74,7 @@
 type accountStock struct {
 	quota.Stock
 	waiters []*accountWaiter
+	began   []uint64 // hashed IDs of programs that began with a permit in hand since the latest request
 }
 
 // accountWaiter is a request that waits for a permit.
@@ -151,7 +152,7 @@
 	a.mu.Lock()
 	stock := a.stock(acct.Name)
 	now := a.now()
-	if stock.Take(now, newProgram) {
+	if stock.take(now, newProgram, program) {
 		if stock.Due(now) {
 			a.signal()
 		}
@@ -316,7 +317,10 @@
 		ids = append(ids, w.program)
 	}
 	ask := s.Ask(now, running, ids)
+	began := s.began
+	s.began = nil
 	return &fleetpb.AccountDemand{
+		Running:  began,
 		Session:  ask.Session,
 		Used:     uint64(ask.Used),
 		Returned: uint64(ask.Returned),
@@ -389,7 +393,7 @@
 // serveOne gives a waiter a permit in hand, or refuses it if it would wait for too long. It
 // returns false if the waiter waits on. asked says that the leader was asked for it.
 func (s *accountStock) serveOne(now time.Duration, w *accountWaiter, asked bool) bool {
-	if s.Take(now, w.newProgram) {
+	if s.take(now, w.newProgram, w.program) {
 		w.outcome <- nil
 		return true
 	}
@@ -401,6 +405,17 @@
 	return true
 }
 
+// take takes a permit in hand for a request.
+func (s *accountStock) take(now time.Duration, newProgram bool, program uint64) bool {
+	if !s.Take(now, newProgram) {
+		return false
+	}
+	if newProgram {
+		s.began = append(s.began, program)
+	}
+	return true
+}
+
 // remove removes a waiter and reports whether it still waited.
 func (s *accountStock) remove(w *accountWaiter) bool {
 	i := slices.Index(s.waiters, w)
--- a/internal/policy/quota/allocator.go
+++ b/internal/policy/quota/allocator.go
@@ -85,6 +85,18 @@
 	return grant
 }
 
+// Remember records that programs of an account run which began without being named in an ask. An
+// entry that sees one of them for the first time takes it for a new one.
+func (a *Allocator) Remember(now time.Duration, name string, programs []uint64) {
+	state := a.accounts[name]
+	if state == nil {
+		return
+	}
+	for _, program := range programs {
+		state.programs.remember(now, program)
+	}
+}
+
 // entry returns the state of the entry that asks, with its report recorded. A report of an
 // unknown session counts for nothing, since its permits are of another allocator, or were
 // granted in a response that the entry did not receive.
--- a/internal/statehost/accounts.go
+++ b/internal/statehost/accounts.go
@@ -109,6 +109,7 @@
 	if !acct.Limit.Limited() {
 		return unlimitedGrant(demand)
 	}
+	allocator.Remember(now, acct.Name, demand.Running)
 	grant := allocator.Ask(now, acct.Name, acct.Limit, quota.Ask{
 		Entry:    entry,
 		Session:  demand.Session,
