--- a/internal/policy/quota/programs_test.go
+++ b/internal/policy/quota/programs_test.go
@@ -19,6 +19,7 @@
 	now += 10 * time.Second
 	g := a.Ask(now, "customer", limit, Ask{Entry: "a", Waiting: 100, Wanted: 100})
 	assert.Assert(t, g.Permits > 0 && g.Permits < 100)
+	a.Ask(now, "customer", limit, Ask{Entry: "a", Session: g.Session, Used: g.Permits})
 	now += 300 * time.Millisecond
 	const program = 7
 	denied := a.Ask(now, "customer", limit, Ask{Entry: "b", Programs: []uint64{program}})
