Entries no longer refuse new programs while running ones lack servers

Three of twelve servers were slow, some responses were lost, and after the closing loss of power all turns were late for a while: faults that refusing programs does not mend.

Change: the package, its counters of strain, the reason programs_shed and their text are gone. Programs that begin still wait for a permit for a tenth of their time at most and are then refused with server_limit, before running ones.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,6 @@
 	loads   *loadTracker
 	permits *permitClient
 	queues  *permitQueues
-	shedder *shedder
 	servers *passthrough.Pool
 	pool    *transport.Pool
 
@@ -90,7 +89,6 @@
 		metrics: metrics,
 		loads:   newLoadTracker(),
 		queues:  newPermitQueues(),
-		shedder: newShedder(),
 		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
@@ -195,10 +193,6 @@
 	if errors.As(cause, &overload) {
 		after = overload.RetryAfter
 	}
-	var shed *shedError
-	if errors.As(cause, &shed) {
-		after = shed.retryAfter
-	}
 	var limited *limitedError
 	if errors.As(cause, &limited) {
 		after = limited.retryAfter
