--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,6 @@
 	loads    *loadTracker
 	permits  *permitClient
 	queues   *permitQueues
-	shedder  *shedder
 	accounts *accountClient
 	servers  *passthrough.Pool
 	pool     *transport.Pool
@@ -94,7 +93,6 @@
 		metrics: metrics,
 		loads:   newLoadTracker(),
 		queues:  newPermitQueues(),
-		shedder: newShedder(),
 		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
@@ -210,10 +208,6 @@
 	if errors.As(cause, &overload) {
 		after = overload.RetryAfter
 	}
-	var shed *shedError
-	if errors.As(cause, &shed) {
-		after = shed.retryAfter
-	}
 	var limited *limitedError
 	if errors.As(cause, &limited) {
 		after = limited.retryAfter
