--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -3,11 +3,15 @@
 package account
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 )
 
 // ErrInvalid is wrapped by the errors of accounts that fail validation.
@@ -30,9 +34,15 @@
 // Limited reports whether there is a limit.
 func (l Limit) Limited() bool { return l.PerSecond > 0 }
 
+// shortDigestLength is the number of hexadecimal digits that Digest.String returns.
+const shortDigestLength = 12
+
 // Digest is the SHA-256 digest of a key.
 type Digest [sha256.Size]byte
 
+// String returns the first shortDigestLength hexadecimal digits, by which operators name a key.
+func (d Digest) String() string { return hex.EncodeToString(d[:])[:shortDigestLength] }
+
 // DigestOf returns the digest of a key.
 func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
 
@@ -61,8 +71,9 @@
 		return fmt.Errorf("%w: no name", ErrInvalid)
 	case d.byName[a.Name] != nil:
 		return fmt.Errorf("%w: two accounts are named %q", ErrInvalid, a.Name)
-	case !isAmount(a.Limit.PerSecond) || !isAmount(a.Limit.Burst):
-		return fmt.Errorf("%w: limit of %q: %g requests a second with bursts of %g", ErrInvalid, a.Name, a.Limit.PerSecond, a.Limit.Burst)
+	}
+	if err := a.Limit.validate(a.Name); err != nil {
+		return err
 	}
 	d.byName[a.Name] = a
 	for _, key := range a.Keys {
@@ -74,6 +85,13 @@
 	return nil
 }
 
+func (l Limit) validate(name string) error {
+	if isAmount(l.PerSecond) && isAmount(l.Burst) {
+		return nil
+	}
+	return fmt.Errorf("%w: limit of %q: %g requests a second with bursts of %g", ErrInvalid, name, l.PerSecond, l.Burst)
+}
+
 func isAmount(value float64) bool { return value >= 0 && !math.IsInf(value, 0) && !math.IsNaN(value) }
 
 // ByKey returns the account that holds a key, nil if there is none. Keys are compared by their
@@ -95,5 +113,10 @@
 // ByName returns the account of a name, nil if there is none.
 func (d *Directory) ByName(name string) *Account { return d.byName[name] }
 
+// All returns the accounts in the order of their names.
+func (d *Directory) All() []*Account {
+	return slices.SortedFunc(maps.Values(d.byName), func(a, b *Account) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Len returns the number of accounts.
 func (d *Directory) Len() int { return len(d.byName) }
