--- a/cmd/ibistrayctl/main.go
+++ b/cmd/ibistrayctl/main.go
@@ -12,13 +12,14 @@
 
 	"ibistray.example/ibistray/internal/ctl"
 	"ibistray.example/ibistray/internal/httpserver"
+	"ibistray.example/ibistray/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	httpserver.SetLogger(hclog.NewNullLogger())
-	err := ctl.Command().Run(ctx, os.Args)
+	err := ctl.Command(openAccounts).Run(ctx, os.Args)
 	if err == nil {
 		return
 	}
@@ -28,3 +29,5 @@
 	}
 	os.Exit(ctl.ExitCode(err))
 }
+
+func openAccounts(addresses []string) ctl.AccountStore { return platform.NewAccountStore(addresses) }
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -49,8 +49,9 @@
 	return e.Problem + "; " + e.Fix
 }
 
-// Command returns the root command of ibistrayctl.
-func Command() *cli.Command {
+// Command returns the root command of ibistrayctl. openAccounts is used by the commands for
+// client accounts.
+func Command(openAccounts OpenAccounts) *cli.Command {
 	return &cli.Command{
 		Name:                  "ibistrayctl",
 		Usage:                 "operate ibistray: contracts, programs, backend servers, load",
@@ -83,6 +84,7 @@
 			stopCommand(),
 			quarantineCommand(),
 			keyCommand(),
+			accountCommand(openAccounts),
 			statusCommand(),
 			topCommand(),
 			explainCommand(),
@@ -97,6 +99,9 @@
 	var usage *UsageError
 	var conflict *ConflictError
 	var apiErr *APIError
+	if code := accountExitCode(err); code != ExitOK {
+		return code
+	}
 	switch {
 	case err == nil:
 		return ExitOK
@@ -132,6 +137,9 @@
 
 // NextStep returns advice for the operator on an error that a command returned, or "".
 func NextStep(err error) string {
+	if advice := accountAdvice(err); advice != "" {
+		return advice
+	}
 	switch ExitCode(err) {
 	case ExitConflict:
 		return "read what is in force (ibistrayctl contract show, stop list) and base the change on it; a resend keeps its --change-id"
