--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -52,9 +52,12 @@
 	byName map[string]*Account
 }
 
+// emptyKey is the digest of the key of a client that sends none.
+var emptyKey = DigestOf("")
+
 // NewDirectory returns a directory of accounts. It returns an error that wraps ErrInvalid if a
-// name is missing or used twice, if two accounts share a key, or if a limit is not a
-// non-negative number.
+// name is missing, used twice or cannot be sent in a header unchanged, if a key is empty or
+// shared by two accounts, or if a limit is not a non-negative number.
 func NewDirectory(accounts []*Account) (*Directory, error) {
 	d := &Directory{byKey: make(map[Digest]*Account), byName: make(map[string]*Account, len(accounts))}
 	for _, a := range accounts {
@@ -69,6 +72,8 @@
 	switch {
 	case a.Name == "":
 		return fmt.Errorf("%w: no name", ErrInvalid)
+	case !validHeaderValue(a.Name):
+		return fmt.Errorf("%w: name %q has control characters or surrounding spaces", ErrInvalid, a.Name)
 	case d.byName[a.Name] != nil:
 		return fmt.Errorf("%w: two accounts are named %q", ErrInvalid, a.Name)
 	}
@@ -77,6 +82,9 @@
 	}
 	d.byName[a.Name] = a
 	for _, key := range a.Keys {
+		if key == emptyKey {
+			return fmt.Errorf("%w: %q has an empty key", ErrInvalid, a.Name)
+		}
 		if other := d.byKey[key]; other != nil && other != a {
 			return fmt.Errorf("%w: %q and %q share a key", ErrInvalid, other.Name, a.Name)
 		}
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -26,11 +26,21 @@
 	assert.Equal(t, d.Len(), 3)
 }
 
+func TestNamesThatAHeaderCarries(t *testing.T) {
+	_, err := NewDirectory([]*Account{newAccount("a b"), newAccount("Ünité-3"), newAccount("a,b;c=\"d\"")})
+	assert.NilError(t, err)
+}
+
 func TestNewDirectoryRejectsInvalid(t *testing.T) {
 	cases := map[string][]*Account{
 		"shared key":    {newAccount("a", "k"), newAccount("b", "k")},
 		"no name":       {newAccount("")},
 		"equal names":   {newAccount("a"), newAccount("a")},
+		"empty key":     {newAccount("a", "k", "")},
+		"line break":    {newAccount("a\r\nX: y")},
+		"null byte":     {newAccount("a\x00")},
+		"space behind":  {newAccount("a ")},
+		"tab in front":  {newAccount("\ta")},
 		"negative rate": {{Name: "a", Limit: Limit{PerSecond: -1}}},
 		"endless burst": {{Name: "a", Limit: Limit{PerSecond: 1, Burst: math.Inf(1)}}},
 		"NaN rate":      {{Name: "a", Limit: Limit{PerSecond: math.NaN()}}},
--- a/internal/account/change.go
+++ b/internal/account/change.go
@@ -111,7 +111,7 @@
 
 // validHeaderValue reports whether an HTTP header carries a text unchanged.
 func validHeaderValue(text string) bool {
-	return text == strings.TrimSpace(text) && !strings.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f })
+	return text == strings.Trim(text, " \t") && !strings.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f })
 }
 
 // Equal reports whether two accounts have the same name, keys, priority and limit.
