Scenario of make bench-policy: client accounts at 3, 27 and 300 entries

Cause: nothing measured what accounts below and above their limits get. Change: 12 accounts of 2 to 100 requests a second, one of them at six times the load of the others, with and without a loss of the allocator for a second; bounds on the requests served below the limits, the share that the hot account uses, and the messages.

--- a/internal/policybench/main.go
+++ b/internal/policybench/main.go
@@ -16,10 +16,11 @@
 
 // Numbers of seeds in a full run.
 const (
-	fullSeeds   = 10
-	retrySeeds  = 3 // for the comparison of retries
-	ledgerSeeds = 3 // for the load on the program ledger
-	limitSeeds  = 3 // for servers with limits
+	fullSeeds    = 10
+	retrySeeds   = 3 // for the comparison of retries
+	ledgerSeeds  = 3 // for the load on the program ledger
+	limitSeeds   = 3 // for servers with limits
+	accountSeeds = 3 // for client accounts with limits
 )
 
 // gcPercent makes garbage collection rarer than by default. A run is short, so it can
@@ -33,6 +34,7 @@
 	knownFile := flag.String("known-red", "KNOWN-RED.txt", "file that lists the bounds known to be broken")
 	ledgerOnly := flag.Bool("ledger", false, "print the load on the program ledger only, and check no bound")
 	limitsOnly := flag.Bool("limits", false, "print the load on servers with limits only, and check no bound")
+	accountsOnly := flag.Bool("accounts", false, "print the load of client accounts only, and check no bound")
 	retriesOnly := flag.Bool("retries", false, "print the comparison of retries only, and check no bound")
 	flag.Parse()
 	debug.SetGCPercent(gcPercent)
@@ -44,6 +46,10 @@
 		printLimits(os.Stdout, measureLimits(limitSeeds))
 		return
 	}
+	if *accountsOnly {
+		printAccounts(os.Stdout, measureAccounts(accountSeeds))
+		return
+	}
 	if *ledgerOnly {
 		printLedger(os.Stdout, measureLedger(ledgerSeeds))
 		return
@@ -76,11 +82,13 @@
 	printLedger(w, ledgerResults)
 	limitResults := measureLimits(min(seeds, limitSeeds))
 	printLimits(w, limitResults)
+	accountResults := measureAccounts(min(seeds, accountSeeds))
+	printAccounts(w, accountResults)
 	known, err := readKnownViolations(knownFile)
 	if err != nil {
 		return err
 	}
-	return reportChecks(w, slices.Concat(checkResults(results), checkRetries(retryResults), checkLedger(ledgerResults), checkLimits(limitResults)), known)
+	return reportChecks(w, slices.Concat(checkResults(results), checkRetries(retryResults), checkLedger(ledgerResults), checkLimits(limitResults), checkAccounts(accountResults)), known)
 }
 
 // selectRows returns the variants whose name contains the substring.
