--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,6 +86,7 @@
 	now := time.Now()
 	outcome := c.classifyAttempt(err)
 	c.g.loads.release(c.server.ID, outcome, now)
+	c.recordTurn(err)
 	switch {
 	case outcome == outcomeUnreachable:
 		c.g.crashDetector.recordUnreachable(c.server, now)
@@ -258,6 +259,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := time.Now()
+	c.attemptStarted, c.attemptOutput, c.eventsBefore = start, 0, c.eventsSent
 	c.interimLeaving = false
 	if err := c.checkServer(); err != nil {
 		return err
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,6 +66,9 @@
 	server           *fleet.Instance // of the latest attempt
 	lastErr          error           // of the latest attempt
 	firstOutput      time.Duration   // time until the response started
+	attemptStarted   time.Time       // start of the current attempt
+	attemptOutput    time.Duration   // from the start of the current attempt until its first event, 0: none yet
+	eventsBefore     int             // events that earlier attempts sent
 	beginDuration    time.Duration   // time spent on the reservation before the turn
 	keepDuration     time.Duration   // time spent on storing the turn after it
 	eventsSent       int             // events with data that were sent to the client
@@ -231,6 +234,11 @@
 		return c.tryServers(ctx)
 	}
 	c.newProgram = c.g.ledger.isNewProgram(&c.meta)
+	if c.newProgram {
+		if err := c.g.shedder.admit(c.route.Priority); err != nil {
+			return err
+		}
+	}
 	beginCtx, cancelBegin := context.WithDeadline(ctx, c.arrived.Add(c.route.EventTimeout()-firstEventMargin))
 	defer cancelBegin()
 	start := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	loads   *loadTracker
 	permits *permitClient
 	queues  *permitQueues
+	shedder *shedder
 	servers *passthrough.Pool
 	pool    *transport.Pool
 
@@ -89,6 +90,7 @@
 		metrics: metrics,
 		loads:   newLoadTracker(),
 		queues:  newPermitQueues(),
+		shedder: newShedder(),
 		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
@@ -193,6 +195,10 @@
 	if errors.As(cause, &overload) {
 		after = overload.RetryAfter
 	}
+	var shed *shedError
+	if errors.As(cause, &shed) {
+		after = shed.retryAfter
+	}
 	var limited *limitedError
 	if errors.As(cause, &limited) {
 		after = limited.retryAfter
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -15,6 +15,9 @@
 // wait on.
 const maxPermitPause = 250 * time.Millisecond
 
+// shortageDelay is the wait of a request of a running program that shows a lack of servers.
+const shortageDelay = 100 * time.Millisecond
+
 // errLimited says that the backend servers of the service accept no more requests now.
 var errLimited = errors.New("gateway: the backend servers have reached the limits that they named")
 
@@ -96,6 +99,9 @@
 	if c.waiter == nil {
 		return
 	}
+	if !c.newProgram && time.Since(c.waiter.joined) > shortageDelay {
+		c.g.shedder.recordShortage()
+	}
 	c.g.queues.leave(c.waiter)
 	c.g.metrics.PermitWaiting.Dec()
 	c.waiter = nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -24,6 +24,7 @@
 	reasonNoServer          = "no_server"
 	reasonQuarantined       = "quarantined"
 	reasonServerLimit       = "server_limit"
+	reasonShed              = "programs_shed"
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
 	reasonLedgerBusy        = "ledger_busy"
@@ -57,6 +58,7 @@
 	{streampin.ErrUnknownVersion, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
 	{streampin.ErrVersionNotServed, refusal{reasonVersionGone, http.StatusServiceUnavailable, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
+	{errShed, refusal{reasonShed, http.StatusServiceUnavailable, true}},
 	{errLimited, refusal{reasonServerLimit, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
@@ -80,6 +82,7 @@
 // refuse sends a refusal to the client and logs the outcome.
 func (c *call) refuse(f refusal, cause error) {
 	c.g.metrics.Refusals.WithLabelValues(f.Reason).Inc()
+	c.recordShortage(cause)
 	header := c.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.Retryable {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -116,6 +116,9 @@
 			continue
 		}
 		if ev.hasData {
+			if !continued {
+				c.attemptOutput = time.Since(c.attemptStarted)
+			}
 			continued = true
 			c.stopSilenceTimers()
 		}
--- /dev/null
+++ b/internal/gateway/shedding_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/passthrough"
+)
+
+// TestNewProgramIsRefusedWhileRunningOnesLackServers has calls of running programs that are
+// refused, and turns that begin programs meanwhile.
+func TestNewProgramIsRefusedWhileRunningOnesLackServers(t *testing.T) {
+	b := newBackend(t, "a", streamEvents(1, 2, true))
+	f := newFixture(t, b)
+	turn := func(id, previous string) clientResponse {
+		return f.send(t, http.MethodPost, "/chat/x", "in", "Id", id, "Program", "p "+id, "Previous", previous, "Budget", "1")
+	}
+	assert.Equal(t, turn("1", "").status, http.StatusOK)
+	<-f.ledger.settled
+
+	f.shedder.level.RecordShortage(0)
+	f.shedder.level.RecordShortage(100 * time.Millisecond)
+	f.shedder.draw = func() float64 { return 0.99 }
+	got := turn("2", "")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.body, reasonShed+"\n")
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, len(f.ledger.beginIDs), 1, "a refused turn reserves nothing")
+	assert.Equal(t, turn("3", "1").status, http.StatusOK, "a running program")
+	<-f.ledger.settled
+}
+
+func TestRefusedCallOfRunningProgramIsAShortage(t *testing.T) {
+	f := newFixture(t)
+	f.send(t, http.MethodPost, "/unsafe/x", "", "Id", "1", "Timeout-Ms", "200")
+	assert.Assert(t, f.shedder.admitWith(0, 0.999) == nil, "a request without a program")
+	for _, id := range []string{"2", "3"} {
+		f.send(t, http.MethodPost, "/unsafe/x", "", "Id", id, "Program", "p", "Timeout-Ms", "200")
+	}
+	assert.ErrorIs(t, f.shedder.admitWith(1, 0.999), errShed)
+}
+
+// TestOverloadedServerGetsFewerConcurrentRequests has a server that refuses requests while more
+// come than it has slots.
+func TestOverloadedServerGetsFewerConcurrentRequests(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", respondOK))
+	servers := f.view.usableServers("s")
+	sel := selection{servers: servers, now: testTime, mayAsk: true}
+	fill := func() int {
+		n := 0
+		for f.loads.acquire(sel) != nil {
+			n++
+		}
+		return n
+	}
+	full := fill()
+	assert.Equal(t, full, servers[0].Slots)
+	for range full {
+		f.loads.release("a", outcomeRefused, testTime)
+	}
+	reduced := fill()
+	assert.Assert(t, reduced <= full/2, "%d of %d", reduced, full)
+	for range reduced {
+		f.loads.release("a", outcomeOK, testTime)
+	}
+	waiting := sel
+	waiting.mayAsk = false
+	assert.Assert(t, f.loads.acquire(waiting) == nil, "places of a reduced window go to those that wait")
+	for range 200 {
+		f.loads.acquireServer("a")
+		f.loads.release("a", outcomeOK, testTime)
+	}
+	assert.Equal(t, fill(), full)
+}
+
+// TestFaultsAndLeavingClientsAreNoShortage has turns of running programs whose responses break
+// off, fail or are given up by their clients, and turns that servers refuse.
+func TestFaultsAndLeavingClientsAreNoShortage(t *testing.T) {
+	cases := []struct {
+		name     string
+		err      error
+		strained bool
+	}{
+		{"broken off", passthrough.ErrConnectionLost, false},
+		{"invalid", errInvalidResponse, false},
+		{"not resumed", errNotResumed, false},
+		{"given up by the client", errClientGone, false},
+		{"refused", errNotRun, true},
+		{"silent", errSilent, true},
+		{"deadline", context.DeadlineExceeded, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			c := &call{g: f.Gateway, route: f.view.routes.Load().Match("h", "/chat/x"), attemptStarted: time.Now()}
+			for range 100 {
+				c.recordTurn(tc.err)
+				f.shedder.started = f.shedder.started.Add(-10 * time.Millisecond)
+			}
+			admitted := f.shedder.admitWith(1, 0.999) == nil
+			assert.Equal(t, admitted, !tc.strained)
+		})
+	}
+}
