New programs are refused by service, and only while a server names a limit

Change: a level for each service; turns under strain count, and programs are refused, only while a server of the service names a limit.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -235,7 +235,7 @@
 	}
 	c.newProgram = c.g.ledger.isNewProgram(&c.meta)
 	if c.newProgram {
-		if err := c.g.shedder.admit(c.route.Priority); err != nil {
+		if err := c.g.shedder.admit(c.service.Name, c.isLimited(), c.route.Priority); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -100,7 +100,7 @@
 		return
 	}
 	if !c.newProgram && time.Since(c.waiter.joined) > shortageDelay {
-		c.g.shedder.recordShortage()
+		c.g.shedder.recordShortage(c.service.Name)
 	}
 	c.g.queues.leave(c.waiter)
 	c.g.metrics.PermitWaiting.Dec()
--- a/internal/gateway/shedding.go
+++ b/internal/gateway/shedding.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/policy/shed"
 )
 
@@ -35,25 +37,40 @@
 	started time.Time      // reference point of the level's clock
 	draw    func() float64 // random number between 0 and 1
 
-	mu    sync.Mutex
-	level shed.Level
+	mu     sync.Mutex
+	levels map[string]*shed.Level // by service
 }
 
-func newShedder() *shedder { return &shedder{started: time.Now(), draw: rand.Float64} }
+func newShedder() *shedder {
+	return &shedder{started: time.Now(), draw: rand.Float64, levels: make(map[string]*shed.Level)}
+}
+
+// level returns the level of a service. The caller holds the mutex.
+func (s *shedder) level(service string) *shed.Level {
+	if s.levels[service] == nil {
+		s.levels[service] = &shed.Level{}
+	}
+	return s.levels[service]
+}
+
+// isLimited reports whether a server of the call's service names a limit.
+func (c *call) isLimited() bool {
+	return slices.ContainsFunc(c.g.view.usableServers(c.service.Name), (*fleet.Instance).Limited)
+}
 
 // recordShortage records that a request of a running program waited for a server, or was
 // refused for lack of one.
-func (s *shedder) recordShortage() {
+func (s *shedder) recordShortage(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.level.RecordShortage(time.Since(s.started))
+	s.level(service).RecordShortage(time.Since(s.started))
 }
 
 // recordTurn records whether a turn of a running program was under strain.
-func (s *shedder) recordTurn(strained bool) {
+func (s *shedder) recordTurn(service string, limited, strained bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.level.RecordTurn(time.Since(s.started), strained)
+	s.level(service).RecordTurn(time.Since(s.started), limited, strained)
 }
 
 // recordTurn tells the shedder how an attempt at a turn ended. Failures that do not come from
@@ -64,7 +81,7 @@
 	}
 	strained := c.isLate() || c.isSlow() || errors.Is(err, errNotRun) || errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded)
 	if err == nil || strained {
-		c.g.shedder.recordTurn(strained)
+		c.g.shedder.recordTurn(c.service.Name, c.isLimited(), strained)
 	}
 }
 
@@ -90,25 +107,25 @@
 }
 
 // admit returns an error that wraps errShed if a new program must be refused.
-func (s *shedder) admit(priority int) error {
-	return s.admitWith(priority, s.draw())
+func (s *shedder) admit(service string, limited bool, priority int) error {
+	return s.admitWith(service, limited, priority, s.draw())
 }
 
 // admitWith is like admit with a given random number.
-func (s *shedder) admitWith(priority int, draw float64) error {
+func (s *shedder) admitWith(service string, limited bool, priority int, draw float64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Since(s.started)
-	if s.level.Admit(now, priority, draw) {
+	if s.level(service).Admit(now, limited, priority, draw) {
 		return nil
 	}
-	return &shedError{retryAfter: s.level.RetryAfter(now)}
+	return &shedError{retryAfter: s.level(service).RetryAfter(now)}
 }
 
 // recordShortage tells the shedder if the request belongs to a running program and was
 // refused for lack of servers.
 func (c *call) recordShortage(err error) {
 	if c.meta.Program != "" && !c.newProgram && (errors.Is(err, errLimited) || errors.Is(err, errNoServer)) {
-		c.g.shedder.recordShortage()
+		c.g.shedder.recordShortage(c.service.Name)
 	}
 }
--- a/internal/policy/shed/shed.go
+++ b/internal/policy/shed/shed.go
@@ -1,11 +1,11 @@
 // Package shed decides which new programs are refused while running programs lack servers.
 //
-// It answers a service that can serve a part of the load for seconds, such as one whose
-// servers named limits. A program needs all of its turns and calls: if each request is refused
+// It answers a service whose servers name limits below the load for seconds. A program needs all of its turns and calls: if each request is refused
 // with the same probability, nearly every program loses one, and the work of the others is
 // lost with it; if each waits, nearly every program is late. So requests of running programs
 // that wait or are refused lower the share of new programs that are admitted, until the
-// running ones are served.
+// running ones are served. Without a limit nobody is refused: turns that are late or slow then
+// come from faults of some servers, and refusing programs would not mend them.
 package shed
 
 import (
@@ -35,7 +35,7 @@
 	maxRetryAfter = 3 * time.Second
 )
 
-// Level is the share of new programs that is admitted, between minLevel and 1. It is not
+// Level is the share of new programs of one service that is admitted, between minLevel and 1. It is not
 // safe for concurrent use.
 type Level struct {
 	missing     float64 // of a full level
@@ -61,8 +61,12 @@
 }
 
 // RecordTurn records how a turn of a running program was served. It was under strain if its
-// server refused it or responded late or slowly. Many such turns are a shortage.
-func (l *Level) RecordTurn(now time.Duration, strained bool) {
+// server refused it or responded late or slowly. Many such turns are a shortage while servers
+// of the service name limits; without a limit, the turn counts for nothing.
+func (l *Level) RecordTurn(now time.Duration, limited, strained bool) {
+	if !limited {
+		return
+	}
 	observed := 0.0
 	if strained {
 		observed = 1
@@ -74,11 +78,12 @@
 }
 
 // Admit reports whether a program that begins on a route of the given priority is admitted,
-// 0 being the most urgent. draw is a random number between 0 and 1. Less urgent programs are
-// refused first.
-func (l *Level) Admit(now time.Duration, priority int, draw float64) bool {
+// 0 being the most urgent. limited says that a server of the service names a limit; without
+// one, all programs are admitted. draw is a random number between 0 and 1. Less urgent
+// programs are refused first.
+func (l *Level) Admit(now time.Duration, limited bool, priority int, draw float64) bool {
 	level := l.value(now)
-	if level > toleratedLevel {
+	if !limited || level > toleratedLevel {
 		return true
 	}
 	return draw < math.Pow(level, exponent(priority))
