--- a/internal/gateway/account_client.go
+++ b/internal/gateway/account_client.go
@@ -361,6 +361,7 @@
 func grantFromProto(msg *fleetpb.AccountGrant, programs int) quota.Grant {
 	return quota.Grant{
 		Session:      msg.Session,
+		Before:       int(msg.Before),
 		Permits:      int(msg.Permits),
 		Admitted:     msg.Admitted[:min(len(msg.Admitted), programs)],
 		Retry:        time.Duration(msg.RetryMs) * time.Millisecond,
--- a/internal/gateway/accounts_test.go
+++ b/internal/gateway/accounts_test.go
@@ -21,6 +21,7 @@
 	err      error
 	version  uint64
 	permits  int // left to give out
+	granted  uint64
 	returned uint64
 	retry    time.Duration
 	asked    []*fleetpb.AccountsRequest
@@ -35,7 +36,8 @@
 	l.asked = append(l.asked, req)
 	resp := &fleetpb.AccountsResponse{RoutesVersion: l.version}
 	for _, demand := range req.Demands {
-		grant := &fleetpb.AccountGrant{Session: 1}
+		grant := &fleetpb.AccountGrant{Session: 1, Before: l.granted}
+		before := l.permits
 		l.returned = demand.Returned
 		for range demand.Programs {
 			grant.Admitted = append(grant.Admitted, l.permits > 0)
@@ -43,6 +45,7 @@
 		}
 		grant.Permits = uint32(min(l.permits, int(demand.Wanted)))
 		l.permits -= int(grant.Permits)
+		l.granted += uint64(before - l.permits)
 		if grant.Permits < demand.Waiting || slices.Contains(grant.Admitted, false) {
 			grant.RetryMs = l.retry.Milliseconds()
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -68,6 +68,9 @@
 	server           *fleet.Instance // of the latest attempt
 	lastErr          error           // of the latest attempt
 	firstOutput      time.Duration   // time until the response started
+	attemptStarted   time.Time       // start of the current attempt
+	attemptOutput    time.Duration   // from the start of the current attempt until its first event, 0: none yet
+	eventsBefore     int             // events that earlier attempts sent
 	beginDuration    time.Duration   // time spent on the reservation before the turn
 	keepDuration     time.Duration   // time spent on storing the turn after it
 	eventsSent       int             // events with data that were sent to the client
@@ -242,6 +245,11 @@
 		return c.tryServers(ctx)
 	}
 	c.newProgram = c.g.ledger.isNewProgram(c.accountName(), &c.meta)
+	if c.newProgram {
+		if err := c.g.shedder.admit(c.service.Name, c.isLimited(), c.priority()); err != nil {
+			return err
+		}
+	}
 	if err := c.takeAccountPermit(ctx); err != nil {
 		return err
 	}
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -94,7 +94,7 @@
 	if c.account == nil || c.account.Priority == nil {
 		return c.route.Priority
 	}
-	return *c.account.Priority*accountRouteLevels + min(max(c.route.Priority, 0), accountRouteLevels-1)
+	return max(0, *c.account.Priority)*accountRouteLevels + min(max(c.route.Priority, 0), accountRouteLevels-1)
 }
 
 // enginePriority maps the priority to the range of model engines, in which 0 is the most
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -28,6 +28,7 @@
 	reasonNoAccountPermit   = "account_unavailable"
 	reasonQuarantined       = "quarantined"
 	reasonServerLimit       = "server_limit"
+	reasonShed              = "programs_shed"
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
 	reasonLedgerBusy        = "ledger_busy"
@@ -65,6 +66,7 @@
 	{streampin.ErrUnknownVersion, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
 	{streampin.ErrVersionNotServed, refusal{reasonVersionGone, http.StatusServiceUnavailable, false}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
+	{errShed, refusal{reasonShed, http.StatusServiceUnavailable, true}},
 	{errLimited, refusal{reasonServerLimit, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
@@ -88,6 +90,7 @@
 // refuse sends a refusal to the client and logs the outcome.
 func (c *call) refuse(f refusal, cause error) {
 	c.g.metrics.Refusals.WithLabelValues(f.Reason).Inc()
+	c.recordShortage(cause)
 	header := c.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.Retryable {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -125,7 +125,7 @@
 func (l *remoteLedger) begin(ctx context.Context, account string, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error) {
 	newProgram := l.isNewProgram(account, meta)
 	priority := gate.BeginPriority(opts.priority, newProgram)
-	call := order.Call{ID: queueID("begin", account, meta.ID), Program: meta.Program, Priority: priority}
+	call := order.Call{ID: queueID("begin", account, meta.ID), Program: programKey(account, meta.Program), Priority: priority}
 	admission := &admit.Request{Priority: priority, NewProgram: newProgram}
 	sendCtx, cancel := context.WithDeadline(ctx, opts.sendBy)
 	defer cancel()
@@ -181,7 +181,7 @@
 	if f.Keep {
 		kind = "finish"
 	}
-	call := order.Call{ID: queueID(kind, f.Account, f.CallId), Program: f.Program, Priority: gate.PrioritySettle}
+	call := order.Call{ID: queueID(kind, f.Account, f.CallId), Program: programKey(f.Account, f.Program), Priority: gate.PrioritySettle}
 	if err := l.gate.acquire(ctx, call, nil); err != nil {
 		return err
 	}
--- a/internal/statehost/accounts.go
+++ b/internal/statehost/accounts.go
@@ -76,8 +76,23 @@
 	if err != nil {
 		return nil, peer.RPCError(h.replicas, ConfigGroup, err)
 	}
+	resp, err := h.answerAccounts(req, status.Term)
+	if err != nil {
+		return nil, err
+	}
+	if len(req.Demands) == 0 {
+		return resp, nil
+	}
+	// This host may have been suspended since: another leader may give out permits by now.
+	if err := h.replicas.ReadBarrier(ctx, ConfigGroup); err != nil {
+		return nil, peer.RPCError(h.replicas, ConfigGroup, err)
+	}
+	return resp, nil
+}
+
+// answerAccounts returns the version of the routes in force and the grants of a leadership.
+func (h *Host) answerAccounts(req *fleetpb.AccountsRequest, term uint64) (*fleetpb.AccountsResponse, error) {
 	routes := h.config.routesInForce()
-	now := clock.SinceBoot()
 	a := h.accounts
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -85,7 +100,8 @@
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INTERNAL, "decode routes: %s", err)
 	}
-	allocator := a.forTerm(status.Term, now)
+	now := clock.SinceBoot()
+	allocator := a.forTerm(term, now)
 	resp := &fleetpb.AccountsResponse{RoutesVersion: routes.GetVersion()}
 	for _, demand := range req.Demands {
 		resp.Grants = append(resp.Grants, h.grant(allocator, accounts, req.Entry, demand, now))
@@ -128,6 +144,7 @@
 		RetryMs:        grant.Retry.Milliseconds(),
 		ProgramRetryMs: grant.ProgramRetry.Milliseconds(),
 		OpenMs:         grant.Open.Milliseconds(),
+		Before:         uint64(grant.Before),
 	}
 }
 
