Planner: a silent voter leaves once its successor is a voter

Of an even number of voters above the wanted one, the voter that has been silent for longest, at least LossTimeout, now leaves at once. The quorum is one voter smaller without it, so the step takes no quorum away whichever of the others are lost.

The check of TestSeriesOfLossesLeavesAQuorum is stricter: until now it asked for a spare of f intact disks only while no host is lost, now for f less the hosts that are lost, at each tick.

--- a/internal/policy/membership/plan.go
+++ b/internal/policy/membership/plan.go
@@ -67,9 +67,10 @@
 
 // Plan returns the next step towards the wanted number of usable voters on regular hosts.
 //
-// A voter that lost its disk is removed at once, because it can never vote again. Any
-// other voter leaves only if enough of the remaining voters respond: a host that was lost
-// a moment ago must not count as one of them. Standby hosts fill gaps that do not close
+// A voter that lost its disk is removed at once, because it can never vote again. A silent
+// voter leaves once its successor is a voter. Any other voter leaves only if enough of the
+// remaining voters respond: a host that was lost a moment ago must not count as one of
+// them. Standby hosts fill gaps that do not close
 // by themselves, and leave when regular hosts can take their place.
 func Plan(in Input) Step {
 	v := in.classify()
@@ -79,6 +80,9 @@
 	if m := in.voterWithLostDisk(v.unusable); m != nil {
 		return Step{Remove, m}
 	}
+	if m := in.silentSurplus(v); m != nil {
+		return Step{Remove, m}
+	}
 	if len(v.regular) < in.Voters {
 		if s := in.fillGap(v, in.isRegularCandidate(v)); s.Kind != None {
 			return s
@@ -150,6 +154,25 @@
 	})
 }
 
+// silentSurplus returns the voter that has been silent for longest, at least LossTimeout, if
+// the group has an even number of voters and more than it wants, or nil. Without it, a quorum
+// is one voter smaller, whichever of the others are lost: the step takes no quorum away.
+func (in Input) silentSurplus(v view) *raftpb.Member {
+	voters := len(in.Members) - len(v.learners)
+	if voters <= in.Voters || voters%2 != 0 {
+		return nil
+	}
+	silent := slices.DeleteFunc(slices.Clone(v.unusable), func(m *raftpb.Member) bool {
+		return m.Id == in.LeaderID || in.Hosts[m.Address].Silence < in.LossTimeout
+	})
+	if len(silent) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(silent, func(a, b *raftpb.Member) int {
+		return cmp.Compare(in.Hosts[a.Address].Silence, in.Hosts[b.Address].Silence)
+	})
+}
+
 // fillGap returns the step that makes a suitable host a voter.
 func (in Input) fillGap(v view, suitable func(Host) bool) Step {
 	if m := find(v.learners, func(m *raftpb.Member) bool { return suitable(in.Hosts[m.Address]) }); m != nil {
--- a/internal/policy/membership/plan_test.go
+++ b/internal/policy/membership/plan_test.go
@@ -40,6 +40,13 @@
 	return in
 }
 
+// sixOfFive returns the input for a group of five wanted voters that has six.
+func sixOfFive() Input {
+	in := groupInput(3, voter(1, "a"), voter(2, "b"), voter(3, "c"), voter(4, "d"), voter(5, "e"), voter(6, "f"))
+	in.Voters = 5
+	return in
+}
+
 func TestPlan(t *testing.T) {
 	three := []*raftpb.Member{voter(1, "a"), voter(2, "b"), voter(3, "c")}
 	lost := 2 * time.Second
@@ -72,6 +79,10 @@
 			withHost(Host{Address: "b", ReplicaID: 2, Retiring: true}).withHost(Host{Address: "c", ReplicaID: 3, Silence: 600 * time.Millisecond}), "none"},
 		{"a silent voter leaves before a retiring one", groupInput(1, append(three, voter(9, "d"), voter(10, "e"))...).
 			withHost(Host{Address: "b", ReplicaID: 2, Retiring: true}).withHost(Host{Address: "c", ReplicaID: 3, Silence: lost}), "remove 3 c"},
+		{"replaced host leaves although another one is lost meanwhile", sixOfFive().withHost(Host{Address: "a", ReplicaID: 1, Silence: 3 * time.Second}).
+			withHost(Host{Address: "b", ReplicaID: 2, Silence: lost}), "remove 1 a"},
+		{"replaced host leaves although another one was lost a moment ago", sixOfFive().withHost(Host{Address: "a", ReplicaID: 1, Silence: lost}).
+			withHost(Host{Address: "b", ReplicaID: 2, Silence: 600 * time.Millisecond}), "remove 1 a"},
 		{"standby host replaces a retiring one", groupInput(1, three...).withHost(Host{Address: "b", ReplicaID: 2, Retiring: true}).withHost(Host{Address: "s", ReplicaID: 9, Standby: true}), "add 9 s"},
 		{"regular host is preferred to a standby host", groupInput(1, three...).withHost(Host{Address: "b", ReplicaID: 2, Retiring: true}).
 			withHost(Host{Address: "s", ReplicaID: 9, Standby: true}).withHost(Host{Address: "t", ReplicaID: 10, Known: lost}), "add 10 t"},
--- a/internal/policy/membership/series_test.go
+++ b/internal/policy/membership/series_test.go
@@ -247,11 +247,11 @@
 	w.members, w.lastID = next.Members, next.LastID
 }
 
-// check fails if the group can never have a quorum again, or if one more loss within the
-// tolerance would have that effect.
+// check fails if the group can never have a quorum again, or if the losses that the
+// tolerance still allows would have that effect.
 func (w *world) check() {
 	spare := countIf(w.members, w.isIntact) - quorumOf(w.members)
-	if spare < 0 || w.countLost() == 0 && spare < w.tolerance {
+	if spare < max(0, w.tolerance-w.countLost()) {
 		w.t.Fatalf("tick %d: %d of %d voters have an intact disk, %d hosts are lost, tolerance %d", w.now,
 			countIf(w.members, w.isIntact), len(votersOf(w.members)), w.countLost(), w.tolerance)
 	}
