Planner: a standby host replaces a voter whose successor has another place

A standby host now joins after LossTimeout if a host that appeared since the voter was last heard is a voter. It does not if the leader's process itself is younger than the silence: it can't tell then which came first, and would copy the state to standby hosts after each common restart. In this case the delay of 10 s stays.

--- a/internal/policy/membership/plan.go
+++ b/internal/policy/membership/plan.go
@@ -198,17 +198,39 @@
 }
 
 // gapLasts reports whether a standby host must fill the gap: a missing voter is retiring,
-// was removed, is on a standby host itself or has been silent for StandbyDelay.
+// was removed, is on a standby host itself, has been silent for StandbyDelay, or is gone
+// for good while its successor has the place of another voter.
 func (in Input) gapLasts(v view) bool {
 	if len(v.regular)+len(v.standby)+len(v.unusable) < in.Voters {
 		return true
 	}
 	return slices.ContainsFunc(v.unusable, func(m *raftpb.Member) bool {
 		host := in.Hosts[m.Address]
-		return host.Retiring || host.Standby || host.Silence >= in.StandbyDelay
+		return host.Retiring || host.Standby || host.Silence >= in.StandbyDelay || in.mayHaveSuccessor(v, host)
 	})
 }
 
+// mayHaveSuccessor reports whether a regular voter runs on a host that appeared after a
+// silent host was heard last. The silent one may be gone for good, and another new host
+// need not appear. A leader that started after that time does not know which came first.
+func (in Input) mayHaveSuccessor(v view, silent Host) bool {
+	if silent.Silence < in.LossTimeout || silent.Silence >= in.knownLongest() {
+		return false
+	}
+	return slices.ContainsFunc(v.regular, func(m *raftpb.Member) bool {
+		return in.Hosts[m.Address].Known <= silent.Silence
+	})
+}
+
+// knownLongest returns the time since the first update that the leader had of any host.
+func (in Input) knownLongest() time.Duration {
+	longest := time.Duration(0)
+	for _, host := range in.Hosts {
+		longest = max(longest, host.Known)
+	}
+	return longest
+}
+
 // bestCandidate returns the suitable host to add as a member, or nil if none can join. It
 // prefers hosts in failure domains without a usable voter.
 func (in Input) bestCandidate(v view, suitable func(Host) bool) *raftpb.Member {
--- a/internal/policy/membership/plan_test.go
+++ b/internal/policy/membership/plan_test.go
@@ -83,6 +83,10 @@
 			withHost(Host{Address: "b", ReplicaID: 2, Silence: lost}), "remove 1 a"},
 		{"replaced host leaves although another one was lost a moment ago", sixOfFive().withHost(Host{Address: "a", ReplicaID: 1, Silence: lost}).
 			withHost(Host{Address: "b", ReplicaID: 2, Silence: 600 * time.Millisecond}), "remove 1 a"},
+		{"standby host replaces a host that is gone while its successor has another place", groupInput(1, three...).withHost(Host{Address: "a", ReplicaID: 1, Known: time.Hour}).
+			withHost(Host{Address: "b", ReplicaID: 2, Silence: lost}).withHost(Host{Address: "c", ReplicaID: 3, Known: lost}).withHost(Host{Address: "s", ReplicaID: 9, Standby: true}), "add 9 s"},
+		{"leader that has just started does not take the others for successors", groupInput(1, three...).withHost(Host{Address: "a", ReplicaID: 1, Known: lost}).
+			withHost(Host{Address: "b", ReplicaID: 2, Silence: lost}).withHost(Host{Address: "c", ReplicaID: 3, Known: lost}).withHost(Host{Address: "s", ReplicaID: 9, Standby: true}), "none"},
 		{"standby host replaces a retiring one", groupInput(1, three...).withHost(Host{Address: "b", ReplicaID: 2, Retiring: true}).withHost(Host{Address: "s", ReplicaID: 9, Standby: true}), "add 9 s"},
 		{"regular host is preferred to a standby host", groupInput(1, three...).withHost(Host{Address: "b", ReplicaID: 2, Retiring: true}).
 			withHost(Host{Address: "s", ReplicaID: 9, Standby: true}).withHost(Host{Address: "t", ReplicaID: 10, Known: lost}), "add 10 t"},
