--- a/internal/policy/membership/plan.go
+++ b/internal/policy/membership/plan.go
@@ -67,9 +67,10 @@
 
 // Plan returns the next step towards the wanted number of usable voters on regular hosts.
 //
-// A voter that lost its disk is removed at once, because it can never vote again. Any
-// other voter leaves only if enough of the remaining voters respond: a host that was lost
-// a moment ago must not count as one of them. Standby hosts fill gaps that do not close
+// A voter that lost its disk is removed at once, because it can never vote again. A silent
+// voter leaves once its successor is a voter. Any other voter leaves only if enough of the
+// remaining voters respond: a host that was lost a moment ago must not count as one of
+// them. Standby hosts fill gaps that do not close
 // by themselves, and leave when regular hosts can take their place.
 func Plan(in Input) Step {
 	v := in.classify()
@@ -79,6 +80,9 @@
 	if m := in.voterWithLostDisk(v.unusable); m != nil {
 		return Step{Remove, m}
 	}
+	if m := in.silentSurplus(v); m != nil {
+		return Step{Remove, m}
+	}
 	if len(v.regular) < in.Voters {
 		if s := in.fillGap(v, in.isRegularCandidate(v)); s.Kind != None {
 			return s
@@ -150,6 +154,25 @@
 	})
 }
 
+// silentSurplus returns the voter that has been silent for longest, at least LossTimeout, if
+// the group has an even number of voters and more than it wants, or nil. Without it, a quorum
+// is one voter smaller, whichever of the others are lost: the step takes no quorum away.
+func (in Input) silentSurplus(v view) *raftpb.Member {
+	voters := len(in.Members) - len(v.learners)
+	if voters <= in.Voters || voters%2 != 0 {
+		return nil
+	}
+	silent := slices.DeleteFunc(slices.Clone(v.unusable), func(m *raftpb.Member) bool {
+		return m.Id == in.LeaderID || in.Hosts[m.Address].Silence < in.LossTimeout
+	})
+	if len(silent) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(silent, func(a, b *raftpb.Member) int {
+		return cmp.Compare(in.Hosts[a.Address].Silence, in.Hosts[b.Address].Silence)
+	})
+}
+
 // fillGap returns the step that makes a suitable host a voter.
 func (in Input) fillGap(v view, suitable func(Host) bool) Step {
 	if m := find(v.learners, func(m *raftpb.Member) bool { return suitable(in.Hosts[m.Address]) }); m != nil {
@@ -175,17 +198,39 @@
 }
 
 // gapLasts reports whether a standby host must fill the gap: a missing voter is retiring,
-// was removed, is on a standby host itself or has been silent for StandbyDelay.
+// was removed, is on a standby host itself, has been silent for StandbyDelay, or is gone
+// for good while its successor has the place of another voter.
 func (in Input) gapLasts(v view) bool {
 	if len(v.regular)+len(v.standby)+len(v.unusable) < in.Voters {
 		return true
 	}
 	return slices.ContainsFunc(v.unusable, func(m *raftpb.Member) bool {
 		host := in.Hosts[m.Address]
-		return host.Retiring || host.Standby || host.Silence >= in.StandbyDelay
+		return host.Retiring || host.Standby || host.Silence >= in.StandbyDelay || in.mayHaveSuccessor(v, host)
 	})
 }
 
+// mayHaveSuccessor reports whether a regular voter runs on a host that appeared after a
+// silent host was heard last. The silent one may be gone for good, and another new host
+// need not appear. A leader that started after that time does not know which came first.
+func (in Input) mayHaveSuccessor(v view, silent Host) bool {
+	if silent.Silence < in.LossTimeout || silent.Silence >= in.knownLongest() {
+		return false
+	}
+	return slices.ContainsFunc(v.regular, func(m *raftpb.Member) bool {
+		return in.Hosts[m.Address].Known <= silent.Silence
+	})
+}
+
+// knownLongest returns the time since the first update that the leader had of any host.
+func (in Input) knownLongest() time.Duration {
+	longest := time.Duration(0)
+	for _, host := range in.Hosts {
+		longest = max(longest, host.Known)
+	}
+	return longest
+}
+
 // bestCandidate returns the suitable host to add as a member, or nil if none can join. It
 // prefers hosts in failure domains without a usable voter.
 func (in Input) bestCandidate(v view, suitable func(Host) bool) *raftpb.Member {
