Entries bound the memory that running requests hold

Cause: clients may read and write slowly, and what an entry holds for them counts toward its memory. A body was read without a time limit and without any bound but its size; a response that nobody read held its goroutine, its buffer and the connection of its server for as long as the client liked.

Change: on a host with a memory limit, running requests hold bytes of a budget (--held-memory-share, 0.2 of the limit): buffers, bodies as they arrive, histories, responses. policy/memory decides who is refused first: programs that begin, the less urgent before, then other requests; a response that runs is never cut for memory, it only buffers less. Bodies must arrive within the request's time limit (408 otherwise, nothing was run). A response that is held in full releases its server before it is written.

Not measured yet under load.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -49,7 +49,7 @@
 		&cli.BoolFlag{Name: flagStandby, Usage: "hold replicas only while too few other state hosts can", Sources: cli.EnvVars("IBISTRAYD_STANDBY")},
 	}
 	return []*cli.Command{
-		{Name: "entry", Usage: "serve clients on a host of the platform", Flags: flags, Action: runHosted(runEntry)},
+		{Name: "entry", Usage: "serve clients on a host of the platform", Flags: append(memoryFlags(), flags...), Action: runHosted(runEntry)},
 		{Name: "statehost", Usage: "store replicated state on a host of the platform", Flags: append(stateHostFlags, flags...), Action: runHosted(runStateHost)},
 	}
 }
@@ -59,6 +59,7 @@
 	settings *platform.Settings
 	options  hosted.Options
 	standby  bool            // state host: see statehost.Config
+	memory   memorySettings  // entry
 	stop     <-chan struct{} // closed when the process must stop
 }
 
@@ -71,6 +72,10 @@
 		if err != nil {
 			return err
 		}
+		memory, err := readMemorySettings(cmd)
+		if err != nil {
+			return err
+		}
 		output := telemetry.NewAsyncWriter(os.Stdout)
 		defer output.Close()
 		log, err := telemetry.NewLogger("ibistrayd", cmd.String(flagHostedLogLevel), output)
@@ -83,7 +88,7 @@
 			Logger:      log,
 			Seeds:       hosted.NewSeeds(settings.SeedPeerAddresses()),
 			GracePeriod: settings.GracePeriod,
-		}, standby: cmd.Bool(flagStandby)}
+		}, standby: cmd.Bool(flagStandby), memory: memory}
 		if port := cmd.Uint16(flagMetricsPort); port != 0 {
 			p.options.MetricsAddress = fmt.Sprintf("%s:%d", settings.IP, port)
 		}
@@ -158,6 +163,7 @@
 		Codec:               platform.HeaderCodec{},
 		RoutesTimeout:       s.RoutesTimeout,
 		ToleratedHostLosses: s.ToleratedHostLosses,
+		Memory:              p.memory.limits(s),
 	}
 	addresses := hosted.Addresses{Clients: s.ClientAddress, Ready: s.ReadyAddress}
 	return hosted.RunEntry(cfg, addresses, platform.NewReadyHandler, p.options, p.stop)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/proto/ledgerpb"
@@ -57,6 +57,8 @@
 	meta    RequestMeta
 	body    []byte // as received from the client
 	request passthrough.Request
+	memory  membudget.Claim
+	unread  *unreadLimiter // nil unless memory is limited
 
 	deadline         time.Time
 	stream           streamVersion   // on resumable routes
@@ -94,8 +96,10 @@
 	if err == nil {
 		err = c.forward()
 	}
-	if errors.Is(err, errClientGone) || c.r.Context().Err() != nil {
-		c.logOutcome("caller_gone", 0, err)
+	// net/http ends the context when the body does not arrive in time, but the client is there.
+	disconnected := c.r.Context().Err() != nil && !errors.Is(err, errBodyTimeout)
+	if errors.Is(err, errClientGone) || disconnected {
+		c.logOutcome(c.goneOutcome(), 0, err)
 		c.abort()
 	}
 	if err == nil {
@@ -198,7 +202,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return errBodyTooLarge
@@ -215,6 +219,9 @@
 // request's context before it returns an error of the client's connection. Any other error says
 // that the body is malformed.
 func (c *call) bodyError(err error) error {
+	if errors.Is(err, errNoMemory) || errors.Is(err, errBodyTooLarge) || errors.Is(err, errBodyTimeout) {
+		return err
+	}
 	if c.r.Context().Err() != nil {
 		return fmt.Errorf("%w: read body: %w", errClientGone, err)
 	}
@@ -226,6 +233,7 @@
 func (c *call) forward() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	c.limitUnread()
 	c.stream = newStreamVersion(&c.meta)
 	if !c.route.ProgramTurns {
 		if err := c.lookUpStream(ctx); err != nil {
@@ -252,6 +260,10 @@
 		return err
 	}
 	c.streamOpened(stream, previous.streamVersion)
+	if err := c.holdHistory(previous.turns); err != nil {
+		c.settleAsync()
+		return err
+	}
 	c.prependTurns(previous.turns)
 	c.previousServer = previous.server
 	err = c.tryServers(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/internal/routing"
@@ -56,6 +57,7 @@
 	RoutesTimeout time.Duration
 	// ToleratedHostLosses is the number of state hosts that may be lost at the same time.
 	ToleratedHostLosses int
+	Memory              MemoryLimits
 }
 
 // Gateway forwards client requests to backend servers. It implements http.Handler.
@@ -70,6 +72,7 @@
 	queues  *permitQueues
 	shedder *shedder
 	servers *passthrough.Pool
+	budget  *membudget.Budget // nil: memory is not limited
 	pool    *transport.Pool
 
 	crashDetector  *crashDetector
@@ -91,6 +94,7 @@
 		loads:   newLoadTracker(),
 		queues:  newPermitQueues(),
 		shedder: newShedder(),
+		budget:  newBudget(cfg.Memory, metrics),
 		pool:    pool,
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
@@ -178,12 +182,18 @@
 	defer g.inFlight.Done()
 	g.metrics.RunningCalls.Inc()
 	defer g.metrics.RunningCalls.Dec()
-	c := &call{g: g, w: w, r: r, arrived: time.Now(), triedServers: make(map[string]bool)}
-	if g.draining.Load() || len(r.TransferEncoding) > 0 {
+	c := &call{g: g, w: w, r: r, arrived: time.Now(), triedServers: make(map[string]bool), memory: membudget.NewClaim(g.budget)}
+	defer c.memory.Release()
+	refused := isRefusedConnection(r.Context())
+	if refused || g.draining.Load() || len(r.TransferEncoding) > 0 {
 		// Prevents request smuggling: another parser may find a second request in a chunked
 		// body, so its connection is not reused.
 		w.Header().Set("Connection", "close")
 	}
+	if refused {
+		c.refuse(refusalOf(errNoConnection), errNoConnection)
+		return
+	}
 	c.serve()
 }
 
@@ -203,5 +213,8 @@
 	if errors.As(cause, &limited) {
 		after = limited.retryAfter
 	}
+	if errors.Is(cause, errNoMemory) || errors.Is(cause, errNoConnection) {
+		after = memoryRetryDelay
+	}
 	return after + rand.N(maxRetryAfter-minRetryAfter)
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -30,6 +30,9 @@
 	reasonLedgerBusy        = "ledger_busy"
 	reasonUnknownStream     = "unknown_stream"
 	reasonVersionGone       = "stream_version_gone"
+	reasonMemory            = "memory"
+	reasonConnections       = "connections"
+	reasonBodyTimeout       = "body_timeout"
 	reasonInternal          = "internal"
 )
 
@@ -49,6 +52,9 @@
 	{errPartitioned, refusal{reasonPartitioned, http.StatusServiceUnavailable, true}},
 	{errNoRoute, refusal{reasonNoRoute, http.StatusNotFound, false}},
 	{ErrBadRequest, refusal{reasonBadRequest, http.StatusBadRequest, false}},
+	{errNoMemory, refusal{reasonMemory, http.StatusServiceUnavailable, true}},
+	{errNoConnection, refusal{reasonConnections, http.StatusServiceUnavailable, true}},
+	{errBodyTimeout, refusal{reasonBodyTimeout, http.StatusRequestTimeout, true}},
 	{errBodyTooLarge, refusal{reasonBodyTooLarge, http.StatusRequestEntityTooLarge, false}},
 	{errBudgetSpent, refusal{reasonBudgetSpent, http.StatusPaymentRequired, false}},
 	{errOutcomeUnknown, refusal{reasonUnclear, http.StatusBadGateway, false}},
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 )
 
@@ -43,15 +44,17 @@
 func (c *call) forwardPlain(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
 	var buffer bytes.Buffer
-	n, err := io.CopyN(&buffer, exchange.Body, maxBufferedResponseBytes+1)
+	err := c.bufferResponse(&buffer, exchange)
 	c.stopSilenceTimers()
-	if err != nil && !errors.Is(err, io.EOF) {
+	buffered := errors.Is(err, io.EOF)
+	if err != nil && !buffered {
 		return err
 	}
 	c.copyHeaders(resp)
-	buffered := n <= maxBufferedResponseBytes
 	if buffered {
-		c.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+		c.w.Header().Set("Content-Length", strconv.Itoa(buffer.Len()))
+		// The client may read slowly, which the server need not wait for.
+		exchange.Close(true)
 	} else if resp.ContentLength >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
@@ -168,6 +171,7 @@
 		if c.route.KeepTurns {
 			c.output.Write(ev.data)
 			c.output.WriteByte('\n')
+			c.memory.Hold(membudget.Responses, int64(len(ev.data)+1))
 		}
 	}
 	if _, err := c.w.Write(ev.raw); err != nil {
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -52,6 +52,7 @@
 	conn   *conn
 	write  *requestWrite
 	stop   func() bool // stops closing the connection at the end of the context
+	closed bool        // Close was called
 }
 
 // Do sends a request and returns when the header of the response has arrived. If ctx
@@ -89,8 +90,12 @@
 }
 
 // Close ends the exchange. complete says that the body was read up to io.EOF; only then
-// may the connection be reused, otherwise it is closed.
+// may the connection be reused, otherwise it is closed. Further calls have no effect.
 func (e *Exchange) Close(complete bool) {
+	if e.closed {
+		return
+	}
+	e.closed = true
 	if !e.stop() || !complete || !e.conn.prepareReuse(e.Response, e.write) {
 		e.conn.close()
 		return
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -32,6 +32,8 @@
 	PermitWaiting      prometheus.Gauge         // requests that wait for a permit
 	LedgerWindow       prometheus.Gauge         // maximum number of concurrent requests to the ledger
 	LedgerWaiting      prometheus.Gauge         // requests that wait to be sent to the ledger
+	HeldBytes          *prometheus.GaugeVec     // by kind: bytes held for clients
+	ClosedConnections  *prometheus.CounterVec   // by reason: idle connections that were closed
 }
 
 // NewMetrics returns the metrics in a new registry, which also holds the standard metrics
@@ -60,12 +62,14 @@
 		PermitWaiting:      gauge("permit_waiting", "Requests that wait in this entry for a permit to be sent to a backend server with a limit."),
 		LedgerWindow:       gauge("ledger_window", "Maximum number of concurrent requests from this entry to the program ledger."),
 		LedgerWaiting:      gauge("ledger_waiting", "Requests that wait in this entry to be sent to the program ledger."),
+		HeldBytes:          gaugeVec("held_bytes", "Bytes that this entry holds for running requests, by kind.", "kind"),
+		ClosedConnections:  counterVec("closed_connections_total", "Idle connections that this entry closed, by reason.", "reason"),
 	}
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.Permits, m.PermitWaiting,
-		m.LedgerWindow, m.LedgerWaiting,
+		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
