Entries bound their connections by memory and descriptors

Cause: an entry accepted connections until accept failed, and kept idle ones for 120 s whatever the routes said. max_fds of the settings was not read.

Large parts of bodies and buffers have a lower share of the budget than programs that begin, so that a few hundred slow clients do not turn them away. policy/memory holds the decisions.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -165,6 +165,7 @@
 		ToleratedHostLosses: s.ToleratedHostLosses,
 		Memory:              p.memory.limits(s),
 	}
+	p.options.Connections = p.memory.connections(s)
 	addresses := hosted.Addresses{Clients: s.ClientAddress, Ready: s.ReadyAddress}
 	return hosted.RunEntry(cfg, addresses, platform.NewReadyHandler, p.options, p.stop)
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -13,6 +13,7 @@
 	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/policy/memory"
+	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
@@ -69,6 +70,23 @@
 	return membudget.New(limits.HeldBytes, func(kind membudget.Kind, bytes int64) { gauges[kind](float64(bytes)) })
 }
 
+// ServerConnections returns the numbers of open connections to backend servers and of those
+// without a request.
+func (g *Gateway) ServerConnections() (open, idle int) { return g.servers.Connections() }
+
+// CloseIdleServers closes up to n connections to backend servers without a request, longest
+// idle first.
+func (g *Gateway) CloseIdleServers(n int) { g.servers.CloseIdle(n) }
+
+// ClientLimits returns the limits of the routes in force, or none without routes.
+func (g *Gateway) ClientLimits() routing.Limits {
+	doc := g.view.routes.Load()
+	if doc == nil {
+		return routing.Limits{}
+	}
+	return doc.Limits
+}
+
 type refusedConnectionKey struct{}
 
 // RefuseConnection returns the context of a connection beyond the limits of the host: its
@@ -135,6 +153,7 @@
 			if !c.memory.Grow(membudget.Bodies, int64(size-cap(data)), class) {
 				return nil, errNoMemory
 			}
+			class = memory.Bulk // for all further parts
 			data = append(make([]byte, 0, size), data...)
 		}
 		n, err := body.Read(data[len(data):cap(data)])
@@ -188,7 +207,11 @@
 		next = min(length, maxBufferedResponseBytes) + 1
 	}
 	for {
-		if !c.memory.Grow(membudget.Responses, next, memory.Response) {
+		class := memory.Response
+		if int64(buffer.Len())+next > firstResponseBytes {
+			class = memory.Bulk
+		}
+		if !c.memory.Grow(membudget.Responses, next, class) {
 			return c.bufferLeast(buffer, exchange)
 		}
 		if _, err := io.CopyN(buffer, exchange.Body, next); err != nil {
--- /dev/null
+++ b/internal/hosted/connections.go
@@ -0,0 +1,188 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ibistray.example/ibistray/internal/gateway"
+	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/policy/memory"
+	"ibistray.example/ibistray/internal/routing"
+	"ibistray.example/ibistray/internal/telemetry"
+)
+
+const (
+	// connectionSweepInterval is the interval at which idle connections of clients are checked
+	// against the limits of the routes.
+	connectionSweepInterval = 5 * time.Second
+	// refusedConnections is the number of connections beyond the limits on which a refusal can
+	// be sent at the same time. Further ones are closed without.
+	refusedConnections = 32
+)
+
+// Reasons for which idle connections are closed.
+const (
+	closedClient = "client" // of a client, near the limits
+	closedServer = "server" // to a backend server, near the limits
+	closedIdle   = "idle"   // of a client, after the timeouts of the routes
+)
+
+// serverConnections are the connections of an entry to backend servers.
+type serverConnections interface {
+	// ServerConnections returns the numbers of open ones and of those without a request.
+	ServerConnections() (open, idle int)
+	// CloseIdleServers closes up to n connections without a request, longest idle first.
+	CloseIdleServers(n int)
+	// ClientLimits returns the limits of the routes in force.
+	ClientLimits() routing.Limits
+}
+
+// clientConn is an open connection of a client.
+type clientConn struct {
+	net.Conn
+	// waitingSince is when it began to wait for a request, on the clock of connections; 0 while
+	// it carries one.
+	waitingSince atomic.Int64
+	used         atomic.Bool // it has carried a request
+}
+
+// connections holds the open connections of clients and keeps their number within limits. It
+// is safe for concurrent use. Requests take no lock.
+type connections struct {
+	limits  memory.Limits
+	servers serverConnections
+	metrics *telemetry.Metrics
+	started time.Time
+
+	open  sync.Map // net.Conn to *clientConn
+	count atomic.Int64
+}
+
+func newConnections(limits memory.Limits, servers serverConnections, metrics *telemetry.Metrics) *connections {
+	return &connections{limits: limits, servers: servers, metrics: metrics, started: time.Now()}
+}
+
+// now returns the time on the clock of connections, which is never 0.
+func (c *connections) now() int64 { return int64(time.Since(c.started)) + 1 }
+
+// accept registers a new connection, closes idle ones if there are many, and returns the
+// context of the connection. It is meant for http.Server.ConnContext.
+func (c *connections) accept(ctx context.Context, conn net.Conn) context.Context {
+	added := &clientConn{Conn: conn}
+	added.waitingSince.Store(c.now())
+	c.open.Store(conn, added)
+	clients := int(c.count.Add(1))
+	plan := c.plan(clients)
+	if plan.CloseServers > 0 {
+		c.servers.CloseIdleServers(plan.CloseServers)
+		c.metrics.ClosedConnections.WithLabelValues(closedServer).Add(float64(plan.CloseServers))
+	}
+	if plan.CloseClients > 0 {
+		for _, idle := range c.idle()[:plan.CloseClients] {
+			c.close(idle, closedClient)
+		}
+	}
+	if !plan.Refuse {
+		return ctx
+	}
+	if c.limits.Clients > 0 && clients > c.limits.Clients+refusedConnections {
+		c.close(added, closedClient)
+	}
+	return gateway.RefuseConnection(ctx)
+}
+
+// plan decides what to do about the connections. Idle ones are counted only if there are
+// many connections.
+func (c *connections) plan(clients int) memory.Plan {
+	open, idleServers := c.servers.ServerConnections()
+	state := memory.Connections{Clients: clients, IdleClients: clients, Servers: open, IdleServers: idleServers}
+	if memory.PlanConnections(state, c.limits) == (memory.Plan{}) {
+		return memory.Plan{}
+	}
+	state.IdleClients = len(c.idle())
+	return memory.PlanConnections(state, c.limits)
+}
+
+// idle returns the connections that wait for another request, longest first.
+func (c *connections) idle() []*clientConn {
+	var list []*clientConn
+	since := make(map[*clientConn]int64)
+	c.open.Range(func(_, value any) bool {
+		conn := value.(*clientConn)
+		if at := conn.waitingSince.Load(); at != 0 && conn.used.Load() {
+			list = append(list, conn)
+			since[conn] = at
+		}
+		return true
+	})
+	slices.SortFunc(list, func(a, b *clientConn) int { return cmp.Compare(since[a], since[b]) })
+	return list
+}
+
+// close closes a connection, unless it has ended.
+func (c *connections) close(conn *clientConn, reason string) {
+	if !c.remove(conn.Conn) {
+		return
+	}
+	conn.Close()
+	c.metrics.ClosedConnections.WithLabelValues(reason).Inc()
+}
+
+// remove reports whether the connection was open.
+func (c *connections) remove(conn net.Conn) bool {
+	if _, found := c.open.LoadAndDelete(conn); !found {
+		return false
+	}
+	c.count.Add(-1)
+	return true
+}
+
+// observe follows the states of a connection. It is meant for http.Server.ConnState.
+func (c *connections) observe(conn net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.remove(conn)
+		return
+	}
+	value, found := c.open.Load(conn)
+	if !found {
+		return
+	}
+	known := value.(*clientConn)
+	switch state {
+	case http.StateActive:
+		known.waitingSince.Store(0)
+		known.used.Store(true)
+	case http.StateIdle:
+		known.waitingSince.Store(c.now())
+	}
+}
+
+// run closes, until ctx ends, connections whose client exceeds the timeouts of the routes.
+func (c *connections) run(ctx context.Context) {
+	loop.Every(ctx, connectionSweepInterval, func(context.Context) { c.sweep() })
+}
+
+// sweep closes connections that wait for a first request longer than the header timeout, or
+// for another one longer than the idle timeout.
+func (c *connections) sweep() {
+	limits := c.servers.ClientLimits()
+	now := c.now()
+	c.open.Range(func(_, value any) bool {
+		conn := value.(*clientConn)
+		timeout := limits.HeaderTimeout
+		if conn.used.Load() {
+			timeout = limits.IdleTimeout
+		}
+		since := conn.waitingSince.Load()
+		if timeout > 0 && since != 0 && time.Duration(now-since) > timeout {
+			c.close(conn, closedIdle)
+		}
+		return true
+	})
+}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -23,6 +23,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ibistray.example/ibistray/internal/gateway"
+	"ibistray.example/ibistray/internal/policy/memory"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -72,6 +73,7 @@
 	MetricsAddress string // "" for none
 	Seeds          *Seeds
 	GracePeriod    time.Duration // from the stop signal until the process is killed
+	Connections    memory.Limits // of an entry; the zero value sets none
 }
 
 // Seeds holds the addresses of the state hosts that a process contacts first. They can
@@ -129,6 +131,12 @@
 
 // serveHTTP listens on an address and serves it in the background.
 func (p *process) serveHTTP(address string, handler http.Handler) (*http.Server, error) {
+	return p.serveLimited(address, handler, nil)
+}
+
+// serveLimited is like serveHTTP for clients whose connections are limited, unless
+// connections is nil.
+func (p *process) serveLimited(address string, handler http.Handler, connections *connections) (*http.Server, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -143,6 +151,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(p.opts.Logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
 	}
+	if connections != nil {
+		server.ConnContext, server.ConnState = connections.accept, connections.observe
+	}
 	p.servers = append(p.servers, server)
 	p.goroutines.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -202,7 +213,7 @@
 	hedgePool := transport.NewPool(transport.DialTCPTimeout(peerDialTimeout))
 	defer hedgePool.Close()
 	g := gateway.New(cfg, opts.Logger.Named("gateway"), p.metrics, p.pool, hedgePool)
-	clients, err := p.serveHTTP(addresses.Clients, g)
+	clients, err := p.serveLimited(addresses.Clients, g, p.limitConnections(g))
 	if err != nil {
 		return err
 	}
@@ -222,6 +233,18 @@
 	return p.stopEntry(g, clients)
 }
 
+// limitConnections returns the connections of clients, or nil if they have no limits.
+func (p *process) limitConnections(g *gateway.Gateway) *connections {
+	if p.opts.Connections == (memory.Limits{}) {
+		return nil
+	}
+	c := newConnections(p.opts.Connections, g, p.metrics)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.closers = append(p.closers, cancel)
+	p.goroutines.Go(func() { c.run(ctx) })
+	return c
+}
+
 // stopEntry reports the entry as not ready, keeps serving until the load balancer sends
 // no new connections, and waits for the running requests.
 func (p *process) stopEntry(g *gateway.Gateway, clients *http.Server) error {
--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -70,12 +70,13 @@
 	idleSince   time.Time
 	idleTimeout time.Duration // after which the server closes the idle connection
 	closed      atomic.Bool
+	onClose     func()
 }
 
 // dial opens a connection. Errors wrap ErrNotSent.
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{
-		Timeout: timeout,
+		Timeout: p.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     tcpKeepAliveIdle,
@@ -87,17 +88,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return newConn(c), nil
+	p.open.Add(1)
+	opened := newConn(c)
+	opened.onClose = func() { p.open.Add(-1) }
+	return opened, nil
 }
 
 func newConn(c net.Conn) *conn {
 	header := &headerLimit{reader: c}
-	return &conn{net: c, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	return &conn{net: c, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), idleTimeout: defaultIdleTimeout, onClose: func() {}}
 }
 
 func (c *conn) close() {
 	if c.closed.CompareAndSwap(false, true) {
 		c.net.Close()
+		c.onClose()
 	}
 }
 
--- a/internal/passthrough/conn_test.go
+++ b/internal/passthrough/conn_test.go
@@ -40,7 +40,7 @@
 // channel receives the error of a write on it.
 func addObservedConn(t *testing.T, p *Pool, server Server) <-chan error {
 	t.Helper()
-	c, err := dial(testContext(t), server.Address, time.Second)
+	c, err := p.dial(testContext(t), server.Address)
 	assert.NilError(t, err)
 	writeFailed := make(chan error, 1)
 	c.net = &observedConn{Conn: c.net, writeFailed: writeFailed}
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +24,7 @@
 type Pool struct {
 	dialTimeout time.Duration
 	onDial      func(err error) // called with the result of each dial
+	open        atomic.Int64    // connections
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by server ID and address, oldest first
@@ -116,11 +119,37 @@
 		}
 		c.close()
 	}
-	c, err := dial(ctx, server.Address, p.dialTimeout)
+	c, err := p.dial(ctx, server.Address)
 	p.onDial(err)
 	return c, err
 }
 
+// Connections returns the numbers of open connections and of idle ones among them.
+func (p *Pool) Connections() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return int(p.open.Load()), idle
+}
+
+// CloseIdle closes up to n idle connections, longest idle first.
+func (p *Pool) CloseIdle(n int) {
+	p.mu.Lock()
+	var list []*conn
+	for _, idle := range p.idle {
+		list = append(list, idle...)
+	}
+	p.mu.Unlock()
+	slices.SortFunc(list, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+	chosen := make(map[*conn]bool)
+	for _, c := range list[:min(n, len(list))] {
+		chosen[c] = true
+	}
+	p.closeIdle(func(c *conn) bool { return chosen[c] })
+}
+
 // popIdle returns the most recently used idle connection to a server, or nil.
 func (p *Pool) popIdle(server Server) *conn {
 	p.mu.Lock()
