Bodies that are announced as too large are refused at once

Cause: with limited memory the refusal of such a body waited for its first 256 KB, for as long as the client liked.

Change: it waits for 200 ms, like a refusal for lack of memory.

Measured: tests of internal/gateway.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -112,16 +112,16 @@
 	if !c.memory.Limited() {
 		return io.ReadAll(body)
 	}
+	control := http.NewResponseController(c.w)
 	if c.r.ContentLength > maxBytes {
-		return nil, errBodyTooLarge
+		return nil, c.refuseBody(control, errBodyTooLarge)
 	}
-	control := http.NewResponseController(c.w)
 	if err := control.SetWriteDeadline(c.deadline.Add(responseEndMargin)); err != nil {
 		return nil, fmt.Errorf("gateway: limit the response: %w", err)
 	}
 	class := c.memoryClass()
 	if !c.memory.Grow(membudget.Requests, requestBytes, class) {
-		return nil, c.refuseBody(control)
+		return nil, c.refuseBody(control, errNoMemory)
 	}
 	if c.r.ContentLength == 0 {
 		return nil, nil
@@ -132,7 +132,7 @@
 	data, err := c.readGrowing(body, class)
 	switch {
 	case errors.Is(err, errNoMemory):
-		return nil, c.refuseBody(control)
+		return nil, c.refuseBody(control, errNoMemory)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, fmt.Errorf("%w: %w", errBodyTimeout, err)
 	case err != nil:
@@ -168,15 +168,15 @@
 }
 
 // refuseBody prepares the refusal of a request whose body was not read in full, and returns
-// errNoMemory.
-func (c *call) refuseBody(control *http.ResponseController) error {
+// its cause.
+func (c *call) refuseBody(control *http.ResponseController, cause error) error {
 	if c.r.ContentLength == 0 {
-		return errNoMemory
+		return cause
 	}
 	if err := control.SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
-		return fmt.Errorf("%w: limit the body: %w", errNoMemory, err)
+		return fmt.Errorf("%w: limit the body: %w", cause, err)
 	}
-	return errNoMemory
+	return cause
 }
 
 // holdHistory takes the memory for a body that is preceded by earlier turns.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -62,6 +62,17 @@
 	f.waitForHeld(t, isZero)
 }
 
+// TestAnnouncedBodyThatIsTooLargeIsRefusedAtOnce has a client that sends nothing of it.
+func TestAnnouncedBodyThatIsTooLargeIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", respondOK))
+	f.limitMemory(1<<20, time.Second)
+	conn := f.open(t, fmt.Sprintf("POST /safe/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: %d\r\n\r\n", defaultMaxBodyBytes+1))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
+}
+
 // TestProgramsThatBeginAreRefusedFirst has a budget of which other requests hold three
 // quarters.
 func TestProgramsThatBeginAreRefusedFirst(t *testing.T) {
