--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +24,7 @@
 type Pool struct {
 	dialTimeout time.Duration
 	onDial      func(err error) // called with the result of each dial
+	open        atomic.Int64    // connections
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by server ID and address, oldest first
@@ -52,6 +55,7 @@
 	conn   *conn
 	write  *requestWrite
 	stop   func() bool // stops closing the connection at the end of the context
+	closed bool        // Close was called
 }
 
 // Do sends a request and returns when the header of the response has arrived. If ctx
@@ -89,8 +93,12 @@
 }
 
 // Close ends the exchange. complete says that the body was read up to io.EOF; only then
-// may the connection be reused, otherwise it is closed.
+// may the connection be reused, otherwise it is closed. Further calls have no effect.
 func (e *Exchange) Close(complete bool) {
+	if e.closed {
+		return
+	}
+	e.closed = true
 	if !e.stop() || !complete || !e.conn.prepareReuse(e.Response, e.write) {
 		e.conn.close()
 		return
@@ -111,11 +119,37 @@
 		}
 		c.close()
 	}
-	c, err := dial(ctx, server.Address, p.dialTimeout)
+	c, err := p.dial(ctx, server.Address)
 	p.onDial(err)
 	return c, err
 }
 
+// Connections returns the numbers of open connections and of idle ones among them.
+func (p *Pool) Connections() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return int(p.open.Load()), idle
+}
+
+// CloseIdle closes up to n idle connections, longest idle first.
+func (p *Pool) CloseIdle(n int) {
+	p.mu.Lock()
+	var list []*conn
+	for _, idle := range p.idle {
+		list = append(list, idle...)
+	}
+	p.mu.Unlock()
+	slices.SortFunc(list, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+	chosen := make(map[*conn]bool)
+	for _, c := range list[:min(n, len(list))] {
+		chosen[c] = true
+	}
+	p.closeIdle(func(c *conn) bool { return chosen[c] })
+}
+
 // popIdle returns the most recently used idle connection to a server, or nil.
 func (p *Pool) popIdle(server Server) *conn {
 	p.mu.Lock()
