Programs are reported again after a lost request; a lost leader is logged once

Cause: found in review: programs that began with permits in hand were reported in one request only, so that a lost leader left them unknown to the next one, and an entry logged each request without a response, twenty a second.

--- a/internal/gateway/account_client.go
+++ b/internal/gateway/account_client.go
@@ -64,6 +64,7 @@
 	routes  func() *routing.Document
 	lease   *accountLease
 	wake    chan struct{} // has room for one signal
+	failing bool          // the latest request had no response; used by run only
 
 	mu      sync.Mutex
 	stocks  map[string]*accountStock // by account
@@ -256,17 +257,33 @@
 	cancel()
 	if err != nil || len(resp.Grants) != len(req.Demands) {
 		a.recordLoss(asked)
-		a.log.Info("no leader confirmed the client accounts", "error", err)
+		a.logFailing(true, err)
 		return accountFailurePause
 	}
+	a.logFailing(false, nil)
 	a.record(req, resp, asked, askedAt)
 	return a.nextPause()
 }
 
-// askedStock is a stock that a request names, with the waiters whose programs it names.
+// logFailing logs when no leader responds any more, and when one does again.
+func (a *accountClient) logFailing(failing bool, err error) {
+	if failing == a.failing {
+		return
+	}
+	a.failing = failing
+	if failing {
+		a.log.Warn("no leader gives out permits of client accounts", "error", err)
+		return
+	}
+	a.log.Info("a leader gives out permits of client accounts again")
+}
+
+// askedStock is a stock that a request names, with the waiters whose programs it names and the
+// programs that it reports.
 type askedStock struct {
 	stock    *accountStock
 	programs []*accountWaiter
+	began    []uint64
 }
 
 // request returns the request to send to the leader now and the stocks of its demands, in order. It
@@ -287,7 +304,7 @@
 		demand, programs := stock.demand(now)
 		demand.Account = name
 		req.Demands = append(req.Demands, demand)
-		asked = append(asked, askedStock{stock, programs})
+		asked = append(asked, askedStock{stock, programs, demand.Running})
 	}
 	if len(req.Demands) == 0 && !a.lease.due(now) {
 		return nil, nil
@@ -338,6 +355,7 @@
 	now := a.now()
 	for _, s := range asked {
 		s.stock.Lost(now)
+		s.stock.began = append(s.began, s.stock.began...)
 	}
 }
 
