--- a/internal/gateway/resumed_failures_test.go
+++ b/internal/gateway/resumed_failures_test.go
@@ -56,6 +56,17 @@
 		"empty body without events": func(w http.ResponseWriter, r *http.Request) {
 			hijack(t, w, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id")), false)
 		},
+		"error with a body": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			fmt.Fprint(w, "id: 4\ndata: error\n\n")
+		},
+		"error that breaks off": func(w http.ResponseWriter, r *http.Request) {
+			hijack(t, w, fmt.Sprintf("HTTP/1.1 503 Busy\r\nId: %s\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Id")), false)
+		},
+		"response to another request": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", "another")
+			streamEvents(4, 6, true)(w, r, "")
+		},
 		"starts anew": func(w http.ResponseWriter, r *http.Request) { streamEvents(1, 6, true)(w, r, "") },
 		"silence": func(_ http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
@@ -103,3 +114,34 @@
 		}
 	}
 }
+
+// TestStreamIsNotCompletedByAnotherVersion has a stream that breaks off while all other servers
+// run another version. Their events belong to another run, so that none may follow.
+func TestStreamIsNotCompletedByAnotherVersion(t *testing.T) {
+	for name, fail := range resumptionFailures(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var tries atomic.Int64
+			var f *fixture
+			other := newBackend(t, "b", streamEvents(4, 6, true))
+			first := newBackend(t, "a", func(w http.ResponseWriter, r *http.Request, body string) {
+				if tries.Add(1) > 1 {
+					fail(w, r)
+					return
+				}
+				f.setVersions(map[string]string{"b": "v2"}, other)
+				streamEvents(1, 3, false)(w, r, body)
+			})
+			f = newFixture(t, first)
+			f.setVersions(map[string]string{"a": "v1"}, first)
+			for _, route := range f.view.routes.Load().Routes {
+				route.MaxAttempts = 6
+			}
+			got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", "1", "Program", "p", "Budget", "1", "Timeout-Ms", "1000")
+			assert.Assert(t, got.err != nil, "the stream looks complete: %q", got.body)
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Equal(t, len(other.executed()), 0)
+			<-f.ledger.settled
+		})
+	}
+}
