--- a/internal/gateway/limited_test.go
+++ b/internal/gateway/limited_test.go
@@ -190,6 +190,36 @@
 	}
 }
 
+// TestMalformedLimitTakesServerOutOfNothing has a server that names malformed limits from its
+// first response on, in each way in which it may respond.
+func TestMalformedLimitTakesServerOutOfNothing(t *testing.T) {
+	statuses := map[string]int{"success": http.StatusOK, "failure": http.StatusInternalServerError, "refusal": http.StatusServiceUnavailable}
+	for name, status := range statuses {
+		t.Run(name, func(t *testing.T) {
+			var broken atomic.Bool
+			broken.Store(true)
+			a := newBackend(t, "a", func(w http.ResponseWriter, _ *http.Request, _ string) {
+				w.Header().Set("Limit", "malformed")
+				if broken.Load() {
+					w.WriteHeader(status)
+				}
+			})
+			permits := new(fakePermits)
+			f := newFixture(t, a)
+			f.permits.call = permits.call
+			f.send(t, http.MethodPost, "/unsafe/x", "", "Id", "first", "Timeout-Ms", "300")
+			broken.Store(false)
+			before := len(a.executed())
+			for i := range 10 {
+				assert.Equal(t, f.send(t, http.MethodPost, "/unsafe/x", "", "Id", fmt.Sprint(i)).status, http.StatusOK)
+			}
+			assert.Equal(t, len(a.executed()), before+10)
+			assert.Assert(t, !f.view.usableServers("s")[0].Limited())
+			assert.Equal(t, permits.asked, 0)
+		})
+	}
+}
+
 func TestWaitingRequestsAreOrdered(t *testing.T) {
 	q := newPermitQueues()
 	late := q.join("s", true, 0)
