Readers of a session that closes do not compute until it has closed

The profile showed yamux.(*Stream).Read and selectgo below peer.receiveMessages. Cause: a yamux session that closes first closes the channel that wakes all readers, then waits for its receive loop, and only then marks the streams as closed. A reader that is woken in between finds its stream open and no data, and reads again at once, for as long as the receive loop needs to end. On a host with one thread that runs, the readers keep the receive loop from running for a time slice each, and without charged processor time for good. Change: the connection below a session makes the read deadlines of all its streams pass when it is closed, which the session does before it waits; later deadlines do not undo that.

--- a/internal/transport/frameconn.go
+++ b/internal/transport/frameconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net"
 )
 
@@ -24,12 +25,16 @@
 	net.Conn
 	pendingHeader []byte // header whose body is not written yet, empty if none
 	frameBuf      []byte // header and body of the latest frame, reused
+	readers       readers
 }
 
-func newFrameConn(conn net.Conn) net.Conn {
+func newFrameConn(conn net.Conn) *frameConn {
 	return &frameConn{Conn: conn, pendingHeader: make([]byte, 0, muxHeaderBytes)}
 }
 
+// Close implements net.Conn. It ends the reads of all streams of the session.
+func (c *frameConn) Close() error { return errors.Join(c.readers.expire(), c.Conn.Close()) }
+
 // Write implements net.Conn. The header of a data frame is buffered and reported as
 // written. If writing it fails later, the write of the body returns the error.
 func (c *frameConn) Write(p []byte) (int, error) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -37,10 +37,24 @@
 
 type pooledSession struct {
 	*yamux.Session
+	readers  *readers
 	mu       sync.Mutex
 	lastUsed time.Time
 }
 
+// open opens a stream.
+func (s *pooledSession) open() (*Stream, error) {
+	conn, err := s.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	tracked, err := s.readers.track(conn)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(tracked), nil
+}
+
 func (s *pooledSession) touch(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,21 +166,20 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := s.OpenStream()
+	stream, err := s.open()
 	if err == nil {
-		return newStream(conn), nil
+		return stream, nil
 	}
 	// Nothing of this RPC was sent, so it is safe to retry on a new session.
 	p.drop(address, s)
 	if s, err = p.session(ctx, address); err != nil {
 		return nil, err
 	}
-	conn, err = s.OpenStream()
-	if err != nil {
+	if stream, err = s.open(); err != nil {
 		p.drop(address, s)
 		return nil, fmt.Errorf("%w: %s: open stream: %w", ErrUnreachable, address, err)
 	}
-	return newStream(conn), nil
+	return stream, nil
 }
 
 // session returns the open session to a peer, or dials one. Concurrent callers share
@@ -196,12 +209,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
-	session, err := yamux.Client(newFrameConn(conn), sessionConfig())
+	frames := newFrameConn(conn)
+	session, err := yamux.Client(frames, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
-	s := &pooledSession{Session: session, lastUsed: time.Now()}
+	s := &pooledSession{Session: session, readers: &frames.readers, lastUsed: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -73,7 +73,8 @@
 // ServeConn starts a session on conn and serves it in the background. It closes conn
 // if the server is closed.
 func (s *Server) ServeConn(conn net.Conn) {
-	session, err := yamux.Server(newFrameConn(conn), sessionConfig())
+	frames := newFrameConn(conn)
+	session, err := yamux.Server(frames, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -85,7 +86,7 @@
 		return
 	}
 	s.sessions[session] = struct{}{}
-	s.wg.Go(func() { s.serveSession(session) })
+	s.wg.Go(func() { s.serveSession(session, &frames.readers) })
 }
 
 // Close closes all listeners and sessions and waits for the handlers to return.
@@ -102,7 +103,7 @@
 	s.wg.Wait()
 }
 
-func (s *Server) serveSession(session *yamux.Session) {
+func (s *Server) serveSession(session *yamux.Session, open *readers) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var streams sync.WaitGroup
 	for {
@@ -110,7 +111,11 @@
 		if err != nil {
 			break
 		}
-		streams.Go(func() { s.serveStream(ctx, conn) })
+		tracked, err := open.track(conn)
+		if err != nil {
+			break
+		}
+		streams.Go(func() { s.serveStream(ctx, tracked) })
 	}
 	cancel()
 	streams.Wait()
