An entry that closes idle connections does not count on them staying idle

Cause: found while reading the change: near the limits of connections, the number of idle ones to close was decided first, and that many taken from a list made anew. If one had received a request in between, the process ended with an index out of range. Evidence: TestConnectionsThatBecomeBusyMeanwhileAreNotClosed, which panics on that code.

--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -84,9 +84,7 @@
 		c.metrics.ClosedConnections.WithLabelValues(closedServer).Add(float64(plan.CloseServers))
 	}
 	if plan.CloseClients > 0 {
-		for _, idle := range c.idle()[:plan.CloseClients] {
-			c.close(idle, closedClient)
-		}
+		c.closeIdle(plan.CloseClients)
 	}
 	if !plan.Refuse {
 		return ctx
@@ -125,6 +123,14 @@
 	return list
 }
 
+// closeIdle closes up to n connections that wait for another request, longest first.
+func (c *connections) closeIdle(n int) {
+	idle := c.idle()
+	for _, conn := range idle[:min(n, len(idle))] {
+		c.close(conn, closedClient)
+	}
+}
+
 // close closes a connection, unless it has ended.
 func (c *connections) close(conn *clientConn, reason string) {
 	if !c.remove(conn.Conn) {
--- a/internal/hosted/connections_test.go
+++ b/internal/hosted/connections_test.go
@@ -139,3 +139,13 @@
 		assert.Assert(t, !isOpen(idle))
 	})
 }
+
+// TestConnectionsThatBecomeBusyMeanwhileAreNotClosed plans to close more connections than are
+// idle when it comes to it.
+func TestConnectionsThatBecomeBusyMeanwhileAreNotClosed(t *testing.T) {
+	c := newConnections(memory.Limits{Clients: 100}, &fakeServers{}, telemetry.NewMetrics())
+	client := addIdle(t, c)
+	c.closeIdle(3)
+	assert.Assert(t, !isOpen(client))
+	c.closeIdle(3)
+}
