A resumed stream is not joined from two software versions after a restart of its entry

Callers saw: a stream that broke off and was taken up again without naming its first request was answered 200 by an entry that had just started, and went on at another software version. Cause: streampin.Decide pinned such a stream to the only version that served, by the entry's own view. That view holds one version of two while an entry starts, or when the older servers have left. Change: the ledger finds the stream by a digest of its request and returns a version only if all records of that content agree; else the stream is refused at once (unknown_stream). A first record is required where the turn needs the ledger anyway. A resumption is recorded under its own ID too. The expectation "not named, one version: served" of an earlier test was the fault itself and is replaced by a refusal. Cost: 126.4 to 136.9 B a recorded stream (BenchmarkStreamMemory).

--- a/internal/gateway/event_ids_test.go
+++ b/internal/gateway/event_ids_test.go
@@ -57,7 +57,8 @@
 			}
 			a, b := newBackend(t, "a", respond), newBackend(t, "b", respond)
 			f := newFixture(t, a, b)
-			got := f.send(t, http.MethodPost, "/feed/x", "in", "Id", "1", "After", c.after)
+			f.ledger.streams["0"] = ""
+			got := f.send(t, http.MethodPost, "/feed/x", "in", "Id", "1", "After", c.after, "Resumes", "0")
 			assert.Equal(t, got.body, c.body)
 			assert.Equal(t, got.err == nil, c.whole)
 			assert.Equal(t, len(a.executed())+len(b.executed()), 2)
@@ -73,6 +74,7 @@
 		}
 	}
 	f := newFixture(t, newBackend(t, "a", respond))
-	assert.Equal(t, f.send(t, http.MethodPost, "/feed/x", "in", "Id", "1", "After", "b").status, http.StatusOK)
-	assert.Equal(t, f.send(t, http.MethodPost, "/feed/x", "in", "Id", "2", "After", "a").status, http.StatusBadGateway)
+	f.ledger.streams["0"] = ""
+	assert.Equal(t, f.send(t, http.MethodPost, "/feed/x", "in", "Id", "1", "After", "b", "Resumes", "0").status, http.StatusOK)
+	assert.Equal(t, f.send(t, http.MethodPost, "/feed/x", "in", "Id", "2", "After", "a", "Resumes", "0").status, http.StatusBadGateway)
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -81,6 +82,7 @@
 	beginIDs []string
 	accounts []string          // of the begun turns and opened streams
 	streams  map[string]string // recorded versions by call ID
+	contents map[string]uint64 // content of the recorded streams by call ID
 	openErr  error             // returned by openStream
 	finished []*ledgerpb.Finish
 	settled  chan *ledgerpb.Finish // receives each element of finished
@@ -114,17 +116,41 @@
 // open records or looks up the version of a stream. The caller holds the mutex.
 func (l *fakeLedger) open(stream *ledgerpb.OpenStream) (string, error) {
 	l.accounts = append(l.accounts, stream.Account)
-	if stream.Resumes != "" {
-		version, found := l.streams[stream.Resumes]
-		if !found {
+	resumed := stream.Resumed || stream.Resumes != ""
+	version := stream.Version
+	if resumed {
+		recorded := l.recordedVersions(stream)
+		if len(recorded) != 1 {
 			return "", errUnknownStream
 		}
+		version = recorded[0]
+	}
+	l.streams[stream.CallId] = version
+	l.contents[stream.CallId] = stream.Content
+	if resumed {
 		return version, nil
 	}
-	l.streams[stream.CallId] = stream.Version
 	return "", nil
 }
 
+// recordedVersions returns the distinct versions that are recorded for the stream that a call
+// resumes. The caller holds the mutex.
+func (l *fakeLedger) recordedVersions(stream *ledgerpb.OpenStream) []string {
+	if version, found := l.streams[stream.Resumes]; found || stream.Resumes != "" {
+		if !found {
+			return nil
+		}
+		return []string{version}
+	}
+	var versions []string
+	for id, content := range l.contents {
+		if content == stream.Content && !slices.Contains(versions, l.streams[id]) {
+			versions = append(versions, l.streams[id])
+		}
+	}
+	return versions
+}
+
 func (l *fakeLedger) finish(_ context.Context, f *ledgerpb.Finish) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -207,7 +233,7 @@
 
 func newFixture(t *testing.T, servers ...*backend) *fixture {
 	t.Helper()
-	ledger := &fakeLedger{streams: make(map[string]string), settled: make(chan *ledgerpb.Finish, 16)}
+	ledger := &fakeLedger{streams: make(map[string]string), contents: make(map[string]uint64), settled: make(chan *ledgerpb.Finish, 16)}
 	decode := func([]byte) (*routing.Document, error) {
 		doc := &routing.Document{
 			Version:  1,
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -22,7 +25,7 @@
 // ledger records it before the first event is sent, so that any entry can resume the
 // stream at the same version.
 type streamVersion struct {
-	resumes  string // call ID of the attempt that began the stream, "" for a new one
+	resumes  string // call ID of the resumed attempt, "" if the client does not name it
 	resumed  bool   // the client holds events of an earlier attempt
 	assigned bool   // version is known, and recorded unless the ledger failed
 	version  string
@@ -47,7 +50,6 @@
 		HasOutput: c.stream.resumed || c.responseStarted,
 		Assigned:  c.stream.assigned,
 		Version:   c.stream.version,
-		Named:     c.stream.resumes != "",
 	}, versionsOf(servers))
 }
 
@@ -70,10 +72,7 @@
 		return nil
 	}
 	if c.stream.resumed {
-		if c.stream.resumes == "" {
-			return nil
-		}
-		return &ledgerpb.OpenStream{Account: c.accountName(), CallId: c.meta.ID, Resumes: c.stream.resumes}
+		return c.resumeCommand()
 	}
 	server := c.g.loads.peek(c.newSelection(c.g.view.usableServers(c.service.Name)))
 	if server == nil {
@@ -82,6 +81,39 @@
 	return c.assignCommand(server.Version)
 }
 
+// resumeCommand returns the command that looks up the version of the resumed stream, by the
+// attempt that the client names, else by the content of the request. It returns nil if the
+// version cannot be known.
+func (c *call) resumeCommand() *ledgerpb.OpenStream {
+	content := c.contentID()
+	if c.stream.resumes == "" && content == 0 {
+		return nil
+	}
+	return &ledgerpb.OpenStream{
+		Account:     c.accountName(),
+		CallId:      c.meta.ID,
+		Resumes:     c.stream.resumes,
+		Resumed:     true,
+		Content:     content,
+		RetentionMs: c.streamRetention().Milliseconds(),
+	}
+}
+
+// contentID identifies the content of the request among those of its client account. It is 0
+// on routes without program turns: there a stream may run without a record, so that the
+// record of an earlier request with the same content could be of another version.
+func (c *call) contentID() uint64 {
+	if !c.route.ProgramTurns {
+		return 0
+	}
+	fingerprint := c.fingerprint()
+	digest := sha256.Sum256(fmt.Appendf(nil, "%x %q %q", fingerprint, c.meta.Program, c.meta.PreviousTurn))
+	return max(1, binary.BigEndian.Uint64(digest[:]))
+}
+
+// streamRetention returns the time after which no client resumes the stream.
+func (c *call) streamRetention() time.Duration { return max(c.route.Timeout, c.meta.Timeout) }
+
 // assignCommand returns the command that assigns the call's stream to a version.
 func (c *call) assignCommand(version string) *ledgerpb.OpenStream {
 	return &ledgerpb.OpenStream{
@@ -89,7 +121,8 @@
 		CallId:      c.meta.ID,
 		Version:     version,
 		Revision:    c.stream.revision,
-		RetentionMs: max(c.route.Timeout, c.meta.Timeout).Milliseconds(),
+		Content:     c.contentID(),
+		RetentionMs: c.streamRetention().Milliseconds(),
 	}
 }
 
@@ -98,7 +131,7 @@
 func (c *call) streamOpened(command *ledgerpb.OpenStream, version string) {
 	switch {
 	case command == nil:
-	case command.Resumes != "":
+	case command.Resumed:
 		c.stream.assigned, c.stream.version = true, version
 	default:
 		c.stream.assigned, c.stream.version = true, command.Version
@@ -127,23 +160,18 @@
 }
 
 // recordVersion records the version of the selected server before the request is sent
-// there. A first record that fails is not required: without one, entries refuse to resume
-// the stream. A record that replaces another one is.
+// there. On routes without program turns, a first record that fails is not required: without
+// one, entries refuse to resume the stream. Other records are.
 func (c *call) recordVersion(ctx context.Context) error {
 	version := c.server.Version
 	if !c.route.ResumableStream() || c.stream.assigned && c.stream.version == version {
 		return nil
 	}
-	if c.stream.resumed {
-		// The client does not name the stream, and a single version serves.
-		c.stream.assigned, c.stream.version = true, version
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, openStreamTimeout)
 	defer cancel()
 	command := c.assignCommand(version)
 	if _, err := c.g.ledger.openStream(ctx, command); err != nil {
-		if c.stream.revision > 0 {
+		if c.stream.revision > 0 || c.route.ProgramTurns {
 			c.g.loads.release(c.server.ID, outcomeInconclusive, time.Now())
 			return err
 		}
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -81,7 +81,7 @@
 		"not recorded":           {"", "first", map[string]string{"a": "v1", "b": "v1"}, false},
 		"version gone":           {"v1", "first", map[string]string{"a": "v2", "b": "v2"}, false},
 		"not named":              {"v1", "", map[string]string{"a": "v1", "b": "v2"}, false},
-		"not named, one version": {"", "", map[string]string{"a": "v1", "b": "v1"}, true},
+		"not named, one version": {"", "", map[string]string{"a": "v1", "b": "v1"}, false},
 	}
 	for name, c := range cases {
 		for _, path := range []string{"/stream/x", "/feed/x"} {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -34,9 +34,9 @@
 			return err
 		}
 	}
-	for _, k := range sortedKeys(s.streams) {
+	for _, k := range sortedKeys(s.streams.byCall) {
 		// Builds that do not know streams take the record for one of the time stamp.
-		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs, Stream: s.streams[k].record(k)}); err != nil {
+		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs, Stream: s.streams.byCall[k].record(k)}); err != nil {
 			return err
 		}
 	}
@@ -131,7 +131,7 @@
 	case record.Turn != nil:
 		return s.restoreTurn(record.Turn, hidden)
 	case record.Stream != nil:
-		s.streams[key{record.Stream.Account, record.Stream.CallId}] = restoreStream(record.Stream)
+		s.streams.put(key{record.Stream.Account, record.Stream.CallId}, restoreStream(record.Stream))
 	default:
 		s.nowMs = record.NowMs
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -37,7 +37,7 @@
 	programs     map[key]*program // by program ID
 	turns        map[key]*turn    // by call ID
 	turnBytes    int64            // of the input and output of turns
-	streams      map[key]stream   // that can be resumed, by the ID of the call that began them
+	streams      streamTable
 }
 
 // key identifies a program, a turn or a stream.
@@ -77,7 +77,7 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: make(map[key]stream)}
+	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: newStreamTable()}
 }
 
 // Result is the outcome of a command.
@@ -260,5 +260,5 @@
 func (s *State) Stats() Stats {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return Stats{Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams), Bytes: s.turnBytes}
+	return Stats{Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall), Bytes: s.turnBytes}
 }
--- a/internal/ledger/stream_test.go
+++ b/internal/ledger/stream_test.go
@@ -63,12 +63,33 @@
 	apply(t, s, startMs, openStream("a", "v1", 0))
 	last := startMs + (streamRetention + retentionMargin).Milliseconds()
 	assert.Equal(t, apply(t, s, last, resumeStream("b", "a")).StreamVersion(), "v1")
-	assert.Equal(t, s.Stats().Streams, 1)
-	later := last + expiryInterval.Milliseconds() + 1
+	assert.Equal(t, s.Stats().Streams, 2, "the stream and its resumption")
+	later := last + max(retentionMargin, expiryInterval).Milliseconds() + 1
 	assert.Equal(t, apply(t, s, later, resumeStream("b", "a")).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM)
 	assert.Equal(t, s.Stats().Streams, 0)
 }
 
+// TestStreamIsFoundByItsResumptionAndByItsContent has a client that resumes a stream twice and
+// names the first call, its own resumption or nothing.
+func TestStreamIsFoundByItsResumptionAndByItsContent(t *testing.T) {
+	s := New()
+	withContent := func(cmd *ledgerpb.Command, content uint64) *ledgerpb.Command {
+		cmd.GetOpenStream().Content, cmd.GetOpenStream().Resumed = content, cmd.GetOpenStream().Version == ""
+		return cmd
+	}
+	apply(t, s, startMs, withContent(openStream("a", "v1", 0), 7))
+	apply(t, s, startMs, withContent(openStream("b", "v2", 0), 8))
+	for id, cmd := range map[string]*ledgerpb.Command{"c": resumeStream("c", "a"), "d": resumeStream("d", ""), "e": resumeStream("e", "")} {
+		assert.Equal(t, apply(t, s, startMs, withContent(cmd, 7)).StreamVersion(), "v1")
+		s = restartFromSnapshot(t, s)
+		assert.Equal(t, apply(t, s, startMs, resumeStream("again "+id, id)).StreamVersion(), "v1")
+	}
+	assert.Equal(t, apply(t, s, startMs, withContent(resumeStream("f", ""), 9)).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM)
+
+	apply(t, s, startMs, withContent(openStream("g", "v2", 0), 7))
+	assert.Equal(t, apply(t, s, startMs, withContent(resumeStream("h", ""), 7)).Outcome, ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM, "two versions ran this content")
+}
+
 // BenchmarkStreamMemory reports the heap that a recorded stream takes.
 func BenchmarkStreamMemory(b *testing.B) {
 	const streams = 100_000
--- a/internal/policy/streampin/streampin.go
+++ b/internal/policy/streampin/streampin.go
@@ -23,7 +23,6 @@
 	HasOutput bool   // the client holds events of it
 	Assigned  bool   // Version is known
 	Version   string // that runs the stream, or that began it
-	Named     bool   // the client names the request that began it
 }
 
 // Constraint restricts the servers of a stream by version. The zero value allows all.
@@ -54,8 +53,9 @@
 
 // Decide returns the versions that may run a stream. serving are the versions of the
 // service that have usable servers. A stream with output goes on at its version or fails at
-// once with ErrUnknownVersion or ErrVersionNotServed. The client of a stream may not name
-// the request that began it; such a stream goes on only where a single version serves.
+// once with ErrUnknownVersion or ErrVersionNotServed. That a single version serves does not
+// tell which one began the stream: servers of another one may have left, or be missing from
+// the view of an entry that has just started.
 func Decide(s Stream, serving []string) (Constraint, error) {
 	switch {
 	case !s.HasOutput && !s.Assigned:
@@ -66,8 +66,6 @@
 		return Constraint{Strength: Required, Version: s.Version}, nil
 	case s.Assigned:
 		return Constraint{}, ErrVersionNotServed
-	case !s.Named && len(serving) == 1:
-		return Constraint{Strength: Required, Version: serving[0]}, nil
 	}
 	return Constraint{}, ErrUnknownVersion
 }
--- a/internal/policy/streampin/streampin_test.go
+++ b/internal/policy/streampin/streampin_test.go
@@ -22,10 +22,9 @@
 		"output":                           {Stream{HasOutput: true, Assigned: true, Version: "v1"}, both, Constraint{Required, "v1"}, nil},
 		"output, version gone":             {Stream{HasOutput: true, Assigned: true, Version: "v0"}, both, Constraint{}, ErrVersionNotServed},
 		"output, version without name":     {Stream{HasOutput: true, Assigned: true}, []string{""}, Constraint{Strength: Required}, nil},
-		"output, not recorded":             {Stream{HasOutput: true, Named: true}, []string{"v1"}, Constraint{}, ErrUnknownVersion},
-		"not named, one version":           {Stream{HasOutput: true}, []string{"v1"}, Constraint{Required, "v1"}, nil},
-		"not named, several versions":      {Stream{HasOutput: true}, both, Constraint{}, ErrUnknownVersion},
-		"not named, no servers":            {Stream{HasOutput: true}, nil, Constraint{}, ErrUnknownVersion},
+		"output, not recorded":             {Stream{HasOutput: true}, []string{"v1"}, Constraint{}, ErrUnknownVersion},
+		"output, several versions":         {Stream{HasOutput: true}, both, Constraint{}, ErrUnknownVersion},
+		"output, no servers":               {Stream{HasOutput: true}, nil, Constraint{}, ErrUnknownVersion},
 		"output, version without a server": {Stream{HasOutput: true, Assigned: true, Version: "v1"}, nil, Constraint{}, ErrVersionNotServed},
 	}
 	for name, c := range cases {
@@ -42,7 +41,7 @@
 func TestStreamNeverMixesVersionsDuringRelease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v1.1", "v1.2", ""}), 1, 3, rapid.ID[string])
-		s := Stream{Named: true}
+		s := Stream{}
 		output := map[string]bool{}
 		for range rapid.IntRange(1, 12).Draw(t, "attempts") {
 			serving := versions.Draw(t, "serving")
