State hosts are up sooner after a loss of power: they read less log

Callers saw: after a loss of power of all hosts nothing was answered for 1.6 s, of which the hosts were off for 0.74 s. Cause (trace by millisecond): five state hosts of 0.48 cores read and replay 15,000 to 20,000 entries, 0.25 to 0.33 s each, before any of them can vote.

--- a/internal/replica/chunk.go
+++ b/internal/replica/chunk.go
@@ -53,6 +53,9 @@
 	return written, nil
 }
 
+// size returns the number of bytes that were written to the writer.
+func (c *chunkWriter) size() int64 { return int64(c.number)*chunkBytes + int64(len(c.buf)) }
+
 // Close writes the buffered data and the end marker. It does not close w.
 func (c *chunkWriter) Close() error {
 	if len(c.buf) > 0 {
@@ -91,6 +94,7 @@
 	number uint32
 	buf    []byte // data of the current chunk
 	unread []byte // part of buf that Read has not returned yet
+	size   int64  // bytes of the chunks read so far
 	ended  bool
 }
 
@@ -133,6 +137,7 @@
 		return fmt.Errorf("%w: chunk %d: checksum mismatch", ErrInvalidSnapshot, c.number)
 	}
 	c.number++
+	c.size += int64(length)
 	c.unread = data
 	if length == 0 {
 		c.ended = true
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -130,10 +130,12 @@
 	index := state.Snapshot.GetIndex()
 	if index > 0 {
 		began := time.Now()
-		if err := g.host.snapshots.restore(g.id, index, g.sm); err != nil {
+		size, err := g.host.snapshots.restore(g.id, index, g.sm)
+		if err != nil {
 			return err
 		}
-		g.log.Info("snapshot restored", "index", index, "took_ms", time.Since(began).Milliseconds())
+		g.progress.snapshotBytes = size
+		g.log.Info("snapshot restored", "index", index, "bytes", size, "took_ms", time.Since(began).Milliseconds())
 	}
 	g.appliedIndex = index
 	return g.startNode(raft.InitialState{
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -19,7 +19,10 @@
 	defaultSnapshotBytes   = 4 << 20
 	defaultRetainEntries   = 256
 	defaultMaxSegments     = 8
-	defaultApplyWorkers    = 4
+	// logShareOfSnapshot is the size of the log after which a snapshot is due, as a share of
+	// the latest snapshot.
+	logShareOfSnapshot  = 0.25
+	defaultApplyWorkers = 4
 )
 
 // Options configures a Host. Zero values of optional fields select the defaults.
@@ -40,9 +43,12 @@
 
 	SnapshotEntries uint64 // applied entries after which a snapshot is taken; default 4096
 	SnapshotBytes   int    // bytes of applied commands after which a snapshot is taken; default 4 MiB
-	RetainEntries   uint64 // entries kept in memory after a snapshot, for slow members; default 256
-	MaxSegments     int    // log segments above which lagging groups take a snapshot; default 8
-	SegmentSize     int64  // bytes of a log segment; default: that of package wal
+	// MinSnapshotBytes is the lower bound of the bytes after which a snapshot of a small state
+	// is taken, so that a restart replays less than it restores. Default: SnapshotBytes.
+	MinSnapshotBytes int
+	RetainEntries    uint64 // entries kept in memory after a snapshot, for slow members; default 256
+	MaxSegments      int    // log segments above which lagging groups take a snapshot; default 8
+	SegmentSize      int64  // bytes of a log segment; default: that of package wal
 
 	Logger     hclog.Logger
 	Registerer prometheus.Registerer // nil: no metrics
@@ -83,6 +89,7 @@
 	setDefault(&o.ApplyWorkers, defaultApplyWorkers)
 	setDefault(&o.SnapshotEntries, defaultSnapshotEntries)
 	setDefault(&o.SnapshotBytes, defaultSnapshotBytes)
+	setDefault(&o.MinSnapshotBytes, o.SnapshotBytes)
 	setDefault(&o.RetainEntries, defaultRetainEntries)
 	setDefault(&o.MaxSegments, defaultMaxSegments)
 	return nil
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -14,6 +14,7 @@
 	submitted     uint64 // last index passed to the apply mailbox
 	applied       uint64 // last index applied to the state machine
 	bytes         int    // of entry data submitted since the latest snapshot
+	snapshotBytes int64  // size of the latest snapshot
 	inProgress    bool   // a snapshot is being taken
 }
 
@@ -22,8 +23,13 @@
 	return p.submitted - min(p.submitted, p.applied)
 }
 
+// due reports whether a snapshot is due. A restart restores the latest snapshot and replays
+// the log after it, so the log may grow in proportion to the snapshot: then snapshots of a
+// large state cost a bounded multiple of the log, and a small state is up soon.
 func (p *snapshotProgress) due(opts *Options) bool {
-	return p.applied-p.snapshotIndex >= opts.SnapshotEntries || p.bytes >= opts.SnapshotBytes
+	share := int(logShareOfSnapshot * float64(p.snapshotBytes))
+	limit := min(opts.SnapshotBytes, max(opts.MinSnapshotBytes, share))
+	return p.applied-p.snapshotIndex >= opts.SnapshotEntries || p.bytes >= limit
 }
 
 // requestSnapshot makes the apply mailbox take a snapshot, unless one is in progress or
@@ -40,8 +46,11 @@
 // takeSnapshot writes a snapshot file. It runs in the apply mailbox.
 func (g *group) takeSnapshot() {
 	index := g.appliedIndex
-	err := g.host.snapshots.save(g.id, index, g.sm)
-	g.core.post(func() { g.recordSnapshot(index, err) })
+	size, err := g.host.snapshots.save(g.id, index, g.sm)
+	g.core.post(func() {
+		g.progress.snapshotBytes = size
+		g.recordSnapshot(index, err)
+	})
 }
 
 // recordSnapshot writes the metadata of a snapshot, whose file is durable, to the log.
@@ -103,7 +112,8 @@
 
 // restoreSnapshot restores a snapshot. It runs in the apply mailbox.
 func (g *group) restoreSnapshot(index uint64) {
-	if err := g.host.snapshots.restore(g.id, index, g.sm); err != nil {
+	size, err := g.host.snapshots.restore(g.id, index, g.sm)
+	if err != nil {
 		g.host.fail(err)
 		return
 	}
@@ -111,6 +121,7 @@
 	g.host.metrics.snapshots.WithLabelValues("restored").Inc()
 	g.log.Info("snapshot restored", "index", index)
 	g.core.post(func() {
+		g.progress.snapshotBytes = size
 		g.recordSnapshotIndex(index)
 		g.setApplied(index)
 	})
--- a/internal/replica/snapshotstore.go
+++ b/internal/replica/snapshotstore.go
@@ -66,15 +66,17 @@
 	return nil
 }
 
-// save stores a snapshot of a state machine.
-func (s *snapshotStore) save(group, index uint64, sm StateMachine) error {
-	return s.write(group, index, func(w io.Writer) error {
+// save stores a snapshot of a state machine and returns its size in bytes.
+func (s *snapshotStore) save(group, index uint64, sm StateMachine) (size int64, err error) {
+	err = s.write(group, index, func(w io.Writer) error {
 		chunks := newChunkWriter(w)
 		if err := sm.Snapshot(chunks); err != nil {
 			return err
 		}
+		size = chunks.size()
 		return chunks.Close()
 	})
+	return size, err
 }
 
 // receive stores a snapshot from another host. It returns ErrInvalidSnapshot if a chunk
@@ -98,22 +100,23 @@
 	return file, nil
 }
 
-// restore replaces the state of a state machine with a stored snapshot.
-func (s *snapshotStore) restore(group, index uint64, sm StateMachine) error {
+// restore replaces the state of a state machine with a stored snapshot and returns the size
+// of the snapshot in bytes.
+func (s *snapshotStore) restore(group, index uint64, sm StateMachine) (size int64, err error) {
 	file, err := s.openFile(group, index)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer file.Close()
 	chunks := newChunkReader(file)
 	if err := sm.Restore(chunks); err != nil {
-		return fmt.Errorf("%w: restore group %d from snapshot at index %d: %w", ErrStorage, group, index, err)
+		return 0, fmt.Errorf("%w: restore group %d from snapshot at index %d: %w", ErrStorage, group, index, err)
 	}
 	// Verify the chunks that the state machine has not read, up to the end marker.
 	if _, err := io.Copy(io.Discard, chunks); err != nil {
-		return fmt.Errorf("%w: restore group %d from snapshot at index %d: %w", ErrStorage, group, index, err)
+		return 0, fmt.Errorf("%w: restore group %d from snapshot at index %d: %w", ErrStorage, group, index, err)
 	}
-	return nil
+	return chunks.size, nil
 }
 
 // removeBefore removes the snapshots of a group that are older than index.
--- a/internal/replica/ticker.go
+++ b/internal/replica/ticker.go
@@ -6,6 +6,10 @@
 // retain old log segments.
 const segmentCheckTicks = 20
 
+// largeStateSegments is by how many times more log segments a group of a large state may
+// retain.
+const largeStateSegments = 16
+
 // idleCheckTicks is the interval, in ticks, at which each idle group is woken.
 const idleCheckTicks = 6000
 
@@ -67,11 +71,21 @@
 	}
 }
 
-// snapshotLaggingGroups requests snapshots of groups that retain old log segments.
+// snapshotLaggingGroups requests snapshots of groups that retain old log segments: at once if
+// the snapshot is smaller than these, else when the segments are several times as many.
 func (h *Host) snapshotLaggingGroups() {
 	for _, id := range h.log.GroupsRetainingSegments(h.opts.MaxSegments) {
 		if g, err := h.lookup(id); err == nil {
-			g.core.post(func() { g.requestSnapshot() })
+			g.core.post(func() {
+				if g.progress.snapshotBytes <= int64(h.opts.MaxSegments)*h.opts.SegmentSize {
+					g.requestSnapshot()
+				}
+			})
+		}
+	}
+	for _, id := range h.log.GroupsRetainingSegments(largeStateSegments * h.opts.MaxSegments) {
+		if g, err := h.lookup(id); err == nil {
+			g.core.post(g.requestSnapshot)
 		}
 	}
 }
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -49,16 +49,20 @@
 	// quorumTicks is how long a leader without contact to a quorum keeps its leadership.
 	// It covers three retransmissions on a network that loses packets.
 	quorumTicks = 3 * electionTicks
-	// A snapshot rewrites the whole state, so snapshots are taken rarely. The entries
-	// after the last one are replayed at start.
-	snapshotEntries = 20_000
-	snapshotBytes   = 16 << 20
+	// A snapshot rewrites the whole state, and the entries after the last one are replayed
+	// at start. In between, the log grows to a share of the snapshot.
+	snapshotEntries  = 20_000
+	snapshotBytes    = 16 << 20
+	minSnapshotBytes = 1 << 20
 	// On small disks the log takes at most a fourth: the commands since the latest
 	// snapshot and the segments that are not removed yet.
 	snapshotDiskShare = 16
 	segmentDiskShare  = 64
-	maxSegmentBytes   = 16 << 20
-	sweepInterval     = time.Second
+	// A start reads whole segments, also those that only a group with few entries retains,
+	// and writes the last one anew.
+	maxSegmentBytes = 1 << 20
+	maxSegments     = 2
+	sweepInterval   = time.Second
 )
 
 // Config configures a state host.
@@ -185,19 +189,21 @@
 		}
 	}
 	replicas, err := replica.NewHost(replica.Options{
-		Dir:             cfg.DataDir,
-		FS:              cfg.FS,
-		Address:         cfg.Address,
-		Transport:       peers,
-		TickInterval:    tickInterval,
-		Raft:            raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
-		SnapshotEntries: snapshotEntries,
-		SnapshotBytes:   int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
-		SegmentSize:     diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
-		Clock:           bootTime,
-		Logger:          log.Named("replica"),
-		Registerer:      registry,
-		OnFailure:       onFailure,
+		Dir:              cfg.DataDir,
+		FS:               cfg.FS,
+		Address:          cfg.Address,
+		Transport:        peers,
+		TickInterval:     tickInterval,
+		Raft:             raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
+		SnapshotEntries:  snapshotEntries,
+		SnapshotBytes:    int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
+		MinSnapshotBytes: minSnapshotBytes,
+		MaxSegments:      maxSegments,
+		SegmentSize:      diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
+		Clock:            bootTime,
+		Logger:           log.Named("replica"),
+		Registerer:       registry,
+		OnFailure:        onFailure,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("statehost: open replicas in %s: %w", cfg.DataDir, err)
