Programs that run are not refused as new ones after a loss of all hosts

Cause: a new leader begins without permits, and entries that have just started take each first turn without a history, and each turn of a program without kept turns, for a new program. New programs are denied together, with a delay for all expected requests, though these run already. Change: a new leadership reads the programs of the last 30 s from the replicated ledger. A grant says which of the named programs run; these wait for a permit as other running ones. The bound of limits is unchanged: only the order of requests differs.

--- a/internal/gateway/account_stock.go
+++ b/internal/gateway/account_stock.go
@@ -79,11 +79,16 @@
 }
 
 // serve gives the permits of a grant to the waiters, running programs first, and refuses those
-// that would wait for too long.
+// that would wait for too long. A program that this entry took for a new one, but that runs,
+// waits like other running ones.
 func (s askedStock) serve(now, askedAt time.Duration, grant *fleetpb.AccountGrant) {
 	named := make(map[*accountWaiter]bool, len(s.programs))
 	for i, w := range s.programs {
-		named[w] = true
+		if i < len(grant.Running) && grant.Running[i] {
+			w.newProgram = false
+		} else {
+			named[w] = true
+		}
 		if i >= len(grant.Admitted) || !grant.Admitted[i] || !quota.Valid(now, askedAt) {
 			continue
 		}
@@ -142,6 +147,7 @@
 		Before:       int(msg.Before),
 		Permits:      int(msg.Permits),
 		Admitted:     msg.Admitted[:min(len(msg.Admitted), programs)],
+		Running:      msg.Running[:min(len(msg.Running), programs)],
 		Retry:        time.Duration(msg.RetryMs) * time.Millisecond,
 		ProgramRetry: time.Duration(msg.ProgramRetryMs) * time.Millisecond,
 		Open:         time.Duration(msg.OpenMs) * time.Millisecond,
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -6,9 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibistray.example/ibistray/internal/account"
+	"ibistray.example/ibistray/internal/policy/quota"
 )
 
 const (
@@ -124,7 +123,7 @@
 	left := time.Until(c.deadline)
 	ctx, cancel := context.WithTimeout(ctx, left*permitWaitPercent/100)
 	defer cancel()
-	err := c.g.accounts.acquire(ctx, acct, c.newProgram, xxhash.Sum64String(c.meta.Program), left)
+	err := c.g.accounts.acquire(ctx, acct, c.newProgram, quota.HashProgram(c.meta.Program), left)
 	c.hasPermit, c.permitTakenAt = err == nil, c.g.accounts.now()
 	c.g.metrics.AccountRequests.Inc(acct.Name, accountOutcome(err))
 	return err
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -248,6 +248,21 @@
 	s.expireStreams()
 }
 
+// ActivePrograms returns the IDs of the programs that had a turn within a period, by client
+// account.
+func (s *State) ActivePrograms(period time.Duration) map[string][]string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	oldest := s.nowMs - period.Milliseconds()
+	active := make(map[string][]string)
+	for k, p := range s.programs {
+		if p.expiresMs-programRetentionPeriod.Milliseconds() >= oldest {
+			active[k.account] = append(active[k.account], k.id)
+		}
+	}
+	return active
+}
+
 // Stats holds the numbers of stored records, for metrics.
 type Stats struct {
 	Programs int
--- a/internal/policy/quota/allocator.go
+++ b/internal/policy/quota/allocator.go
@@ -39,6 +39,7 @@
 	window   Window
 	started  time.Duration
 	accounts map[string]*accountState
+	running  map[string][]uint64 // programs that ran before, of accounts that are not in accounts yet
 }
 
 // accountState is one account's permits and the demand for them.
@@ -63,9 +64,11 @@
 
 // NewAllocator returns the allocator of a leadership that begins at started. No other
 // allocator may grant anything after that. It begins without permits, and earlier ones' are
-// taken to be valid until PermitLifetime has passed.
-func NewAllocator(w Window, started time.Duration) *Allocator {
-	return &Allocator{window: w, started: started, accounts: make(map[string]*accountState)}
+// taken to be valid until PermitLifetime has passed. running holds the programs that are known
+// to run, hashed, by account. After a loss of all hosts no entry remembers them, and permits
+// are scarce: taken for new ones, they would be refused in favour of none.
+func NewAllocator(w Window, started time.Duration, running map[string][]uint64) *Allocator {
+	return &Allocator{window: w, started: started, accounts: make(map[string]*accountState), running: running}
 }
 
 // Ask handles what an entry reports and wants. The limit applies from then on. PerSecond must
@@ -75,6 +78,10 @@
 	if state == nil {
 		state = &accountState{bucket: newBucket(a.window, a.started, limit), entries: make(map[string]*entryState)}
 		a.accounts[name] = state
+		for _, program := range a.running[name] {
+			state.programs.remember(now, program)
+		}
+		delete(a.running, name)
 	}
 	state.asked = now
 	state.bucket.advance(now)
@@ -168,6 +175,10 @@
 		running := s.programs.running(now, program)
 		missing := s.missing(now, running)
 		g.Admitted = append(g.Admitted, missing <= 0)
+		g.Running = append(g.Running, running)
+		if missing > 0 && running {
+			continue // it asks again as a request that waits
+		}
 		if missing > 0 {
 			missing += s.programs.denied.get(now, deniedPeriod) * s.programs.expected(now)
 			s.programs.denied.add(now, 1, deniedPeriod)
--- a/internal/policy/quota/bound_test.go
+++ b/internal/policy/quota/bound_test.go
@@ -62,7 +62,7 @@
 }
 
 func (a *adversary) startAllocator() {
-	a.allocator = NewAllocator(a.window, a.now)
+	a.allocator = NewAllocator(a.window, a.now, nil)
 	a.started = append(a.started, a.now)
 }
 
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -21,6 +21,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ibistray.example/ibistray/internal/account"
 )
 
@@ -83,6 +85,9 @@
 	Before   int    // permits that were granted in the session before
 	Permits  int
 	Admitted []bool // one for each of Ask.Programs; each admitted one has a permit of its own (not counted in Permits)
+	// Running has one element for each of Ask.Programs: the program has begun before. If it was
+	// not admitted, its request waits like others of running programs.
+	Running []bool
 	// Retry is the time until what was denied may be granted, 0 if nothing was denied. If both
 	// requests and programs were denied, it is that of the requests.
 	Retry        time.Duration
@@ -90,6 +95,9 @@
 	Open         time.Duration // for how long programs may begin with permits in hand, without being named in an ask
 }
 
+// HashProgram returns the number that stands for the ID of a program in asks.
+func HashProgram(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Wait reports whether a request that was denied waits at the entry rather than being refused
 // at once: whether it may be granted, after retry, early enough in its time left.
 func Wait(newProgram bool, retry, left time.Duration) bool {
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -18,7 +18,7 @@
 
 // newFull returns an allocator whose accounts have all permits at the returned time.
 func newFull() (*Allocator, time.Duration) {
-	return NewAllocator(testWindow, 0), time.Minute
+	return NewAllocator(testWindow, 0, nil), time.Minute
 }
 
 func TestRequestsThatWaitGetWhatThereIsAndPrefetchLeavesAReserve(t *testing.T) {
@@ -37,7 +37,7 @@
 }
 
 func TestNewAllocatorBeginsWithoutPermits(t *testing.T) {
-	a := NewAllocator(testWindow, time.Hour)
+	a := NewAllocator(testWindow, time.Hour, nil)
 	everything := Ask{Entry: "e", Waiting: 100, Wanted: 100}
 	assert.Equal(t, a.Ask(time.Hour, "a", testLimit, everything).Permits, 0)
 	assert.Equal(t, a.Ask(time.Hour+second/2, "a", testLimit, everything).Permits, 3) // tolerance 26, half of it over 2 s
--- a/internal/policybench/accountsystem.go
+++ b/internal/policybench/accountsystem.go
@@ -90,7 +90,7 @@
 	if entries == 1 {
 		s.roundTrip = 0
 	}
-	s.allocator = quota.NewAllocator(s.window, 0)
+	s.allocator = quota.NewAllocator(s.window, 0, nil)
 	for i, rate := range accountRates {
 		limit := account.Limit{PerSecond: rate, Burst: max(5, rate)}
 		s.accounts = append(s.accounts, &simulatedAccount{
@@ -107,7 +107,7 @@
 	}
 	if outage {
 		s.sim.after(outageStart, func() { s.allocator = nil })
-		s.sim.after(outageStart+outageDuration, func() { s.allocator = quota.NewAllocator(s.window, s.sim.now) })
+		s.sim.after(outageStart+outageDuration, func() { s.allocator = quota.NewAllocator(s.window, s.sim.now, nil) })
 	}
 	s.sim.runUntil(accountsEnd)
 	return s
--- a/internal/statehost/accounts.go
+++ b/internal/statehost/accounts.go
@@ -7,6 +7,7 @@
 
 	"ibistray.example/ibistray/internal/account"
 	"ibistray.example/ibistray/internal/clock"
+	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/policy/quota"
 	"ibistray.example/ibistray/internal/routing"
@@ -20,6 +21,8 @@
 type accountAllocator struct {
 	window quota.Window
 	decode func(document []byte) (*routing.Document, error)
+	// activePrograms returns the programs that had a turn within a period, by account.
+	activePrograms func(period time.Duration) map[string][]string
 
 	mu        sync.Mutex
 	term      uint64 // of the leadership in which permits were given out
@@ -28,18 +31,34 @@
 	accounts  *account.Directory // nil: there are none
 }
 
-func newAccountAllocator(cfg Config) *accountAllocator {
-	return &accountAllocator{window: cfg.AccountWindow, decode: cfg.DecodeRoutes}
+func newAccountAllocator(cfg Config, programs *ledger.State) *accountAllocator {
+	return &accountAllocator{window: cfg.AccountWindow, decode: cfg.DecodeRoutes, activePrograms: programs.ActivePrograms}
 }
 
+// activeProgramPeriod is the time after its latest turn for which a program counts as running
+// when a leadership begins.
+const activeProgramPeriod = 30 * time.Second
+
 // forTerm returns the allocator of a leadership. The caller holds the mutex.
 func (a *accountAllocator) forTerm(term uint64, now time.Duration) *quota.Allocator {
 	if a.allocator == nil || a.term != term {
-		a.term, a.allocator = term, quota.NewAllocator(a.window, now)
+		a.term, a.allocator = term, quota.NewAllocator(a.window, now, a.runningPrograms())
 	}
 	return a.allocator
 }
 
+// runningPrograms returns the hashed IDs of the programs that the ledger of this host knows to
+// run, by account. It is empty on a host without a replica of the ledger.
+func (a *accountAllocator) runningPrograms() map[string][]uint64 {
+	running := make(map[string][]uint64)
+	for name, programs := range a.activePrograms(activeProgramPeriod) {
+		for _, program := range programs {
+			running[name] = append(running[name], quota.HashProgram(program))
+		}
+	}
+	return running
+}
+
 // accountsOf returns the accounts of routes. The caller holds the mutex.
 func (a *accountAllocator) accountsOf(routes *fleetpb.Routes) (*account.Directory, error) {
 	if routes == nil {
@@ -141,6 +160,7 @@
 		Session:        grant.Session,
 		Permits:        uint32(grant.Permits),
 		Admitted:       grant.Admitted,
+		Running:        grant.Running,
 		RetryMs:        grant.Retry.Milliseconds(),
 		ProgramRetryMs: grant.ProgramRetry.Milliseconds(),
 		OpenMs:         grant.Open.Milliseconds(),
--- a/internal/statehost/accounts_test.go
+++ b/internal/statehost/accounts_test.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/account"
+	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/policy/quota"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/proto/fleetpb"
+	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
 // newAccountsHost returns a host whose routes name one account with a limit and one without.
@@ -24,7 +27,8 @@
 			return &routing.Document{Accounts: directory}, err
 		},
 	}
-	h := &Host{cfg: cfg, metrics: newMetrics(prometheus.NewRegistry()), config: newConfigState(), accounts: newAccountAllocator(cfg)}
+	programs := ledger.New()
+	h := &Host{cfg: cfg, metrics: newMetrics(prometheus.NewRegistry()), config: newConfigState(), ledger: programs, accounts: newAccountAllocator(cfg, programs)}
 	h.config.routes = &fleetpb.Routes{Version: 7}
 	return h
 }
@@ -64,3 +68,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.RoutesVersion, uint64(7))
 }
+
+// TestNewLeadershipKnowsTheProgramsOfTheLedger has a program whose entries and leader were lost
+// together: the first entry that names it again takes it for a new one.
+func TestNewLeadershipKnowsTheProgramsOfTheLedger(t *testing.T) {
+	h := newAccountsHost()
+	begin := &ledgerpb.Command{NowMs: 1, Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{CallId: "1", Program: "p", Account: "limited", Limited: true, TokenBudget: 100}}}
+	data, err := proto.Marshal(begin)
+	assert.NilError(t, err)
+	h.ledger.Apply(1, data)
+	req := &fleetpb.AccountsRequest{Entry: "a", Demands: []*fleetpb.AccountDemand{
+		{Account: "limited", Programs: []uint64{quota.HashProgram("p"), quota.HashProgram("q")}},
+	}}
+	resp, err := h.answerAccounts(req, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, resp.Grants[0].Running, []bool{true, false})
+}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -145,6 +145,7 @@
 		peers.Close()
 		return nil, err
 	}
+	programs := ledger.New()
 	h := &Host{
 		cfg:      cfg,
 		log:      log,
@@ -153,11 +154,11 @@
 		peers:    peers,
 		replicas: replicas,
 		config:   newConfigState(),
-		ledger:   ledger.New(),
+		ledger:   programs,
 		servers:  fleet.NewTable(),
 		crashes:  newCrashLog(),
 		permits:  newPermitAllocator(),
-		accounts: newAccountAllocator(cfg),
+		accounts: newAccountAllocator(cfg, programs),
 		hosts:    newHostTable(),
 
 		replicaReplacement: make(chan struct{}, 1),
