A stream is not resumed at another service of the same version

Cause: the ledger recorded the version alone, and versions of different services are compared like those of one. Change: what is recorded and compared is service and version. A stream of a service that the route no longer names is refused at once (stream_version_gone). During the upgrade, streams that older entries recorded are refused in the same way until their retention ends. Result: TestStreamIsNotResumedAtAnotherService got 200 before, named and not named, and 503 now.

--- a/internal/gateway/event_ids_test.go
+++ b/internal/gateway/event_ids_test.go
@@ -57,7 +57,7 @@
 			}
 			a, b := newBackend(t, "a", respond), newBackend(t, "b", respond)
 			f := newFixture(t, a, b)
-			f.ledger.streams["0"] = ""
+			f.ledger.streams["0"] = software("")
 			got := f.send(t, http.MethodPost, "/feed/x", "in", "Id", "1", "After", c.after, "Resumes", "0")
 			assert.Equal(t, got.body, c.body)
 			assert.Equal(t, got.err == nil, c.whole)
@@ -74,7 +74,7 @@
 		}
 	}
 	f := newFixture(t, newBackend(t, "a", respond))
-	f.ledger.streams["0"] = ""
+	f.ledger.streams["0"] = software("")
 	assert.Equal(t, f.send(t, http.MethodPost, "/feed/x", "in", "Id", "1", "After", "b", "Resumes", "0").status, http.StatusOK)
 	assert.Equal(t, f.send(t, http.MethodPost, "/feed/x", "in", "Id", "2", "After", "a", "Resumes", "0").status, http.StatusBadGateway)
 }
--- a/internal/gateway/rejoined_stream_test.go
+++ b/internal/gateway/rejoined_stream_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/proto/fleetpb"
 )
 
@@ -169,7 +170,7 @@
 	}
 	old, next := newBackend(t, "old2", leave), newBackend(t, "new", versionedEvents("v2", 6))
 	ledger := startEntry(t, nil, nil).ledger
-	ledger.streams["first"] = "v1"
+	ledger.streams["first"] = software("v1")
 	second = startEntry(t, ledger, rejoinVersions, old, next)
 	got := second.send(t, http.MethodPost, "/stream/x", "in", "Id", "again", "Program", "p", "After", "3", "Resumes", "first")
 	assert.Assert(t, got.err != nil, "the stream looks complete: %s", got.body)
@@ -188,3 +189,36 @@
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Equal(t, got.body, reasonUnknownStream+"\n")
 }
+
+// TestStreamIsNotResumedAtAnotherService has a route that moved to another service, whose servers
+// have the same version, while a client held a part of a stream.
+func TestStreamIsNotResumedAtAnotherService(t *testing.T) {
+	first := startEntry(t, nil, rejoinVersions, newBackend(t, "old", versionedEvents("v1", 3)))
+	first.send(t, http.MethodPost, "/stream/x", "in", "Id", "first", "Program", "p")
+	moved := newBackend(t, "old2", versionedEvents("v1", 6))
+	second := startEntry(t, first.ledger, rejoinVersions, moved)
+	second.useService(t, "t", moved)
+	for _, named := range []string{"first", ""} {
+		got := second.send(t, http.MethodPost, "/stream/x", "in", "Id", "again "+named, "Program", "p", "After", "3", "Resumes", named)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, got.body, reasonVersionGone+"\n")
+	}
+	assert.Equal(t, len(moved.executed()), 0)
+}
+
+// useService moves all routes to another service, to which a server belongs from now on.
+func (f *fixture) useService(t *testing.T, name string, server *backend) {
+	t.Helper()
+	old := f.view.routes.Load()
+	moved := &routing.Document{Version: old.Version + 1, Services: map[string]*routing.Service{name: {Name: name}}}
+	for _, r := range old.Routes {
+		route := *r
+		route.Backends = []routing.Backend{{Service: name, Weight: 1}}
+		moved.Routes = append(moved.Routes, &route)
+	}
+	assert.NilError(t, moved.Validate())
+	f.view.routes.Store(moved)
+	instance := instanceOf(server)
+	instance.Id, instance.Service, instance.Version, instance.Sequence, instance.BornMs = server.id, name, "v1", 3, 2
+	f.view.apply("test", &fleetpb.Update{Instances: []*fleetpb.Instance{instance}})
+}
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -53,12 +53,16 @@
 	}, versionsOf(servers))
 }
 
+// softwareOf returns what the output of a server depends on: its service and the version of its
+// software. A client may resume a stream after its route has moved to another service.
+func softwareOf(server *fleet.Instance) string { return server.Service + "/" + server.Version }
+
 // versionsOf returns the distinct versions of servers.
 func versionsOf(servers []*fleet.Instance) []string {
 	var versions []string
 	for _, server := range servers {
-		if !slices.Contains(versions, server.Version) {
-			versions = append(versions, server.Version)
+		if software := softwareOf(server); !slices.Contains(versions, software) {
+			versions = append(versions, software)
 		}
 	}
 	return versions
@@ -78,7 +82,7 @@
 	if server == nil {
 		return nil
 	}
-	return c.assignCommand(server.Version)
+	return c.assignCommand(softwareOf(server))
 }
 
 // resumeCommand returns the command that looks up the version of the resumed stream, by the
@@ -163,7 +167,7 @@
 // there. On routes without program turns, a first record that fails is not required: without
 // one, entries refuse to resume the stream. Other records are.
 func (c *call) recordVersion(ctx context.Context) error {
-	version := c.server.Version
+	version := softwareOf(c.server)
 	if !c.route.ResumableStream() || c.stream.assigned && c.stream.version == version {
 		return nil
 	}
--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -23,6 +23,9 @@
 	f.view.apply("test", update)
 }
 
+// software returns what the ledger records of a stream of the test service at a version.
+func software(version string) string { return "s/" + version }
+
 // streamFrom sends the events up to the sixth one, starting after the last one that the
 // request names. The first response breaks off after the third event.
 func streamFrom(w http.ResponseWriter, r *http.Request, body string) {
@@ -45,7 +48,7 @@
 		assert.Equal(t, got.body, eventText(1, 6))
 		for _, server := range servers {
 			if slices.Contains(server.executed(), id+":in") {
-				assert.Equal(t, versions[server.id], f.ledger.streams[id])
+				assert.Equal(t, software(versions[server.id]), f.ledger.streams[id])
 				used[versions[server.id]] = true
 			}
 		}
@@ -59,7 +62,7 @@
 		f := newFixture(t, a, b)
 		f.setVersions(map[string]string{"a": "v1", "b": "v2"}, a, b)
 		for _, version := range []string{"v1", "v2"} {
-			f.ledger.streams["first"] = version
+			f.ledger.streams["first"] = software(version)
 			got := f.send(t, http.MethodPost, path, "in", "Id", "again "+version, "After", "3", "Resumes", "first", "Program", "p")
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.body, eventText(4, 6))
@@ -90,7 +93,7 @@
 				f := newFixture(t, a, b)
 				f.setVersions(c.versions, a, b)
 				if c.recorded != "" {
-					f.ledger.streams["first"] = c.recorded
+					f.ledger.streams["first"] = software(c.recorded)
 				}
 				got := f.send(t, http.MethodPost, path, "in", "Id", "again", "After", "3", "Resumes", c.resumes, "Program", "p")
 				assert.NilError(t, got.err)
@@ -110,7 +113,7 @@
 func TestStreamIsResumedAtEntryThatHasJustStarted(t *testing.T) {
 	b := newBackend(t, "b", streamFrom)
 	f := newFixture(t)
-	f.ledger.streams["first"] = "v2"
+	f.ledger.streams["first"] = software("v2")
 	learned := time.AfterFunc(100*time.Millisecond, func() { f.setVersions(map[string]string{"b": "v2"}, b) })
 	defer learned.Stop()
 	got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", "again", "After", "3", "Resumes", "first", "Program", "p")
@@ -129,7 +132,7 @@
 			got := f.send(t, http.MethodPost, path, "in", "Id", id, "Program", id, "Budget", "1")
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.body, eventText(1, 2))
-			assert.Equal(t, f.ledger.streams[id], "v2")
+			assert.Equal(t, f.ledger.streams[id], software("v2"))
 		}
 	}
 }
@@ -146,11 +149,11 @@
 	for _, id := range []string{"1", "2", "3", "4", "5", "6"} {
 		if got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", id, "Program", id); got.status == http.StatusServiceUnavailable {
 			assert.Equal(t, got.body, reasonLedgerUnavailable+"\n")
-			assert.Equal(t, f.ledger.streams[id], "v1")
+			assert.Equal(t, f.ledger.streams[id], software("v1"))
 			refused++
 			continue
 		}
-		assert.Equal(t, f.ledger.streams[id], "v2")
+		assert.Equal(t, f.ledger.streams[id], software("v2"))
 	}
 	assert.Assert(t, refused > 0)
 	assert.Equal(t, len(b.executed()), 7-refused)
