--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -22,33 +22,89 @@
 
 // Snapshot implements replica.StateMachine. Each turn is written after the turn
 // that it continues from.
-func (s *State) Snapshot(w io.Writer) error {
+func (s *State) Snapshot(w io.Writer) error { return s.CaptureSnapshot()(w) }
+
+// CaptureSnapshot implements replica.SnapshotCapturer. The bodies of turns, which are most of a
+// snapshot, never change and are not copied.
+func (s *State) CaptureSnapshot() func(io.Writer) error {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	c := &capture{nowMs: s.nowMs, streams: maps.Clone(s.streams.byCall)}
+	for k, p := range s.programs {
+		c.programs = append(c.programs, p.record(k))
+	}
+	captured := make(map[*turn]bool, len(s.turns))
+	for _, k := range sortedKeys(s.turns) {
+		c.turns = s.captureChain(c.turns, s.turns[k], captured)
+	}
+	return c.write
+}
+
+// capture is a copy of the state at one index of the log.
+type capture struct {
+	nowMs    int64
+	programs []*ledgerpb.Program
+	streams  map[key]stream
+	turns    []capturedTurn // each after the turn that it continues from
+}
+
+type capturedTurn struct {
+	turn      *turn
+	expiresMs int64
+	// hidden marks a turn that is no longer stored under its ID: it belongs to a chain, but no
+	// new turn can continue from it.
+	hidden bool
+}
+
+// captureChain appends the ancestors of a turn that are not yet captured, then the turn itself.
+func (s *State) captureChain(list []capturedTurn, last *turn, captured map[*turn]bool) []capturedTurn {
+	first := len(list)
+	for t := last; t != nil && !captured[t]; t = t.previous {
+		list = append(list, capturedTurn{turn: t, expiresMs: t.expiresMs, hidden: s.turns[t.key] != t})
+		captured[t] = true
+	}
+	slices.Reverse(list[first:])
+	return list
+}
+
+// write writes the captured state to w.
+func (c *capture) write(w io.Writer) error {
 	buffered := bufio.NewWriter(w)
-	if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs}); err != nil {
+	if err := writeRecord(buffered, &ledgerpb.Record{NowMs: c.nowMs}); err != nil {
 		return err
 	}
-	for _, k := range sortedKeys(s.programs) {
-		if err := writeRecord(buffered, &ledgerpb.Record{Program: s.programs[k].record(k)}); err != nil {
+	slices.SortFunc(c.programs, func(a, b *ledgerpb.Program) int {
+		return compareKeys(key{a.Account, a.Id}, key{b.Account, b.Id})
+	})
+	for _, p := range c.programs {
+		slices.Sort(p.Done)
+		if err := writeRecord(buffered, &ledgerpb.Record{Program: p}); err != nil {
 			return err
 		}
 	}
-	for _, k := range sortedKeys(s.streams.byCall) {
+	for _, k := range sortedKeys(c.streams) {
 		// Builds that do not know streams take the record for one of the time stamp.
-		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: s.nowMs, Stream: s.streams.byCall[k].record(k)}); err != nil {
+		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: c.nowMs, Stream: c.streams[k].record(k)}); err != nil {
 			return err
 		}
 	}
-	written := make(map[*turn]bool, len(s.turns))
-	for _, k := range sortedKeys(s.turns) {
-		if err := s.writeChain(buffered, s.turns[k], written); err != nil {
+	for _, t := range c.turns {
+		if err := writeRecord(buffered, &ledgerpb.Record{Turn: t.record()}); err != nil {
 			return err
 		}
 	}
 	return buffered.Flush()
 }
 
+func (c capturedTurn) record() *ledgerpb.Turn {
+	t := c.turn
+	record := &ledgerpb.Turn{Account: t.key.account, Id: t.key.id, Input: t.input, Output: t.output, Server: t.server, ExpiresMs: c.expiresMs, Hidden: c.hidden}
+	if t.previous != nil {
+		record.Previous = t.previous.key.id
+	}
+	return record
+}
+
 func sortedKeys[V any](records map[key]V) []key {
 	return slices.SortedFunc(maps.Keys(records), compareKeys)
 }
@@ -60,36 +116,15 @@
 	return nil
 }
 
-// writeChain writes the ancestors of a turn that are not yet written, then the
-// turn itself. An ancestor that is no longer stored under its ID is marked as hidden:
-// it belongs to the chain, but no new turn can continue from it.
-func (s *State) writeChain(w io.Writer, last *turn, written map[*turn]bool) error {
-	var chain []*turn
-	for t := last; t != nil && !written[t]; t = t.previous {
-		chain = append(chain, t)
-		written[t] = true
-	}
-	for _, t := range slices.Backward(chain) {
-		record := &ledgerpb.Turn{Account: t.key.account, Id: t.key.id, Input: t.input, Output: t.output, Server: t.server, ExpiresMs: t.expiresMs}
-		if t.previous != nil {
-			record.Previous = t.previous.key.id
-		}
-		record.Hidden = s.turns[t.key] != t
-		if err := writeRecord(w, &ledgerpb.Record{Turn: record}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
+// record returns a copy of the program. Done is not sorted.
 func (p *program) record(k key) *ledgerpb.Program {
 	return &ledgerpb.Program{
 		Account:     k.account,
 		Id:          k.id,
 		TokenBudget: p.budget,
 		Settled:     p.settledTokens,
-		Open:        p.reservations,
-		Done:        slices.Sorted(maps.Keys(p.settledCalls)),
+		Open:        maps.Clone(p.reservations),
+		Done:        slices.Collect(maps.Keys(p.settledCalls)),
 		ExpiresMs:   p.expiresMs,
 	}
 }
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -205,3 +205,29 @@
 	assert.NilError(t, state.Restore(&snapshot))
 	return state
 }
+
+// TestCapturedSnapshotIsNotChangedByLaterCommands writes a captured state while further commands
+// are applied.
+func TestCapturedSnapshotIsNotChangedByLaterCommands(t *testing.T) {
+	s := New()
+	turns := func(from, to int) {
+		for i := from; i < to; i++ {
+			call, previous := fmt.Sprint("call ", i), ""
+			if i > 0 {
+				previous = fmt.Sprint("call ", i-1)
+			}
+			apply(t, s, startMs, begin(call, "p", previous, 10, 100_000))
+			apply(t, s, startMs, openStream(call, "v1", 0))
+			apply(t, s, startMs, storeTurn(call, "p", previous, "in", "out", 5))
+		}
+	}
+	turns(0, 50)
+	var before, captured bytes.Buffer
+	assert.NilError(t, s.Snapshot(&before))
+	write := s.CaptureSnapshot()
+	written := make(chan error, 1)
+	go func() { written <- write(&captured) }()
+	turns(50, 100)
+	assert.NilError(t, <-written)
+	assert.Assert(t, bytes.Equal(before.Bytes(), captured.Bytes()))
+}
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -35,6 +35,14 @@
 	Restore(r io.Reader) error
 }
 
+// SnapshotCapturer is a StateMachine whose snapshots are written while it applies further
+// commands.
+type SnapshotCapturer interface {
+	// CaptureSnapshot returns a function that writes the state as it is now, like Snapshot.
+	// The function is called at most once, from another goroutine, while Apply is called.
+	CaptureSnapshot() func(w io.Writer) error
+}
+
 // Applied is the outcome of a proposal.
 type Applied struct {
 	Index  uint64 // log index of the command
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -47,9 +47,11 @@
 	cancel        context.CancelFunc
 	ticker        sync.WaitGroup
 	snapshotSends sync.WaitGroup
-	snapshotSlots chan struct{} // semaphore of concurrent snapshot sends
-	shutdownOnce  sync.Once
-	done          chan struct{} // closed when all goroutines have ended
+	// snapshotWrites are started by apply workers. They end early when the host stops.
+	snapshotWrites sync.WaitGroup
+	snapshotSlots  chan struct{} // semaphore of concurrent snapshot sends
+	shutdownOnce   sync.Once
+	done           chan struct{} // closed when all goroutines have ended
 }
 
 // NewHost opens the data directory of a host and starts the host without groups. It
@@ -291,6 +293,7 @@
 		h.snapshotSends.Wait()
 		h.coreWorkers.close()
 		h.applyWorkers.close()
+		h.snapshotWrites.Wait()
 		h.outbox.close()
 		if err := h.log.Close(); err != nil {
 			h.opts.Logger.Error("cannot close write-ahead log", "error", err)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"context"
 	"errors"
+	"io"
 
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/wal"
@@ -43,16 +45,46 @@
 	g.apply.post(g.takeSnapshot)
 }
 
-// takeSnapshot writes a snapshot file. It runs in the apply mailbox.
+// takeSnapshot writes a snapshot file. It runs in the apply mailbox, which goes on while the
+// file of a state machine that can be captured is written.
 func (g *group) takeSnapshot() {
 	index := g.appliedIndex
-	size, err := g.host.snapshots.save(g.id, index, g.sm)
+	capturer, ok := g.sm.(SnapshotCapturer)
+	if !ok {
+		g.saveSnapshot(index, g.sm.Snapshot)
+		return
+	}
+	write := capturer.CaptureSnapshot()
+	g.host.snapshotWrites.Go(func() {
+		g.saveSnapshot(index, func(w io.Writer) error { return write(contextWriter{g.host.ctx, w}) })
+	})
+}
+
+// saveSnapshot stores the snapshot that a function writes, and records it.
+func (g *group) saveSnapshot(index uint64, write func(io.Writer) error) {
+	size, err := g.host.snapshots.save(g.id, index, write)
+	if g.host.ctx.Err() != nil {
+		return // the host stops: the next start replays the log
+	}
 	g.core.post(func() {
 		g.progress.snapshotBytes = size
 		g.recordSnapshot(index, err)
 	})
 }
 
+// contextWriter fails once its context has ended.
+type contextWriter struct {
+	ctx context.Context
+	w   io.Writer
+}
+
+func (c contextWriter) Write(data []byte) (int, error) {
+	if err := c.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return c.w.Write(data)
+}
+
 // recordSnapshot writes the metadata of a snapshot, whose file is durable, to the log.
 func (g *group) recordSnapshot(index uint64, err error) {
 	if err != nil {
--- a/internal/replica/snapshotstore.go
+++ b/internal/replica/snapshotstore.go
@@ -56,21 +56,43 @@
 	return group, index, err == nil && n == 2 && strings.HasSuffix(name, snapshotSuffix)
 }
 
+// syncBytes of a snapshot are made durable at a time. One sync of a large file at its end would
+// hold up those of the write-ahead log, on which every request waits.
+const syncBytes = 512 << 10
+
+// syncedWriter makes a file durable part by part.
+type syncedWriter struct {
+	file     wal.File
+	unsynced int // bytes
+}
+
+func (s *syncedWriter) Write(data []byte) (int, error) {
+	n, err := s.file.Write(data)
+	s.unsynced += n
+	if err != nil || s.unsynced < syncBytes {
+		return n, err
+	}
+	s.unsynced = 0
+	return n, s.file.Sync()
+}
+
 // write stores the snapshot that the given function writes, durably and atomically.
 func (s *snapshotStore) write(group, index uint64, write func(io.Writer) error) error {
 	path := s.path(group, index)
 	temp := fmt.Sprintf("%s.%d%s", path, s.tempFiles.Add(1), wal.TempSuffix)
-	if err := wal.WriteFileAtomicWithTemp(s.fs, path, temp, write); err != nil {
+	writeParts := func(file wal.File) error { return write(&syncedWriter{file: file}) }
+	if err := wal.WriteFileAtomicWithTemp(s.fs, path, temp, writeParts); err != nil {
 		return fmt.Errorf("%w: snapshot of group %d at index %d: %w", ErrStorage, group, index, err)
 	}
 	return nil
 }
 
-// save stores a snapshot of a state machine and returns its size in bytes.
-func (s *snapshotStore) save(group, index uint64, sm StateMachine) (size int64, err error) {
+// save stores the snapshot of a state machine that a function writes, and returns its size in
+// bytes.
+func (s *snapshotStore) save(group, index uint64, snapshot func(io.Writer) error) (size int64, err error) {
 	err = s.write(group, index, func(w io.Writer) error {
 		chunks := newChunkWriter(w)
-		if err := sm.Snapshot(chunks); err != nil {
+		if err := snapshot(chunks); err != nil {
 			return err
 		}
 		size = chunks.size()
--- a/internal/wal/atomicfile.go
+++ b/internal/wal/atomicfile.go
@@ -14,12 +14,13 @@
 // or the new content. The directory must exist. It writes to a temporary file next
 // to the target, so at most one writer of a file may run at a time.
 func WriteFileAtomic(fs FS, name string, write func(io.Writer) error) error {
-	return WriteFileAtomicWithTemp(fs, name, name+TempSuffix, write)
+	return WriteFileAtomicWithTemp(fs, name, name+TempSuffix, func(f File) error { return write(f) })
 }
 
 // WriteFileAtomicWithTemp is like WriteFileAtomic and takes the name of the temporary
-// file. Concurrent writers of the same file must use different temporary files.
-func WriteFileAtomicWithTemp(fs FS, name, temp string, write func(io.Writer) error) error {
+// file. Concurrent writers of the same file must use different temporary files. The function
+// may sync what it has written so far; the rest is synced after it.
+func WriteFileAtomicWithTemp(fs FS, name, temp string, write func(File) error) error {
 	if err := writeSynced(fs, temp, write); err != nil {
 		_ = fs.Remove(temp) // if this fails, the next start removes the file
 		return fmt.Errorf("wal: write %s: %w", temp, err)
@@ -33,7 +34,7 @@
 	return nil
 }
 
-func writeSynced(fs FS, name string, write func(io.Writer) error) error {
+func writeSynced(fs FS, name string, write func(File) error) error {
 	f, err := fs.Create(name)
 	if err != nil {
 		return err
