Service and version of a stream are joined in its record, not per server

Cause: read-through. Comparing service and version of every candidate built a string for each server of each request, on the path of requests. Change: the record holds both; the part of the own service is taken off when it is read, and one of another service matches no server.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -204,7 +204,7 @@
 func (c *call) blockedServers(sel selection) []*fleet.Instance {
 	var list []*fleet.Instance
 	for _, server := range sel.servers {
-		if !sel.versions.Allows(softwareOf(server)) {
+		if !sel.versions.Allows(server.Version) {
 			continue
 		}
 		if server.Limited() || !c.g.loads.isOpen(server, sel.mayAsk) {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -196,7 +196,7 @@
 func (t *loadTracker) candidates(sel selection) []candidate {
 	var list []candidate
 	for _, server := range sel.servers {
-		if sel.exclude[server.ID] || !sel.versions.Allows(softwareOf(server)) || sel.blocked != nil && sel.blocked(server) {
+		if sel.exclude[server.ID] || !sel.versions.Allows(server.Version) || sel.blocked != nil && sel.blocked(server) {
 			continue
 		}
 		if t.windowOpen(server, sel.mayAsk) {
@@ -223,7 +223,7 @@
 	cand := candidate{
 		server:       server,
 		penalized:    load.isSilent(server, sel.now) || sel.now.Before(load.penalizedUntil),
-		otherVersion: !sel.versions.Prefers(softwareOf(server)),
+		otherVersion: !sel.versions.Prefers(server.Version),
 		running:      load.running,
 		remote:       server.FailureDomain != sel.failureDomain,
 		limited:      server.Limited(),
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
@@ -53,16 +54,16 @@
 	}, versionsOf(servers))
 }
 
-// softwareOf returns what the output of a server depends on: its service and the version of its
-// software. A client may resume a stream after its route has moved to another service.
-func softwareOf(server *fleet.Instance) string { return server.Service + "/" + server.Version }
+// servicePrefix begins each version that is recorded for the call's service. A client may
+// resume a stream after its route has moved to another service.
+func (c *call) servicePrefix() string { return c.service.Name + "/" }
 
 // versionsOf returns the distinct versions of servers.
 func versionsOf(servers []*fleet.Instance) []string {
 	var versions []string
 	for _, server := range servers {
-		if software := softwareOf(server); !slices.Contains(versions, software) {
-			versions = append(versions, software)
+		if !slices.Contains(versions, server.Version) {
+			versions = append(versions, server.Version)
 		}
 	}
 	return versions
@@ -82,7 +83,7 @@
 	if server == nil {
 		return nil
 	}
-	return c.assignCommand(softwareOf(server))
+	return c.assignCommand(server.Version)
 }
 
 // resumeCommand returns the command that looks up the version of the resumed stream, by the
@@ -123,24 +124,27 @@
 	return &ledgerpb.OpenStream{
 		Account:     c.accountName(),
 		CallId:      c.meta.ID,
-		Version:     version,
+		Version:     c.servicePrefix() + version,
 		Revision:    c.stream.revision,
 		Content:     c.contentID(),
 		RetentionMs: c.streamRetention().Milliseconds(),
 	}
 }
 
-// streamOpened stores the outcome of a command that the ledger has applied. version is that
-// of the resumed stream.
-func (c *call) streamOpened(command *ledgerpb.OpenStream, version string) {
-	switch {
-	case command == nil:
-	case command.Resumed:
-		c.stream.assigned, c.stream.version = true, version
-	default:
-		c.stream.assigned, c.stream.version = true, command.Version
+// streamOpened stores the outcome of a command that the ledger has applied. resumed is the
+// recorded version of the resumed stream. That of another service keeps its prefix, so that no
+// server of this one has it.
+func (c *call) streamOpened(command *ledgerpb.OpenStream, resumed string) {
+	if command == nil {
+		return
+	}
+	recorded := command.Version
+	if command.Resumed {
+		recorded = resumed
+	} else {
 		c.stream.revision = command.Revision + 1
 	}
+	c.stream.assigned, c.stream.version = true, strings.TrimPrefix(recorded, c.servicePrefix())
 }
 
 // lookUpStream reads the version of the resumed stream on routes that need the ledger for
@@ -167,7 +171,7 @@
 // there. On routes without program turns, a first record that fails is not required: without
 // one, entries refuse to resume the stream. Other records are.
 func (c *call) recordVersion(ctx context.Context) error {
-	version := softwareOf(c.server)
+	version := c.server.Version
 	if !c.route.ResumableStream() || c.stream.assigned && c.stream.version == version {
 		return nil
 	}
--- a/internal/policy/quota/allocator.go
+++ b/internal/policy/quota/allocator.go
@@ -65,8 +65,8 @@
 // NewAllocator returns the allocator of a leadership that begins at started. No other
 // allocator may grant anything after that. It begins without permits, and earlier ones' are
 // taken to be valid until PermitLifetime has passed. running holds the programs that are known
-// to run, hashed, by account. After a loss of all hosts no entry remembers them, and permits
-// are scarce: taken for new ones, they would be refused in favour of none.
+// to run, hashed, by account: after a loss of all hosts no entry remembers them, and they would
+// be denied like new ones while permits are scarce.
 func NewAllocator(w Window, started time.Duration, running map[string][]uint64) *Allocator {
 	return &Allocator{window: w, started: started, accounts: make(map[string]*accountState), running: running}
 }
