Review, case 4: kept turns are unknown on a public route after a freeze

What it shows: on a public route, an entry whose confirmation of the client accounts has expired handles requests as those of no account. Turns that are kept for the account of the client's key are then answered 404.

How: review/4/run.sh freezes one front machine for 6 s and sends the second turns of eight programs on open channels 1.5 s before it wakes.

--- a/review/standin/config_growth.go
+++ b/review/standin/config_growth.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,7 @@
 	// changes of the configuration follow, one each changePause.
 	changes     = 380
 	changePause = 200 * time.Millisecond
+	lengthLimit = 95 * time.Second // of the changes
 	// endsLimit is the number of times that the processes of a machine may end by themselves, and
 	// machinesLimit the number of machines on which they may do so.
 	endsLimit     = 3
@@ -43,8 +45,10 @@
 	}
 	time.Sleep(settleTime / 2)
 	stop, killed := make(chan struct{}), make(chan map[string]int, 1)
-	go func() { killed <- s.watchMemory(stop) }()
-	for version := 2; version < 2+changes; version++ {
+	watcher := &memoryWatcher{system: s, most: make(map[*process]int64), ends: make(map[string]int)}
+	go func() { killed <- watcher.run(stop) }()
+	limit := time.Now().Add(lengthLimit)
+	for version := 2; version < 2+changes && time.Now().Before(limit) && !watcher.broken.Load(); version++ {
 		routes := []any{plainRoute("first", "/first/", "safe", "app", 1500+version)}
 		for i := 0; trouble && i < addedRoutes*min(version-1, growths); i++ {
 			routes = append(routes, plainRoute(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/added-%05d/", i), "safe", "app", 1500))
@@ -56,53 +60,71 @@
 		}
 		time.Sleep(time.Until(next))
 	}
-	time.Sleep(2 * time.Second)
 	close(stop)
-	machines := 0
 	for name, ends := range <-killed {
 		s.record.line("%s: processes ended by themselves %d times", name, ends)
+	}
+	s.record.line("%d machines on which processes ended by themselves %d times or more", watcher.machines(), endsLimit)
+	return watcher.broken.Load(), nil
+}
+
+// memoryWatcher does what the platform does: it kills each process that uses more than its limit,
+// and starts it again.
+type memoryWatcher struct {
+	system *system
+	most   map[*process]int64
+	ends   map[string]int // by machine
+	broken atomic.Bool    // machinesLimit is reached
+}
+
+// machines returns the number of machines on which processes ended endsLimit times or more.
+func (w *memoryWatcher) machines() int {
+	n := 0
+	for _, ends := range w.ends {
 		if ends >= endsLimit {
-			machines++
+			n++
 		}
 	}
-	s.record.line("%d machines on which processes ended by themselves %d times or more", machines, endsLimit)
-	return machines >= machinesLimit, nil
+	return n
 }
 
-// watchMemory does what the platform does: it kills each process that uses more than its limit,
-// and starts it again. It returns the number of kills by machine.
-func (s *system) watchMemory(stop <-chan struct{}) map[string]int {
-	kills := make(map[string]int)
-	most := make(map[*process]int64)
+// run watches the processes until stop is closed, and returns how often they ended, by machine.
+func (w *memoryWatcher) run(stop <-chan struct{}) map[string]int {
+	s := w.system
 	for tick := 0; ; tick++ {
 		select {
 		case <-stop:
 			for _, p := range s.all() {
-				s.record.line("%s %s: at most %d MB of %d MB", p.name, p.role, most[p]>>20, memoryLimits[p.role]>>20)
+				s.record.line("%s %s: at most %d MB of %d MB", p.name, p.role, w.most[p]>>20, memoryLimits[p.role]>>20)
 			}
-			return kills
+			return w.ends
 		case <-time.After(100 * time.Millisecond):
 		}
 		for _, p := range s.all() {
 			used := p.memory()
-			most[p] = max(most[p], used)
+			w.most[p] = max(w.most[p], used)
 			if tick%50 == 0 && p.role == "statehost" {
 				s.record.line("%s %s uses %d MB", p.name, p.role, used>>20)
 			}
-			if used <= memoryLimits[p.role] {
-				continue
-			}
-			kills[p.name]++
-			s.record.line("the platform kills %s %s: it uses %d MB, its limit is %d MB", p.name, p.role, used>>20, memoryLimits[p.role]>>20)
-			p.kill()
-			time.Sleep(300 * time.Millisecond)
-			if err := p.start(false); err != nil {
-				s.record.line("not started: %v", err)
+			if used > memoryLimits[p.role] {
+				w.restart(p, used)
 			}
 		}
 	}
 }
 
+// restart kills a process that uses too much, and starts it again after a short delay.
+func (w *memoryWatcher) restart(p *process, used int64) {
+	w.ends[p.name]++
+	w.broken.Store(w.machines() >= machinesLimit)
+	w.system.record.line("the platform kills %s %s: it uses %d MB, its limit is %d MB", p.name, p.role, used>>20, memoryLimits[p.role]>>20)
+	p.kill()
+	time.Sleep(300 * time.Millisecond)
+	if err := p.start(false); err != nil {
+		w.system.record.line("not started: %v", err)
+	}
+}
+
 // memory returns the resident memory of the process that is no page of a file, in bytes.
 func (p *process) memory() int64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Results of a case.
@@ -42,6 +44,14 @@
 		return failed
 	}
 	defer s.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		r.line("stopped from outside")
+		s.stop()
+		os.Exit(failed)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.line("case %s, disruption: %v", name, trouble)
 	ruleBroken, err := cases[name](s, trouble)
--- a/review/standin/public_turn.go
+++ b/review/standin/public_turn.go
@@ -15,7 +15,7 @@
 	sentBefore = 1500 * time.Millisecond // the wake-up; clients wait longer than that for a first event
 )
 
-// publicTurn continues kept turns on a public route while one entry stands still and wakes again.
+// publicTurn continues kept turns on a public route while one front machine stands still and wakes again.
 // The clients send the key of their tenant with every request, on channels that they keep open.
 func publicTurn(s *system, trouble bool) (bool, error) {
 	s.extraBounds = "  strict_revoke: true\n  revoke_ms: 5000\n  quota_window_s: 5\n  quota_over: 0.1\n  quota_slack: 20\n"
@@ -54,10 +54,15 @@
 		s.record.line("first turn %s of program-%d is answered 200 and whole", first[i].id, i)
 	}
 	if trouble {
-		entry.signal(syscall.SIGSTOP)
+		machine := []*process{entry, s.standbys[0]}
+		for _, p := range machine {
+			p.signal(syscall.SIGSTOP)
+		}
 		s.record.line("%s stands still", entry.name)
 		time.AfterFunc(frozenFor, func() {
-			entry.signal(syscall.SIGCONT)
+			for _, p := range machine {
+				p.signal(syscall.SIGCONT)
+			}
 			s.record.line("%s goes on", entry.name)
 		})
 		time.Sleep(frozenFor - sentBefore)
