--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -31,7 +31,6 @@
 // Bounds of the deployment, those of the small deployments of the pages.
 const (
 	configBound = 2 * time.Second
-	graceBound  = 8 * time.Second
 	heartbeat   = 1200 * time.Millisecond // of workers
 	settleTime  = 10 * time.Second        // from the start of the machines to the start of traffic
 )
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -33,9 +33,7 @@
 	stopped  chan struct{}
 
 	mu       sync.Mutex
-	runs     map[string]int    // by Request-Id
-	refused  map[string]int    // by Request-Id
-	bodies   map[string]string // that were run, by Request-Id; only of turns
+	runs     map[string]int // by Request-Id
 	sequence int
 }
 
@@ -46,7 +44,7 @@
 	}
 	w.system, w.listener, w.born = s, listener, time.Now()
 	w.busy, w.waiting, w.stopped = make(chan struct{}, w.slots), make(chan struct{}, w.slots+w.queue), make(chan struct{})
-	w.runs, w.refused, w.bodies = make(map[string]int), make(map[string]int), make(map[string]string)
+	w.runs = make(map[string]int)
 	if w.version == "" {
 		w.version = "v1"
 	}
@@ -105,8 +103,7 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		if late != "" {
@@ -116,7 +113,7 @@
 			w.system.record.line("worker %s sends the copy of its refusal late, where the answer to %s is expected", w.id, r.Header.Get("Request-Id"))
 			late = ""
 		}
-		refusal, ok := w.answer(conn, r, body)
+		refusal, ok := w.answer(conn, r)
 		if !ok {
 			return
 		}
@@ -127,7 +124,7 @@
 }
 
 // answer answers one request, and returns the bytes of a refusal.
-func (w *worker) answer(conn net.Conn, r *http.Request, body []byte) (string, bool) {
+func (w *worker) answer(conn net.Conn, r *http.Request) (string, bool) {
 	id := r.Header.Get("Request-Id")
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
 		text := fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
@@ -138,9 +135,6 @@
 	case w.waiting <- struct{}{}:
 	default:
 		text := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\nKeep-Alive: timeout=20\r\n\r\n", id)
-		w.mu.Lock()
-		w.refused[id]++
-		w.mu.Unlock()
 		w.system.record.line("worker %s refuses %s: full", w.id, id)
 		_, err := io.WriteString(conn, text)
 		return text, err == nil
@@ -149,9 +143,6 @@
 	w.mu.Lock()
 	w.runs[id]++
 	run := w.runs[id]
-	if r.Header.Get("Token-Count") != "" {
-		w.bodies[id] = string(body)
-	}
 	w.mu.Unlock()
 	w.system.record.line("worker %s runs %s %s (run %d)", w.id, id, r.URL.Path, run)
 	if w.work != nil {
