--- a/review/standin/config_growth.go
+++ b/review/standin/config_growth.go
@@ -14,10 +14,12 @@
 	// addedRoutes is the number of routes by which the configuration grows, growths times.
 	addedRoutes = 1700
 	growths     = 3
-	// changes of the configuration follow, one each changePause.
-	changes     = 380
-	changePause = 200 * time.Millisecond
-	lengthLimit = 95 * time.Second // of the changes
+	// Storms of changes follow: one each changePause at the most, for stormFor, then stormPause.
+	changes     = 600
+	changePause = 60 * time.Millisecond
+	stormFor    = 1500 * time.Millisecond
+	stormPause  = time.Second
+	lengthLimit = 92 * time.Second // of the changes
 	// endsLimit is the number of times that the processes of a machine may end by themselves, and
 	// machinesLimit the number of machines on which they may do so.
 	endsLimit     = 3
@@ -48,6 +50,7 @@
 	watcher := &memoryWatcher{system: s, most: make(map[*process]int64), ends: make(map[string]int)}
 	go func() { killed <- watcher.run(stop) }()
 	limit := time.Now().Add(lengthLimit)
+	storm := time.Now()
 	for version := 2; version < 2+changes && time.Now().Before(limit) && !watcher.broken.Load(); version++ {
 		routes := []any{plainRoute("first", "/first/", "safe", "app", 1500+version)}
 		for i := 0; trouble && i < addedRoutes*min(version-1, growths); i++ {
@@ -59,6 +62,10 @@
 			break
 		}
 		time.Sleep(time.Until(next))
+		if time.Since(storm) >= stormFor {
+			time.Sleep(stormPause)
+			storm = time.Now()
+		}
 	}
 	close(stop)
 	for name, ends := range <-killed {
--- a/review/standin/late_copy.go
+++ b/review/standin/late_copy.go
@@ -16,40 +16,49 @@
 	garbledPause = time.Second
 )
 
-// lateCopy sends requests that must not run twice to a service that is full at times. Its worker
-// sends a copy of a few of its refusals late, at the point where the next answer on the channel
-// is expected.
+// services is the number of services, each with one faulty and one sound worker.
+const services = 4
+
+// lateCopy sends requests that must not run twice to services that are full at times. One of the
+// two workers of each sends a copy of a few of its refusals late, at the point where the next
+// answer on the channel is expected.
 func lateCopy(s *system, trouble bool) (bool, error) {
 	const (
 		work  = 70 * time.Millisecond
-		slots = 2
-		load  = 0.75 // of what the slots can run
+		slots = 2    // of each worker
+		load  = 0.65 // of what the slots can run
 	)
 	if err := s.start(); err != nil {
 		return false, err
 	}
-	faulty := &worker{id: "i-1", service: "app", zone: zones[0], slots: slots, work: func(*http.Request) time.Duration { return work }}
-	sound := &worker{id: "i-2", service: "other", zone: zones[1], slots: slots}
-	if trouble {
-		start := time.Now()
-		faulty.lateCopy = func() bool {
-			return time.Since(start)%(garbledFor+garbledPause) < garbledFor && rand.Float64() < garbledShare
-		}
+	start := time.Now()
+	garbles := func() bool {
+		return time.Since(start)%(garbledFor+garbledPause) < garbledFor && rand.Float64() < garbledShare
 	}
-	workers := []*worker{faulty, sound}
-	for i, w := range workers {
-		if _, err := startWorker(s, w, fmt.Sprintf("%s.%d", s.net, 40+i)); err != nil {
-			return false, err
+	var workers []*worker
+	var routes, served []any
+	for i := range services {
+		name := fmt.Sprintf("app-%d", i+1)
+		routes = append(routes, plainRoute(name, "/"+name+"/", "unsafe", name, 2000))
+		served = append(served, plainService(name))
+		for j := range 2 {
+			w := &worker{id: fmt.Sprintf("i-%d-%d", i+1, j+1), service: name, zone: zones[j], slots: slots, work: func(*http.Request) time.Duration { return work }}
+			if trouble && j == 0 {
+				w.lateCopy = garbles
+			}
+			if _, err := startWorker(s, w, fmt.Sprintf("%s.%d", s.net, 40+2*i+j)); err != nil {
+				return false, err
+			}
+			workers = append(workers, w)
 		}
 	}
 	time.Sleep(settleTime / 2)
-	routes := []any{plainRoute("ticket", "/ticket/", "unsafe", "app", 2000), plainRoute("other", "/other/", "unsafe", "other", 2000)}
-	if _, err := (operator{system: s}).putConfig(1, routes, []any{plainService("app"), plainService("other")}); err != nil {
+	if _, err := (operator{system: s}).putConfig(1, routes, served); err != nil {
 		return false, err
 	}
 	time.Sleep(settleTime / 2)
-	answers := s.load(80*time.Second, load*slots/work.Seconds(), func(entry *process) answer {
-		return send(entry, http.MethodPost, "/ticket/new", 2*time.Second, nil, []byte("one ticket"))
+	answers := s.load(80*time.Second, load*services*2*slots/work.Seconds(), func(entry *process) answer {
+		return send(entry, http.MethodPost, fmt.Sprintf("/app-%d/new", 1+rand.IntN(services)), 2*time.Second, nil, []byte("one ticket"))
 	})
 	time.Sleep(time.Second) // longer than any request runs
 	return s.checkOnce(answers, workers), nil
