Reports with unreadable names do not end the updates of all watchers

Cause: the server table kept any ID that is not empty. A protobuf string must be UTF-8 and an update is encoded as a whole, so each update with that record failed, and each new stream begins with the whole table. Ruled out: load, since orders were acknowledged within 30 ms, and the loss of the group's leader.

Change: the table refuses names that are not UTF-8 or longer than 256 bytes, from whichever side they come; heartbeats and deregistrations get 400. An update carries at most 2,048 reports, further ones follow in more updates, so that no table is too large to be sent. A counter shows updates that could not be encoded.

Old and new builds: an update in parts is merged by the build before like several updates, each part names the sender's contact to a quorum. A name that only the build before accepts is not taken over (unreadableServerIDs).

--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -57,12 +57,12 @@
 	defer t.mu.Unlock()
 	known := t.records[n.ID]
 	if known == nil {
-		if !n.Leaving {
+		// It must not rank as the newest server at its address.
+		instance := &Instance{ID: n.ID, Address: n.Address, StartUnixMs: n.StartUnixMs, LastHeartbeat: now.Add(-goneRetentionPeriod)}
+		if !n.Leaving || instance.checkNames() != nil {
 			return nil, false
 		}
-		known = new(record)
-		// It must not rank as the newest server at its address.
-		known.instance = &Instance{ID: n.ID, Address: n.Address, StartUnixMs: n.StartUnixMs, LastHeartbeat: now.Add(-goneRetentionPeriod)}
+		known = &record{instance: instance}
 	}
 	current := known.instance
 	if current.StartUnixMs != n.StartUnixMs || current.Address != n.Address {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -6,10 +6,7 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"math"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -23,9 +20,6 @@
 	goneRetentionPeriod = 60 * time.Second
 )
 
-// ErrInvalid is wrapped by the errors of heartbeats that describe no usable server.
-var ErrInvalid = errors.New("fleet: invalid heartbeat")
-
 // Instance is a report about one run of a backend server process. A restarted server
 // may keep its ID. Instances are immutable.
 type Instance struct {
@@ -45,24 +39,14 @@
 	LeavingSource string    // the entry to which it said that it leaves, "": its heartbeats said so, or nothing did
 }
 
-// Validate returns an error that wraps ErrInvalid if the ID, the service or a numeric
-// address with port is missing.
-func (i *Instance) Validate() error {
-	if i.ID == "" || i.Service == "" {
-		return fmt.Errorf("%w: ID %q or service %q is empty", ErrInvalid, i.ID, i.Service)
-	}
-	if _, err := netip.ParseAddrPort(i.Address); err != nil {
-		return fmt.Errorf("%w: address %q: %w", ErrInvalid, i.Address, err)
-	}
-	return nil
-}
-
 // newerThan reports whether i is a later report than other about the same ID.
 func (i *Instance) newerThan(other *Instance) bool {
 	return cmp.Or(cmp.Compare(i.StartUnixMs, other.StartUnixMs), cmp.Compare(i.Sequence, other.Sequence)) > 0
 }
 
-// Table holds the latest report for each instance ID. It is safe for concurrent use.
+// Table holds the latest report for each instance ID. It holds none whose names are
+// unreadable, whichever host sent it: updates could not carry it. It is safe for concurrent
+// use.
 type Table struct {
 	mu       sync.Mutex
 	revision uint64             // incremented by each stored report
@@ -97,7 +81,7 @@
 
 // Merge stores a report of another host unless a later one about the same instance is
 // known. The same report replaces the known one if it adds that the instance is silent.
-// Merge reports whether the report was stored.
+// Merge reports whether the report was stored. One with unreadable names is not.
 func (t *Table) Merge(i *Instance) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,6 +112,9 @@
 
 // merge stores a report if it is later than the known one. The caller holds the mutex.
 func (t *Table) merge(i *Instance) bool {
+	if i.checkNames() != nil {
+		return false
+	}
 	known := t.records[i.ID]
 	if known == nil {
 		t.put(i, &record{})
@@ -231,8 +218,12 @@
 // MarkGone records that an instance has left. startUnixMs is its start, 0 for the latest
 // one that is known. It changes nothing if a later start of the ID is known. A start that is
 // not known is recorded too: its heartbeats went to another host, or come after its
-// deregistration. MarkGone reports whether the start was known.
+// deregistration. MarkGone reports whether the start was known. It ignores an ID that
+// ValidateID refuses.
 func (t *Table) MarkGone(id string, startUnixMs int64, now time.Time) bool {
+	if ValidateID(id) != nil {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.records[id]
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -94,6 +94,8 @@
 		{"change of the routes while their leader is frozen", three, routesWhileLeaderIsFrozen},
 		{"heartbeats travel once", four, heartbeatsTravelOnce},
 		{"heartbeats reach a host that is cut off from their receiver", four, heartbeatsReachCutOffHost},
+		{"reports of servers whose names are unreadable", three, unreadableServerIDs},
+		{"more servers than one update carries", three, manyServers},
 	}
 	for _, victim := range three {
 		for delay := time.Duration(0); delay <= maxPowerLossDelay; delay += time.Millisecond {
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -6,21 +6,22 @@
 
 // metrics are the Prometheus metrics of a state host.
 type metrics struct {
-	retries          *prometheus.CounterVec // by reason: retried requests to leaders
-	heartbeats       *prometheus.CounterVec // by outcome: taken, late, refused, isolated
-	operatorRequests *prometheus.CounterVec // by kind and outcome: requests of operators
-	ledgerCommands   *prometheus.CounterVec // by kind and outcome: commands to the ledger
-	membershipSteps  *prometheus.CounterVec // by kind: membership changes
-	reportsSent      *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
-	updatesSent      *prometheus.CounterVec // by watcher: updates, empty ones included
-	permits          *prometheus.CounterVec // by outcome, granted or denied: permits to send to servers with a limit
-	accountPermits   *prometheus.CounterVec // by outcome, granted, denied or programs_denied: permits of client accounts
-	busyResponses    prometheus.Counter     // responses that told an entry to send less
-	watchers         prometheus.Gauge
-	programs         prometheus.Gauge
-	streams          prometheus.Gauge
-	turns            prometheus.Gauge
-	turnBytes        prometheus.Gauge
+	retries           *prometheus.CounterVec // by reason: retried requests to leaders
+	heartbeats        *prometheus.CounterVec // by outcome: taken, late, refused, isolated
+	operatorRequests  *prometheus.CounterVec // by kind and outcome: requests of operators
+	ledgerCommands    *prometheus.CounterVec // by kind and outcome: commands to the ledger
+	membershipSteps   *prometheus.CounterVec // by kind: membership changes
+	reportsSent       *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
+	updatesSent       *prometheus.CounterVec // by watcher: updates, empty ones included
+	updatesUnsendable prometheus.Counter     // updates that could not be encoded, which end the watcher's stream
+	permits           *prometheus.CounterVec // by outcome, granted or denied: permits to send to servers with a limit
+	accountPermits    *prometheus.CounterVec // by outcome, granted, denied or programs_denied: permits of client accounts
+	busyResponses     prometheus.Counter     // responses that told an entry to send less
+	watchers          prometheus.Gauge
+	programs          prometheus.Gauge
+	streams           prometheus.Gauge
+	turns             prometheus.Gauge
+	turnBytes         prometheus.Gauge
 }
 
 const namespace = "ibistray"
@@ -46,8 +47,11 @@
 		membershipSteps:  counter("membership_steps_total", "Membership change steps, by kind.", "kind"),
 		reportsSent:      counter("watch_reports_total", "Reports of backend servers sent to watchers, by kind of watcher.", "watcher"),
 		updatesSent:      counter("watch_updates_total", "Updates sent to watchers, empty ones included, by kind of watcher.", "watcher"),
-		permits:          counter("permits_total", "Permits to send to backend servers with a limit, by outcome.", "outcome"),
-		accountPermits:   counter("account_permits_total", "Permits of client accounts: granted ones, and requests and programs that were denied.", "outcome"),
+		updatesUnsendable: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "watch_updates_unsendable_total", Help: "Updates that could not be encoded, which ended the stream of their watcher.",
+		}),
+		permits:        counter("permits_total", "Permits to send to backend servers with a limit, by outcome.", "outcome"),
+		accountPermits: counter("account_permits_total", "Permits of client accounts: granted ones, and requests and programs that were denied.", "outcome"),
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
@@ -57,6 +61,6 @@
 		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -269,12 +269,16 @@
 }
 
 // Deregister records that a backend server leaves. A startUnixMs of 0 stands for its latest
-// start. Error: ErrIsolated.
+// start. Errors: fleet.ErrInvalid, ErrIsolated.
 func (h *Host) Deregister(id string, startUnixMs int64) error {
 	if h.isIsolated(time.Now()) {
 		h.metrics.heartbeats.WithLabelValues("isolated").Inc()
 		return ErrIsolated
 	}
+	if err := fleet.ValidateID(id); err != nil {
+		h.metrics.heartbeats.WithLabelValues("refused").Inc()
+		return err
+	}
 	known := h.servers.MarkGone(id, startUnixMs, time.Now())
 	h.log.Info("backend server leaves", "server", id, "born", startUnixMs, "known", known)
 	return nil
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"iter"
 	"slices"
 	"time"
 
@@ -18,6 +20,9 @@
 	maxMissedHeartbeats = 4
 	// coalesceDelay combines changes in quick succession into one update.
 	coalesceDelay = 20 * time.Millisecond
+	// maxReportsPerUpdate limits the reports of backend servers in one update. With names of
+	// the greatest length, an update of that many stays below transport.MaxMessageBytes.
+	maxReportsPerUpdate = 2048
 )
 
 // handleWatch sends updates to one watcher until its stream ends. While nothing changes it
@@ -39,12 +44,10 @@
 		if err := stream.SetDeadline(time.Now().Add(fleetwatch.SilenceTimeout)); err != nil {
 			return transport.ErrInterrupted
 		}
-		if err := stream.Send(update); err != nil {
+		if err := w.send(stream, update); err != nil {
 			h.log.Info("watcher disconnected", "viewer", req.Viewer, "error", err)
 			return transport.ErrInterrupted
 		}
-		h.metrics.reportsSent.WithLabelValues(w.kind()).Add(float64(len(update.Instances)))
-		h.metrics.updatesSent.WithLabelValues(w.kind()).Inc()
 		if err := waitForChange(ctx, changed); err != nil {
 			return transport.Errorf(rpcpb.Code_CODE_STOPPING, "%s", err)
 		}
@@ -85,6 +88,41 @@
 	controlAddresses []string
 }
 
+// send sends an update as one message or, if it has more than maxReportsPerUpdate reports of
+// backend servers, as several.
+func (w *watcher) send(stream *transport.Stream, update *fleetpb.Update) error {
+	metrics := w.host.metrics
+	for part := range parts(update) {
+		if err := stream.Send(part); err != nil {
+			if !errors.Is(err, transport.ErrInterrupted) {
+				metrics.updatesUnsendable.Inc()
+			}
+			return err
+		}
+		metrics.reportsSent.WithLabelValues(w.kind()).Add(float64(len(part.Instances)))
+		metrics.updatesSent.WithLabelValues(w.kind()).Inc()
+	}
+	return nil
+}
+
+// parts returns an update as messages of at most maxReportsPerUpdate reports of backend
+// servers. Everything else is in the first one, but for the state of the sender, which each
+// message has.
+func parts(update *fleetpb.Update) iter.Seq[*fleetpb.Update] {
+	return func(yield func(*fleetpb.Update) bool) {
+		rest := update.Instances
+		part := update
+		for {
+			n := min(len(rest), maxReportsPerUpdate)
+			part.Instances, rest = rest[:n], rest[n:]
+			if !yield(part) || len(rest) == 0 {
+				return
+			}
+			part = &fleetpb.Update{Quorum: update.Quorum}
+		}
+	}
+}
+
 // kind returns the kind of the watcher as a label of metrics.
 func (w *watcher) kind() string {
 	if w.peer {
