Text of an error that is no UTF-8 does not end the stream of all calls

A status with an error's text is encoded together with the replies of other calls; if the text has bytes that are not UTF-8, the reply cannot be sent, and the stream that all calls of a method share was closed. Found by reading: no error quotes bytes of a request without escaping them today.

Change: such bytes are replaced in the text of a status.

Before the fix errorTextWithUnreadableBytesEndsOnlyItsCall ended with the other calls broken off (the test's goroutines were left behind, the package failed). Nothing changes on the wire for text that could be sent before.

--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"ibistray.example/ibistray/proto/rpcpb"
 )
@@ -49,6 +51,8 @@
 	return rpcpb.Code_CODE_OK
 }
 
+// statusFromError returns the status that reports err to the peer. Bytes of its text that are
+// not UTF-8, such as those of a quoted request, are replaced: no status could carry them.
 func statusFromError(err error) *rpcpb.Status {
 	if err == nil {
 		return &rpcpb.Status{Code: rpcpb.Code_CODE_OK}
@@ -57,12 +61,16 @@
 	if errors.As(err, &e) {
 		return &rpcpb.Status{
 			Code:         e.Code,
-			Detail:       e.Detail,
+			Detail:       encodableText(e.Detail),
 			Leader:       e.Leader,
 			RetryAfterMs: e.RetryAfter.Milliseconds(),
 		}
 	}
-	return &rpcpb.Status{Code: rpcpb.Code_CODE_INTERNAL, Detail: err.Error()}
+	return &rpcpb.Status{Code: rpcpb.Code_CODE_INTERNAL, Detail: encodableText(err.Error())}
+}
+
+func encodableText(text string) string {
+	return strings.ToValidUTF8(text, string(utf8.RuneError))
 }
 
 func errorFromStatus(st *rpcpb.Status) error {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -94,6 +94,7 @@
 		{"idleSessionIsClosed", idleSessionIsClosed},
 		{"concurrentSharedCallsGetTheirOwnReplies", concurrentSharedCallsGetTheirOwnReplies},
 		{"slowSharedCallDoesNotDelayOthers", slowSharedCallDoesNotDelayOthers},
+		{"errorTextWithUnreadableBytesEndsOnlyItsCall", errorTextWithUnreadableBytesEndsOnlyItsCall},
 		{"sharedCallReturnsWhenItsContextEnds", sharedCallReturnsWhenItsContextEnds},
 		{"closedSharedStreamFailsItsCallsAndIsReopened", closedSharedStreamFailsItsCallsAndIsReopened},
 		{"undecodableSharedCallFailsWithoutTheStream", undecodableSharedCallFailsWithoutTheStream},
