A backend server's error text that is no UTF-8 reaches the entry

Callers would see a broken attempt instead of the refusal. The text of a backend server's error is cut at a number of bytes, if need be inside a character, and stands in a string field of the refusal, which then could not be encoded.

Change: bytes that are not UTF-8 are replaced in the text of each refusal.

Before the fix TestRefusalWithUnreadableTextReachesTheEntry failed with "string field contains invalid UTF-8". The format of messages is unchanged.

--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
@@ -58,9 +60,11 @@
 	refused *rpcpb.RunRefused
 }
 
-// newRefusal returns a refusal. notRun guarantees that the attempt was not run.
+// newRefusal returns a refusal. notRun guarantees that the attempt was not run. detail may be
+// text of a backend server: bytes that are not UTF-8 are replaced, since no message could carry
+// them.
 func newRefusal(reason rpcpb.RunRefusal, notRun bool, detail string) *rpcpb.RunRefused {
-	return &rpcpb.RunRefused{Reason: reason, NotRun: notRun, Detail: detail}
+	return &rpcpb.RunRefused{Reason: reason, NotRun: notRun, Detail: strings.ToValidUTF8(detail, string(utf8.RuneError))}
 }
 
 // admit finds or creates the attempt of a request. Before it creates one, it calls
