Requests whose IDs the ledger cannot record are refused as invalid

Callers were told to try again, with 503, and each such turn counted as a failure of the ledger. Cause: the same as of the unreadable server IDs: a request ID, a program or a turn before that is not UTF-8 cannot stand in a message to the ledger.

Change: on requests that need the ledger, such names get 400 before anything is reserved. Plain requests are served as before: their ID only has to come back.

Messages between processes are unchanged.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -166,6 +166,11 @@
 		return err
 	}
 	c.meta = meta
+	if c.usesLedger() {
+		if err := meta.validateNames(); err != nil {
+			return err
+		}
+	}
 	timeout := c.route.Timeout
 	if meta.Timeout > 0 {
 		timeout = min(timeout, meta.Timeout)
@@ -179,6 +184,11 @@
 	return c.readBody(target)
 }
 
+// usesLedger reports whether the request cannot be served without the ledger.
+func (c *call) usesLedger() bool {
+	return c.route.ProgramTurns || c.route.ResumableStream() && c.meta.LastEventID != ""
+}
+
 // waitForRoutes returns the routes in force, or nil if there are none after
 // viewTimeout. An entry that has just started receives them sooner than a refused
 // client could retry. One that was suspended first waits for an update, since its routes
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
+	"unicode/utf8"
 )
 
 // ErrBadRequest is wrapped by errors about invalid request metadata and malformed request
@@ -29,6 +31,17 @@
 	Key          string // with which the client authenticates, "" if it sent none
 }
 
+// validateNames returns an error that wraps ErrBadRequest if a name that the ledger records is
+// not UTF-8, so that no message to the ledger could carry it.
+func (m *RequestMeta) validateNames() error {
+	for _, name := range []string{m.ID, m.Program, m.PreviousTurn, m.Resumes} {
+		if !utf8.ValidString(name) {
+			return fmt.Errorf("%w: %q is not UTF-8", ErrBadRequest, name)
+		}
+	}
+	return nil
+}
+
 // PromptPart is a prompt section that several requests share.
 type PromptPart struct {
 	ID     string
