The log of an attempt names its connection

Needed to tell how a request of review/2 ran twice: by a copy of a refusal on a connection that is used again, by a second sending after an unclear outcome, or by a hedged one.

Only the log changes: fields connection and exchange, 0 without a response.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,7 +76,7 @@
 // logFailedAttempt logs an attempt that did not yield a response.
 func (c *call) logFailedAttempt(err error) {
 	c.g.log.Info("attempt ended", "request", c.meta.ID, "program", c.meta.Program, "server", c.server.ID, "address", c.server.Address, "version", c.server.Version,
-		"sends", c.possibleRuns, "may_have_run", !errors.Is(err, errNotRun) && passthrough.MayHaveBeenSent(err), "begun", c.responseStarted,
+		"connection", c.connection, "exchange", c.exchange, "sends", c.possibleRuns, "may_have_run", !errors.Is(err, errNotRun) && passthrough.MayHaveBeenSent(err), "begun", c.responseStarted,
 		"left_ms", time.Until(c.deadline).Milliseconds(), "heartbeat_ms_ago", time.Since(c.server.LastHeartbeat).Milliseconds(), "error", err)
 }
 
@@ -261,6 +261,7 @@
 	start := time.Now()
 	c.attemptStarted, c.attemptOutput, c.eventsBefore = start, 0, c.eventsSent
 	c.interimLeaving = false
+	c.connection, c.exchange = 0, 0
 	if err := c.checkServer(); err != nil {
 		return err
 	}
@@ -279,6 +280,7 @@
 	if err != nil {
 		return withSilenceCause(ctx, err)
 	}
+	c.connection, c.exchange = exchange.Connection, exchange.Sequence
 	if c.route.Kind != routing.KindStream && exchange.Response.StatusCode/100 == 2 {
 		c.g.loads.observeLatency(c.route.Name, time.Since(start))
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,6 +70,8 @@
 	server           *fleet.Instance // of the latest attempt
 	lastErr          error           // of the latest attempt
 	firstOutput      time.Duration   // time until the response started
+	connection       uint64          // that carried the response of the latest attempt, 0: none
+	exchange         int             // number of that attempt on the connection
 	attemptStarted   time.Time       // start of the current attempt
 	attemptOutput    time.Duration   // from the start of the current attempt until its first event, 0: none yet
 	eventsBefore     int             // events that earlier attempts sent
--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -65,6 +65,8 @@
 // conn is one connection to a backend server. It carries one exchange at a time.
 type conn struct {
 	net         net.Conn
+	number      uint64       // of the pool's connections, in the order in which they were opened
+	exchanges   int          // begun on the connection
 	header      *headerLimit // between net and reader
 	reader      *bufio.Reader
 	idleSince   time.Time
@@ -90,6 +92,7 @@
 	}
 	p.open.Add(1)
 	opened := newConn(c)
+	opened.number = p.dialed.Add(1)
 	opened.onClose = func() { p.open.Add(-1) }
 	return opened, nil
 }
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -25,6 +25,7 @@
 	dialTimeout time.Duration
 	onDial      func(err error) // called with the result of each dial
 	open        atomic.Int64    // connections
+	dialed      atomic.Uint64   // connections that were opened so far
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by server ID and address, oldest first
@@ -49,6 +50,10 @@
 type Exchange struct {
 	Response *http.Response // status and header; its Body must not be used
 	Body     io.Reader      // errors other than io.EOF wrap ErrConnectionLost
+	// Connection is the number of the connection, and Sequence that of the exchange on it, both
+	// from 1.
+	Connection uint64
+	Sequence   int
 
 	pool   *Pool
 	server Server
@@ -70,6 +75,7 @@
 		p.putIdle(server, c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
+	c.exchanges++
 	stop := context.AfterFunc(ctx, c.close)
 	deadline, _ := ctx.Deadline()
 	resp, write, err := c.send(req, deadline) //nolint:bodyclose // Exchange.Close closes or reuses the connection that carries the body
@@ -82,13 +88,15 @@
 		return nil, err
 	}
 	return &Exchange{
-		Response: resp,
-		Body:     c.newResponseBody(resp, write),
-		pool:     p,
-		server:   server,
-		conn:     c,
-		write:    write,
-		stop:     stop,
+		Response:   resp,
+		Body:       c.newResponseBody(resp, write),
+		Connection: c.number,
+		Sequence:   c.exchanges,
+		pool:       p,
+		server:     server,
+		conn:       c,
+		write:      write,
+		stop:       stop,
 	}, nil
 }
 
