A late copy of a refusal is not taken for the refusal of a later sending

Cause: a request was sent again on the connection on which the server had refused it. A response is recognized by its request's ID, so a late copy of the first refusal was read as the refusal of the second sending, which the server ran. Ruled out: a repetition after an unclear outcome, and a copy for another request.

Change: a connection carries no request that was refused on it before; the pool takes another one. A refusal without a request ID counts only as the first response on its connection. So a refusal that counts cannot be a copy.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -348,9 +348,10 @@
 func (c *call) handleResponse(exchange *passthrough.Exchange) error {
 	resp := exchange.Response
 	meta := c.g.cfg.Codec.DecodeResponse(resp.StatusCode, resp.Header)
-	// A refusal without a request ID is taken as the request's own: a server that could not
-	// read the ID, or that is not the expected one, has none to return.
-	refusalWithoutID := meta.NotRun && meta.RequestID == ""
+	// A refusal without a request ID is taken as the request's own if it is the first response
+	// on the connection: a server that could not read the ID, or that is not the expected one, has
+	// none to return. A later one may be a copy of an earlier refusal.
+	refusalWithoutID := meta.NotRun && meta.RequestID == "" && exchange.Sequence == 1
 	if meta.RequestID != c.meta.ID && !refusalWithoutID {
 		return fmt.Errorf("%w: request ID is %q, want %q", errInvalidResponse, meta.RequestID, c.meta.ID)
 	}
@@ -384,6 +385,7 @@
 // error wraps errNotRun, and passthrough.ErrConnectionLost if the body could not be read to
 // its end.
 func readRefusal(exchange *passthrough.Exchange) error {
+	exchange.Refuse()
 	status := exchange.Response.StatusCode
 	n, err := io.Copy(io.Discard, io.LimitReader(exchange.Body, maxRefusalBytes))
 	if err == nil && n == maxRefusalBytes {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -230,7 +230,7 @@
 		return c.bodyError(err)
 	}
 	c.body = body
-	c.request = passthrough.Request{Method: c.r.Method, Target: target, Host: c.r.Host, Body: body, OnHeader: c.observeHeader}
+	c.request = passthrough.Request{ID: c.meta.ID, Method: c.r.Method, Target: target, Host: c.r.Host, Body: body, OnHeader: c.observeHeader}
 	return nil
 }
 
--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -8,10 +8,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -47,11 +49,14 @@
 	tcpKeepAliveIdle     = 2 * time.Second
 	tcpKeepAliveInterval = time.Second
 	tcpKeepAliveCount    = 2
+	// maxRefusals is the number of refused requests after which a connection is not reused.
+	maxRefusals = 64
 )
 
 // Request is an HTTP request that is written unchanged. The Host and Content-Length
 // fields are derived from Host and Body.
 type Request struct {
+	ID     string // see Exchange.Refuse
 	Method string
 	Target string // path and query, not normalized
 	Host   string
@@ -67,6 +72,7 @@
 	net         net.Conn
 	number      uint64       // of the pool's connections, in the order in which they were opened
 	exchanges   int          // begun on the connection
+	refused     []uint64     // hashes of the IDs of requests that the server refused on it
 	header      *headerLimit // between net and reader
 	reader      *bufio.Reader
 	idleSince   time.Time
@@ -102,6 +108,19 @@
 	return &conn{net: c, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), idleTimeout: defaultIdleTimeout, onClose: func() {}}
 }
 
+// requestHashSeed is the seed of the hashes of request IDs.
+var requestHashSeed = maphash.MakeSeed()
+
+// recordRefusal records that the server refused a request on this connection.
+func (c *conn) recordRefusal(id string) {
+	c.refused = append(c.refused, maphash.String(requestHashSeed, id))
+}
+
+// hasRefused reports whether the server refused a request of this ID on this connection.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(requestHashSeed, id))
+}
+
 func (c *conn) close() {
 	if c.closed.CompareAndSwap(false, true) {
 		c.net.Close()
@@ -254,6 +273,9 @@
 		// The server responded before it had read the whole request body.
 		return false
 	}
+	if len(c.refused) >= maxRefusals {
+		return false
+	}
 	if resp.Close || !delimited(resp) || c.reader.Buffered() > 0 || resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -58,6 +58,7 @@
 	pool   *Pool
 	server Server
 	conn   *conn
+	id     string // of the request
 	write  *requestWrite
 	stop   func() bool // stops closing the connection at the end of the context
 	closed bool        // Close was called
@@ -67,7 +68,7 @@
 // ends before the exchange is closed, the connection is closed, which tells the server
 // that the response is no longer wanted. Errors: ErrNotSent, ErrConnectionLost.
 func (p *Pool) Do(ctx context.Context, server Server, req *Request) (*Exchange, error) {
-	c, err := p.acquire(ctx, server)
+	c, err := p.acquire(ctx, server, req.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -95,11 +96,17 @@
 		pool:       p,
 		server:     server,
 		conn:       c,
+		id:         req.ID,
 		write:      write,
 		stop:       stop,
 	}, nil
 }
 
+// Refuse records that the server refused the request without running it. The connection then
+// carries no request of the same ID any more: a late copy of the refusal would look like the
+// response to it. It must be called before Close.
+func (e *Exchange) Refuse() { e.conn.recordRefusal(e.id) }
+
 // Close ends the exchange. complete says that the body was read up to io.EOF; only then
 // may the connection be reused, otherwise it is closed. Further calls have no effect.
 func (e *Exchange) Close(complete bool) {
@@ -114,11 +121,12 @@
 	e.pool.putIdle(e.server, e.conn)
 }
 
-// acquire returns a reusable idle connection or a new one. Errors wrap ErrNotSent.
-func (p *Pool) acquire(ctx context.Context, server Server) (*conn, error) {
+// acquire returns a reusable idle connection that can carry the request of the given ID, or a
+// new one. Errors wrap ErrNotSent.
+func (p *Pool) acquire(ctx context.Context, server Server, id string) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.popIdle(server)
+		c := p.popIdle(server, id)
 		if c == nil {
 			break
 		}
@@ -158,17 +166,19 @@
 	p.closeIdle(func(c *conn) bool { return chosen[c] })
 }
 
-// popIdle returns the most recently used idle connection to a server, or nil.
-func (p *Pool) popIdle(server Server) *conn {
+// popIdle returns the most recently used idle connection to a server on which the server has
+// not refused the request of the given ID, or nil.
+func (p *Pool) popIdle(server Server, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[server.key()]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.hasRefused(id) {
+			p.idle[server.key()] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[server.key()] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // putIdle keeps a connection for reuse. Beyond maxIdleConnsPerServer the oldest one is closed.
