The text of an error does not continue a stream

Clients of resumable streams would find an error's text between their events, or the head of another response, and the stream ended as if it were complete.

Cause: between blank lines the reader of events took any text for an event, and text without data was forwarded as a comment. What continues a stream was recognized by its status alone, and by event IDs only where there were any.

Change: a line that is neither a field nor a comment ends the attempt. A stream is continued only by an event stream whose first event has an ID that can follow. Anything else is tried at another server, or broken off.

Ruled out: errors with a status of their own, by TestFailedResumptionsNeverLookComplete.

TestClientResumesStreamWithOtherIDs had a server that did not say that it sends an event stream; it does now, and checks the same IDs.

Nothing between processes changes.

--- a/internal/gateway/event_ids_test.go
+++ b/internal/gateway/event_ids_test.go
@@ -69,6 +69,7 @@
 // TestClientResumesStreamWithOtherIDs has IDs that are no numbers, of which only the repetition of the last one can be noticed.
 func TestClientResumesStreamWithOtherIDs(t *testing.T) {
 	respond := func(w http.ResponseWriter, _ *http.Request, _ string) {
+		w.Header().Set("Content-Type", "text/event-stream")
 		if _, err := io.WriteString(w, "id: a\ndata: next\n\n"); err != nil {
 			t.Error(err)
 		}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -15,6 +15,10 @@
 // without end.
 const maxEventBytes = 64 << 10
 
+// errNotAnEvent says that a stream brought a line that is neither a field nor a comment, such as
+// the text of an error or the head of another response.
+var errNotAnEvent = fmt.Errorf("%w: a line of the stream is no field of an event", errInvalidResponse)
+
 var errEventTooLarge = fmt.Errorf("gateway: event is larger than %d bytes", maxEventBytes)
 
 // splitList splits the comma-separated list of a header value.
@@ -56,8 +60,8 @@
 }
 
 // next returns the next complete event, which may be a comment. It returns io.EOF after the
-// last one, io.ErrUnexpectedEOF if the stream ends inside an event and errEventTooLarge if an
-// event, or what comes since the last one with data, exceeds maxEventBytes.
+// last one, io.ErrUnexpectedEOF if the stream ends inside an event, errNotAnEvent and
+// errEventTooLarge if an event, or what comes since the last one with data, exceeds maxEventBytes.
 func (r *eventReader) next() (event, error) {
 	ev, err := r.read()
 	if err != nil {
@@ -92,7 +96,9 @@
 		if len(line) == 0 {
 			return ev, nil
 		}
-		ev.parseLine(line)
+		if err := ev.parseLine(line); err != nil {
+			return event{}, err
+		}
 	}
 }
 
@@ -121,9 +127,14 @@
 	}
 }
 
-// parseLine adds one line to the event.
-func (ev *event) parseLine(line []byte) {
-	field, value, _ := bytes.Cut(line, []byte(":"))
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// parseLine adds one line to the event. Fields with unknown names are ignored. A line that is
+// neither a field nor a comment yields errNotAnEvent.
+func (ev *event) parseLine(line []byte) error {
+	line = bytes.TrimPrefix(line, byteOrderMark)
+	field, value, hasValue := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(field) {
 	case "id":
@@ -134,5 +145,22 @@
 		}
 		ev.data = append(ev.data, value...)
 		ev.hasData = true
+	case "", "event", "retry":
+	default:
+		if !hasValue || !isFieldName(field) {
+			return errNotAnEvent
+		}
+	}
+	return nil
+}
+
+// isFieldName reports whether a field name consists of letters, digits, hyphens and underscores.
+func isFieldName(name []byte) bool {
+	for _, b := range name {
+		letter := 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z'
+		if !letter && (b < '0' || b > '9') && b != '-' && b != '_' {
+			return false
+		}
 	}
+	return true
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -94,11 +94,14 @@
 
 // forwardStream forwards the events of a stream as they arrive. If the stream is interrupted,
 // the client has received only complete events. It returns errNotResumed if the server
-// repeats events that the client has.
+// repeats events that the client has, or sends anything but the events that follow them.
 func (c *call) forwardStream(exchange *passthrough.Exchange) error {
 	flusher := http.NewResponseController(c.w)
 	events := newEventReader(exchange.Body)
 	resumed := c.route.ResumableStream() && c.meta.LastEventID != ""
+	if resumed && !isEventStream(exchange.Response) {
+		return fmt.Errorf("%w: content type %q", errNotResumed, exchange.Response.Header.Get("Content-Type"))
+	}
 	var comments []byte // received before the first event with data
 	continued := false  // the exchange brought an event with data
 	for {
@@ -119,6 +122,9 @@
 			continue
 		}
 		if ev.hasData {
+			if resumed && !continued && ev.id == "" {
+				return fmt.Errorf("%w: the first event has no ID", errNotResumed)
+			}
 			if !continued {
 				c.attemptOutput = time.Since(c.attemptStarted)
 			}
@@ -142,8 +148,12 @@
 // provesEndOfStream reports whether a response without events shows that the stream which it
 // resumes had ended: it is an event stream, and its end is marked by the last chunk.
 func provesEndOfStream(resp *http.Response) bool {
+	return isEventStream(resp) && len(resp.TransferEncoding) > 0
+}
+
+func isEventStream(resp *http.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream" && len(resp.TransferEncoding) > 0
+	return err == nil && mediaType == "text/event-stream"
 }
 
 // finishStream completes the response of a stream that ended normally. If the stream had no
