--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -22,7 +22,7 @@
 	coalesceDelay = 20 * time.Millisecond
 	// maxReportsPerUpdate limits the reports of backend servers in one update. With names of
 	// the greatest length, an update of that many stays below transport.MaxMessageBytes.
-	maxReportsPerUpdate = 2048
+	maxReportsPerUpdate = 4096
 )
 
 // handleWatch sends updates to one watcher until its stream ends. While nothing changes it
