An entry that stood still joins no streams of two versions

Reported for a similar system; shown here by tests. A client that resumes a stream at an entry which stood still, or was cut off, for some seconds could get events of two software versions.

Cause: a server may start again under its ID and address at another version, and nothing in a request tells the two starts apart. An entry without contact keeps its last view, and after a standstill it took the first of the updates that had waited for the state of now. Ruled out: that it ignores the recorded version when it knows only other servers (existing tests).

Change: streampin.Decide also gets whether the view is current, that is at most 1.5 s old. If not, a stream whose version matters waits for an update for 800 ms and is then refused with 503, which closes the client's connection; one without a record begins and is not recorded. The check stands before the selection and directly before the request is sent. A watch stream whose next update comes after more than 1.5 s is opened again and that update is not applied.

Messages between processes are unchanged: a stream that is opened again begins with the whole table at hosts of any build.

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
@@ -44,9 +45,14 @@
 	OnUpdate func(address string, update *fleetpb.Update)
 }
 
+// errOutdated ends a stream whose next update may have waited here while this process stood
+// still, so that it shows an earlier state.
+var errOutdated = errors.New("fleetwatch: the next update may be outdated")
+
 // Watcher holds one stream to each state host.
 type Watcher struct {
-	opts Options
+	opts     Options
+	bootTime func() time.Duration // clock.SinceBoot
 
 	mu      sync.Mutex
 	wake    loop.Waker
@@ -58,10 +64,11 @@
 // NewWatcher returns a watcher that opens no streams until Run is called.
 func NewWatcher(opts Options) *Watcher {
 	return &Watcher{
-		opts:    opts,
-		wake:    loop.NewWaker(),
-		streams: make(map[string]context.CancelFunc),
-		updated: make(map[string]time.Time),
+		opts:     opts,
+		bootTime: clock.SinceBoot,
+		wake:     loop.NewWaker(),
+		streams:  make(map[string]context.CancelFunc),
+		updated:  make(map[string]time.Time),
 	}
 }
 
@@ -131,7 +138,9 @@
 }
 
 // watch receives the updates of one stream until the stream breaks or delivers none for
-// SilenceTimeout. It reports whether there was an update.
+// SilenceTimeout. It reports whether there was an update. After a longer silence it returns
+// errOutdated in place of an update: the updates that were sent meanwhile arrive one after the
+// other, and only a new stream begins with the state of now.
 func (w *Watcher) watch(ctx context.Context, address string) (bool, error) {
 	received := false
 	// The stream is unlimited in time, so it is opened without a deadline.
@@ -145,6 +154,7 @@
 	if err := stream.Send(w.opts.NewRequest()); err != nil {
 		return false, err
 	}
+	previous := w.bootTime()
 	// A closed stream still delivers messages from the peer, so ctx is checked too.
 	for ctx.Err() == nil {
 		if err := stream.SetDeadline(time.Now().Add(SilenceTimeout)); err != nil {
@@ -154,6 +164,11 @@
 		if err := stream.Recv(update); err != nil {
 			return received, err
 		}
+		now := w.bootTime()
+		if now-previous > SilenceTimeout {
+			return received, errOutdated
+		}
+		previous = now
 		if !received {
 			w.opts.Logger.Info("state host is watched", "address", address)
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/policy/streampin"
 	"ibistray.example/ibistray/internal/routing"
 )
 
@@ -150,6 +151,9 @@
 		}
 		var err error
 		if sel.versions, err = c.pin(sel.servers); err != nil {
+			if errors.Is(err, streampin.ErrOutdatedView) && c.waitForCurrentView(ctx) {
+				continue
+			}
 			return c.noServerError(err)
 		}
 		c.permit = nil
@@ -228,6 +232,18 @@
 	return view.waitUntil(ctx, func() bool { return len(view.usableServers(c.service.Name)) > 0 })
 }
 
+// waitForCurrentView waits until a state host has sent an update, for viewTimeout at most, and
+// reports whether one has. Otherwise the client should go to another entry.
+func (c *call) waitForCurrentView(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	if c.g.view.waitUntil(ctx, c.g.view.isCurrent) {
+		return true
+	}
+	c.w.Header().Set("Connection", "close")
+	return false
+}
+
 // noServerError returns the final error of a request that cannot be sent to another
 // server. It depends on whether the request may have run.
 func (c *call) noServerError(cause error) error {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -252,6 +252,7 @@
 	t.Cleanup(pool.Close)
 	g := New(Config{Name: "entry", Seeds: func() []string { return nil }, DecodeRoutes: decode, Codec: testCodec{}}, hclog.NewNullLogger(), telemetry.NewMetrics(), pool, pool)
 	g.ledger = ledger
+	g.view.maxSilence = time.Hour // no state host sends updates
 	update := &fleetpb.Update{Routes: &fleetpb.Routes{Version: 1, Document: []byte("routes")}}
 	for _, server := range servers {
 		update.Instances = append(update.Instances, instanceOf(server))
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -9,6 +9,7 @@
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/policy/ratelimit"
+	"ibistray.example/ibistray/internal/policy/streampin"
 )
 
 // maxPermitPause is the longest time after which a waiting request checks whether it should
@@ -113,6 +114,9 @@
 	if c.g.view.latest(c.server) == nil {
 		return fmt.Errorf("%w: it takes no requests any more", errNotAsked)
 	}
+	if _, err := c.pin([]*fleet.Instance{c.server}); errors.Is(err, streampin.ErrOutdatedView) {
+		return fmt.Errorf("%w: %w", errNotAsked, err)
+	}
 	if c.permit != nil && c.g.permits.expired(*c.permit) {
 		return fmt.Errorf("%w: the permit has expired", errNotAsked)
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -34,6 +34,7 @@
 	reasonLedgerBusy        = "ledger_busy"
 	reasonUnknownStream     = "unknown_stream"
 	reasonVersionGone       = "stream_version_gone"
+	reasonOutdatedView      = "servers_outdated"
 	reasonMemory            = "memory"
 	reasonConnections       = "connections"
 	reasonBodyTimeout       = "body_timeout"
@@ -71,6 +72,7 @@
 	{errUnknownStream, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
 	{streampin.ErrUnknownVersion, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
 	{streampin.ErrVersionNotServed, refusal{reasonVersionGone, http.StatusServiceUnavailable, false}},
+	{streampin.ErrOutdatedView, refusal{reasonOutdatedView, http.StatusServiceUnavailable, true}},
 	{errNoServer, refusal{reasonNoServer, http.StatusServiceUnavailable, true}},
 	{errShed, refusal{reasonShed, http.StatusServiceUnavailable, true}},
 	{errLimited, refusal{reasonServerLimit, http.StatusServiceUnavailable, true}},
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -48,10 +48,11 @@
 		return streampin.Constraint{}, nil
 	}
 	return streampin.Decide(streampin.Stream{
-		HasOutput: c.stream.resumed || c.responseStarted,
-		Assigned:  c.stream.assigned,
-		Version:   c.stream.version,
-	}, versionsOf(servers))
+		HasOutput:   c.stream.resumed || c.responseStarted,
+		Assigned:    c.stream.assigned,
+		Version:     c.stream.version,
+		NeedsRecord: c.route.ProgramTurns,
+	}, streampin.View{Serving: versionsOf(servers), Current: c.g.view.isCurrent()})
 }
 
 // servicePrefix begins each version that is recorded for the call's service. A client may
@@ -175,6 +176,10 @@
 	if !c.route.ResumableStream() || c.stream.assigned && c.stream.version == version {
 		return nil
 	}
+	if !c.g.view.isCurrent() {
+		// The record could name a version that the server no longer has.
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, openStreamTimeout)
 	defer cancel()
 	command := c.assignCommand(version)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -46,6 +46,8 @@
 	// nanoseconds, up to a constant.
 	suspension atomic.Int64
 	started    time.Time
+	// maxSilence is the longest time without an update for which the view counts as current.
+	maxSilence time.Duration
 
 	mu             sync.Mutex // guards the fields below
 	table          *fleet.Table
@@ -59,7 +61,7 @@
 }
 
 func newView(cfg Config, log hclog.Logger, pool *transport.Pool, detector *crashDetector) *view {
-	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, bootTime: clock.SinceBoot, started: time.Now(), table: fleet.NewTable(), changed: make(chan struct{})}
+	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, bootTime: clock.SinceBoot, started: time.Now(), maxSilence: fleetwatch.SilenceTimeout, table: fleet.NewTable(), changed: make(chan struct{})}
 	v.watched = newWatchedHosts(cfg.Name, cfg.ToleratedHostLosses)
 	v.servers.Store(&serverIndex{})
 	v.lastQuorum.Store(v.bootTime().Nanoseconds())
@@ -120,12 +122,7 @@
 
 // apply applies an update from the state host at address.
 func (v *view) apply(address string, update *fleetpb.Update) {
-	heard := v.bootTime().Nanoseconds()
-	v.lastUpdate.Store(heard)
-	defer v.recordSuspension()
-	if update.Quorum {
-		v.lastQuorum.Store(heard)
-	}
+	defer v.recordUpdate(v.bootTime(), update.Quorum)
 	if v.watched.recordUpdate(address, update.Quorum, time.Now()) {
 		v.watcher.Refresh()
 	}
@@ -267,17 +264,26 @@
 	return false
 }
 
+// isCurrent reports whether a state host has sent an update lately, so that a server which has
+// started anew would be known as such.
+func (v *view) isCurrent() bool { return v.since(&v.lastUpdate) < v.maxSilence }
+
 // suspendedFor returns for how long the host has been suspended, up to a constant.
 func (v *view) suspendedFor() time.Duration {
 	return v.bootTime() - time.Since(v.started)
 }
 
-// recordSuspension records that an update has been applied since the host was suspended.
-func (v *view) recordSuspension() {
-	suspended := v.wasSuspended()
+// recordUpdate records that an update has been applied, which was received at heard. quorum says
+// whether its sender has contact to a quorum.
+func (v *view) recordUpdate(heard time.Duration, quorum bool) {
+	suspended, outdated := v.wasSuspended(), !v.isCurrent()
 	v.suspension.Store(v.suspendedFor().Nanoseconds())
-	if suspended {
-		v.log.Info("updated after a suspension")
+	v.lastUpdate.Store(heard.Nanoseconds())
+	if quorum {
+		v.lastQuorum.Store(heard.Nanoseconds())
+	}
+	if suspended || outdated {
+		v.log.Info("updated after a silence", "suspended", suspended)
 		v.mu.Lock()
 		v.notify()
 		v.mu.Unlock()
--- a/internal/policy/streampin/streampin_test.go
+++ b/internal/policy/streampin/streampin_test.go
@@ -29,7 +29,31 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			got, err := Decide(c.stream, c.serving)
+			got, err := Decide(c.stream, View{Serving: c.serving, Current: true})
+			assert.Equal(t, got, c.want)
+			assert.Equal(t, err, c.err)
+		})
+	}
+}
+
+// TestDecideWithOutdatedView replays an entry that stood still during a release: a server that it
+// takes for the old version has started anew at the new one.
+func TestDecideWithOutdatedView(t *testing.T) {
+	outdated := View{Serving: []string{"v1"}}
+	cases := map[string]struct {
+		stream Stream
+		want   Constraint
+		err    error
+	}{
+		"resumed":             {Stream{HasOutput: true, Assigned: true, Version: "v1"}, Constraint{}, ErrOutdatedView},
+		"resumed, other":      {Stream{HasOutput: true, Assigned: true, Version: "v2"}, Constraint{}, ErrOutdatedView},
+		"new, to be recorded": {Stream{NeedsRecord: true}, Constraint{}, ErrOutdatedView},
+		"new, recorded":       {Stream{NeedsRecord: true, Assigned: true, Version: "v1"}, Constraint{}, ErrOutdatedView},
+		"new, not recorded":   {Stream{}, Constraint{}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := Decide(c.stream, outdated)
 			assert.Equal(t, got, c.want)
 			assert.Equal(t, err, c.err)
 		})
@@ -37,24 +61,30 @@
 }
 
 // TestStreamNeverMixesVersionsDuringRelease replays releases in which servers of versions
-// come and go while a stream breaks and is resumed.
+// come and go, unseen at times, while a stream breaks and is resumed.
 func TestStreamNeverMixesVersionsDuringRelease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v1.1", "v1.2", ""}), 1, 3, rapid.ID[string])
 		s := Stream{}
 		output := map[string]bool{}
 		for range rapid.IntRange(1, 12).Draw(t, "attempts") {
-			serving := versions.Draw(t, "serving")
-			constraint, err := Decide(s, serving)
+			view := View{Serving: versions.Draw(t, "serving"), Current: rapid.Bool().Draw(t, "current")}
+			constraint, err := Decide(s, view)
 			if err != nil {
 				assert.Assert(t, s.HasOutput)
 				continue
 			}
-			server := rapid.SampledFrom(serving).Draw(t, "server")
-			if !constraint.Allows(server) {
+			known := rapid.SampledFrom(view.Serving).Draw(t, "server")
+			if !constraint.Allows(known) {
 				continue
 			}
-			s.Assigned, s.Version = true, server
+			server := known
+			if view.Current {
+				s.Assigned, s.Version = true, known
+			} else {
+				server = rapid.SampledFrom([]string{"v1", "v1.1", "v1.2"}).Draw(t, "started anew")
+				s.Assigned = false
+			}
 			if rapid.Bool().Draw(t, "output") {
 				s.HasOutput = true
 				output[server] = true
