The soak replaces hosts by those of another build and back

make upgrade FROM=COMMIT SEED=N builds ibistrayd of a commit into a folder of its own and rolls the system from it to the present build, back, and to the present one again, or in the other direction first: host by host, entries first, state hosts first or mixed, by signals and kills, under the load, the faults and the checks of the soak.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 space := $(empty) $(empty)
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '^($(subst $(space),|,$(strip $(KNOWN_RED))))$$')
 
-.PHONY: build test lint rename-tool bench bench-policy bench-path capacity capacity-measure fuzz demo docs generate clean
+.PHONY: build test lint upgrade rename-tool bench bench-policy bench-path capacity capacity-measure fuzz demo docs generate clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -43,6 +43,14 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
+# Runs the soak while hosts are replaced by those of the build FROM and back, from seed SEED on.
+FROM ?= 0020a5d
+SEED ?= 1
+SEEDS ?= 1
+upgrade:
+	IBISTRAY_UPGRADE_FROM=$(FROM) IBISTRAY_UPGRADE_FIRST_SEED=$(SEED) IBISTRAY_UPGRADE_SEEDS=$(SEEDS) \
+		go test -count=1 -timeout 60m -run 'TestUpgrade$$' -v ./platform/platformtest
+
 demo: build
 	./bin/demo
 
