Large configurations reach entries that do not fetch them

Cause: a large document is announced by its version, and entries fetch it. An entry of a build before that takes the announcement for an unreadable document and hears nothing more. Ruled out: that it reads but refuses the document, since its log has "cannot decode routes" with no bytes.

Change: a watcher says that it fetches documents. To one that does not say so, the document is sent 250 ms after the announcement, with the next keep-alive at the latest; builds between the two have fetched it by then and ignore it.

The new field is unknown to builds before, which announce as they did.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -107,7 +107,7 @@
 
 // watchRequest returns the request that watches updates.
 func (v *view) watchRequest(name string) *fleetpb.WatchRequest {
-	return &fleetpb.WatchRequest{Viewer: name, RoutesVersion: v.routesVersion()}
+	return &fleetpb.WatchRequest{Viewer: name, RoutesVersion: v.routesVersion(), FetchesRoutes: true}
 }
 
 // stateHosts returns the addresses of the known state hosts: those named by updates and
--- a/internal/statehost/routesdoc_test.go
+++ b/internal/statehost/routesdoc_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -36,3 +37,24 @@
 		assert.ErrorContains(t, err, "not in force")
 	}
 }
+
+// TestLargeRoutesReachWatchersThatDoNotFetch guards against entries of an older build that take
+// the announcement of a large document for an unreadable one and keep their routes for good.
+func TestLargeRoutesReachWatchersThatDoNotFetch(t *testing.T) {
+	large := func(version uint64) *fleetpb.Routes {
+		return &fleetpb.Routes{Version: version, Document: bytes.Repeat([]byte("r"), routesync.MaxPushedBytes+1)}
+	}
+	start := time.Now()
+	old, present := watcher{}, watcher{fetchesRoutes: true}
+	for _, w := range []*watcher{&old, &present} {
+		assert.Equal(t, len(w.nextRoutes(large(1), start).Document), 0)
+		assert.Assert(t, w.nextRoutes(large(1), start.Add(pushDelay-1)) == nil)
+	}
+	// Further versions do not put the first document off.
+	assert.Equal(t, len(old.nextRoutes(large(2), start.Add(pushDelay-1)).Document), 0)
+	pushed := old.nextRoutes(large(3), start.Add(pushDelay))
+	assert.Equal(t, pushed.GetVersion(), uint64(3))
+	assert.Assert(t, len(pushed.GetDocument()) > 0)
+	assert.Assert(t, old.nextRoutes(large(3), start.Add(time.Hour)) == nil)
+	assert.Assert(t, present.nextRoutes(large(1), start.Add(time.Hour)) == nil)
+}
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -23,6 +23,10 @@
 	// maxReportsPerUpdate limits the reports of backend servers in one update. With names of
 	// the greatest length, an update of that many stays below transport.MaxMessageBytes.
 	maxReportsPerUpdate = 4096
+	// pushDelay is the time from the announcement of a large document until it is sent to a
+	// watcher that does not say whether it fetches documents. Builds before that field fetch
+	// them within this time, except for the oldest ones, which cannot.
+	pushDelay = 250 * time.Millisecond
 )
 
 // handleWatch sends updates to one watcher until its stream ends. While nothing changes it
@@ -35,7 +39,7 @@
 	h.metrics.watchers.Inc()
 	defer h.metrics.watchers.Dec()
 	h.log.Info("watcher connected", "viewer", req.Viewer, "routes_version", req.RoutesVersion)
-	w := watcher{host: h, peer: req.Peer, address: req.GetHost().GetAddress(), routesVersion: req.RoutesVersion}
+	w := watcher{host: h, peer: req.Peer, address: req.GetHost().GetAddress(), routesVersion: req.RoutesVersion, fetchesRoutes: req.FetchesRoutes}
 	if w.address != "" {
 		h.recordHost(req.Host)
 	}
@@ -80,11 +84,13 @@
 // watcher is the state of one watch stream: what the watcher has already received.
 type watcher struct {
 	host             *Host
-	peer             bool   // the watcher is another state host
-	address          string // of another state host, for calls between processes
-	serversRevision  uint64 // revision of the server table
-	crashesRevision  uint64 // revision of the crash log
-	routesVersion    uint64
+	peer             bool      // the watcher is another state host
+	address          string    // of another state host, for calls between processes
+	serversRevision  uint64    // revision of the server table
+	crashesRevision  uint64    // revision of the crash log
+	routesVersion    uint64    // of the routes that were announced or sent
+	fetchesRoutes    bool      // the watcher says that it fetches large documents
+	pushAt           time.Time // when the document is sent that was announced, zero: not
 	controlAddresses []string
 }
 
@@ -145,9 +151,8 @@
 	for _, instance := range changed {
 		update.Instances = append(update.Instances, fleet.ToProto(instance, now))
 	}
-	if config.Routes != nil && config.Routes.Version > w.routesVersion && !w.peer {
-		update.Routes = announcement(config.Routes)
-		w.routesVersion = config.Routes.Version
+	if config.Routes != nil && !w.peer {
+		update.Routes = w.nextRoutes(config.Routes, now)
 	}
 	if control := h.knownAddresses(); !slices.Equal(control, w.controlAddresses) {
 		update.Control = control
@@ -166,6 +171,24 @@
 	return update, [3]<-chan struct{}{serversChanged, configChanged, crashesChanged}
 }
 
+// nextRoutes returns what the watcher is to receive of the routes in force, nil if nothing. The
+// keep-alive updates bring a document that is due.
+func (w *watcher) nextRoutes(routes *fleetpb.Routes, now time.Time) *fleetpb.Routes {
+	if !w.pushAt.IsZero() && !now.Before(w.pushAt) {
+		w.routesVersion, w.pushAt = routes.Version, time.Time{}
+		return routes
+	}
+	if routes.Version <= w.routesVersion {
+		return nil
+	}
+	w.routesVersion = routes.Version
+	announced := announcement(routes)
+	if len(announced.Document) == 0 && !w.fetchesRoutes && w.pushAt.IsZero() {
+		w.pushAt = now.Add(pushDelay)
+	}
+	return announced
+}
+
 // knowsConfigLeader reports whether this host holds a replica of the configuration that
 // has recent contact with a leader. Without, it may miss changes that were acknowledged.
 func (h *Host) knowsConfigLeader() bool { return h.replicas.Leader(ConfigGroup) != "" }
