Commands of later builds are not acknowledged, and counted where they are read

After a return to an older build, or with a leader of an older one, a command of a kind that it does not know was proposed, ignored by all members of that build and acknowledged: the change was lost. Found by reading; no build writes such a kind yet.

Cause: a message of an unknown kind decodes to one without a kind, which the state machines answered like a success.

Change: a request without a known kind is refused before it is proposed. A command or record of an unknown kind changes nothing, is logged and counted.

What is written stays the same."

--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -154,6 +154,7 @@
 	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
 	s.programs, s.turns, s.turnBytes = restored.programs, restored.turns, restored.turnBytes
 	s.streams = restored.streams
+	s.unknown += restored.unknown
 	return nil
 }
 
@@ -167,8 +168,10 @@
 		return s.restoreTurn(record.Turn, hidden)
 	case record.Stream != nil:
 		s.streams.put(key{record.Stream.Account, record.Stream.CallId}, restoreStream(record.Stream))
-	default:
+	case record.NowMs != 0:
 		s.nowMs = record.NowMs
+	default:
+		s.unknown++
 	}
 	return nil
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -38,6 +38,7 @@
 	turns        map[key]*turn    // by call ID
 	turnBytes    int64            // of the input and output of turns
 	streams      streamTable
+	unknown      int // commands and snapshot records of unknown kinds, since the start
 }
 
 // key identifies a program, a turn or a stream.
@@ -116,7 +117,8 @@
 }
 
 // Apply implements replica.StateMachine. The returned value is a Result. A command
-// that cannot be decoded changes nothing.
+// that cannot be decoded, or whose kind only later builds know, changes nothing; the latter is
+// counted.
 func (s *State) Apply(_ uint64, data []byte) any {
 	cmd := new(ledgerpb.Command)
 	if err := proto.Unmarshal(data, cmd); err != nil {
@@ -134,6 +136,7 @@
 	case *ledgerpb.Command_OpenStream:
 		return s.openStreamOnly(kind.OpenStream)
 	}
+	s.unknown++
 	return Result{}
 }
 
@@ -269,11 +272,12 @@
 	Turns    int
 	Streams  int
 	Bytes    int64 // of the input and output of the turns
+	Unknown  int   // commands and snapshot records whose kind only later builds know
 }
 
 // Stats returns the current numbers of stored records.
 func (s *State) Stats() Stats {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return Stats{Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall), Bytes: s.turnBytes}
+	return Stats{Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall), Bytes: s.turnBytes, Unknown: s.unknown}
 }
--- a/internal/statehost/config.go
+++ b/internal/statehost/config.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +20,7 @@
 	routes      *fleetpb.Routes                // nil: none yet
 	retirements map[string]*fleetpb.Retirement // by host address
 	changed     chan struct{}                  // closed and replaced at each change
+	unknown     atomic.Int64                   // commands whose kind only later builds know
 }
 
 func newConfigState() *configState {
@@ -30,7 +32,8 @@
 
 // Apply implements replica.StateMachine. Routes take effect only if their version is
 // higher than that of the routes in force. If the command cannot be decoded, Apply
-// changes nothing and returns the error as the result.
+// changes nothing and returns the error as the result. A command whose kind only later builds
+// know changes nothing and is counted.
 func (s *configState) Apply(_ uint64, data []byte) any {
 	cmd := new(fleetpb.ConfigCommand)
 	if err := proto.Unmarshal(data, cmd); err != nil {
@@ -46,6 +49,9 @@
 		s.routes = kind.PutRoutes
 	case *fleetpb.ConfigCommand_Retire:
 		s.retirements[kind.Retire.Address] = kind.Retire
+	default:
+		s.unknown.Add(1)
+		return nil
 	}
 	s.signalChange()
 	return nil
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -129,6 +129,7 @@
 	started            time.Time
 	persistedRevision  uint64        // revision of the servers in serversFile; used by persistServers only
 	persistedHosts     []string      // state hosts in serversFile; used by persistServers only
+	unknownReported    int64         // records of unknown kinds that were logged
 	diskTooSmall       bool          // result of the last checkDisk; used by sweep only
 	replicaReplacement chan struct{} // semaphore, held while a replica is replaced on the disk
 	background         sync.WaitGroup
@@ -295,9 +296,20 @@
 	h.metrics.programs.Set(float64(stats.Programs))
 	h.metrics.streams.Set(float64(stats.Streams))
 	h.metrics.turnBytes.Set(float64(stats.Bytes))
+	h.reportUnknown(int64(stats.Unknown) + h.config.unknown.Load())
 	h.checkDisk(stats.Bytes)
 }
 
+// reportUnknown logs and counts commands and snapshot records of kinds that only later builds
+// know. The state of this host misses what they changed.
+func (h *Host) reportUnknown(total int64) {
+	if added := total - h.unknownReported; added > 0 {
+		h.metrics.unknownRecords.Add(float64(added))
+		h.log.Error("records of a later build were ignored: the state of this host is incomplete", "records", added)
+	}
+	h.unknownReported = total
+}
+
 // checkDisk logs when the state no longer fits the disk of this host, and when it fits
 // again.
 func (h *Host) checkDisk(stateBytes int64) {
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -14,6 +14,7 @@
 	reportsSent       *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
 	updatesSent       *prometheus.CounterVec // by watcher: updates, empty ones included
 	updatesUnsendable prometheus.Counter     // updates that could not be encoded, which end the watcher's stream
+	unknownRecords    prometheus.Counter     // commands and snapshot records of kinds that only later builds know
 	permits           *prometheus.CounterVec // by outcome, granted or denied: permits to send to servers with a limit
 	accountPermits    *prometheus.CounterVec // by outcome, granted, denied or programs_denied: permits of client accounts
 	busyResponses     prometheus.Counter     // responses that told an entry to send less
@@ -50,6 +51,9 @@
 		updatesUnsendable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "watch_updates_unsendable_total", Help: "Updates that could not be encoded, which ended the stream of their watcher.",
 		}),
+		unknownRecords: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "unknown_records_total", Help: "Commands and snapshot records of kinds that only later builds know, which were ignored.",
+		}),
 		permits:        counter("permits_total", "Permits to send to backend servers with a limit, by outcome.", "outcome"),
 		accountPermits: counter("account_permits_total", "Permits of client accounts: granted ones, and requests and programs that were denied.", "outcome"),
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
@@ -61,6 +65,6 @@
 		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -105,6 +105,9 @@
 		resp, _ := h.config.read()
 		return resp, nil
 	}
+	if req.Command.GetKind() == nil {
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "the kind of the command is not known here")
+	}
 	data, err := proto.Marshal(req.Command)
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
@@ -119,8 +122,9 @@
 // handleLedger proposes a command to the ledger and returns its outcome. Only the leader of
 // the ledger group can respond.
 func (h *Host) handleLedger(ctx context.Context, req *ledgerpb.Request) (*ledgerpb.Response, error) {
-	if req.Command == nil {
-		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command")
+	if req.GetCommand().GetKind() == nil {
+		// A command whose kind only later builds know must not be acknowledged by this one.
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command of a known kind")
 	}
 	req.Command.NowMs = time.Now().UnixMilli()
 	data, err := proto.Marshal(req.Command)
