A request with a key counts for its account on public routes, too

Cause: the account of such a request was looked up only while the accounts were confirmed, and the request went on without one otherwise. Turns and budgets belong to an account, so one program became two. Ruled out: that the turn was not kept, and an outdated leader, which would give 503.

Change: a request that bears a key waits for the confirmation like any other and is otherwise refused as not run. One that bears none is served at once.

Messages are unchanged; entries of builds before keep the fault until they are replaced."

--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -27,16 +27,10 @@
 
 // identify finds the client account of the request by its key. Errors: errUnknownKey, and
 // errAccountUnconfirmed while a key may have been taken away or added without this entry
-// knowing. Requests of public routes need no key; they count for the account whose key they
-// carry.
+// knowing. Requests of public routes need no key. One that bears the key of an account counts for
+// it like any other: its program's turns and budget are those of the account.
 func (c *call) identify() error {
-	if c.routes.Accounts == nil {
-		return nil
-	}
-	if c.route.Public {
-		if c.g.accounts.current() {
-			c.findAccount()
-		}
+	if c.routes.Accounts == nil || c.route.Public && c.meta.Key == "" {
 		return nil
 	}
 	// After a start or a suspension the confirmation arrives sooner than a refused client could
@@ -52,7 +46,7 @@
 	if !c.waitForAccounts(func() bool { return c.g.accounts.confirmedSince(arrived) }) {
 		return errAccountUnconfirmed
 	}
-	if c.findAccount() || c.routes.Accounts == nil {
+	if c.findAccount() || c.routes.Accounts == nil || c.route.Public {
 		return nil
 	}
 	return errUnknownKey
