A request that waited for its account uses the routes in force

A request that waits for the confirmation of its key took the routes that came into force meanwhile, but kept its route of the older ones. If the new ones lack its service, the request's goroutine ended in a panic and the client's connection without a response; if the route was dropped, it was served all the same.

Change: the route is looked up again in the new routes.

Before the fix TestRequestThatWaitedUsesTheRoutesInForce got EOF after "nil pointer dereference" for a moved route, and no 404 for a dropped one.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -158,10 +158,8 @@
 		c.w.Header().Set("Connection", "close")
 		return errPartitioned
 	}
-	target := c.r.RequestURI
-	path, _, _ := strings.Cut(target, "?")
-	if c.route = c.routes.Match(c.r.Host, path); c.route == nil {
-		return errNoRoute
+	if err := c.findRoute(); err != nil {
+		return err
 	}
 	meta, err := c.g.cfg.Codec.DecodeRequest(c.r.Header)
 	if err != nil {
@@ -183,7 +181,16 @@
 	}
 	service := c.route.ChooseService(c.trafficSplitKey())
 	c.service = c.routes.Services[service]
-	return c.readBody(target)
+	return c.readBody(c.r.RequestURI)
+}
+
+// findRoute finds the route of the request in c.routes. Error: errNoRoute.
+func (c *call) findRoute() error {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	if c.route = c.routes.Match(c.r.Host, path); c.route == nil {
+		return errNoRoute
+	}
+	return nil
 }
 
 // usesLedger reports whether the request cannot be served without the ledger.
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -25,8 +25,8 @@
 	errAccountUnconfirmed = errors.New("gateway: this entry cannot show that its client accounts are current")
 )
 
-// identify finds the client account of the request by its key. Errors: errUnknownKey, and
-// errAccountUnconfirmed while a key may have been taken away or added without this entry
+// identify finds the client account of the request by its key. Errors: errUnknownKey, errNoRoute
+// if the route was dropped meanwhile, and errAccountUnconfirmed while a key may have been taken away or added without this entry
 // knowing. Requests of public routes need no key. One that bears the key of an account counts for
 // it like any other: its program's turns and budget are those of the account.
 func (c *call) identify() error {
@@ -35,16 +35,18 @@
 	}
 	// After a start or a suspension the confirmation arrives sooner than a refused client could
 	// retry.
-	if !c.g.accounts.current() && !c.waitForAccounts(c.g.accounts.current) {
-		return errAccountUnconfirmed
+	if !c.g.accounts.current() {
+		if err := c.waitForAccounts(c.g.accounts.current); err != nil {
+			return err
+		}
 	}
 	if c.findAccount() {
 		return nil
 	}
 	// The key may have been added a moment ago, and a client does not retry after this refusal.
 	arrived := c.g.accounts.now()
-	if !c.waitForAccounts(func() bool { return c.g.accounts.confirmedSince(arrived) }) {
-		return errAccountUnconfirmed
+	if err := c.waitForAccounts(func() bool { return c.g.accounts.confirmedSince(arrived) }); err != nil {
+		return err
 	}
 	if c.findAccount() || c.routes.Accounts == nil || c.route.Public {
 		return nil
@@ -61,16 +63,17 @@
 }
 
 // waitForAccounts waits until done returns true, for viewTimeout at most, and then uses the
-// routes in force. Otherwise the client should go to another entry.
-func (c *call) waitForAccounts(done func() bool) bool {
+// routes in force. Errors: errAccountUnconfirmed, upon which the client should go to another
+// entry, and errNoRoute.
+func (c *call) waitForAccounts(done func() bool) error {
 	ctx, cancel := context.WithTimeout(c.r.Context(), viewTimeout)
 	defer cancel()
 	if !c.g.accounts.waitUntil(ctx, done) {
 		c.w.Header().Set("Connection", "close")
-		return false
+		return errAccountUnconfirmed
 	}
 	c.routes = c.g.view.routes.Load()
-	return true
+	return c.findRoute()
 }
 
 // accountName returns the name of the request's account, "" if it has none.
