Long chains of turns are fetched in parts and verified

Cause: the ledger accepts turns one by one and returned their chain as one message, which is limited. Evidence: the leader answers "response of bytes" to the fifth turn of 4 MB. Ruled out: memory of the entry and a turn that is not kept, which have refusals of their own.

Change: the leader names the size and checksum of a chain above 1 MiB. The entry takes memory for the whole body, fetches the chain in parts of 1 MiB within the turn's deadline and verifies it before the request is sent.

Tests: the scenario longChainIsContinued gets the error above from a request as the code before sends it.

Old and new builds: entries say with each command whether they fetch.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -294,11 +294,10 @@
 		return err
 	}
 	c.streamOpened(stream, previous.streamVersion)
-	if err := c.holdHistory(previous.turns); err != nil {
+	if err := c.prependHistory(ctx, previous); err != nil {
 		c.settleAsync()
 		return err
 	}
-	c.prependTurns(previous.turns)
 	c.previousServer = previous.server
 	err = c.tryServers(ctx)
 	if err == nil && c.route.KeepTurns && c.status/100 == 2 {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -79,6 +79,8 @@
 	beginErr error
 	keepErr  error   // returned for each Finish with Keep
 	previous history // returned by begin
+	chain    string  // returned by fetchChain
+	chainErr error
 	beginIDs []string
 	accounts []string          // of the begun turns and opened streams
 	streams  map[string]string // recorded versions by call ID
@@ -104,6 +106,10 @@
 	return previous, err
 }
 
+func (l *fakeLedger) fetchChain(_ context.Context, _, _ string, _ longChain, content []byte) ([]byte, error) {
+	return append(content, l.chain...), l.chainErr
+}
+
 func (l *fakeLedger) openStream(_ context.Context, stream *ledgerpb.OpenStream) (string, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -79,6 +79,7 @@
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrUnavailable, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
+	{errChainBroken, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrRefused, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 }
 
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -62,6 +62,9 @@
 	// stream which the call resumes. Errors: errUnknownStream, *gate.OverloadError,
 	// leaderclient.ErrRefused, leaderclient.ErrUnavailable.
 	openStream(ctx context.Context, stream *ledgerpb.OpenStream) (version string, err error)
+	// fetchChain appends the content of the long chain of a turn to content, and verifies it.
+	// Errors: errChainBroken, leaderclient.ErrRefused, leaderclient.ErrUnavailable.
+	fetchChain(ctx context.Context, account, lastTurn string, chain longChain, content []byte) ([]byte, error)
 	// finish settles a turn. The settlement is durable when it returns nil.
 	finish(ctx context.Context, f *ledgerpb.Finish) error
 }
@@ -69,6 +72,7 @@
 // history is what a turn continues from.
 type history struct {
 	turns         []*ledgerpb.Exchange // earlier turns, oldest first
+	long          longChain            // earlier turns that are to be fetched, instead of turns
 	server        string               // ID of the server that ran the latest one, or ""
 	streamVersion string               // software version that began the resumed stream, or ""
 }
@@ -154,7 +158,7 @@
 	case ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM:
 		return history{}, errUnknownStream
 	}
-	return history{turns: resp.Chain, server: resp.Server, streamVersion: resp.StreamVersion}, nil
+	return history{turns: resp.Chain, long: longChain{size: int64(resp.ChainBytes), checksum: resp.ChainChecksum}, server: resp.Server, streamVersion: resp.StreamVersion}, nil
 }
 
 // openStream implements ledgerClient.
@@ -212,7 +216,7 @@
 func (l *remoteLedger) sendVia(client *leaderclient.Client, cmd *ledgerpb.Command) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
 		resp := new(ledgerpb.Response)
-		if err := client.Call(ctx, &l.leader, transport.MethodLedger, 0, &ledgerpb.Request{Command: cmd}, resp); err != nil {
+		if err := client.Call(ctx, &l.leader, transport.MethodLedger, 0, &ledgerpb.Request{Command: cmd, FetchesChain: true}, resp); err != nil {
 			return nil, err
 		}
 		return resp, nil
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -95,14 +95,10 @@
 // PreviousTurns returns the turn that a Begin continues from and all its
 // ancestors, oldest first.
 func (r Result) PreviousTurns() []*ledgerpb.Exchange {
-	length := 0
-	for t := r.previous; t != nil; t = t.previous {
-		length++
-	}
-	exchanges := make([]*ledgerpb.Exchange, length)
-	for t := r.previous; t != nil; t = t.previous {
-		length--
-		exchanges[length] = &ledgerpb.Exchange{Input: t.input, Output: t.output}
+	turns := r.Chain().turns
+	exchanges := make([]*ledgerpb.Exchange, len(turns))
+	for i, t := range turns {
+		exchanges[i] = &ledgerpb.Exchange{Input: t.input, Output: t.output}
 	}
 	return exchanges
 }
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -96,6 +96,7 @@
 		{"heartbeats reach a host that is cut off from their receiver", four, heartbeatsReachCutOffHost},
 		{"reports of servers whose names are unreadable", three, unreadableServerIDs},
 		{"more servers than one update carries", three, manyServers},
+		{"chain that is too long for one message", three, longChainIsContinued},
 	}
 	for _, victim := range three {
 		for delay := time.Duration(0); delay <= maxPowerLossDelay; delay += time.Millisecond {
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -279,6 +279,7 @@
 	}
 	h.background.Go(func() { loop.Every(ctx, sweepInterval, h.sweep) })
 	h.background.Go(func() { loop.Every(ctx, persistInterval, h.persistServers) })
+	server.Handle(transport.MethodLedgerChain, transport.SharedUnary(h.handleChain))
 }
 
 // sweep removes backend servers without a heartbeat for long, marks the silent ones and
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -149,7 +149,9 @@
 	if busy {
 		h.metrics.busyResponses.Inc()
 	}
-	return &ledgerpb.Response{Outcome: result.Outcome, Chain: result.PreviousTurns(), Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}, nil
+	resp := &ledgerpb.Response{Outcome: result.Outcome, Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}
+	addChain(resp, result, req.FetchesChain)
+	return resp, nil
 }
 
 const (
--- a/internal/transport/methods.go
+++ b/internal/transport/methods.go
@@ -27,6 +27,7 @@
 	MethodRoutes      = "routes.call"
 	MethodRoutesFetch = "routes.fetch"
 	MethodLedger      = "ledger.call"
+	MethodLedgerChain = "ledger.chain"
 
 	// Methods of the sidecar role.
 	MethodRun     = "sidecar.run"
