The memory of the replicated log is limited in bytes

Ruled out: garbage of decoding, which the runtime's limit bounds, and watchers that do not read, of which there were none.

Change: these entries are limited to a 32nd of the memory limit for each group, and the commands that wait for a quorum to an eighth for both; a single command is always taken. Without a limit, 256 MB are assumed.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -187,6 +187,7 @@
 		FaultTolerance:    s.ToleratedHostLosses,
 		Standby:           p.standby,
 		DiskBytes:         s.DiskBytes,
+		MemoryBytes:       s.MemoryLimitBytes,
 		DecodeRoutes:      platform.DecodeRoutes,
 		HeartbeatInterval: s.HeartbeatInterval,
 		AccountWindow:     s.AccountWindow,
--- a/internal/raft/bench_test.go
+++ b/internal/raft/bench_test.go
@@ -50,7 +50,7 @@
 	for _, n := range nodes {
 		meta, err := n.SnapshotMeta(n.log.applied)
 		assert.NilError(b, err)
-		assert.NilError(b, n.Compact(meta, 0))
+		assert.NilError(b, n.Compact(meta, Retention{}))
 	}
 }
 
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -181,6 +181,18 @@
 	l.minValidReceipt = l.nextReceipt
 }
 
+// lastOutside returns the index of the last entry up to index that the retention does not cover.
+func (l *entryLog) lastOutside(index uint64, retention Retention) uint64 {
+	bytes := 0
+	for i := index; i > l.baseIndex; i-- {
+		bytes += len(l.entries[i-l.first()].Data)
+		if index-i >= retention.Entries || bytes > retention.Bytes {
+			return i
+		}
+	}
+	return l.baseIndex
+}
+
 // compact drops the entries up to index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.baseIndex {
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -434,12 +434,12 @@
 	meta, err := n.SnapshotMeta(3)
 	assert.NilError(t, err)
 	assert.Assert(t, proto.Equal(meta, &raftpb.SnapshotMeta{Index: 3, Term: 1, Membership: normalize(membershipOf(1, 2, 3))}))
-	assert.NilError(t, n.Compact(meta, 1))
+	assert.NilError(t, n.Compact(meta, Retention{Entries: 1, Bytes: 1 << 10}))
 	assert.Equal(t, n.Status().FirstIndex, uint64(3))
 	_, err = n.SnapshotMeta(2)
 	assert.ErrorIs(t, err, ErrCompacted)
-	assert.ErrorIs(t, n.Compact(&raftpb.SnapshotMeta{Index: 2}, 0), ErrCompacted)
-	assert.ErrorIs(t, n.Compact(&raftpb.SnapshotMeta{Index: 4}, 0), ErrNotApplied)
+	assert.ErrorIs(t, n.Compact(&raftpb.SnapshotMeta{Index: 2}, Retention{}), ErrCompacted)
+	assert.ErrorIs(t, n.Compact(&raftpb.SnapshotMeta{Index: 4}, Retention{}), ErrNotApplied)
 }
 
 // FuzzStep checks that no message makes a replica panic, lower its commit index, or
@@ -471,3 +471,32 @@
 		}
 	})
 }
+
+// TestRetainedEntriesAreLimitedByBytes guards against large entries that fill the memory of all
+// members, since only their number is limited.
+func TestRetainedEntriesAreLimitedByBytes(t *testing.T) {
+	cases := map[string]struct {
+		retention Retention
+		want      uint64 // first entry that is left, of five with 100 bytes each up to the snapshot
+	}{
+		"none":                 {Retention{}, 6},
+		"by number":            {Retention{Entries: 2, Bytes: 1000}, 4},
+		"by bytes":             {Retention{Entries: 5, Bytes: 250}, 4},
+		"exactly":              {Retention{Entries: 5, Bytes: 300}, 3},
+		"less than an entry":   {Retention{Entries: 5, Bytes: 99}, 6},
+		"more than there are":  {Retention{Entries: 9, Bytes: 1000}, 1},
+		"bytes without number": {Retention{Bytes: 1000}, 6},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var entries []*raftpb.Entry
+			for index := range uint64(7) {
+				entries = append(entries, &raftpb.Entry{Index: index + 1, Term: 1, Data: make([]byte, 100)})
+			}
+			l := newEntryLog(&raftpb.SnapshotMeta{}, entries)
+			l.compact(l.lastOutside(5, c.retention))
+			assert.Equal(t, l.first(), c.want)
+			assert.Equal(t, l.last(), uint64(7))
+		})
+	}
+}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -299,7 +300,7 @@
 	assert.NilError(s.t, err)
 	h.disk.snapshot, h.disk.data = meta, maps.Clone(h.kv)
 	h.disk.entries = slices.DeleteFunc(slices.Clone(h.disk.entries), func(e *raftpb.Entry) bool { return e.Index <= meta.Index })
-	assert.NilError(s.t, h.node.Compact(meta, retainedEntries))
+	assert.NilError(s.t, h.node.Compact(meta, Retention{Entries: retainedEntries, Bytes: math.MaxInt}))
 }
 
 // send sends messages over the network, which may lose, delay, duplicate or
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -19,11 +19,17 @@
 	return &raftpb.SnapshotMeta{Index: index, Term: term, Membership: n.membershipAt(index)}, nil
 }
 
+// Retention limits the entries that stay in memory although a snapshot covers them. They are
+// sent to members that are slightly behind; others get the snapshot.
+type Retention struct {
+	Entries uint64
+	Bytes   int // of data
+}
+
 // Compact records that the host holds a durable snapshot with this metadata. It
-// drops the entries up to its index from memory, except for the last retain ones,
-// which are sent to members that are slightly behind. Errors: ErrNotApplied,
-// ErrCompacted (the snapshot is older than the latest one).
-func (n *Node) Compact(meta *raftpb.SnapshotMeta, retain uint64) error {
+// drops the entries up to its index from memory, except for the last ones within the
+// retention. Errors: ErrNotApplied, ErrCompacted (the snapshot is older than the latest one).
+func (n *Node) Compact(meta *raftpb.SnapshotMeta, retention Retention) error {
 	if meta.Index > n.log.applied {
 		return fmt.Errorf("%w: index %d, applied up to %d", ErrNotApplied, meta.Index, n.log.applied)
 	}
@@ -31,9 +37,7 @@
 		return fmt.Errorf("%w: index %d, latest snapshot at %d", ErrCompacted, meta.Index, n.snapshot.Index)
 	}
 	n.snapshot = meta
-	if meta.Index > retain {
-		n.log.compact(meta.Index - retain)
-	}
+	n.log.compact(n.log.lastOutside(meta.Index, retention))
 	n.compactMemberships(meta.Index)
 	return nil
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -18,6 +18,7 @@
 	defaultSnapshotEntries = 4096
 	defaultSnapshotBytes   = 4 << 20
 	defaultRetainEntries   = 256
+	defaultRetainBytes     = 8 << 20
 	defaultMaxSegments     = 8
 	// logShareOfSnapshot is the size of the log after which a snapshot is due, as a share of
 	// the latest snapshot.
@@ -47,6 +48,7 @@
 	// is taken, so that a restart replays less than it restores. Default: SnapshotBytes.
 	MinSnapshotBytes int
 	RetainEntries    uint64 // entries kept in memory after a snapshot, for slow members; default 256
+	RetainBytes      int    // data of these entries in each group; default 8 MiB
 	MaxSegments      int    // log segments above which lagging groups take a snapshot; default 8
 	SegmentSize      int64  // bytes of a log segment; default: that of package wal
 
@@ -91,6 +93,7 @@
 	setDefault(&o.SnapshotBytes, defaultSnapshotBytes)
 	setDefault(&o.MinSnapshotBytes, o.SnapshotBytes)
 	setDefault(&o.RetainEntries, defaultRetainEntries)
+	setDefault(&o.RetainBytes, defaultRetainBytes)
 	setDefault(&o.MaxSegments, defaultMaxSegments)
 	return nil
 }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -113,7 +113,7 @@
 	if g.removed {
 		return
 	}
-	err := g.node.Compact(meta, g.host.opts.RetainEntries)
+	err := g.node.Compact(meta, raft.Retention{Entries: g.host.opts.RetainEntries, Bytes: g.host.opts.RetainBytes})
 	if errors.Is(err, raft.ErrCompacted) {
 		return
 	}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -62,7 +62,13 @@
 	// and writes the last one anew.
 	maxSegmentBytes = 1 << 20
 	maxSegments     = 2
-	sweepInterval   = time.Second
+	// retainMemoryShare is the part of the memory limit that the entries of one group may take
+	// which a snapshot covers, and pendingMemoryShare that of the commands which wait for a quorum.
+	retainMemoryShare  = 32
+	pendingMemoryShare = 8
+	// defaultMemoryBytes is assumed for hosts without a memory limit.
+	defaultMemoryBytes = 256 << 20
+	sweepInterval      = time.Second
 )
 
 // Config configures a state host.
@@ -84,6 +90,8 @@
 	// DiskBytes is the size of the disk; 0: not known. The log is kept small enough for
 	// it, and groups whose state does not fit are not placed here.
 	DiskBytes int64
+	// MemoryBytes is the memory limit of the process; 0: none.
+	MemoryBytes int64
 	// Seeds returns the addresses of some state hosts for calls between processes. The
 	// result may change.
 	Seeds func() []string
@@ -100,6 +108,14 @@
 	AccountWindow quota.Window
 }
 
+// memoryBytes returns the memory limit, or defaultMemoryBytes if there is none.
+func (c *Config) memoryBytes() int64 {
+	if c.MemoryBytes <= 0 {
+		return defaultMemoryBytes
+	}
+	return c.MemoryBytes
+}
+
 // Host is the state host of this process. Run starts its background work, Stop ends it.
 type Host struct {
 	cfg      Config
@@ -122,6 +138,7 @@
 
 	pendingProposals singleflight.Group // commands to the ledger by kind and call ID
 	pendingCommands  atomic.Int64
+	pendingBytes     atomic.Int64 // of the pending commands of both groups
 
 	configLeader leaderclient.LeaderCache
 	ledgerLeader leaderclient.LeaderCache
@@ -200,6 +217,7 @@
 		SnapshotEntries:  snapshotEntries,
 		SnapshotBytes:    int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
 		MinSnapshotBytes: minSnapshotBytes,
+		RetainBytes:      int(cfg.memoryBytes() / retainMemoryShare),
 		MaxSegments:      maxSegments,
 		SegmentSize:      diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
 		Clock:            bootTime,
@@ -261,6 +279,7 @@
 	server.Handle(transport.MethodRoutes, transport.Unary(h.handleConfig))
 	server.Handle(transport.MethodRoutesFetch, transport.Unary(h.handleRoutesFetch))
 	server.Handle(transport.MethodLedger, transport.SharedUnary(h.handleLedger))
+	server.Handle(transport.MethodLedgerChain, transport.SharedUnary(h.handleChain))
 	server.Handle(transport.MethodCrashReport, transport.Unary(h.handleCrashReport))
 	server.Handle(transport.MethodNotices, transport.Unary(h.handleNotices))
 	server.Handle(transport.MethodPermits, transport.SharedUnary(h.handlePermits))
@@ -279,7 +298,6 @@
 	}
 	h.background.Go(func() { loop.Every(ctx, sweepInterval, h.sweep) })
 	h.background.Go(func() { loop.Every(ctx, persistInterval, h.persistServers) })
-	server.Handle(transport.MethodLedgerChain, transport.SharedUnary(h.handleChain))
 }
 
 // sweep removes backend servers without a heartbeat for long, marks the silent ones and
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -112,6 +112,10 @@
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
 	}
+	if err := h.holdPending(len(data)); err != nil {
+		return nil, err
+	}
+	defer h.releasePending(len(data))
 	if _, err := h.replicas.Propose(ctx, ConfigGroup, data); err != nil {
 		return nil, peer.RPCError(h.replicas, ConfigGroup, err)
 	}
@@ -177,6 +181,10 @@
 			return nil, transport.Errorf(rpcpb.Code_CODE_UNAVAILABLE, "%d commands already wait for a quorum", maxPendingCommands)
 		}
 		defer h.pendingCommands.Add(-1)
+		if err := h.holdPending(len(data)); err != nil {
+			return nil, err
+		}
+		defer h.releasePending(len(data))
 		ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 		defer cancel()
 		applied, err := h.replicas.Propose(ctx, LedgerGroup, data)
@@ -196,6 +204,19 @@
 	}
 }
 
+// holdPending counts the bytes of a command that waits for a quorum. It refuses the command if it
+// exceeds its share of the memory together with the commands that wait already.
+func (h *Host) holdPending(size int) error {
+	limit := h.cfg.memoryBytes() / pendingMemoryShare
+	if held := h.pendingBytes.Add(int64(size)); held > limit && held > int64(size) {
+		h.releasePending(size)
+		return transport.Errorf(rpcpb.Code_CODE_UNAVAILABLE, "commands of %d bytes already wait for a quorum, limit %d", held-int64(size), limit)
+	}
+	return nil
+}
+
+func (h *Host) releasePending(size int) { h.pendingBytes.Add(-int64(size)) }
+
 // commandKey returns the key under which copies of a command share one proposal.
 func commandKey(cmd *ledgerpb.Command) string {
 	key := fmt.Sprintf("%s %q %q", commandKind(cmd), accountOf(cmd), callID(cmd))
