Large commands that are written together do not stop their group

Commands that are proposed, or received from the leader, at the same time are appended to the log as one. Above 32 MB the log refuses that, and the group waited for the write for ever, without an error: 12 turns of 4 MB at the same moment were enough.

Change: entries are appended in parts of at most 8 MB of data; the last one makes the write durable. After a crash in between the log is shorter, and nothing of it was acknowledged. An entry that the log cannot hold stops the host with an error.

The files' format is the same: a log of several appends is what smaller commands give.

--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"errors"
+
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
@@ -79,13 +81,43 @@
 		w.durable = true
 		return
 	}
-	update := wal.Update{Group: g.id, HardState: g.pendingHardState, Snapshot: rd.Snapshot, Entries: rd.Entries}
+	update := wal.Update{Group: g.id, HardState: g.pendingHardState, Snapshot: rd.Snapshot}
 	g.pendingHardState = nil
-	g.host.log.AppendAsync([]wal.Update{update}, func(err error) {
-		if err == nil {
-			g.core.post(func() { w.durable = true; g.completeWrites() })
+	rest := rd.Entries
+	for first := true; first || len(rest) > 0; first = false {
+		update.Entries, rest = splitEntries(rest, maxAppendBytes)
+		last := len(rest) == 0
+		g.host.log.AppendAsync([]wal.Update{update}, func(err error) { g.appended(w, last, err) })
+		update = wal.Update{Group: g.id}
+	}
+}
+
+// appended handles the result of one append of a write, the last of which makes it durable. The
+// host stops if the log cannot hold an entry: it would wait for it for ever.
+func (g *group) appended(w *pendingWrite, last bool, err error) {
+	switch {
+	case errors.Is(err, wal.ErrTooLarge):
+		g.host.fail(err)
+	case err == nil && last:
+		g.core.post(func() { w.durable = true; g.completeWrites() })
+	}
+}
+
+// maxAppendBytes is the size of the entries' data above which they are appended to the log in
+// several parts. A crash in between leaves a shorter log, none of which was acknowledged.
+const maxAppendBytes = 8 << 20
+
+// splitEntries returns the first entries with at most limit bytes of data, but at least one, and
+// the others.
+func splitEntries(entries []*raftpb.Entry, limit int) (first, rest []*raftpb.Entry) {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if i > 0 && size > limit {
+			return entries[:i], entries[i:]
 		}
-	})
+	}
+	return entries, nil
 }
 
 // completeWrites reports durable writes to the node, in order, and sends the messages
