A replica is stale only after a committed removal

A leader told a host to empty its replica as soon as it had proposed the removal. If the removal was not committed and the next leader did not know of it, a voter had forgotten what it had acknowledged.

Change: the decision takes the committed membership beside the latest one.

Not reproduced with processes: it takes a change of leader within the milliseconds between proposal and commit. Messages are unchanged.

--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -22,7 +22,8 @@
 	DurableIndex uint64 // last index known to be durable on this replica
 	CommitIndex  uint64
 	AppliedIndex uint64
-	Membership   *raftpb.Membership
+	Membership   *raftpb.Membership // the latest one, which may not be committed
+	Committed    *raftpb.Membership // the latest committed one, as far as this replica knows
 	NextID       uint64         // replica ID for the next new member
 	Members      []MemberStatus // the other members, in order of ID; only on the leader
 	Quiesced     bool
@@ -41,6 +42,7 @@
 		CommitIndex:  n.log.commit,
 		AppliedIndex: n.log.applied,
 		Membership:   m.Membership,
+		Committed:    n.membershipAt(n.log.commit),
 		NextID:       m.LastId + 1,
 		Quiesced:     n.quiesced,
 	}
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -84,18 +84,25 @@
 
 // staleReplicas returns the replicas of another host that are not members of the groups
 // that this host leads and cannot become any, because their IDs are not higher than all
-// IDs that members have had. Each is returned with the lowest usable ID.
+// IDs that members have had. Each is returned with the lowest usable ID. A removal that is not
+// committed makes no replica stale: the next leader may not know of it.
 func (h *Host) staleReplicas(ctx context.Context, address string) []*fleetpb.Replica {
 	var stale []*fleetpb.Replica
 	for _, r := range h.hosts.replicasOf(address) {
 		status, leads := h.leaderStatus(ctx, r.Group)
-		if leads && memberByID(status, r.Id) == nil && r.Id <= status.Membership.GetLastId() {
+		if leads && isStale(status.Committed, status.Membership, r.Id) {
 			stale = append(stale, &fleetpb.Replica{Group: r.Group, Id: status.Membership.GetLastId() + 1})
 		}
 	}
 	return stale
 }
 
+// isStale reports whether a replica is neither a member now nor can become one, by the committed
+// membership and by the latest one.
+func isStale(committed, latest *raftpb.Membership, id uint64) bool {
+	return member(committed, id) == nil && member(latest, id) == nil && id <= committed.GetLastId()
+}
+
 // leaderStatus returns the status of a group if this host leads it.
 func (h *Host) leaderStatus(ctx context.Context, group uint64) (replica.GroupStatus, bool) {
 	if h.replicas.Leader(group) != h.cfg.Address {
@@ -107,7 +114,11 @@
 
 // memberByID returns the member with the replica ID, or nil if there is none.
 func memberByID(status replica.GroupStatus, id uint64) *raftpb.Member {
-	for _, m := range status.Membership.GetMembers() {
+	return member(status.Membership, id)
+}
+
+func member(membership *raftpb.Membership, id uint64) *raftpb.Member {
+	for _, m := range membership.GetMembers() {
 		if m.Id == id {
 			return m
 		}
