A retirement follows the host that has the name now

Retirements are kept by address, but looked up by name. A store that gets the name of a retired one and is then asked to retire was taken for the one before: the request changed nothing, and the retirement was completed at once, upon which the platform removes the machine.

Change: of several hosts with a name the one that was added last is meant, and a retirement is completed when all hosts of the name that were asked are replaced, among them the one that has the name now.

What is stored is unchanged.

--- a/internal/statehost/hosts.go
+++ b/internal/statehost/hosts.go
@@ -136,14 +136,16 @@
 	return t.hosts[address].host.GetReplicas()
 }
 
-// byName returns the host with the name, or nil if it is not known.
+// byName returns the host with the name, or nil if it is not known. Of several, as when a host was
+// replaced under its name, it returns the one that was added last.
 func (t *hostTable) byName(name string) *fleetpb.Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var latest knownHost
 	for _, h := range t.hosts {
-		if h.host.Name == name {
-			return h.host
+		if h.host.GetName() == name && (latest.host == nil || h.added.After(latest.added)) {
+			latest = h
 		}
 	}
-	return nil
+	return latest.host
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -364,7 +364,8 @@
 }
 
 // Retired reports whether a state host that was asked to retire holds no replica and other
-// hosts have taken its place. Errors: ErrUnknownHost, ErrUnavailable.
+// hosts have taken its place. If the name has been given to a further host since, it must have
+// been asked, too. Errors: ErrUnknownHost, ErrUnavailable.
 func (h *Host) Retired(ctx context.Context, name string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorRequestTimeout)
 	defer cancel()
@@ -372,12 +373,31 @@
 	if err != nil {
 		return false, err
 	}
-	for _, retirement := range config.Retirements {
+	addresses := retiredAddresses(config.Retirements, h.hosts.byName(name), name)
+	if len(addresses) == 0 {
+		return false, fmt.Errorf("%w: %s was not asked to retire", ErrUnknownHost, name)
+	}
+	for _, address := range addresses {
+		if replaced, err := h.isReplaced(ctx, address); !replaced || err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// retiredAddresses returns the addresses of all hosts of a name that were asked to retire, or none
+// if the host that has the name now was not.
+func retiredAddresses(retirements []*fleetpb.Retirement, current *fleetpb.Host, name string) []string {
+	var addresses []string
+	for _, retirement := range retirements {
 		if retirement.Name == name {
-			return h.isReplaced(ctx, retirement.Address)
+			addresses = append(addresses, retirement.Address)
 		}
 	}
-	return false, fmt.Errorf("%w: %s was not asked to retire", ErrUnknownHost, name)
+	if current != nil && !slices.Contains(addresses, current.Address) {
+		return nil
+	}
+	return addresses
 }
 
 // isReplaced reports whether the host at the address is not a member of any group and all
