A report of an unknown service hides no backend server

A report of another writer that names the address of a backend server, a later start and a service that no route names made entries take the server for replaced: requests to its service got 503, although such a report names no server to use.

Change: at an address with instances of named services only these count. The index of the servers is built anew when routes come into force, since they may name a service that was reported before.

Messages between processes are unchanged.

--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -17,7 +17,7 @@
 
 func find(t *testing.T, table *Table, id string) *Instance {
 	t.Helper()
-	for _, i := range table.NewestByAddress() {
+	for _, i := range table.NewestByAddress(nil) {
 		if i.ID == id {
 			return i
 		}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -285,14 +285,15 @@
 }
 
 // NewestByAddress returns the most recently started instance of each address, ordered
-// by ID.
-func (t *Table) NewestByAddress() []*Instance {
+// by ID. Instances of services for which named returns false count only at addresses without
+// others: such reports come from writers that are no servers here. A nil named accepts all.
+func (t *Table) NewestByAddress(named func(service string) bool) []*Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	newest := make(map[string]*Instance, len(t.records))
 	for _, r := range t.records {
 		other := newest[r.instance.Address]
-		if other == nil || startedLater(r.instance, other) {
+		if other == nil || replaces(r.instance, other, named) {
 			newest[r.instance.Address] = r.instance
 		}
 	}
@@ -304,6 +305,14 @@
 	return list
 }
 
+// replaces reports whether a rather than b is the server at their address.
+func replaces(a, b *Instance, named func(service string) bool) bool {
+	if named != nil && named(a.Service) != named(b.Service) {
+		return named(a.Service)
+	}
+	return startedLater(a, b)
+}
+
 // startedLater reports whether a started after b. Equal start times are decided by the
 // latest heartbeat.
 func startedLater(a, b *Instance) bool {
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -23,7 +23,7 @@
 
 func stateOf(t *testing.T, table *Table, id string) fleetpb.State {
 	t.Helper()
-	for _, i := range table.NewestByAddress() {
+	for _, i := range table.NewestByAddress(nil) {
 		if i.ID == id {
 			return i.State
 		}
@@ -63,7 +63,7 @@
 		assert.Assert(t, other.Merge(FromProto(ToProto(changed[0], epoch), epoch)))
 		assert.Assert(t, !other.Merge(heartbeat("a", "10.0.0.1:80", start, 5, ready)))
 		assert.Equal(t, stateOf(t, other, "a"), gone)
-		assert.Equal(t, other.NewestByAddress()[0].Address, "10.0.0.1:80")
+		assert.Equal(t, other.NewestByAddress(nil)[0].Address, "10.0.0.1:80")
 
 		// A later start under the same ID is not affected.
 		assert.Assert(t, other.Merge(heartbeat("a", "10.0.0.1:80", start+1, 1, ready)))
@@ -113,7 +113,7 @@
 	table.Merge(heartbeat("new", "10.0.0.1:80", 2, 1, ready))
 	// This heartbeat was delayed by a network partition; its sender has crashed since.
 	table.Merge(heartbeat("old", "10.0.0.1:80", 1, 90, ready))
-	all := table.NewestByAddress()
+	all := table.NewestByAddress(nil)
 	assert.Equal(t, len(all), 1)
 	assert.Equal(t, all[0].ID, "new")
 }
@@ -159,20 +159,20 @@
 	later := epoch.Add(10 * time.Second)
 	assert.Equal(t, len(table.MarkSilent(later, 5*time.Second)), 1)
 	assert.Equal(t, len(table.MarkSilent(later, 5*time.Second)), 0)
-	assert.Assert(t, table.NewestByAddress()[0].Silent)
+	assert.Assert(t, table.NewestByAddress(nil)[0].Silent)
 	next := heartbeat("a", "10.0.0.1:80", 1, 2, ready)
 	next.LastHeartbeat = later
 	table.Merge(next)
-	assert.Assert(t, !table.NewestByAddress()[0].Silent)
+	assert.Assert(t, !table.NewestByAddress(nil)[0].Silent)
 }
 
 func TestSweepRemovesExpiredInstances(t *testing.T) {
 	table := NewTable()
 	table.Merge(heartbeat("a", "10.0.0.1:80", 1, 1, ready))
 	table.Sweep(epoch.Add(goneRetentionPeriod))
-	assert.Equal(t, len(table.NewestByAddress()), 1)
+	assert.Equal(t, len(table.NewestByAddress(nil)), 1)
 	table.Sweep(epoch.Add(goneRetentionPeriod + time.Second))
-	assert.Equal(t, len(table.NewestByAddress()), 0)
+	assert.Equal(t, len(table.NewestByAddress(nil)), 0)
 }
 
 func TestValidateRejectsUnusableInstances(t *testing.T) {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -177,17 +177,23 @@
 		if v.routes.CompareAndSwap(known, doc) {
 			v.log.Info("routes in force", "version", doc.Version, "from", address, "routes", len(doc.Routes))
 			v.mu.Lock()
-			v.notify()
+			v.rebuildIndex()
 			v.mu.Unlock()
 			return
 		}
 	}
 }
 
+// isNamed reports whether the routes in force have a service, or there are none yet.
+func (v *view) isNamed(service string) bool {
+	doc := v.routes.Load()
+	return doc == nil || doc.Services[service] != nil
+}
+
 // rebuildIndex replaces the snapshot of the servers. The caller holds the mutex.
 func (v *view) rebuildIndex() {
 	next := &serverIndex{byService: make(map[string][]*fleet.Instance)}
-	all := v.table.NewestByAddress()
+	all := v.table.NewestByAddress(v.isNamed)
 	v.crashDetector.updateServers(all, time.Now())
 	for _, i := range all {
 		if i.State == fleetpb.State_STATE_READY {
--- a/internal/statehost/fanout_test.go
+++ b/internal/statehost/fanout_test.go
@@ -87,7 +87,7 @@
 		c.sendHeartbeats("a", 3, sequence+2)
 		for range 10 {
 			time.Sleep(100 * time.Millisecond)
-			instances := c.nodes["c"].host.servers.NewestByAddress()
+			instances := c.nodes["c"].host.servers.NewestByAddress(nil)
 			silent := slices.ContainsFunc(instances, func(i *fleet.Instance) bool { return i.Silent && i.ID != "x" })
 			if !silent {
 				silentSamples = 0
--- a/internal/statehost/golden_test.go
+++ b/internal/statehost/golden_test.go
@@ -77,7 +77,7 @@
 	config, _ := h.config.read()
 	assert.Equal(t, string(config.Routes.GetDocument()), "1000")
 	assert.Equal(t, config.Retirements[0].GetAddress(), "z")
-	server := h.servers.NewestByAddress()[0]
+	server := h.servers.NewestByAddress(nil)[0]
 	assert.Equal(t, server.ID+" "+server.Service+" "+server.Version, "i-1 chat v1")
 }
 
--- a/internal/statehost/host_test.go
+++ b/internal/statehost/host_test.go
@@ -54,7 +54,7 @@
 	defer stopHost(t, h)
 	assert.ErrorIs(t, h.Heartbeat(testInstance(1)), ErrIsolated)
 	assert.ErrorIs(t, h.Deregister("i-1", 0), ErrIsolated)
-	assert.Equal(t, len(h.servers.NewestByAddress()), 0)
+	assert.Equal(t, len(h.servers.NewestByAddress(nil)), 0)
 }
 
 func TestSingleHostAcceptsHeartbeats(t *testing.T) {
@@ -73,14 +73,14 @@
 	stopHost(t, h)
 
 	next := newTestHost(t, dir, "127.0.0.1:1")
-	all := next.servers.NewestByAddress()
+	all := next.servers.NewestByAddress(nil)
 	assert.Equal(t, len(all), 1)
 	assert.Equal(t, all[0].Sequence, uint64(7))
 	// The server counts as silent unless a heartbeat arrives in time.
 	later := time.Now().Add(restoredServerTimeout + time.Second)
 	assert.Equal(t, len(next.servers.MarkSilent(later, maxMissedHeartbeats*next.cfg.HeartbeatInterval)), 1)
 	assert.NilError(t, next.Heartbeat(testInstance(8)))
-	assert.Assert(t, !next.servers.NewestByAddress()[0].Silent)
+	assert.Assert(t, !next.servers.NewestByAddress(nil)[0].Silent)
 	stopHost(t, next)
 }
 
@@ -89,7 +89,7 @@
 	assert.NilError(t, os.WriteFile(filepath.Join(dir, serversFile), []byte("\xff\xffdamaged"), 0o600))
 	h := newTestHost(t, dir, "127.0.0.1:1")
 	defer stopHost(t, h)
-	assert.Equal(t, len(h.servers.NewestByAddress()), 0)
+	assert.Equal(t, len(h.servers.NewestByAddress(nil)), 0)
 }
 
 // TestPendingCommandsAreLimited guards against a leader without a quorum that queues
--- a/internal/statehost/serversfile.go
+++ b/internal/statehost/serversfile.go
@@ -37,7 +37,7 @@
 	}
 	now := time.Now()
 	list := &fleetpb.Update{Control: hosts}
-	for _, instance := range h.servers.NewestByAddress() {
+	for _, instance := range h.servers.NewestByAddress(nil) {
 		list.Instances = append(list.Instances, fleet.ToProto(instance, now))
 	}
 	if err := writeFile(filepath.Join(h.cfg.DataDir, serversFile), list); err != nil {
--- a/internal/statehost/unreadable_id_test.go
+++ b/internal/statehost/unreadable_id_test.go
@@ -32,7 +32,7 @@
 	assert.NilError(t, first.Heartbeat(readyServer("last", 3)))
 	for _, address := range []string{"b", "c"} {
 		c.eventually("updates at "+address, func() error {
-			known := c.nodes[address].host.servers.NewestByAddress()
+			known := c.nodes[address].host.servers.NewestByAddress(nil)
 			if !slices.ContainsFunc(known, func(i *fleet.Instance) bool { return i.ID == "last" }) {
 				return fmt.Errorf("%d servers are known, not the last one", len(known))
 			}
