--- a/internal/processtest/proofs_test.go
+++ b/internal/processtest/proofs_test.go
@@ -46,12 +46,12 @@
 }
 
 // testSources returns the source text of a package's test files. Directories that begin with
-// "platform" are in the root of the repository, others in internal.
+// "platform" or "proto" are in the root of the repository, others in internal.
 func testSources(t *testing.T, directory string) string {
 	t.Helper()
 	var all strings.Builder
 	dir := filepath.Join("..", directory)
-	if strings.HasPrefix(directory, "platform") {
+	if strings.HasPrefix(directory, "platform") || strings.HasPrefix(directory, "proto") {
 		dir = filepath.Join("..", "..", directory)
 	}
 	files, err := fs.Glob(os.DirFS(dir), "*_test.go")
