Large documents are pushed to older entries at a limited rate

A host sends at most 8 MB of such documents a second; a watcher that has to wait gets the version in force when it is its turn.

TestLargeRoutesReachWatchersThatDoNotFetch also checks the pause.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -401,7 +401,7 @@
 // error wraps errNotRun, and passthrough.ErrConnectionLost if the body could not be read to
 // its end.
 func readRefusal(exchange *passthrough.Exchange) error {
-	exchange.Refuse()
+	exchange.MarkRefused()
 	status := exchange.Response.StatusCode
 	n, err := io.Copy(io.Discard, io.LimitReader(exchange.Body, maxRefusalBytes))
 	if err == nil && n == maxRefusalBytes {
--- a/internal/gateway/identify.go
+++ b/internal/gateway/identify.go
@@ -26,9 +26,10 @@
 )
 
 // identify finds the client account of the request by its key. Errors: errUnknownKey, errNoRoute
-// if the route was dropped meanwhile, and errAccountUnconfirmed while a key may have been taken away or added without this entry
-// knowing. Requests of public routes need no key. One that bears the key of an account counts for
-// it like any other: its program's turns and budget are those of the account.
+// if the route was dropped meanwhile, and errAccountUnconfirmed while a key may have been taken
+// away or added without this entry knowing. Requests of public routes need no key. One that bears
+// the key of an account counts for it like any other: its program's turns and budget are those of
+// the account.
 func (c *call) identify() error {
 	if c.routes.Accounts == nil || c.route.Public && c.meta.Key == "" {
 		return nil
--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -56,7 +56,7 @@
 // Request is an HTTP request that is written unchanged. The Host and Content-Length
 // fields are derived from Host and Body.
 type Request struct {
-	ID     string // see Exchange.Refuse
+	ID     string // see Exchange.MarkRefused
 	Method string
 	Target string // path and query, not normalized
 	Host   string
--- a/internal/passthrough/pool.go
+++ b/internal/passthrough/pool.go
@@ -102,10 +102,10 @@
 	}, nil
 }
 
-// Refuse records that the server refused the request without running it. The connection then
+// MarkRefused records that the server refused the request without running it. The connection then
 // carries no request of the same ID any more: a late copy of the refusal would look like the
 // response to it. It must be called before Close.
-func (e *Exchange) Refuse() { e.conn.recordRefusal(e.id) }
+func (e *Exchange) MarkRefused() { e.conn.recordRefusal(e.id) }
 
 // Close ends the exchange. complete says that the body was read up to io.EOF; only then
 // may the connection be reused, otherwise it is closed. Further calls have no effect.
--- a/internal/passthrough/refusal_test.go
+++ b/internal/passthrough/refusal_test.go
@@ -27,7 +27,7 @@
 		_, err = io.ReadAll(e.Body)
 		assert.NilError(t, err)
 		if refuse {
-			e.Refuse()
+			e.MarkRefused()
 		}
 		e.Close(true)
 		return e
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -24,8 +24,8 @@
 	AppliedIndex uint64
 	Membership   *raftpb.Membership // the latest one, which may not be committed
 	Committed    *raftpb.Membership // the latest committed one, as far as this replica knows
-	NextID       uint64         // replica ID for the next new member
-	Members      []MemberStatus // the other members, in order of ID; only on the leader
+	NextID       uint64             // replica ID for the next new member
+	Members      []MemberStatus     // the other members, in order of ID; only on the leader
 	Quiesced     bool
 }
 
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -137,6 +137,7 @@
 	peerWatcher *fleetwatch.Watcher
 
 	pendingProposals singleflight.Group // commands to the ledger by kind and call ID
+	pushes           pushLimiter
 	pendingCommands  atomic.Int64
 	pendingBytes     atomic.Int64 // of the pending commands of both groups
 
--- a/internal/statehost/routesdoc_test.go
+++ b/internal/statehost/routesdoc_test.go
@@ -45,8 +45,9 @@
 		return &fleetpb.Routes{Version: version, Document: bytes.Repeat([]byte("r"), routesync.MaxPushedBytes+1)}
 	}
 	start := time.Now()
-	old, present := watcher{}, watcher{fetchesRoutes: true}
-	for _, w := range []*watcher{&old, &present} {
+	h := new(Host)
+	old, other, present := watcher{host: h}, watcher{host: h}, watcher{host: h, fetchesRoutes: true}
+	for _, w := range []*watcher{&old, &other, &present} {
 		assert.Equal(t, len(w.nextRoutes(large(1), start).Document), 0)
 		assert.Assert(t, w.nextRoutes(large(1), start.Add(pushDelay-1)) == nil)
 	}
@@ -56,5 +57,9 @@
 	assert.Equal(t, pushed.GetVersion(), uint64(3))
 	assert.Assert(t, len(pushed.GetDocument()) > 0)
 	assert.Assert(t, old.nextRoutes(large(3), start.Add(time.Hour)) == nil)
+	// Documents of this size follow each other after 2 ms.
+	assert.Equal(t, len(other.nextRoutes(large(3), start.Add(pushDelay)).Document), 0)
+	assert.Assert(t, other.nextRoutes(large(3), start.Add(pushDelay+time.Millisecond)) == nil)
+	assert.Assert(t, len(other.nextRoutes(large(3), start.Add(pushDelay+2*time.Millisecond)).GetDocument()) > 0)
 	assert.Assert(t, present.nextRoutes(large(1), start.Add(time.Hour)) == nil)
 }
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"iter"
 	"slices"
+	"sync"
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
@@ -27,6 +28,9 @@
 	// watcher that does not say whether it fetches documents. Builds before that field fetch
 	// them within this time, except for the oldest ones, which cannot.
 	pushDelay = 250 * time.Millisecond
+	// pushBytesPerSecond limits such documents of one host, most of which are not needed, so that
+	// many changes during an upgrade do not fill its link.
+	pushBytesPerSecond = 8 << 20
 )
 
 // handleWatch sends updates to one watcher until its stream ends. While nothing changes it
@@ -174,7 +178,7 @@
 // nextRoutes returns what the watcher is to receive of the routes in force, nil if nothing. The
 // keep-alive updates bring a document that is due.
 func (w *watcher) nextRoutes(routes *fleetpb.Routes, now time.Time) *fleetpb.Routes {
-	if !w.pushAt.IsZero() && !now.Before(w.pushAt) {
+	if !w.pushAt.IsZero() && !now.Before(w.pushAt) && w.host.pushes.take(len(routes.Document), now) {
 		w.routesVersion, w.pushAt = routes.Version, time.Time{}
 		return routes
 	}
@@ -189,6 +193,24 @@
 	return announced
 }
 
+// pushLimiter limits the documents that are sent to watchers which may not need them. It is safe
+// for concurrent use.
+type pushLimiter struct {
+	mu   sync.Mutex
+	next time.Time // when the next document may be sent
+}
+
+// take reports whether a document of a size may be sent now, and counts it if so.
+func (l *pushLimiter) take(size int, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.next) {
+		return false
+	}
+	l.next = now.Add(time.Duration(size) * time.Second / pushBytesPerSecond)
+	return true
+}
+
 // knowsConfigLeader reports whether this host holds a replica of the configuration that
 // has recent contact with a leader. Without, it may miss changes that were acknowledged.
 func (h *Host) knowsConfigLeader() bool { return h.replicas.Leader(ConfigGroup) != "" }
