Versions of the routes as metrics of entries and state hosts

An acknowledged change that has no effect looked the same whether updates had ended, the document did not arrive, it could not be read, or the state host lacked it: an entry told only of changes that came into force, and a request refused with no_route did not name the version that it was refused under.

Entries now count documents that could not be fetched or read, and show the announced version beside the one in force; state hosts show the version that they have applied; the log line of each request names the version.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -392,8 +392,11 @@
 	if c.stream.resumed {
 		fields = append(fields, "resumes", c.stream.resumes, "stream_version", c.stream.version)
 	}
+	if c.routes != nil {
+		fields = append(fields, "routes_version", c.routes.Version)
+	}
 	if c.route != nil {
-		fields = append(fields, "route", c.route.Name, "routes_version", c.routes.Version)
+		fields = append(fields, "route", c.route.Name)
 	}
 	if c.server != nil {
 		fields = append(fields, "server", c.server.ID, "address", c.server.Address, "version", c.server.Version)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
 	g.crashDetector = newCrashDetector(log.Named("suspects"), g.reportCrash)
-	g.view = newView(cfg, log.Named("view"), pool, g.crashDetector)
+	g.view = newView(cfg, log.Named("view"), metrics, pool, g.crashDetector)
 	g.permits = newPermitClient(cfg.Name, pool, g.view.stateHosts, metrics, func(n fleet.Notice) { g.view.note(n) })
 	g.accounts = newAccountClient(cfg, log.Named("accounts"), pool, g.view, metrics)
 	g.noticeReporter = newNoticeReporter(cfg.Name, log.Named("notices"), pool, g.view.noticeTargets, &g.inFlight)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -14,6 +14,7 @@
 	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/routesync"
 	"ibistray.example/ibistray/internal/routing"
+	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 )
@@ -26,6 +27,7 @@
 // Requests read immutable snapshots, which updates from state hosts replace.
 type view struct {
 	log     hclog.Logger
+	metrics *telemetry.Metrics
 	decode  func([]byte) (*routing.Document, error)
 	seeds   func() []string
 	watcher *fleetwatch.Watcher
@@ -60,8 +62,8 @@
 	byService map[string][]*fleet.Instance
 }
 
-func newView(cfg Config, log hclog.Logger, pool *transport.Pool, detector *crashDetector) *view {
-	v := &view{log: log, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, bootTime: clock.SinceBoot, started: time.Now(), maxSilence: fleetwatch.SilenceTimeout, table: fleet.NewTable(), changed: make(chan struct{})}
+func newView(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool *transport.Pool, detector *crashDetector) *view {
+	v := &view{log: log, metrics: metrics, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, bootTime: clock.SinceBoot, started: time.Now(), maxSilence: fleetwatch.SilenceTimeout, table: fleet.NewTable(), changed: make(chan struct{})}
 	v.watched = newWatchedHosts(cfg.Name, cfg.ToleratedHostLosses)
 	v.servers.Store(&serverIndex{})
 	v.lastQuorum.Store(v.bootTime().Nanoseconds())
@@ -76,7 +78,11 @@
 	v.fetcher = routesync.NewFetcher(routesync.Options{
 		Logger: log,
 		Fetch: func(ctx context.Context, address string, version uint64) (*fleetpb.Routes, error) {
-			return fetchRoutes(ctx, pool, address, version)
+			routes, err := fetchRoutes(ctx, pool, address, version)
+			if err != nil {
+				metrics.RoutesFailures.WithLabelValues("fetch").Inc()
+			}
+			return routes, err
 		},
 		InForce: v.routesVersion,
 		Apply:   v.applyRoutes,
@@ -126,6 +132,9 @@
 	if v.watched.recordUpdate(address, update.Quorum, time.Now()) {
 		v.watcher.Refresh()
 	}
+	if update.Routes != nil {
+		v.metrics.RoutesVersion.WithLabelValues("announced").Set(float64(update.Routes.Version))
+	}
 	switch {
 	case update.Routes == nil:
 	case len(update.Routes.Document) == 0:
@@ -166,6 +175,7 @@
 func (v *view) applyRoutes(address string, routes *fleetpb.Routes) {
 	doc, err := v.decode(routes.Document)
 	if err != nil {
+		v.metrics.RoutesFailures.WithLabelValues("decode").Inc()
 		v.log.Error("cannot decode routes", "from", address, "version", routes.Version, "error", err)
 		return
 	}
@@ -175,6 +185,7 @@
 			return
 		}
 		if v.routes.CompareAndSwap(known, doc) {
+			v.metrics.RoutesVersion.WithLabelValues("in_force").Set(float64(doc.Version))
 			v.log.Info("routes in force", "version", doc.Version, "from", address, "routes", len(doc.Routes))
 			v.mu.Lock()
 			v.rebuildIndex()
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -316,6 +316,7 @@
 	h.metrics.programs.Set(float64(stats.Programs))
 	h.metrics.streams.Set(float64(stats.Streams))
 	h.metrics.turnBytes.Set(float64(stats.Bytes))
+	h.metrics.routesVersion.Set(float64(h.config.routesInForce().GetVersion()))
 	h.reportUnknown(int64(stats.Unknown) + h.config.unknown.Load())
 	h.checkDisk(stats.Bytes)
 }
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -23,6 +23,7 @@
 	streams           prometheus.Gauge
 	turns             prometheus.Gauge
 	turnBytes         prometheus.Gauge
+	routesVersion     prometheus.Gauge // of the routes that this host has applied
 }
 
 const namespace = "ibistray"
@@ -59,12 +60,13 @@
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
-		watchers:  gauge("watchers", "Processes that watch the backend servers and routes here."),
-		programs:  gauge("ledger_programs", "Programs in the ledger."),
-		streams:   gauge("ledger_streams", "Streams in the ledger that clients can resume."),
-		turns:     gauge("ledger_turns", "Kept turns in the ledger."),
-		turnBytes: gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
+		watchers:      gauge("watchers", "Processes that watch the backend servers and routes here."),
+		programs:      gauge("ledger_programs", "Programs in the ledger."),
+		streams:       gauge("ledger_streams", "Streams in the ledger that clients can resume."),
+		turns:         gauge("ledger_turns", "Kept turns in the ledger."),
+		turnBytes:     gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
+		routesVersion: gauge("routes_applied_version", "Version of the routes that this state host has applied."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes, m.routesVersion)
 	return m
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -29,6 +29,8 @@
 	ServerConnections  *prometheus.CounterVec   // by outcome, for pass-through routes
 	ServerNotices      *prometheus.CounterVec   // by kind, of backend servers of pass-through routes
 	AccountRequests    *AccountRequests         // of client accounts with a limit
+	RoutesVersion      *prometheus.GaugeVec     // by state: versions of the routes that this entry knows of
+	RoutesFailures     *prometheus.CounterVec   // by reason: routes that did not come into force here
 	Permits            *prometheus.CounterVec   // by outcome: requests for permits to send to servers with a limit
 	PermitWaiting      prometheus.Gauge         // requests that wait for a permit
 	LedgerWindow       prometheus.Gauge         // maximum number of concurrent requests to the ledger
@@ -60,6 +62,8 @@
 		ServerConnections:  counterVec("server_connections_total", "Connections to backend servers of pass-through routes, by outcome.", "outcome"),
 		ServerNotices:      counterVec("server_notices_total", "Responses in which a backend server said that it leaves or has a limit, by kind.", "kind"),
 		AccountRequests:    newAccountRequests(),
+		RoutesVersion:      gaugeVec("routes_version", "Versions of the routes: announced to this entry by a state host, and in force here.", "state"),
+		RoutesFailures:     counterVec("routes_failures_total", "Routes that did not come into force at this entry, by reason.", "reason"),
 		Permits:            counterVec("permit_requests_total", "Requests for permits to send to backend servers with a limit, by outcome.", "outcome"),
 		PermitWaiting:      gauge("permit_waiting", "Requests that wait in this entry for a permit to be sent to a backend server with a limit."),
 		LedgerWindow:       gauge("ledger_window", "Maximum number of concurrent requests from this entry to the program ledger."),
@@ -70,7 +74,7 @@
 	m.Registry.MustRegister(
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
-		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.AccountRequests, m.Permits, m.PermitWaiting,
+		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
 		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
