A record that cannot be encoded ends no updates

Callers saw 404 on each route added after such a record was stored: the routes, the servers and the crash reports of a state host share one stream to each watcher, and a message is encoded as a whole. The reports that caused it once are refused at the table since, but the design was left: whatever record cannot be encoded, now or in a table that another build filled, took everything else with it, again at each new stream.

A part of an update that cannot be encoded is sent without the records that are at fault, counted and logged.

Before: TestRecordThatCannotBeEncodedEndsNoUpdates gets CODE_INTERNAL, 'encode Update: string field contains invalid UTF-8', in place of the update.

--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -13,7 +13,7 @@
 	membershipSteps   *prometheus.CounterVec // by kind: membership changes
 	reportsSent       *prometheus.CounterVec // by watcher, watcherPeer or watcherEntry: reports of backend servers
 	updatesSent       *prometheus.CounterVec // by watcher: updates, empty ones included
-	updatesUnsendable prometheus.Counter     // updates that could not be encoded, which end the watcher's stream
+	updatesUnsendable prometheus.Counter     // updates with records that could not be encoded
 	unknownRecords    prometheus.Counter     // commands and snapshot records of kinds that only later builds know
 	permits           *prometheus.CounterVec // by outcome, granted or denied: permits to send to servers with a limit
 	accountPermits    *prometheus.CounterVec // by outcome, granted, denied or programs_denied: permits of client accounts
@@ -50,7 +50,7 @@
 		reportsSent:      counter("watch_reports_total", "Reports of backend servers sent to watchers, by kind of watcher.", "watcher"),
 		updatesSent:      counter("watch_updates_total", "Updates sent to watchers, empty ones included, by kind of watcher.", "watcher"),
 		updatesUnsendable: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "watch_updates_unsendable_total", Help: "Updates that could not be encoded, which ended the stream of their watcher.",
+			Namespace: namespace, Name: "watch_updates_unsendable_total", Help: "Updates with records that could not be encoded, which were left out.",
 		}),
 		unknownRecords: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "unknown_records_total", Help: "Commands and snapshot records of kinds that only later builds know, which were ignored.",
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -7,6 +7,9 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/proto"
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/fleetwatch"
@@ -99,14 +102,17 @@
 }
 
 // send sends an update as one message or, if it has more than maxReportsPerUpdate reports of
-// backend servers, as several.
+// backend servers, as several. Records that cannot be encoded are left out.
 func (w *watcher) send(stream *transport.Stream, update *fleetpb.Update) error {
 	metrics := w.host.metrics
 	for part := range parts(update) {
-		if err := stream.Send(part); err != nil {
-			if !errors.Is(err, transport.ErrInterrupted) {
-				metrics.updatesUnsendable.Inc()
-			}
+		err := stream.Send(part)
+		if err != nil && !errors.Is(err, transport.ErrInterrupted) {
+			metrics.updatesUnsendable.Inc()
+			w.host.log.Error("update cannot be encoded: records are left out", "error", err)
+			err = stream.Send(withoutUnsendable(part))
+		}
+		if err != nil {
 			return err
 		}
 		metrics.reportsSent.WithLabelValues(w.kind()).Add(float64(len(part.Instances)))
@@ -133,6 +139,23 @@
 	}
 }
 
+// withoutUnsendable returns an update without the records that cannot be encoded.
+func withoutUnsendable(update *fleetpb.Update) *fleetpb.Update {
+	update.Instances = sendable(update.Instances)
+	update.Crashes = sendable(update.Crashes)
+	update.Retirements = sendable(update.Retirements)
+	update.Control = slices.DeleteFunc(slices.Clone(update.Control), func(address string) bool { return !utf8.ValidString(address) })
+	return update
+}
+
+// sendable returns the records that can be encoded.
+func sendable[M proto.Message](records []M) []M {
+	return slices.DeleteFunc(slices.Clone(records), func(record M) bool {
+		_, err := proto.Marshal(record)
+		return err != nil
+	})
+}
+
 // kind returns the kind of the watcher as a label of metrics.
 func (w *watcher) kind() string {
 	if w.peer {
