A document that takes longer than one wait is fetched to its end

Callers saw a change acknowledged that came into force at no entry: an entry gave a fetch of a large document up after 500 ms, asked the next state host, and began anew each time. Where the link, the state host or its own processor needs longer than that for the document, no number of attempts helps, and the attempts of all entries slow each other down. Class: a fixed time limit for a transfer whose size is not bounded.

After 500 ms a further host is asked beside the first one, whose fetch goes on; the first document that arrives ends the other fetches. Silent hosts still cost one wait, as before.

The fake hosts of the tests end a response when its caller has gone, as real ones do; the wait for another host is still 500 ms in the tests that were there.

--- a/internal/routesync/fetcher.go
+++ b/internal/routesync/fetcher.go
@@ -1,7 +1,6 @@
 package routesync
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -14,12 +13,18 @@
 )
 
 const (
-	// fetchTimeout limits one fetch. Another host is asked then.
-	fetchTimeout = 500 * time.Millisecond
+	// hedgeDelay is the time after which a further host is asked while a fetch runs. That fetch
+	// goes on: a large document takes longer on a slow link, and starting anew would not help.
+	hedgeDelay = 500 * time.Millisecond
+	// fetchTimeout limits one fetch from a host that sends nothing although its connection is
+	// alive. It covers the largest document at 1 MB a second.
+	fetchTimeout = 16 * time.Second
 	// minRetryDelay is the pause after the first failure of a host. It doubles with each
 	// further one up to maxRetryDelay.
 	minRetryDelay = 20 * time.Millisecond
 	maxRetryDelay = time.Second
+	// idleDelay is the wait for the next announcement when there is nothing to fetch.
+	idleDelay = time.Hour
 )
 
 // Options configures a Fetcher.
@@ -39,21 +44,27 @@
 	opts Options
 	wake loop.Waker
 
-	mu      sync.Mutex
-	sources []source // hosts with versions that are not in force, in the order of arrival
+	mu        sync.Mutex
+	sources   []*source // hosts with versions that are not in force, in the order of arrival
+	lastStart time.Time // of the latest fetch
 }
 
 // source is a host with the newest version that it announced.
 type source struct {
 	address  string
 	version  uint64
-	failures int // fetches that failed since the announcement
+	failures int                // fetches that failed since the announcement
+	retryAt  time.Time          // earliest time of the next fetch
+	cancel   context.CancelFunc // of the running fetch, nil: none runs
 }
 
 // better reports whether s is to be asked before other: hosts that failed come last, since
 // they may be out of reach while others offer an older version than theirs.
-func (s source) better(other source) bool {
-	return cmp.Or(cmp.Compare(other.failures, s.failures), cmp.Compare(s.version, other.version)) > 0
+func (s *source) better(other *source) bool {
+	if s.failures != other.failures {
+		return s.failures < other.failures
+	}
+	return s.version > other.version
 }
 
 // NewFetcher returns a fetcher that fetches nothing until Run is called.
@@ -64,68 +75,102 @@
 // Announce records that the host at address offers a version.
 func (f *Fetcher) Announce(address string, version uint64) {
 	f.mu.Lock()
-	f.sources = slices.DeleteFunc(f.sources, func(s source) bool { return s.address == address })
-	f.sources = append(f.sources, source{address: address, version: version})
-	f.mu.Unlock()
-	f.wake.Wake()
+	defer f.mu.Unlock()
+	defer f.wake.Wake()
+	for _, s := range f.sources {
+		if s.address == address {
+			s.version, s.failures, s.retryAt = version, 0, time.Time{}
+			return
+		}
+	}
+	f.sources = append(f.sources, &source{address: address, version: version})
 }
 
 // Run fetches announced documents until ctx ends.
 func (f *Fetcher) Run(ctx context.Context) {
+	var fetches sync.WaitGroup
+	defer fetches.Wait()
 	for {
+		timer := time.NewTimer(f.startDue(ctx, &fetches))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
 		case <-f.wake:
+		case <-timer.C:
 		}
-		for next, ok := f.next(); ok; next, ok = f.next() {
-			if f.fetch(ctx, next) {
-				continue
-			}
-			if !loop.Sleep(ctx, min(minRetryDelay<<min(next.failures, 10), maxRetryDelay)) {
-				return
-			}
-		}
+		timer.Stop()
 	}
 }
 
-// next returns the host to ask. ok is false if all announced versions are in force.
-func (f *Fetcher) next() (next source, ok bool) {
+// startDue starts a fetch if one is due and returns the time until the next one may be.
+func (f *Fetcher) startDue(ctx context.Context, fetches *sync.WaitGroup) time.Duration {
 	inForce := f.opts.InForce()
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sources = slices.DeleteFunc(f.sources, func(s source) bool { return s.version <= inForce })
+	f.dropReached(inForce)
+	running, next := f.choose()
+	if next == nil {
+		return idleDelay
+	}
+	due := next.retryAt
+	if running && due.Before(f.lastStart.Add(hedgeDelay)) {
+		due = f.lastStart.Add(hedgeDelay)
+	}
+	if wait := due.Sub(now); wait > 0 {
+		return wait
+	}
+	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	next.cancel, f.lastStart = cancel, now
+	version := next.version
+	fetches.Go(func() { f.fetch(fetchCtx, next, version) })
+	return hedgeDelay
+}
+
+// dropReached removes the hosts whose versions are in force and ends their fetches. The caller
+// holds the mutex.
+func (f *Fetcher) dropReached(inForce uint64) {
+	f.sources = slices.DeleteFunc(f.sources, func(s *source) bool {
+		reached := s.version <= inForce
+		if reached && s.cancel != nil {
+			s.cancel()
+		}
+		return reached
+	})
+}
+
+// choose returns the host to ask next, nil if there is none, and whether a fetch runs. The caller
+// holds the mutex.
+func (f *Fetcher) choose() (running bool, next *source) {
 	for _, s := range f.sources {
-		if !ok || s.better(next) {
-			next, ok = s, true
+		switch {
+		case s.cancel != nil:
+			running = true
+		case next == nil || s.better(next):
+			next = s
 		}
 	}
-	return next, ok
+	return running, next
 }
 
-// fetch fetches a document, puts it in force and reports whether it is.
-func (f *Fetcher) fetch(ctx context.Context, from source) bool {
-	fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	routes, err := f.opts.Fetch(fetchCtx, from.address, from.version)
-	if err == nil && routes.Version >= from.version {
+// fetch fetches a document and puts it in force. If that fails, the host is asked again later.
+func (f *Fetcher) fetch(ctx context.Context, from *source, version uint64) {
+	routes, err := f.opts.Fetch(ctx, from.address, version)
+	if err == nil && routes.Version >= version {
 		f.opts.Apply(from.address, routes)
 	}
-	if f.opts.InForce() >= from.version {
-		return true
-	}
-	if ctx.Err() == nil {
-		f.opts.Logger.Warn("routes not fetched", "from", from.address, "version", from.version, "received", routes.GetVersion(), "error", err)
+	reached := f.opts.InForce() >= version
+	if !reached && ctx.Err() != context.Canceled {
+		f.opts.Logger.Warn("routes not fetched", "from", from.address, "version", version, "received", routes.GetVersion(), "error", err)
 	}
-	f.countFailure(from)
-	return false
-}
-
-// countFailure counts a failed fetch, unless the host has announced another version since.
-func (f *Fetcher) countFailure(s source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if i := slices.Index(f.sources, s); i >= 0 {
-		f.sources[i].failures++
+	defer f.wake.Wake()
+	from.cancel()
+	from.cancel = nil
+	if !reached && from.version == version {
+		from.retryAt = time.Now().Add(min(minRetryDelay<<min(from.failures, 10), maxRetryDelay))
+		from.failures++
 	}
 }
--- a/internal/routesync/fetcher_test.go
+++ b/internal/routesync/fetcher_test.go
@@ -41,7 +41,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	time.Sleep(delay)
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(delay):
+	}
 	if version == 0 {
 		return nil, errors.New("connection refused")
 	}
@@ -93,7 +97,7 @@
 	tests := map[string]func(h *fakeHosts){
 		"silent": func(h *fakeHosts) { h.silent["a"] = true },
 		"down":   func(h *fakeHosts) { h.versions["a"] = 0 },
-		"slow":   func(h *fakeHosts) { h.delay["a"] = fetchTimeout },
+		"slow":   func(h *fakeHosts) { h.delay["a"] = hedgeDelay },
 	}
 	for name, fault := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -103,13 +107,13 @@
 			h.run(t, func(f *Fetcher) {
 				f.Announce("a", 8)
 				f.Announce("b", 7)
-				time.Sleep(fetchTimeout + minRetryDelay + time.Millisecond)
+				time.Sleep(hedgeDelay + minRetryDelay + time.Millisecond)
 				assert.Assert(t, h.inForce.Load() >= 7, "version %d", h.inForce.Load())
 				h.mu.Lock()
 				h.versions["b"] = 8
 				h.mu.Unlock()
 				f.Announce("b", 8)
-				time.Sleep(2 * (fetchTimeout + maxRetryDelay))
+				time.Sleep(2 * (hedgeDelay + maxRetryDelay))
 				assert.Equal(t, h.inForce.Load(), uint64(8))
 			})
 		})
@@ -134,3 +138,40 @@
 		assert.Check(t, errors.Is(err, ErrMalformed), fmt.Sprint(name, err))
 	}
 }
+
+// TestSlowTransferComesIntoForce guards against a document that takes longer than the wait for
+// another host: each host was given up before its response, again and again.
+func TestSlowTransferComesIntoForce(t *testing.T) {
+	for name, transfer := range map[string]time.Duration{"shortly after": 600 * time.Millisecond, "seconds": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			h := newFakeHosts()
+			for _, address := range []string{"a", "b", "c"} {
+				h.versions[address], h.delay[address] = 8, transfer
+			}
+			h.run(t, func(f *Fetcher) {
+				for _, address := range []string{"a", "b", "c"} {
+					f.Announce(address, 8)
+				}
+				time.Sleep(transfer + time.Millisecond)
+				assert.Equal(t, h.inForce.Load(), uint64(8))
+			})
+		})
+	}
+}
+
+// TestNewerVersionIsFetchedBesideASilentFetch has a host that announces a newer version while
+// the fetch of an older one from another host hangs.
+func TestNewerVersionIsFetchedBesideASilentFetch(t *testing.T) {
+	h := newFakeHosts()
+	h.versions["a"], h.silent["a"] = 8, true
+	h.run(t, func(f *Fetcher) {
+		f.Announce("a", 8)
+		time.Sleep(2 * hedgeDelay)
+		h.mu.Lock()
+		h.versions["b"] = 9
+		h.mu.Unlock()
+		f.Announce("b", 9)
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, h.inForce.Load(), uint64(9))
+	})
+}
