An entry that may lack newer routes refuses nothing for good

Callers saw 404, after which a client does not retry, for a route that had been added and acknowledged, and requests ran by routes that an acknowledged version had replaced. Whatever keeps a version from an entry (an update that ends, a document that does not arrive or cannot be read, no contact), the entry took what it had for the newest routes. Class: a final answer drawn from state that is not known to be current.

What routes may be used for is a decision of its own (policy/routeage): 404 only while a state host with contact to a quorum is heard and no newer version is known than the one in force; a request without a route waits for a document that is on its way, and is refused as not run otherwise (route_unconfirmed). An entry for which a newer version has been known for longer than it may take to come into force obeys the old one no more (routes_outdated), as one that hears only state hosts without a quorum. Several versions that are missed one after the other count from the first.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/policy/routeage"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
@@ -38,7 +39,9 @@
 var (
 	errNoRoutes       = errors.New("gateway: no routes received yet")
 	errPartitioned    = errors.New("gateway: this entry is cut off from the quorum of the state hosts")
+	errOutdatedRoutes = errors.New("gateway: this entry lacks routes that must be in force")
 	errNoRoute        = errors.New("gateway: no route matches host and path")
+	errUnsureRoute    = errors.New("gateway: no route matches host and path, but this entry may lack newer ones")
 	errNoServer       = errors.New("gateway: no backend server accepted the request")
 	errOutcomeUnknown = errors.New("gateway: the request may have run, but its response is lost")
 	errBodyTooLarge   = errors.New("gateway: request body is too large")
@@ -153,10 +156,8 @@
 	if c.routes = c.waitForRoutes(); c.routes == nil {
 		return errNoRoutes
 	}
-	if c.g.isPartitioned() {
-		// Its routes and servers may be outdated. The client reaches other entries.
-		c.w.Header().Set("Connection", "close")
-		return errPartitioned
+	if c.g.routesVerdict() == routeage.Outdated {
+		return c.refuseOutdated()
 	}
 	if err := c.findRoute(); err != nil {
 		return err
@@ -184,13 +185,44 @@
 	return c.readBody(c.r.RequestURI)
 }
 
-// findRoute finds the route of the request in c.routes. Error: errNoRoute.
+// refuseOutdated returns the error of a request that meets outdated routes. Its servers may be
+// outdated, too. The client reaches other entries.
+func (c *call) refuseOutdated() error {
+	c.w.Header().Set("Connection", "close")
+	if c.g.view.lacksRoutes() {
+		return errOutdatedRoutes
+	}
+	return errPartitioned
+}
+
+// findRoute finds the route of the request in c.routes, or in newer ones if none matches and these
+// arrive within viewTimeout. Errors: errNoRoute, only if the routes are the newest ones, since a
+// client does not retry then, and errUnsureRoute.
 func (c *call) findRoute() error {
-	path, _, _ := strings.Cut(c.r.RequestURI, "?")
-	if c.route = c.routes.Match(c.r.Host, path); c.route == nil {
-		return errNoRoute
+	if c.matchRoute() {
+		return nil
 	}
-	return nil
+	view := c.g.view
+	ctx, cancel := context.WithTimeout(c.r.Context(), viewTimeout)
+	defer cancel()
+	view.waitUntil(ctx, func() bool { return !view.lacksRoutes() })
+	verdict := c.g.routesVerdict()
+	// Read after the verdict: newer routes may have come into force since the first look.
+	if c.routes = view.routes.Load(); c.matchRoute() {
+		return nil
+	}
+	if verdict != routeage.Current {
+		c.w.Header().Set("Connection", "close")
+		return errUnsureRoute
+	}
+	return errNoRoute
+}
+
+// matchRoute sets the route that matches the request in c.routes and reports whether there is one.
+func (c *call) matchRoute() bool {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = c.routes.Match(c.r.Host, path)
+	return c.route != nil
 }
 
 // usesLedger reports whether the request cannot be served without the ledger.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/policy/gate"
+	"ibistray.example/ibistray/internal/policy/routeage"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -147,16 +148,16 @@
 // draining.
 func (g *Gateway) Ready() bool {
 	routes := g.view.routes.Load()
-	if g.draining.Load() || routes == nil || !g.view.isFresh(maxViewAge) || g.isPartitioned() {
+	if g.draining.Load() || routes == nil || !g.view.isFresh(maxViewAge) || g.routesVerdict() == routeage.Outdated {
 		return false
 	}
 	return routes.Accounts == nil || g.accounts.current()
 }
 
-// isPartitioned reports whether this entry may miss acknowledged routes. Followers keep
-// claiming contact to their leader for leaderLossDelay, which is taken off.
-func (g *Gateway) isPartitioned() bool {
-	return g.view.isPartitioned(max(g.cfg.RoutesTimeout-leaderLossDelay, minPartitionDelay))
+// routesVerdict returns what the routes in force may be used for. Followers keep claiming contact
+// to their leader for leaderLossDelay, which is taken off.
+func (g *Gateway) routesVerdict() routeage.Verdict {
+	return g.view.routesVerdict(max(g.cfg.RoutesTimeout-leaderLossDelay, minPartitionDelay))
 }
 
 // Drain makes the gateway report that it is not ready and close client connections
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -15,7 +15,9 @@
 const (
 	reasonNoRoutes          = "no_routes"
 	reasonNoRoute           = "no_route"
+	reasonUnsureRoute       = "route_unconfirmed"
 	reasonPartitioned       = "partitioned"
+	reasonOutdatedRoutes    = "routes_outdated"
 	reasonBadRequest        = "bad_request"
 	reasonBodyTooLarge      = "body_too_large"
 	reasonBudgetSpent       = "budget_spent"
@@ -55,11 +57,13 @@
 }{
 	{errNoRoutes, refusal{reasonNoRoutes, http.StatusServiceUnavailable, true}},
 	{errPartitioned, refusal{reasonPartitioned, http.StatusServiceUnavailable, true}},
+	{errOutdatedRoutes, refusal{reasonOutdatedRoutes, http.StatusServiceUnavailable, true}},
 	{errUnknownKey, refusal{reasonUnknownKey, http.StatusUnauthorized, false}},
 	{errAccountUnconfirmed, refusal{reasonUnconfirmed, http.StatusServiceUnavailable, true}},
 	{errAccountLimit, refusal{reasonAccountLimit, http.StatusTooManyRequests, true}},
 	{errAccountUnavailable, refusal{reasonNoAccountPermit, http.StatusServiceUnavailable, true}},
 	{errNoRoute, refusal{reasonNoRoute, http.StatusNotFound, false}},
+	{errUnsureRoute, refusal{reasonUnsureRoute, http.StatusServiceUnavailable, true}},
 	{ErrBadRequest, refusal{reasonBadRequest, http.StatusBadRequest, false}},
 	{errNoMemory, refusal{reasonMemory, http.StatusServiceUnavailable, true}},
 	{errNoConnection, refusal{reasonConnections, http.StatusServiceUnavailable, true}},
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -12,6 +12,7 @@
 	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/fleetwatch"
+	"ibistray.example/ibistray/internal/policy/routeage"
 	"ibistray.example/ibistray/internal/routesync"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -48,6 +49,7 @@
 	// nanoseconds, up to a constant.
 	suspension atomic.Int64
 	started    time.Time
+	routeAge   routeage.Tracker
 	// maxSilence is the longest time without an update for which the view counts as current.
 	maxSilence time.Duration
 
@@ -133,6 +135,7 @@
 		v.watcher.Refresh()
 	}
 	if update.Routes != nil {
+		v.routeAge.Announce(update.Routes.Version, v.bootTime())
 		v.metrics.RoutesVersion.WithLabelValues("announced").Set(float64(update.Routes.Version))
 	}
 	switch {
@@ -179,12 +182,18 @@
 		v.log.Error("cannot decode routes", "from", address, "version", routes.Version, "error", err)
 		return
 	}
+	v.putInForce(address, doc)
+}
+
+// putInForce puts a document in force if its version is higher than the current one.
+func (v *view) putInForce(address string, doc *routing.Document) {
 	for {
 		known := v.routes.Load()
 		if known != nil && known.Version >= doc.Version {
 			return
 		}
 		if v.routes.CompareAndSwap(known, doc) {
+			v.routeAge.Applied(doc.Version)
 			v.metrics.RoutesVersion.WithLabelValues("in_force").Set(float64(doc.Version))
 			v.log.Info("routes in force", "version", doc.Version, "from", address, "routes", len(doc.Routes))
 			v.mu.Lock()
@@ -318,12 +327,16 @@
 	return v.bootTime() - time.Duration(event.Load())
 }
 
-// isPartitioned reports whether this entry hears only state hosts that have no contact to
-// a quorum, and has done so for limit. It may then miss routes and servers that changed. An
-// entry that hears no state host at all is not counted as partitioned: all of them may be
-// down, and nothing changes then.
-func (v *view) isPartitioned(limit time.Duration) bool {
-	return v.since(&v.lastQuorum) > limit && v.since(&v.lastUpdate) < fleetwatch.SilenceTimeout
+// lacksRoutes reports whether a newer version is known than the routes in force.
+func (v *view) lacksRoutes() bool { return v.routeAge.Behind(v.bootTime()) > 0 }
+
+// routesVerdict returns what the routes in force may be used for. limit is the time within which an
+// acknowledged version must be in force.
+func (v *view) routesVerdict(limit time.Duration) routeage.Verdict {
+	return routeage.Decide(
+		routeage.State{SinceUpdate: v.since(&v.lastUpdate), SinceQuorum: v.since(&v.lastQuorum), Behind: v.routeAge.Behind(v.bootTime())},
+		routeage.Limits{Age: limit, Silence: fleetwatch.SilenceTimeout},
+	)
 }
 
 // run receives updates until ctx ends.
