--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -95,6 +95,7 @@
 		{"heartbeats reach a host that is cut off from their receiver", four, heartbeatsReachCutOffHost},
 		{"reports of servers whose names are unreadable", three, unreadableServerIDs},
 		{"more servers than one update carries", three, manyServers},
+		{"change that is sent again", three, resentRoutes},
 		{"chain that is too long for one message", three, longChainIsContinued},
 	}
 	for _, victim := range three {
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -136,7 +136,7 @@
 
 	peerWatcher *fleetwatch.Watcher
 
-	pendingProposals singleflight.Group // commands to the ledger by kind and call ID
+	pendingProposals singleflight.Group // commands to the ledger by kind and call ID, routes by version and content
 	pushes           pushLimiter
 	pendingCommands  atomic.Int64
 	pendingBytes     atomic.Int64 // of the pending commands of both groups
