Configuration documents are taken as they are obeyed, or refused with a reason

Operators got 200 for documents that are no text (bytes that are no UTF-8, half of a surrogate pair): the decoder replaces them, so that the route that was added answered 404 while the configuration read back looked right.

What operators send goes through DecodeNewRoutes, which refuses what is no text and what the build before cannot read.

--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -157,6 +157,7 @@
 		Bootstrap: n.bootstrap, FaultTolerance: 1, Standby: n.standby,
 		Seeds:             func() []string { return c.seeds },
 		DecodeRoutes:      decodeVersion,
+		DecodeNewRoutes:   decodeVersion,
 		HeartbeatInterval: time.Second,
 		FS:                n.fs,
 		Clock:             func() time.Duration { return time.Since(startedAt) },
--- a/internal/statehost/routes.go
+++ b/internal/statehost/routes.go
@@ -33,7 +33,7 @@
 // force. When it returns nil, the version in force is durable on a quorum. Errors:
 // routing.ErrInvalid, ErrUnavailable.
 func (h *Host) ApplyRoutes(ctx context.Context, document []byte) error {
-	decoded, err := h.cfg.DecodeRoutes(document)
+	decoded, err := h.cfg.DecodeNewRoutes(document)
 	if err != nil {
 		h.countOperatorRequest("routes", "invalid")
 		h.log.Warn("routes refused", "error", err)
