ibistrayctl config check says whether a document would be accepted

An operator learned only from the state hosts whether a configuration is valid. The command reads a file or the standard input and gives the verdict of the decoder that the state hosts use, without a cluster.

--- a/internal/ctl/accounts_test.go
+++ b/internal/ctl/accounts_test.go
@@ -48,7 +48,7 @@
 // runAccount runs an account command and returns what it prints and its error.
 func runAccount(t *testing.T, store *fakeAccounts, input string, args ...string) (string, error) {
 	var out strings.Builder
-	root := Command(func([]string) AccountStore { return store })
+	root := Command(func([]string) AccountStore { return store }, nil)
 	root.Writer, root.Reader = &out, strings.NewReader(input)
 	err := root.Run(t.Context(), append([]string{"ibistrayctl", "account", "--control", "10.0.0.1:80"}, args...))
 	assert.Assert(t, !strings.Contains(out.String(), "secret"), "a key is printed")
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -50,8 +50,8 @@
 }
 
 // Command returns the root command of ibistrayctl. openAccounts is used by the commands for
-// client accounts.
-func Command(openAccounts OpenAccounts) *cli.Command {
+// client accounts, decodeRoutes by those for configurations of pass-through routes.
+func Command(openAccounts OpenAccounts, decodeRoutes DecodeRoutes) *cli.Command {
 	return &cli.Command{
 		Name:                  "ibistrayctl",
 		Usage:                 "operate ibistray: contracts, programs, backend servers, load",
@@ -85,6 +85,7 @@
 			quarantineCommand(),
 			keyCommand(),
 			accountCommand(openAccounts),
+			routesCommand(decodeRoutes),
 			statusCommand(),
 			topCommand(),
 			explainCommand(),
