Configurations that lack a part are refused

One that names a service it does not have, in 'backend' beside 'traffic_split', was acknowledged, too.

Cause: a missing list decodes like an empty one, and 'backend' is not looked at beside a split. Class: what is checked is what was decoded, not what was sent. There is one decoder again: DecodeRoutes reads whatever any build has accepted and reports a defect in the document, for which state hosts refuse it. Entries obey a document with a defect, since an earlier build may have put it in force, and state hosts acknowledge exactly that document again when it is sent again.

--- a/cmd/ibistrayctl/main.go
+++ b/cmd/ibistrayctl/main.go
@@ -19,7 +19,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	httpserver.SetLogger(hclog.NewNullLogger())
-	err := ctl.Command(openAccounts, platform.DecodeNewRoutes).Run(ctx, os.Args)
+	err := ctl.Command(openAccounts, platform.CheckRoutes).Run(ctx, os.Args)
 	if err == nil {
 		return
 	}
--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -189,7 +189,6 @@
 		DiskBytes:         s.DiskBytes,
 		MemoryBytes:       s.MemoryLimitBytes,
 		DecodeRoutes:      platform.DecodeRoutes,
-		DecodeNewRoutes:   platform.DecodeNewRoutes,
 		HeartbeatInterval: s.HeartbeatInterval,
 		AccountWindow:     s.AccountWindow,
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -28,6 +28,9 @@
 	Limits   Limits
 	// Accounts are the client accounts; nil: requests need no key.
 	Accounts *account.Directory
+	// Defect is why the document must not be accepted from an operator, although it is obeyed if
+	// an earlier build has accepted it; nil: nothing. It wraps ErrInvalid.
+	Defect error
 
 	byHost map[string][]*Route // by host key, longest prefix first; built by Validate
 }
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -96,6 +96,7 @@
 		{"reports of servers whose names are unreadable", three, unreadableServerIDs},
 		{"more servers than one update carries", three, manyServers},
 		{"change that is sent again", three, resentRoutes},
+		{"defective routes of an earlier build", three, defectiveRoutesInForce},
 		{"chain that is too long for one message", three, longChainIsContinued},
 	}
 	for _, victim := range three {
@@ -157,7 +158,6 @@
 		Bootstrap: n.bootstrap, FaultTolerance: 1, Standby: n.standby,
 		Seeds:             func() []string { return c.seeds },
 		DecodeRoutes:      decodeVersion,
-		DecodeNewRoutes:   decodeVersion,
 		HeartbeatInterval: time.Second,
 		FS:                n.fs,
 		Clock:             func() time.Duration { return time.Since(startedAt) },
@@ -171,13 +171,19 @@
 	n.host.Run()
 }
 
-// decodeVersion decodes documents that consist of their version.
+// decodeVersion decodes documents that consist of their version and, if they have a defect, of
+// defectMark.
 func decodeVersion(document []byte) (*routing.Document, error) {
-	version, err := strconv.ParseUint(string(document), 10, 64)
+	text, defective := strings.CutSuffix(string(document), defectMark)
+	version, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", routing.ErrInvalid, err)
 	}
-	return &routing.Document{Version: version}, nil
+	doc := &routing.Document{Version: version}
+	if defective {
+		doc.Defect = fmt.Errorf("%w: it has a mark", routing.ErrInvalid)
+	}
+	return doc, nil
 }
 
 // dialer returns the dial function of a process. It fails while a host is down or isolated.
--- a/internal/statehost/golden_test.go
+++ b/internal/statehost/golden_test.go
@@ -88,7 +88,7 @@
 	t.Cleanup(pool.Close)
 	h, err := New(Config{
 		Name: "host-a", Address: "a", FailureDomain: "domain-a", DataDir: dir, Seeds: func() []string { return []string{"a"} },
-		DecodeRoutes: decodeVersion, DecodeNewRoutes: decodeVersion, HeartbeatInterval: time.Second,
+		DecodeRoutes: decodeVersion, HeartbeatInterval: time.Second,
 	}, hclog.NewNullLogger(), prometheus.NewRegistry(), pool, func(error) {})
 	assert.NilError(t, err)
 	h.Run()
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -97,9 +97,6 @@
 	Seeds func() []string
 	// DecodeRoutes decodes and validates a routes document.
 	DecodeRoutes func(document []byte) (*routing.Document, error)
-	// DecodeNewRoutes decodes and validates a document of an operator. It may refuse what
-	// DecodeRoutes reads because an earlier build accepted it.
-	DecodeNewRoutes func(document []byte) (*routing.Document, error)
 	// HeartbeatInterval is the interval at which backend servers send heartbeats.
 	HeartbeatInterval time.Duration
 	// FS stores the log and the snapshots; nil: the file system of the operating system.
--- a/internal/statehost/routes.go
+++ b/internal/statehost/routes.go
@@ -1,7 +1,9 @@
 package statehost
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -33,8 +35,16 @@
 // force. When it returns nil, the version in force is durable on a quorum. Errors:
 // routing.ErrInvalid, ErrUnavailable.
 func (h *Host) ApplyRoutes(ctx context.Context, document []byte) error {
-	decoded, err := h.cfg.DecodeNewRoutes(document)
-	if err != nil {
+	decoded, err := h.cfg.DecodeRoutes(document)
+	if err == nil && decoded.Defect != nil {
+		err = h.checkInForce(ctx, document, decoded.Defect)
+	}
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		h.countOperatorRequest("routes", "unavailable")
+		h.log.Warn("routes with a defect not compared with those in force", "version", decoded.Version, "error", err)
+		return err
+	case err != nil:
 		h.countOperatorRequest("routes", "invalid")
 		h.log.Warn("routes refused", "error", err)
 		return err
@@ -58,6 +68,21 @@
 	return nil
 }
 
+// checkInForce returns the defect of a document unless the document is in force: an earlier build
+// acknowledged it, so that it is acknowledged again. Error besides: ErrUnavailable.
+func (h *Host) checkInForce(ctx context.Context, document []byte, defect error) error {
+	inForce, err := h.Routes(ctx)
+	switch {
+	case errors.Is(err, ErrNoRoutes):
+		return defect
+	case err != nil:
+		return err
+	case !bytes.Equal(document, inForce):
+		return defect
+	}
+	return nil
+}
+
 func (h *Host) countOperatorRequest(kind, outcome string) {
 	h.metrics.operatorRequests.WithLabelValues(kind, outcome).Inc()
 }
