Stopping entry: refuse requests that may outlast it, answer those that run at its end

Callers saw unsafe requests end with a closed connection when an entry was stopped: the entry took each request that was complete before its grace period ended, also on connections opened before it left the load balancer, passed it on and cut it off when the process ended. Nothing compared the time that a request may take with the time that was left. A request whose body arrived late was passed on up to the last moment, one on a connection that had carried none was read and closed without a response once the listener was closed, and those that ran or waited for a server at the end got no response. The process ended 10 ms before SIGKILL or was killed.

An entry now knows by when its responses must be complete (0.9 s before SIGKILL). At the end all requests are cancelled in one place and answered: 502 if a server may have run them, else 503, also while they wait for the ledger, a permit or the rest of their body. Servers are not blamed for it. Only the listener is closed after 3 s, so that requests on open connections are still answered; once the others have ended, every further one is refused.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 		return outcomeRefused
 	case errors.Is(err, errNotAsked):
 		return outcomeInconclusive
-	case errors.Is(err, errSilent), c.r.Context().Err() != nil:
+	case errors.Is(err, errSilent), errors.Is(err, errStopping), c.r.Context().Err() != nil:
 		// A silent server was penalized when its output was overdue.
 		return outcomeInconclusive
 	case errors.Is(err, passthrough.ErrNotSent):
@@ -140,7 +140,10 @@
 func (c *call) selectServer(ctx context.Context) error {
 	for {
 		if ctx.Err() != nil {
-			return c.noServerError(ctx.Err())
+			return c.noServerError(context.Cause(ctx))
+		}
+		if err := c.checkStopping(); err != nil {
+			return c.noServerError(err)
 		}
 		sel := c.newSelection(c.g.view.usableServers(c.service.Name))
 		if len(sel.servers) == 0 {
@@ -294,14 +297,17 @@
 	server := passthrough.Server{ID: c.server.ID, Address: c.server.Address}
 	exchange, err := c.g.servers.Do(ctx, server, &c.request)
 	if err != nil {
-		return withSilenceCause(ctx, err)
+		return withCause(ctx, err)
 	}
 	c.connection, c.exchange = exchange.Connection, exchange.Sequence
 	if c.route.Kind != routing.KindStream && exchange.Response.StatusCode/100 == 2 {
 		c.g.loads.observeLatency(c.route.Name, time.Since(start))
 	}
-	err = withSilenceCause(ctx, c.handleResponse(exchange))
+	err = withCause(ctx, c.handleResponse(exchange))
 	exchange.Close(readToEnd(err))
+	if err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.g.runs.record(c.route.Name, time.Since(start), time.Now())
+	}
 	return err
 }
 
@@ -314,10 +320,11 @@
 // errSilent ends an attempt whose server sent no output in time.
 var errSilent = errors.New("gateway: the backend server sent no output in time")
 
-// withSilenceCause adds errSilent to err if that is why ctx was cancelled.
-func withSilenceCause(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
-		return fmt.Errorf("%w: %w", errSilent, err)
+// withCause adds errSilent or errStopping to err if that is why ctx was cancelled.
+func withCause(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	if err != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errStopping)) {
+		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -106,7 +106,7 @@
 		err = c.forward()
 	}
 	// net/http ends the context when the body does not arrive in time, but the client is there.
-	disconnected := c.r.Context().Err() != nil && !errors.Is(err, errBodyTimeout)
+	disconnected := c.r.Context().Err() != nil && !errors.Is(err, errBodyTimeout) && !errors.Is(err, errStopping)
 	if errors.Is(err, errClientGone) || disconnected {
 		c.logOutcome(c.goneOutcome(), 0, err)
 		c.abort()
@@ -182,7 +182,10 @@
 	}
 	service := c.route.ChooseService(c.trafficSplitKey())
 	c.service = c.routes.Services[service]
-	return c.readBody(c.r.RequestURI)
+	if err := c.readBody(c.r.RequestURI); err != nil {
+		return err
+	}
+	return c.checkStopping()
 }
 
 // refuseOutdated returns the error of a request that meets outdated routes. Its servers may be
@@ -260,6 +263,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	defer c.limitBody()()
 	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -277,6 +281,9 @@
 // request's context before it returns an error of the client's connection. Any other error says
 // that the body is malformed.
 func (c *call) bodyError(err error) error {
+	if c.bodyStopped(err) {
+		return fmt.Errorf("%w before the request body arrived", errStopping)
+	}
 	if errors.Is(err, errNoMemory) || errors.Is(err, errBodyTooLarge) || errors.Is(err, errBodyTimeout) {
 		return err
 	}
@@ -291,6 +298,8 @@
 func (c *call) forward() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	ctx, detach := c.g.shutdown.limit(ctx)
+	defer detach()
 	c.limitUnread()
 	c.stream = newStreamVersion(&c.meta)
 	if !c.route.ProgramTurns {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -83,7 +82,8 @@
 	crashDetector  *crashDetector
 	noticeReporter *noticeReporter
 
-	draining   atomic.Bool
+	shutdown   *shutdown
+	runs       *routeRuns
 	inFlight   sync.WaitGroup // requests, settlements and crash reports
 	background sync.WaitGroup
 	cancel     context.CancelFunc
@@ -93,15 +93,17 @@
 // hedgePool, so that they share no connection with the original ones.
 func New(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool, hedgePool *transport.Pool) *Gateway {
 	g := &Gateway{
-		cfg:     cfg,
-		log:     log,
-		metrics: metrics,
-		loads:   newLoadTracker(),
-		queues:  newPermitQueues(),
-		shedder: newShedder(),
-		budget:  newBudget(cfg.Memory, metrics),
-		pool:    pool,
-		servers: passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
+		cfg:      cfg,
+		log:      log,
+		metrics:  metrics,
+		loads:    newLoadTracker(),
+		queues:   newPermitQueues(),
+		shedder:  newShedder(),
+		runs:     newRouteRuns(),
+		budget:   newBudget(cfg.Memory, metrics),
+		pool:     pool,
+		shutdown: newShutdown(),
+		servers:  passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
 	}
 	g.crashDetector = newCrashDetector(log.Named("suspects"), g.reportCrash)
 	g.view = newView(cfg, log.Named("view"), metrics, pool, g.crashDetector)
@@ -131,7 +133,8 @@
 	g.background.Go(func() { loop.Every(ctx, pruneInterval, g.pruneLoads) })
 }
 
-// pruneLoads removes the load data and the permits of servers that were removed.
+// pruneLoads removes the load data and the permits of servers that were removed, and the runs of
+// routes without recent ones.
 func (g *Gateway) pruneLoads(context.Context) {
 	known := make(map[string]bool)
 	for _, list := range g.view.servers.Load().byService {
@@ -141,6 +144,7 @@
 	}
 	g.loads.prune(known)
 	g.permits.prune(known)
+	g.runs.prune(time.Now())
 }
 
 // Ready reports whether the entry should receive new clients: it has routes, a state
@@ -148,7 +152,7 @@
 // draining.
 func (g *Gateway) Ready() bool {
 	routes := g.view.routes.Load()
-	if g.draining.Load() || routes == nil || !g.view.isFresh(maxViewAge) || g.routesVerdict() == routeage.Outdated {
+	if g.shutdown.started() || routes == nil || !g.view.isFresh(maxViewAge) || g.routesVerdict() == routeage.Outdated {
 		return false
 	}
 	return routes.Accounts == nil || g.accounts.current()
@@ -161,18 +165,22 @@
 }
 
 // Drain makes the gateway report that it is not ready and close client connections
-// after their current request. Requests are still served.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
+// after their current request. Requests are still served if they are expected to end before
+// finishBy; others are refused as not run. Those that run at finishBy get a response that says
+// whether they may have run.
+func (g *Gateway) Drain(finishBy time.Time) {
+	g.shutdown.begin(finishBy)
 }
 
 // Stop waits until requests, settlements and crash reports have ended, or until ctx
-// ends, and then stops the background loops. It returns the error of ctx if it did not
-// wait for all of them.
+// ends, and then stops the background loops. Further requests are refused. It returns the error
+// of ctx if it did not wait for all of them.
 func (g *Gateway) Stop(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
 		g.inFlight.Wait()
+		g.shutdown.refuseAll()
+		g.inFlight.Wait() // for requests that were taken meanwhile
 		close(done)
 	}()
 	var err error
@@ -197,7 +205,7 @@
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), triedServers: make(map[string]bool), memory: membudget.NewClaim(g.budget)}
 	defer c.memory.Release()
 	refused := isRefusedConnection(r.Context())
-	if refused || g.draining.Load() || len(r.TransferEncoding) > 0 {
+	if refused || g.shutdown.started() || len(r.TransferEncoding) > 0 {
 		// Prevents request smuggling: another parser may find a second request in a chunked
 		// body, so its connection is not reused.
 		w.Header().Set("Connection", "close")
@@ -216,6 +224,9 @@
 	if errors.As(cause, &overLimit) {
 		return spread(overLimit.retryAfter)
 	}
+	if errors.Is(cause, errStopping) {
+		return rand.N(maxStoppingRetryAfter)
+	}
 	after := minRetryAfter
 	var overload *gate.OverloadError
 	if errors.As(cause, &overload) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -355,7 +355,7 @@
 
 func TestDrainingEntryServesAndClosesConnections(t *testing.T) {
 	f := newFixture(t, newBackend(t, "a", respondOK))
-	f.Drain()
+	f.Drain(time.Now().Add(time.Hour))
 	assert.Assert(t, !f.Ready())
 	got := f.send(t, http.MethodGet, "/safe/x", "", "Id", "1")
 	assert.Equal(t, got.status, http.StatusOK)
--- a/internal/gateway/limited.go
+++ b/internal/gateway/limited.go
@@ -111,6 +111,9 @@
 // checkServer returns an error that wraps errNotAsked if the request must not be sent to the
 // selected server any more, since it has waited for something else.
 func (c *call) checkServer() error {
+	if err := c.checkStopping(); err != nil {
+		return fmt.Errorf("%w: %w", errNotAsked, err)
+	}
 	if c.g.view.latest(c.server) == nil {
 		return fmt.Errorf("%w: it takes no requests any more", errNotAsked)
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -40,6 +40,7 @@
 	reasonMemory            = "memory"
 	reasonConnections       = "connections"
 	reasonBodyTimeout       = "body_timeout"
+	reasonStopping          = "entry_stopping"
 	reasonInternal          = "internal"
 )
 
@@ -71,6 +72,7 @@
 	{errBodyTooLarge, refusal{reasonBodyTooLarge, http.StatusRequestEntityTooLarge, false}},
 	{errBudgetSpent, refusal{reasonBudgetSpent, http.StatusPaymentRequired, false}},
 	{errOutcomeUnknown, refusal{reasonUnclear, http.StatusBadGateway, false}},
+	{errStopping, refusal{reasonStopping, http.StatusServiceUnavailable, true}},
 	{errUnknownTurn, refusal{reasonUnknownTurn, http.StatusNotFound, false}},
 	// The client starts the stream anew; waiting would not bring its version back.
 	{errUnknownStream, refusal{reasonUnknownStream, http.StatusServiceUnavailable, false}},
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -58,6 +58,9 @@
 	// shutdownMargin is the time reserved before the process is killed for the rest of the
 	// shutdown, after the wait for running requests.
 	shutdownMargin = 700 * time.Millisecond
+	// responseMargin is the time for the responses of requests that an entry ends when it stops,
+	// before shutdownMargin.
+	responseMargin = 200 * time.Millisecond
 	// requestEndTimeout limits the wait for requests in progress when a process closes its
 	// servers. It is a part of shutdownMargin.
 	requestEndTimeout = 500 * time.Millisecond
@@ -108,7 +111,7 @@
 	pool       *transport.Pool
 	failed     chan error
 	goroutines sync.WaitGroup
-	servers    []*http.Server
+	servers    []*httpServer
 	closers    []func() // called by close
 }
 
@@ -129,14 +132,28 @@
 	}
 }
 
+// httpServer is an HTTP server with its listener.
+type httpServer struct {
+	*http.Server
+	listener net.Listener
+	stopped  atomic.Bool
+}
+
+// stopAccepting takes no further connections. Unlike after Shutdown, requests on those that are
+// open get a response: Shutdown closes a connection on which it reads a request.
+func (s *httpServer) stopAccepting() {
+	s.stopped.Store(true)
+	s.listener.Close()
+}
+
 // serveHTTP listens on an address and serves it in the background.
-func (p *process) serveHTTP(address string, handler http.Handler) (*http.Server, error) {
+func (p *process) serveHTTP(address string, handler http.Handler) (*httpServer, error) {
 	return p.serveLimited(address, handler, nil)
 }
 
 // serveLimited is like serveHTTP for clients whose connections are limited, unless
 // connections is nil.
-func (p *process) serveLimited(address string, handler http.Handler, connections *connections) (*http.Server, error) {
+func (p *process) serveLimited(address string, handler http.Handler, connections *connections) (*httpServer, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
@@ -144,19 +161,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("hosted: listen: %w", err)
 	}
-	server := &http.Server{
+	server := &httpServer{listener: listener, Server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(p.opts.Logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
-	}
+	}}
 	if connections != nil {
 		server.ConnContext, server.ConnState = connections.accept, connections.observe
 	}
 	p.servers = append(p.servers, server)
 	p.goroutines.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !server.stopped.Load() {
 			p.fail(fmt.Errorf("hosted: serve %s: %w", address, err))
 		}
 	})
@@ -246,15 +263,18 @@
 }
 
 // stopEntry reports the entry as not ready, keeps serving until the load balancer sends
-// no new connections, and waits for the running requests.
-func (p *process) stopEntry(g *gateway.Gateway, clients *http.Server) error {
+// no new connections, and waits for the running requests. Those that would run longer end with
+// a response.
+func (p *process) stopEntry(g *gateway.Gateway, clients *httpServer) error {
 	start := time.Now()
-	g.Drain()
+	end := start.Add(p.opts.GracePeriod - shutdownMargin)
+	g.Drain(end.Add(-responseMargin))
 	p.opts.Logger.Info("stopping", "role", "entry", "grace_ms", p.opts.GracePeriod.Milliseconds())
 	time.Sleep(min(deregistrationDelay, p.opts.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.opts.GracePeriod-shutdownMargin))
+	clients.stopAccepting()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := errors.Join(clients.Shutdown(ctx), g.Stop(ctx))
+	err := g.Stop(ctx)
 	p.opts.Logger.Info("stopped", "role", "entry", "after_ms", time.Since(start).Milliseconds(), "error", err)
 	return nil
 }
