--- /dev/null
+++ b/internal/replica/disk_full_test.go
@@ -0,0 +1,99 @@
+package replica_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/wal/waltest"
+)
+
+// reopenDelay is the pause of a process before it opens a full disk again.
+const reopenDelay = 30 * tick
+
+// reopen starts a host again whose disk was full, once there is room.
+func (c *cluster) reopen(address string) {
+	c.t.Helper()
+	n := c.nodes[address]
+	<-n.host.Done()
+	n.endpoint.stopped.Store(true)
+	c.network.detach(address)
+	c.stopNow(n)
+	c.eventually(address+" is open", func() bool {
+		time.Sleep(reopenDelay)
+		if c.open(address) != nil {
+			return false
+		}
+		if c.addGroup(address, testGroup) == nil {
+			return true
+		}
+		n.endpoint.stopped.Store(true)
+		c.network.detach(address)
+		c.stopNow(n)
+		return false
+	})
+}
+
+// TestUnrecordedSnapshotsDoNotFillTheDisk fills the disk of a host each time after it has
+// stored a snapshot and before the log names it. Once there is room, the host must run on a
+// disk that holds two snapshots and the log.
+func TestUnrecordedSnapshotsDoNotFillTheDisk(t *testing.T) {
+	const keys, valueBytes = 40, 1000
+	const capacity = 3 * keys * valueBytes
+	small := func(opts *replica.Options) {
+		opts.SnapshotBytes = 10 * valueBytes
+		opts.SegmentSize = 5 * valueBytes
+		opts.MaxSegments = 2
+	}
+	value := strings.Repeat("v", valueBytes)
+	runClusterWith(t, small, func(t *testing.T, c *cluster) {
+		for i := range keys {
+			c.put(testGroup, fmt.Sprint("k", i), value)
+		}
+		full := c.follower()
+		fs := c.nodes[full].fs
+		for round := range 4 {
+			fs.SetFault(waltest.Fault{Capacity: capacity, FullAfterRename: ".snap"})
+			for i := 0; c.nodes[full].host.Err() == nil; i++ {
+				assert.Assert(t, i < 10*keys, "round %d: no snapshot", round)
+				c.put(testGroup, fmt.Sprint("k", i%keys), value, full)
+			}
+			fs.SetFault(waltest.Fault{Capacity: capacity})
+			c.reopen(full)
+			c.put(testGroup, "round", fmt.Sprint(round), full)
+			c.waitValue(full, "round", fmt.Sprint(round))
+		}
+		for i := range 4 * keys {
+			c.put(testGroup, fmt.Sprint("k", i%keys), value, full)
+		}
+		c.put(testGroup, "last", "1", full)
+		c.waitValue(full, "last", "1")
+		assert.NilError(t, c.nodes[full].host.Err())
+		assert.Assert(t, len(fs.Files(".snap")) <= 2, "%v", fs.Files(""))
+	})
+}
+
+// TestPartsOfSnapshotsDoNotKeepTheDiskFull kills a host while it writes a snapshot, which
+// fills the disk. The host must open its log again although nobody makes room.
+func TestPartsOfSnapshotsDoNotKeepTheDiskFull(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		c.putMany("k", 5)
+		full := c.follower()
+		n := c.nodes[full]
+		c.kill(full)
+		used := n.fs.Used()
+		file, err := n.fs.Create(filepath.Join("/data/snapshots", fmt.Sprintf("%016x-%016x.snap.1.tmp", testGroup, 99)))
+		assert.NilError(t, err)
+		_, err = file.Write(make([]byte, 1<<20))
+		assert.NilError(t, err)
+		n.fs.SetFault(waltest.Fault{Capacity: used + 1<<20})
+		c.start(full, testGroup)
+		c.put(testGroup, "x", "1", full)
+		c.waitValue(full, "x", "1")
+	})
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -84,21 +84,21 @@
 
 func (h *Host) openStorage() error {
 	began := time.Now()
+	h.snapshots = snapshotStore{fs: h.opts.FS, dir: filepath.Join(h.opts.Dir, snapshotDirName)}
 	log, recovered, err := wal.Open(wal.Options{
 		FS:          h.opts.FS,
 		Dir:         h.opts.Dir,
 		SegmentSize: h.opts.SegmentSize,
 		Logger:      h.opts.Logger.Named("wal"),
 		Registerer:  h.opts.Registerer,
+		BeforeWrite: h.snapshots.open,
 		OnFailure:   h.fail,
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrStorage, err)
 	}
-	h.snapshots = snapshotStore{fs: h.opts.FS, dir: filepath.Join(h.opts.Dir, snapshotDirName)}
-	if err := h.snapshots.open(); err != nil {
-		log.Close()
-		return err
+	if err := h.snapshots.removeUnused(recovered); err != nil {
+		h.opts.Logger.Warn("cannot remove old snapshots", "error", err)
 	}
 	h.log = log
 	h.diskID = log.Identity().DiskID
--- a/internal/replica/snapshotstore.go
+++ b/internal/replica/snapshotstore.go
@@ -26,17 +26,44 @@
 	tempFiles atomic.Uint64 // counter for unique names of temporary files
 }
 
-// open creates the directory and removes incomplete files.
-func (s *snapshotStore) open() error {
+// open creates the directory and removes what takes room without being needed: incomplete files,
+// and snapshots newer than the one that the log names, which a host leaves whose disk fills up
+// in between. An older snapshot may still be needed, because the log may not be durable yet.
+func (s *snapshotStore) open(recovered map[uint64]*wal.GroupState) error {
 	if err := s.fs.MkdirAll(s.dir); err != nil {
 		return fmt.Errorf("%w: %w", ErrStorage, err)
 	}
+	return s.removeFiles(func(name string) bool {
+		group, index, ok := parseSnapshotName(name)
+		recorded := recordedSnapshot(recovered, group)
+		return strings.HasSuffix(name, wal.TempSuffix) || ok && recorded > 0 && index > recorded
+	})
+}
+
+// removeUnused removes all snapshots but those that the log names. The log must be durable.
+func (s *snapshotStore) removeUnused(recovered map[uint64]*wal.GroupState) error {
+	return s.removeFiles(func(name string) bool {
+		group, index, ok := parseSnapshotName(name)
+		return ok && index != recordedSnapshot(recovered, group)
+	})
+}
+
+// recordedSnapshot returns the index of the snapshot of a group that the log names; 0: none.
+func recordedSnapshot(recovered map[uint64]*wal.GroupState, group uint64) uint64 {
+	if state := recovered[group]; state != nil {
+		return state.Snapshot.GetIndex()
+	}
+	return 0
+}
+
+// removeFiles removes the files of the directory that a function selects by their names.
+func (s *snapshotStore) removeFiles(unneeded func(name string) bool) error {
 	names, err := s.fs.List(s.dir)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrStorage, err)
 	}
 	for _, name := range names {
-		if !strings.HasSuffix(name, wal.TempSuffix) {
+		if !unneeded(name) {
 			continue
 		}
 		if err := s.fs.Remove(filepath.Join(s.dir, name)); err != nil {
@@ -143,18 +170,8 @@
 
 // removeBefore removes the snapshots of a group that are older than index.
 func (s *snapshotStore) removeBefore(group, index uint64) error {
-	names, err := s.fs.List(s.dir)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrStorage, err)
-	}
-	for _, name := range names {
+	return s.removeFiles(func(name string) bool {
 		fileGroup, fileIndex, ok := parseSnapshotName(name)
-		if !ok || fileGroup != group || fileIndex >= index {
-			continue
-		}
-		if err := s.fs.Remove(filepath.Join(s.dir, name)); err != nil {
-			return fmt.Errorf("%w: %w", ErrStorage, err)
-		}
-	}
-	return nil
+		return ok && fileGroup == group && fileIndex < index
+	})
 }
--- a/internal/wal/atomicfile.go
+++ b/internal/wal/atomicfile.go
@@ -26,6 +26,7 @@
 		return fmt.Errorf("wal: write %s: %w", temp, err)
 	}
 	if err := fs.Rename(temp, name); err != nil {
+		_ = fs.Remove(temp)
 		return fmt.Errorf("wal: rename %s to %s: %w", temp, name, err)
 	}
 	if err := fs.SyncDir(filepath.Dir(name)); err != nil {
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -29,6 +29,10 @@
 	Random      io.Reader // source of the disk ID; default: crypto/rand
 	Logger      hclog.Logger
 	Registerer  prometheus.Registerer // nil: no metrics
+	// BeforeWrite is called by Open with the recovered state before Open writes anything, so
+	// that files can be removed from a full disk. The last frame of the state may not be
+	// durable yet. Open returns its error.
+	BeforeWrite func(map[uint64]*GroupState) error
 	// OnFailure is called once, when a write or fsync fails.
 	OnFailure func(error)
 }
@@ -46,6 +50,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.BeforeWrite == nil {
+		o.BeforeWrite = func(map[uint64]*GroupState) error { return nil }
+	}
 	if o.OnFailure == nil {
 		o.OnFailure = func(error) {}
 	}
@@ -129,17 +136,32 @@
 	if err := checkIdentityAndSegments(found, r); err != nil {
 		return nil, nil, err
 	}
+	if err := opts.BeforeWrite(r.groups); err != nil {
+		return nil, nil, err
+	}
+	if err := r.rewriteLastSegment(); err != nil {
+		return nil, nil, err
+	}
 	l := newLog(opts, dir, lock, r)
-	if err := l.startSegment(); err != nil {
+	if err := l.begin(id, found); err != nil {
 		return nil, nil, err
 	}
+	return l, r.groups, nil
+}
+
+// begin starts a segment and creates the identity of the disk unless there is one.
+func (l *Log) begin(id Identity, found bool) error {
+	if err := l.startSegment(); err != nil {
+		return err
+	}
 	if !found {
+		var err error
 		if id, err = l.createIdentity(); err != nil {
-			return nil, nil, err
+			return err
 		}
 	}
 	l.identity = id
-	return l, r.groups, nil
+	return nil
 }
 
 // checkIdentityAndSegments returns ErrCorrupt when only one of the identity and the
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -159,6 +159,23 @@
 	assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
 }
 
+// TestLogIsReadBeforeAFullDiskIsWritten opens a log on a full disk whose owner can make room.
+func TestLogIsReadBeforeAFullDiskIsWritten(t *testing.T) {
+	fs := waltest.New()
+	log, _ := openLog(t, fs)
+	appendAll(t, log, entries(1, 1, 1, 3))
+	closeLog(t, log)
+	fs.SetFault(waltest.Fault{NoSpace: true})
+	log, groups, err := wal.Open(wal.Options{FS: fs, Dir: dataDir, BeforeWrite: func(groups map[uint64]*wal.GroupState) error {
+		assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
+		fs.SetFault(waltest.Fault{})
+		return nil
+	}})
+	assert.NilError(t, err)
+	defer closeLog(t, log)
+	assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
+}
+
 func TestAppendAfterClose(t *testing.T) {
 	log, _ := openLog(t, waltest.New())
 	closeLog(t, log)
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -51,10 +51,10 @@
 	segments     []*segment
 	groups       map[uint64]*GroupState
 	lastSequence uint64 // sequence number of the last valid frame; 0: none
+	lastData     []byte // valid data of the last segment; nil: it was empty and is removed
 }
 
-// recoverLog reads all segments and removes a torn write from the end of the last
-// one.
+// recoverLog reads all segments up to a torn write at the end of the last one.
 func recoverLog(fs FS, dir string) (*recovery, error) {
 	r := &recovery{fs: fs, dir: dir, groups: make(map[uint64]*GroupState)}
 	numbers, err := r.listSegments()
@@ -104,19 +104,22 @@
 	}
 	r.segments = append(r.segments, seg)
 	if last {
-		return r.rewriteLastSegment(number, data[:size])
+		r.lastData = data[:size]
 	}
 	return nil
 }
 
-// rewriteLastSegment replaces the last segment by its valid data and makes it durable.
-// The data may be only in the page cache, also after a failed fsync, and another
+// rewriteLastSegment replaces the last segment by its valid data, without a torn write, and
+// makes it durable. The data may be only in the page cache, also after a failed fsync, and another
 // fsync of the same file could report success without writing it. The data is
 // therefore written to a new file.
-func (r *recovery) rewriteLastSegment(number uint64, data []byte) error {
-	name := filepath.Join(r.dir, segmentName(number))
+func (r *recovery) rewriteLastSegment() error {
+	if r.lastData == nil {
+		return nil
+	}
+	name := filepath.Join(r.dir, segmentName(r.segments[len(r.segments)-1].number))
 	return WriteFileAtomic(r.fs, name, func(w io.Writer) error {
-		_, err := w.Write(data)
+		_, err := w.Write(r.lastData)
 		return err
 	})
 }
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"ibistray.example/ibistray/internal/wal"
@@ -20,7 +21,7 @@
 // Errors that a Fault injects.
 var (
 	ErrSync    = errors.New("waltest: input/output error")
-	ErrNoSpace = errors.New("waltest: no space left on device")
+	ErrNoSpace = fmt.Errorf("waltest: %w", syscall.ENOSPC)
 )
 
 // FS is an in-memory implementation of wal.FS. Written data is durable after File.Sync;
@@ -33,15 +34,33 @@
 	locks        map[string]bool
 	fault        Fault
 	syncCount    int
+	openFiles    int
 }
 
 // Fault selects the errors and delays that the file system injects.
 type Fault struct {
 	FailSync  bool          // File.Sync and SyncDir return ErrSync
 	NoSpace   bool          // File.Write writes half of the data and returns ErrNoSpace
+	Full      Op            // these operations change nothing and return ErrNoSpace
+	Capacity  int           // bytes of all files above which File.Write is cut short and returns ErrNoSpace; 0: no limit
 	SyncDelay time.Duration // duration of File.Sync
+	// FullAfterRename is the suffix of a name: once a file has been renamed to such a name,
+	// File.Write fails as with NoSpace. Empty: none.
+	FullAfterRename string
 }
 
+// Op is a set of operations.
+type Op uint8
+
+// Operations that need room on the disk.
+const (
+	OpCreate Op = 1 << iota
+	OpWrite
+	OpSync
+	OpSyncDir
+	OpRename
+)
+
 // fileData is the content of a file.
 type fileData struct {
 	data      []byte
@@ -71,6 +90,13 @@
 	return f.syncCount
 }
 
+// OpenFiles returns the number of files that were opened or created and not closed.
+func (f *FS) OpenFiles() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.openFiles
+}
+
 // PersistFunc returns the content of a file after a power failure. synced is the
 // durable prefix of written.
 type PersistFunc func(name string, synced, written []byte) []byte
@@ -128,8 +154,12 @@
 func (f *FS) Create(name string) (wal.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.fault.Full&OpCreate != 0 {
+		return nil, ErrNoSpace
+	}
 	c := new(fileData)
 	f.files[name] = c
+	f.openFiles++
 	return &openFile{fs: f, content: c}, nil
 }
 
@@ -141,6 +171,7 @@
 	if !found {
 		return nil, fmt.Errorf("waltest: open %s: %w", name, fs.ErrNotExist)
 	}
+	f.openFiles++
 	return &openFile{fs: f, content: c}, nil
 }
 
@@ -152,8 +183,14 @@
 	if !found {
 		return fmt.Errorf("waltest: rename %s: %w", oldName, fs.ErrNotExist)
 	}
+	if f.fault.Full&OpRename != 0 {
+		return ErrNoSpace
+	}
 	delete(f.files, oldName)
 	f.files[newName] = c
+	if suffix := f.fault.FullAfterRename; suffix != "" && strings.HasSuffix(newName, suffix) {
+		f.fault.NoSpace = true
+	}
 	return nil
 }
 
@@ -189,6 +226,9 @@
 	if f.fault.FailSync {
 		return ErrSync
 	}
+	if f.fault.Full&OpSyncDir != 0 {
+		return ErrNoSpace
+	}
 	dir = filepath.Clean(dir)
 	for name := range f.durableFiles {
 		if filepath.Dir(name) == dir {
@@ -230,6 +270,7 @@
 	fs      *FS
 	content *fileData
 	offset  int
+	closed  bool
 }
 
 func (f *openFile) Read(buf []byte) (int, error) {
@@ -246,15 +287,43 @@
 func (f *openFile) Write(data []byte) (int, error) {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
-	if f.fs.fault.NoSpace {
-		half := len(data) / 2
-		f.content.data = append(f.content.data, data[:half]...)
-		return half, ErrNoSpace
+	written := f.fs.room(len(data))
+	if written < len(data) {
+		f.content.data = append(f.content.data, data[:written]...)
+		return written, ErrNoSpace
 	}
 	f.content.data = append(f.content.data, data...)
 	return len(data), nil
 }
 
+// room returns how many of size bytes can be written. The caller holds f.mu.
+func (f *FS) room(size int) int {
+	switch {
+	case f.fault.Full&OpWrite != 0:
+		return 0
+	case f.fault.NoSpace:
+		return size / 2
+	case f.fault.Capacity > 0:
+		return max(0, min(size, f.fault.Capacity-f.used()))
+	}
+	return size
+}
+
+// Used returns the bytes of all files.
+func (f *FS) Used() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.used()
+}
+
+func (f *FS) used() int {
+	total := 0
+	for _, c := range f.files {
+		total += len(c.data)
+	}
+	return total
+}
+
 func (f *openFile) Sync() error {
 	f.fs.mu.Lock()
 	duration := f.fs.fault.SyncDelay
@@ -265,11 +334,20 @@
 	if f.fs.fault.FailSync {
 		return ErrSync
 	}
+	if f.fs.fault.Full&OpSync != 0 {
+		return ErrNoSpace
+	}
 	f.fs.syncCount++
 	f.content.syncedLen = len(f.content.data)
 	return nil
 }
 
 func (f *openFile) Close() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if !f.closed {
+		f.closed = true
+		f.fs.openFiles--
+	}
 	return nil
 }
