A log that could not be opened closes its segment

What callers saw: nothing yet. While a disk is full, the data directory is opened every 0.3 s. Each attempt that failed at the first frame of its new segment left the file open; the next attempt removed the name, but the room and the descriptor were held until the garbage collector found them.

Evidence: TestFailedOpenHoldsNoRoom, before: "1 (int) != 0 (open int)".

--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -144,6 +144,8 @@
 	}
 	l := newLog(opts, dir, lock, r)
 	if err := l.begin(id, found); err != nil {
+		// An open file would keep its room on the disk after its removal.
+		l.writer.close()
 		return nil, nil, err
 	}
 	return l, r.groups, nil
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -159,6 +159,20 @@
 	assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
 }
 
+// TestFailedOpenHoldsNoRoom fills the disk while a log is opened. A file that stays open after a
+// failed attempt keeps its room although the next attempt removes it.
+func TestFailedOpenHoldsNoRoom(t *testing.T) {
+	fs := waltest.New()
+	log, _ := openLog(t, fs)
+	appendAll(t, log, entries(1, 1, 1, 3))
+	closeLog(t, log)
+	open := fs.OpenFiles()
+	fs.SetFault(waltest.Fault{FullAfterRename: ".wal"})
+	_, _, err := wal.Open(wal.Options{FS: fs, Dir: dataDir})
+	assert.ErrorIs(t, err, waltest.ErrNoSpace)
+	assert.Equal(t, fs.OpenFiles(), open)
+}
+
 // TestLogIsReadBeforeAFullDiskIsWritten opens a log on a full disk whose owner can make room.
 func TestLogIsReadBeforeAFullDiskIsWritten(t *testing.T) {
 	fs := waltest.New()
