A state host is opened again once its disk has room

What callers saw: the disks of state hosts were full for 0.3 to 2.8 s each, one after another, never two at once. After a few such times changes were refused for more than 8 s while all disks had room and all processes ran: "no quorum responded: leaderclient: no leader responded".

Cause: a host whose disk fills up is closed and opened again after a pause that doubles up to 15 s. The pause was counted per failure of the process and did not look at the disk. It outlasted the full disk, so that the next host, whose disk filled up meanwhile, was away at the same time: no quorum.

Change: the process probes the disk with a file of the size of a log segment. A full disk is waited for, and the host is opened at most 0.3 s after there is room again. The growing pause remains for a disk that has room after the host was closed, that is, for one that is too small for what the host stores. EDQUOT, from disks whose size is a quota, counts as a full disk, too; the process ended before.

TestHostIsOpenedOnceItsDiskHasRoom is the case in virtual time.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -16,7 +16,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -45,13 +44,7 @@
 	deregistrationDelay = 3 * time.Second
 	// diskRetryInterval is the pause between attempts to open a data directory on a full disk.
 	diskRetryInterval = 300 * time.Millisecond
-	// A state host whose disk filled up while it ran is opened again after a pause that
-	// doubles each time, since every opening reads the whole log and the group sends it
-	// what it lacks. The pause starts over once the host has run for stableRunTime.
-	minReopenDelay = 500 * time.Millisecond
-	maxReopenDelay = 15 * time.Second
-	stableRunTime  = 30 * time.Second
-	dirMode        = 0o700
+	dirMode           = 0o700
 	// maxHeaderBytes limits the header of a request, which is held in memory. Routes
 	// documents may set a lower limit.
 	maxHeaderBytes = 64 << 10
@@ -285,34 +278,13 @@
 // meanwhile. It returns an error if the state host cannot start or fails otherwise.
 // newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
-	return reopenOnFullDisk(opts.Logger, stop, func() error {
+	probe := newDiskProbe(cfg)
+	probe.removeFile()
+	return reopenOnFullDisk(opts.Logger, stop, probe.hasRoom, func() error {
 		return runStateHost(cfg, addresses, newControlHandler, opts, stop)
 	})
 }
 
-// reopenOnFullDisk calls run until it returns something else than a full disk, or until
-// stop is closed. It pauses between the calls.
-func reopenOnFullDisk(log hclog.Logger, stop <-chan struct{}, run func() error) error {
-	delay := minReopenDelay
-	for {
-		start := time.Now()
-		err := run()
-		if !errors.Is(err, syscall.ENOSPC) {
-			return err
-		}
-		if time.Since(start) >= stableRunTime {
-			delay = minReopenDelay
-		}
-		log.Error("disk is full: the state host is opened again", "after_ms", delay.Milliseconds(), "error", err)
-		select {
-		case <-stop:
-			return nil
-		case <-time.After(delay):
-		}
-		delay = min(2*delay, maxReopenDelay)
-	}
-}
-
 // runStateHost runs a state host until stop is closed or it fails.
 func runStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
 	p := newProcess(opts)
@@ -379,7 +351,7 @@
 	for {
 		host, err := open(cfg)
 		switch {
-		case errors.Is(err, syscall.ENOSPC):
+		case isDiskFull(err):
 			if !diskFull {
 				log.Error("disk is full: the state host waits", "error", err)
 			}
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -15,6 +15,7 @@
 
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
+	"ibistray.example/ibistray/internal/wal/waltest"
 )
 
 // fakeOpener fails with each of errs in order and then returns a host.
@@ -33,6 +34,8 @@
 	return nil, fmt.Errorf("open: %w", err)
 }
 
+func hasRoom() bool { return true }
+
 func TestOpenRetriesWhileDiskIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := &fakeOpener{errs: []error{syscall.ENOSPC, syscall.ENOSPC, syscall.ENOSPC}}
@@ -52,7 +55,7 @@
 		other := errors.New("other failure")
 		start := time.Now()
 		var opened []time.Duration
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() error {
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
 			opened = append(opened, time.Since(start))
 			if len(opened) < 8 {
 				return fmt.Errorf("write: %w", syscall.ENOSPC)
@@ -71,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var ended []time.Time
 		var pauses []time.Duration
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() error {
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
 			if len(ended) > 0 {
 				pauses = append(pauses, time.Since(ended[len(ended)-1]))
 			}
@@ -89,11 +92,69 @@
 	})
 }
 
+// TestHostIsOpenedOnceItsDiskHasRoom fills a disk again and again. A pause that outlasts the full
+// disk keeps the host away, so that two hosts are away although no two disks were full at once.
+func TestHostIsOpenedOnceItsDiskHasRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const full = 1200 * time.Millisecond
+		var failed time.Time
+		hasRoom := func() bool { return time.Since(failed) >= full }
+		opened := 0
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+			if opened++; opened > 1 {
+				away := time.Since(failed)
+				assert.Assert(t, away >= full && away <= full+diskRetryInterval, "%d: away for %s", opened, away)
+			}
+			if opened == 8 {
+				return nil
+			}
+			time.Sleep(time.Second)
+			failed = time.Now()
+			return fmt.Errorf("write: %w", syscall.ENOSPC)
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, opened, 8)
+	})
+}
+
+// TestFullDiskIsOpenedAgainWithoutRoom guards against a host that stays away from a disk on which
+// it could open its log although there is no room for the probe.
+func TestFullDiskIsOpenedAgainWithoutRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start, opened := time.Now(), 0
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
+			if opened++; opened == 2 {
+				return nil
+			}
+			return syscall.ENOSPC
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), maxReopenDelay)
+	})
+}
+
+// TestProbeFindsAFullDisk makes each operation fail that needs room on a disk.
+func TestProbeFindsAFullDisk(t *testing.T) {
+	fs := waltest.New()
+	probe := newDiskProbe(statehost.Config{DataDir: "/data", FS: fs})
+	assert.Assert(t, probe.hasRoom())
+	for _, fault := range []waltest.Fault{
+		{NoSpace: true}, {Full: waltest.OpCreate}, {Full: waltest.OpWrite}, {Full: waltest.OpSync}, {Full: waltest.OpSyncDir},
+		{Full: waltest.OpRename}, {Capacity: probeBytes - 1},
+	} {
+		fs.SetFault(fault)
+		assert.Assert(t, !probe.hasRoom(), "%+v", fault)
+		assert.Equal(t, len(fs.Files("")), 0, "%+v", fault)
+	}
+	fs.SetFault(waltest.Fault{Capacity: probeBytes})
+	assert.Assert(t, probe.hasRoom())
+}
+
 func TestStopEndsTheWaitForAFullDisk(t *testing.T) {
 	stop := make(chan struct{})
 	close(stop)
 	runs := 0
-	err := reopenOnFullDisk(hclog.NewNullLogger(), stop, func() error {
+	err := reopenOnFullDisk(hclog.NewNullLogger(), stop, hasRoom, func() error {
 		runs++
 		return syscall.ENOSPC
 	})
