The identity of a disk is durable after a first start that failed

What callers saw: nothing yet; found by reading. A first start on a full disk can fail after the identity has its name and before its directory is synced. The next start found the identity and wrote the log. After a power failure the identity was gone, the log stayed: "wal: corrupt: the data directory has segments but no identity", and the host set all of its data aside as if its disk had been lost.

Change: each opening syncs the directory of an identity that it finds.

Evidence: TestIdentityOfAFailedFirstStartIsDurable failed with that message.

--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -151,11 +151,17 @@
 	return l, r.groups, nil
 }
 
-// begin starts a segment and creates the identity of the disk unless there is one.
+// begin starts a segment and creates the identity of the disk unless there is one. The start that
+// created it may have failed before its name was durable.
 func (l *Log) begin(id Identity, found bool) error {
 	if err := l.startSegment(); err != nil {
 		return err
 	}
+	if found {
+		if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
+			return fmt.Errorf("wal: sync directory %s: %w", l.opts.Dir, err)
+		}
+	}
 	if !found {
 		var err error
 		if id, err = l.createIdentity(); err != nil {
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -1,6 +1,7 @@
 package wal_test
 
 import (
+	"crypto/rand"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -173,6 +174,35 @@
 	assert.Equal(t, fs.OpenFiles(), open)
 }
 
+// faultReader injects a fault when it is read for the first time.
+type faultReader struct {
+	fs    *waltest.FS
+	fault waltest.Fault
+}
+
+func (r *faultReader) Read(p []byte) (int, error) {
+	r.fs.SetFault(r.fault)
+	return rand.Read(p)
+}
+
+// TestIdentityOfAFailedFirstStartIsDurable fails the first start of a host after the identity has
+// its name and before its directory is synced. A power failure after the next start must not
+// separate the identity from the log, which then counts as damaged.
+func TestIdentityOfAFailedFirstStartIsDurable(t *testing.T) {
+	fs := waltest.New()
+	random := &faultReader{fs: fs, fault: waltest.Fault{Full: waltest.OpSyncDir}}
+	_, _, err := wal.Open(wal.Options{FS: fs, Dir: dataDir, Random: random})
+	assert.ErrorIs(t, err, waltest.ErrNoSpace)
+	fs.SetFault(waltest.Fault{})
+	log, _ := openLog(t, fs)
+	appendAll(t, log, entries(1, 1, 1, 3))
+	closeLog(t, log)
+
+	log, groups := openLog(t, fs.Crash(waltest.LoseUnsynced))
+	defer closeLog(t, log)
+	assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
+}
+
 // TestLogIsReadBeforeAFullDiskIsWritten opens a log on a full disk whose owner can make room.
 func TestLogIsReadBeforeAFullDiskIsWritten(t *testing.T) {
 	fs := waltest.New()
