A removed replica whose files stay can be added again

What callers saw: nothing yet; found by reading. A replica that its group has given up is replaced by an empty one.

Change: RemoveGroup logs it. Nothing reads the file, and the next start removes it.

Evidence: TestReplicaIsReplacedWhileFilesCannotBeRemoved failed with "replica: storage failed: waltest: no space left on device".

--- a/internal/replica/disk_full_test.go
+++ b/internal/replica/disk_full_test.go
@@ -97,3 +97,26 @@
 		c.waitValue(full, "x", "1")
 	})
 }
+
+// TestReplicaIsReplacedWhileFilesCannotBeRemoved removes a group on a disk whose files cannot be
+// removed for a moment. The host must be able to add the group again.
+func TestReplicaIsReplacedWhileFilesCannotBeRemoved(t *testing.T) {
+	frequentSnapshots := func(opts *replica.Options) { opts.SnapshotEntries = 5 }
+	runClusterWith(t, frequentSnapshots, func(t *testing.T, c *cluster) {
+		c.putMany("k", 20)
+		address := c.follower()
+		oldID := c.memberID(address)
+		n := c.nodes[address]
+		c.eventually("snapshot", func() bool { return c.status(address, testGroup).SnapshotIndex > 0 })
+		host := c.nodes[c.leader(testGroup)].host
+		assert.NilError(t, host.RemoveMember(t.Context(), testGroup, oldID))
+		n.fs.SetFault(waltest.Fault{Full: waltest.OpRemove})
+		assert.NilError(t, n.host.RemoveGroup(testGroup))
+		n.joins = true
+		assert.NilError(t, c.addGroup(address, testGroup))
+		n.fs.SetFault(waltest.Fault{})
+		member := c.newMember(address)
+		assert.NilError(t, host.AddLearner(t.Context(), testGroup, member))
+		c.waitValue(address, "k-19", "value")
+	})
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -173,7 +173,10 @@
 		return fmt.Errorf("%w: remove group %d: %w", ErrStorage, id, err)
 	}
 	h.replaceRecovered(id, tombstone)
-	return h.snapshots.removeBefore(id, maxSnapshotIndex)
+	if err := h.snapshots.removeBefore(id, maxSnapshotIndex); err != nil {
+		g.log.Warn("cannot remove the snapshots of a removed replica, the next start does", "error", err)
+	}
+	return nil
 }
 
 // replaceRecovered replaces the state from which a later AddGroup starts by the
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -59,6 +59,7 @@
 	OpSync
 	OpSyncDir
 	OpRename
+	OpRemove // on file systems that copy on write
 )
 
 // fileData is the content of a file.
@@ -201,6 +202,9 @@
 	if _, found := f.files[name]; !found {
 		return fmt.Errorf("waltest: remove %s: %w", name, fs.ErrNotExist)
 	}
+	if f.fault.Full&OpRemove != 0 {
+		return ErrNoSpace
+	}
 	delete(f.files, name)
 	return nil
 }
