--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -351,7 +351,7 @@
 	for {
 		host, err := open(cfg)
 		switch {
-		case isDiskFull(err):
+		case wal.IsDiskFull(err):
 			if !diskFull {
 				log.Error("disk is full: the state host waits", "error", err)
 			}
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -1,10 +1,8 @@
 package hosted
 
 import (
-	"errors"
 	"io"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,11 +25,6 @@
 	probeBytes = 1 << 20
 )
 
-// isDiskFull reports whether an operation failed because a disk or its quota is used up.
-func isDiskFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
-}
-
 // reopenOnFullDisk calls run until it returns something else than a full disk, or until
 // stop is closed. Between the calls it waits for room.
 func reopenOnFullDisk(log hclog.Logger, stop <-chan struct{}, hasRoom func() bool, run func() error) error {
@@ -39,7 +32,7 @@
 	for {
 		start := time.Now()
 		err := run()
-		if !isDiskFull(err) {
+		if !wal.IsDiskFull(err) {
 			return err
 		}
 		if time.Since(start) >= stableRunTime {
@@ -95,7 +88,7 @@
 // another kind than a full disk is left to the next opening.
 func (p diskProbe) hasRoom() bool {
 	defer p.removeFile()
-	return !isDiskFull(wal.WriteFileAtomic(p.fs, p.path, func(w io.Writer) error {
+	return !wal.IsDiskFull(wal.WriteFileAtomic(p.fs, p.path, func(w io.Writer) error {
 		_, err := w.Write(make([]byte, probeBytes))
 		return err
 	}))
--- a/internal/replica/disk_full_test.go
+++ b/internal/replica/disk_full_test.go
@@ -98,6 +98,30 @@
 	})
 }
 
+// TestHostRunsWhileASnapshotDoesNotFit leaves room for the log of a host and none for its next
+// snapshot. The host must go on and take the snapshot when there is room.
+func TestHostRunsWhileASnapshotDoesNotFit(t *testing.T) {
+	frequentSnapshots := func(opts *replica.Options) { opts.SnapshotEntries = 5; opts.SegmentSize = 500 }
+	runClusterWith(t, frequentSnapshots, func(t *testing.T, c *cluster) {
+		c.putMany("before", 20)
+		full := c.follower()
+		fs := c.nodes[full].fs
+		fs.SetFault(waltest.Fault{NoSpaceFor: ".tmp"})
+		before := c.status(full, testGroup).SnapshotIndex
+		c.putMany("full", 100)
+		c.waitValue(full, "full-99", "value")
+		assert.NilError(t, c.nodes[full].host.Err())
+		assert.Equal(t, c.status(full, testGroup).SnapshotIndex, before)
+		segments := len(fs.Files(".wal"))
+		fs.SetFault(waltest.Fault{})
+		c.eventually("snapshot", func() bool {
+			c.put(testGroup, "after", "1")
+			return c.status(full, testGroup).SnapshotIndex > before && len(fs.Files(".wal")) < segments
+		})
+		assert.Equal(t, len(fs.Files(".tmp")), 0)
+	})
+}
+
 // TestReplicaIsReplacedWhileFilesCannotBeRemoved removes a group on a disk whose files cannot be
 // removed for a moment. The host must be able to add the group again.
 func TestReplicaIsReplacedWhileFilesCannotBeRemoved(t *testing.T) {
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -10,6 +10,9 @@
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
+// snapshotRetryTicks is the pause, in ticks, after a snapshot for which the disk had no room.
+const snapshotRetryTicks = 100
+
 // snapshotProgress tracks when the next snapshot of a group is due.
 type snapshotProgress struct {
 	snapshotIndex uint64 // index of the latest durable snapshot
@@ -18,6 +21,8 @@
 	bytes         int    // of entry data submitted since the latest snapshot
 	snapshotBytes int64  // size of the latest snapshot
 	inProgress    bool   // a snapshot is being taken
+	coveredBytes  int    // of entry data that the snapshot in progress covers
+	retryTick     uint64 // host tick before which no snapshot is taken
 }
 
 // backlog returns the number of committed entries that are not applied yet.
@@ -34,14 +39,17 @@
 	return p.applied-p.snapshotIndex >= opts.SnapshotEntries || p.bytes >= limit
 }
 
-// requestSnapshot makes the apply mailbox take a snapshot, unless one is in progress or
-// nothing was applied since the latest one.
+// requestSnapshot makes the apply mailbox take a snapshot, unless one is in progress, one has
+// just failed or nothing was applied since the latest one.
 func (g *group) requestSnapshot() {
 	if g.node == nil || g.removed || g.progress.inProgress || g.progress.applied <= g.progress.snapshotIndex {
 		return
 	}
+	if g.host.ticks() < g.progress.retryTick {
+		return
+	}
 	g.progress.inProgress = true
-	g.progress.bytes = 0
+	g.progress.coveredBytes, g.progress.bytes = g.progress.bytes, 0
 	g.apply.post(g.takeSnapshot)
 }
 
@@ -67,11 +75,25 @@
 		return // the host stops: the next start replays the log
 	}
 	g.core.post(func() {
+		if wal.IsDiskFull(err) {
+			g.postponeSnapshot(index, err)
+			return
+		}
 		g.progress.snapshotBytes = size
 		g.recordSnapshot(index, err)
 	})
 }
 
+// postponeSnapshot makes the group take a snapshot later. The log, which is intact, may have room
+// where the snapshot has none; if it has none either, the host stops at its next append.
+func (g *group) postponeSnapshot(index uint64, cause error) {
+	g.log.Warn("snapshot does not fit the disk, it is taken later", "index", index, "error", cause)
+	g.host.metrics.snapshots.WithLabelValues("failed").Inc()
+	g.progress.inProgress = false
+	g.progress.bytes += g.progress.coveredBytes
+	g.progress.retryTick = g.host.ticks() + snapshotRetryTicks
+}
+
 // contextWriter fails once its context has ended.
 type contextWriter struct {
 	ctx context.Context
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 )
 
 // Errors that Open and the methods of Log return or wrap.
@@ -21,6 +22,11 @@
 	ErrTooLarge = errors.New("wal: append is too large")
 )
 
+// IsDiskFull reports whether an operation failed because a disk or a quota is used up.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // CorruptError reports where a segment file or the identity file is corrupt, and why.
 // It wraps ErrCorrupt.
 type CorruptError struct {
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -47,6 +47,9 @@
 	// FullAfterRename is the suffix of a name: once a file has been renamed to such a name,
 	// File.Write fails as with NoSpace. Empty: none.
 	FullAfterRename string
+	// NoSpaceFor is the suffix of the names of files for which File.Write fails as with NoSpace,
+	// while others still fit. Empty: none.
+	NoSpaceFor string
 }
 
 // Op is a set of operations.
@@ -161,7 +164,7 @@
 	c := new(fileData)
 	f.files[name] = c
 	f.openFiles++
-	return &openFile{fs: f, content: c}, nil
+	return &openFile{fs: f, name: name, content: c}, nil
 }
 
 // Open implements wal.FS.
@@ -173,7 +176,7 @@
 		return nil, fmt.Errorf("waltest: open %s: %w", name, fs.ErrNotExist)
 	}
 	f.openFiles++
-	return &openFile{fs: f, content: c}, nil
+	return &openFile{fs: f, name: name, content: c}, nil
 }
 
 // Rename implements wal.FS.
@@ -272,6 +275,7 @@
 
 type openFile struct {
 	fs      *FS
+	name    string // when it was opened
 	content *fileData
 	offset  int
 	closed  bool
@@ -291,7 +295,7 @@
 func (f *openFile) Write(data []byte) (int, error) {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
-	written := f.fs.room(len(data))
+	written := f.fs.room(f.name, len(data))
 	if written < len(data) {
 		f.content.data = append(f.content.data, data[:written]...)
 		return written, ErrNoSpace
@@ -300,12 +304,13 @@
 	return len(data), nil
 }
 
-// room returns how many of size bytes can be written. The caller holds f.mu.
-func (f *FS) room(size int) int {
+// room returns how many of size bytes can be written to a file. The caller holds f.mu.
+func (f *FS) room(name string, size int) int {
+	suffix := f.fault.NoSpaceFor
 	switch {
 	case f.fault.Full&OpWrite != 0:
 		return 0
-	case f.fault.NoSpace:
+	case f.fault.NoSpace || suffix != "" && strings.HasSuffix(name, suffix):
 		return size / 2
 	case f.fault.Capacity > 0:
 		return max(0, min(size, f.fault.Capacity-f.used()))
