--- a/internal/hosted/disk_full_test.go
+++ b/internal/hosted/disk_full_test.go
@@ -37,6 +37,7 @@
 // stateHost is a state host that runs as its process runs it, with a disk that can be full.
 type stateHost struct {
 	address string
+	dir     string // for the files outside of the log
 	fs      *waltest.FS
 	host    atomic.Pointer[statehost.Host] // as of the last opening
 	stop    chan struct{}
@@ -57,7 +58,7 @@
 	for range 6 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		d.hosts = append(d.hosts, &stateHost{address: listener.Addr().String(), fs: waltest.New()})
+		d.hosts = append(d.hosts, &stateHost{address: listener.Addr().String(), dir: t.TempDir(), fs: waltest.New()})
 		defer listener.Close()
 	}
 	return d
@@ -73,7 +74,7 @@
 		disk = standbyDisk
 	}
 	cfg := statehost.Config{
-		Name: fmt.Sprint("host-", i), Address: h.address, FailureDomain: fmt.Sprint("domain-", i%3), DataDir: d.t.TempDir(),
+		Name: fmt.Sprint("host-", i), Address: h.address, FailureDomain: fmt.Sprint("domain-", i%3), DataDir: h.dir,
 		Bootstrap: true, FaultTolerance: 1, Standby: standby, DiskBytes: disk, FS: h.fs,
 		DecodeRoutes: decodeVersion, HeartbeatInterval: time.Second,
 	}
@@ -91,6 +92,13 @@
 	}()
 }
 
+// restart stops the process of a host and starts it again.
+func (d *deployment) restart(i int) {
+	close(d.hosts[i].stop)
+	assert.NilError(d.t, <-d.hosts[i].ended)
+	d.run(i)
+}
+
 func (d *deployment) close() {
 	for _, h := range d.hosts {
 		h.fs.SetFault(waltest.Fault{})
@@ -261,6 +269,9 @@
 	h.fs.SetFault(fault)
 	defer time.Sleep(time.Duration(d.random.IntN(600)) * time.Millisecond)
 	defer h.fs.SetFault(waltest.Fault{})
+	if d.random.IntN(4) == 0 {
+		d.restart(i)
+	}
 	slowest := time.Duration(0)
 	end := time.Now().Add(time.Duration(300+d.random.IntN(2500)) * time.Millisecond)
 	for time.Now().Before(end) {
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -55,7 +55,7 @@
 		}, []string{"reason"}),
 		snapshots: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "ibistray_replica_snapshots_total",
-			Help: "Snapshots by event: taken, sent, send_failed, received, restored.",
+			Help: "Snapshots by event: taken, failed, sent, send_failed, received, restored.",
 		}, []string{"event"}),
 		leaderChanges: factory.NewCounter(prometheus.CounterOpts{
 			Name: "ibistray_replica_leader_changes_total",
