A torn write does not keep a disk full

What callers saw: a state host on a nearly full disk wrote the part of a frame that fitted, which filled the disk up, and then waited for room to open its log: "wal: write .../.wal.tmp: no space left on device". The room that it waited for was taken by the torn write itself.

Cause: an opening removes a torn write by writing the segment anew, which needs room before it frees any.

Change: the torn write is cut off first: by the log when the write fails, so that the wait for room sees the room, and by the opening after a kill. What is cut off was never acknowledged.

Evidence: TestTornWriteDoesNotKeepTheDiskFull failed with the message above.

--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -17,6 +17,8 @@
 	Rename(oldName, newName string) error
 	// Remove removes a file. The change is durable after SyncDir.
 	Remove(name string) error
+	// Truncate cuts a file off after size bytes. The change is durable after a Sync of the file.
+	Truncate(name string, size int64) error
 	// List returns the sorted names of the files in a directory.
 	List(dir string) ([]string, error)
 	// SyncDir makes creations, renames and removals in a directory durable.
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"fmt"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -174,6 +175,31 @@
 	assert.Equal(t, fs.OpenFiles(), open)
 }
 
+// TestTornWriteDoesNotKeepTheDiskFull fills the disk by a write that does not fit. The log must open
+// again in the room that this write has taken.
+func TestTornWriteDoesNotKeepTheDiskFull(t *testing.T) {
+	fs := waltest.New()
+	log, _ := openLog(t, fs)
+	appendAll(t, log, entries(1, 1, 1, 3))
+	used := fs.Used()
+	fs.SetFault(waltest.Fault{Capacity: 4 * used})
+	large := entry(1, 4, strings.Repeat("x", 4*used))
+	assert.ErrorIs(t, log.Append([]wal.Update{{Group: 1, Entries: []*raftpb.Entry{large}}}), waltest.ErrNoSpace)
+	closeLog(t, log)
+	assert.Equal(t, fs.Used(), used)
+
+	// A process that was killed leaves the torn write.
+	name := fs.Files(".wal")[0]
+	fs.ModifyFile(name, func(data []byte) []byte { return append(data, make([]byte, 3*used)...) })
+	log, groups := openLog(t, fs)
+	assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
+	closeLog(t, log)
+
+	log, groups = openLog(t, fs.Crash(waltest.LoseUnsynced))
+	defer closeLog(t, log)
+	assert.Equal(t, lastEntryIndex(groups[1]), uint64(3))
+}
+
 // faultReader injects a fault when it is read for the first time.
 type faultReader struct {
 	fs    *waltest.FS
--- a/internal/wal/osfs.go
+++ b/internal/wal/osfs.go
@@ -43,6 +43,10 @@
 	return os.Remove(name)
 }
 
+func (osFS) Truncate(name string, size int64) error {
+	return os.Truncate(name, size)
+}
+
 func (osFS) List(dir string) ([]string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -52,6 +52,7 @@
 	groups       map[uint64]*GroupState
 	lastSequence uint64 // sequence number of the last valid frame; 0: none
 	lastData     []byte // valid data of the last segment; nil: it was empty and is removed
+	torn         bool   // a torn write follows lastData
 }
 
 // recoverLog reads all segments up to a torn write at the end of the last one.
@@ -104,7 +105,7 @@
 	}
 	r.segments = append(r.segments, seg)
 	if last {
-		r.lastData = data[:size]
+		r.lastData, r.torn = data[:size], size < int64(len(data))
 	}
 	return nil
 }
@@ -118,6 +119,12 @@
 		return nil
 	}
 	name := filepath.Join(r.dir, segmentName(r.segments[len(r.segments)-1].number))
+	if r.torn {
+		// The torn write may have taken the room that the new file needs.
+		if err := r.fs.Truncate(name, int64(len(r.lastData))); err != nil {
+			return fmt.Errorf("wal: truncate torn write in %s: %w", name, err)
+		}
+	}
 	return WriteFileAtomic(r.fs, name, func(w io.Writer) error {
 		_, err := w.Write(r.lastData)
 		return err
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -212,6 +212,19 @@
 	return nil
 }
 
+// Truncate implements wal.FS.
+func (f *FS) Truncate(name string, size int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, found := f.files[name]
+	if !found || size > int64(len(c.data)) {
+		return fmt.Errorf("waltest: truncate %s: %w", name, fs.ErrInvalid)
+	}
+	c.data = c.data[:size:size]
+	c.syncedLen = min(c.syncedLen, len(c.data))
+	return nil
+}
+
 // List implements wal.FS.
 func (f *FS) List(dir string) ([]string, error) {
 	f.mu.Lock()
--- a/internal/wal/writer.go
+++ b/internal/wal/writer.go
@@ -10,6 +10,7 @@
 // writer is the state of the writer goroutine.
 type writer struct {
 	file         File
+	path         string // of file
 	offset       int64  // size of the current segment in bytes
 	lastSequence uint64 // sequence number of the last written frame
 	buf          []byte // frame that is being built
@@ -92,6 +93,8 @@
 	w := &l.writer
 	w.buf = finishFrame(w.buf, w.lastSequence+1, w.offset)
 	if _, err := w.file.Write(w.buf); err != nil {
+		// A part of a frame is of no use. If it cannot be removed now, the next opening does.
+		_ = l.opts.FS.Truncate(w.path, w.offset)
 		return fmt.Errorf("write frame %d at offset %d: %w", w.lastSequence+1, w.offset, err)
 	}
 	start := time.Now()
@@ -111,7 +114,8 @@
 	if n := len(l.segments); n > 0 {
 		number = l.segments[n-1].number + 1
 	}
-	file, err := l.opts.FS.Create(filepath.Join(l.segmentDir, segmentName(number)))
+	path := filepath.Join(l.segmentDir, segmentName(number))
+	file, err := l.opts.FS.Create(path)
 	if err != nil {
 		return fmt.Errorf("wal: create segment %s: %w", segmentName(number), err)
 	}
@@ -121,6 +125,7 @@
 	}
 	l.writer.close()
 	l.writer.file = file
+	l.writer.path = path
 	l.writer.offset = 0
 	if err := l.writeCheckpoints(); err != nil {
 		return err
