Passthrough: refuse heads whose framing fields net/http ignores

Callers saw: a 200 with an empty or short body, framed as whole, when a backend server broke off after a head that stated a length or chunks in a way that net/http does not read: 'Content-Length : 30' (space before the colon) and any Transfer-Encoding in HTTP/1.0. A whole response of the second kind reached the client with the chunk sizes in its body.

Cause: net/http.ReadResponse keeps a name with a space as another field, and deletes Transfer-Encoding from the header of an HTTP/1.0 response. Both responses then have no length, so that their bodies end wherever the connection ends.

Evidence before the fix, at the gateway: space before colon: status 200, "" looks complete chunks in HTTP/1.0: status 200, "f\r\n" looks complete

All forwarded responses pass conn.readResponse, which now returns an error for such a head, so that the outcome is that of a lost connection (RFC 9112, 6.1: such framing is faulty).

--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -199,38 +199,13 @@
 	return resp, write, nil
 }
 
-// errHeaderTooLarge means that a server sent more than maxHeaderBytes or
-// maxInterimResponses before the end of a response's header.
-var errHeaderTooLarge = errors.New("passthrough: header of the response is too large")
-
-// headerLimit is a reader that fails with errHeaderTooLarge after a number of bytes while
-// the limit is set.
-type headerLimit struct {
-	reader    io.Reader
-	set       bool
-	remaining int // bytes, if set
-}
-
-// Read implements io.Reader.
-func (l *headerLimit) Read(p []byte) (int, error) {
-	if !l.set {
-		return l.reader.Read(p)
-	}
-	if l.remaining <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 // readHeader reads the status line and header of the final response and skips interim
 // (1xx) responses.
 func (c *conn) readHeader(req *Request) (*http.Response, error) {
 	c.header.set, c.header.remaining = true, maxHeaderBytes
 	defer func() { c.header.set = false }()
 	for range maxInterimResponses + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readResponse(req.Method)
 		if err != nil {
 			return nil, err
 		}
