Backend: an interim response is no answer

Callers saw: a service call whose backend server sent 103 Early Hints ended as answered, with status 103 and an empty body, also if the server broke off inside the head of the answer itself. A release or an import of a cached prefix counted as done, and a chat call as refused with status 103, which was not resumed.

Cause: the HTTP library skips one response with status 100 and returns any other interim response as the final one.

Evidence before the fix: TestServiceResponseNeedsMarkedEnd/interim_only 'error is nil, not "backend: connection lost during the request"'.

All requests of the client pass roundTrip, which now turns a status below 200 into ErrConnectionLost: the server may have run the request.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -129,16 +129,15 @@
 func (c *Client) waitForHeader(ctx context.Context, req *protocol.Request, resp *protocol.Response) error {
 	req.SetOptions(readTimeoutOption(ctx))
 	done := make(chan error, 1)
-	go func() { done <- c.http.Do(ctx, req, resp) }()
+	go func() { done <- roundTrip(ctx, c.http, req, resp) }()
 	timer := time.NewTimer(silenceTimeout)
 	defer timer.Stop()
 	select {
 	case err := <-done:
 		if err != nil {
 			release(req, resp)
-			return wrapTransportError(err)
 		}
-		return nil
+		return err
 	case <-timer.C:
 		go func() {
 			if err := <-done; err == nil {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -268,9 +268,20 @@
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	req.SetOptions(readTimeoutOption(ctx))
+	return roundTrip(ctx, httpClient, req, resp)
+}
+
+// roundTrip sends a request and reads the header of the final response. Errors:
+// ErrUnreachable, ErrConnectionLost.
+func roundTrip(ctx context.Context, httpClient *client.Client, req *protocol.Request, resp *protocol.Response) error {
 	if err := httpClient.Do(ctx, req, resp); err != nil {
 		return wrapTransportError(err)
 	}
+	if status := resp.StatusCode(); status < consts.StatusOK {
+		// The HTTP library skips one response with status 100 and returns any other interim
+		// response as if it were the final one.
+		return fmt.Errorf("%w: interim response with status %d", ErrConnectionLost, status)
+	}
 	return nil
 }
 
--- a/internal/backend/response_end_test.go
+++ b/internal/backend/response_end_test.go
@@ -31,6 +31,10 @@
 		"short":             {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n[1,2]", 0, ""},
 		"within a chunk":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1", 0, ""},
 		"without the end":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1,2]\r\n", 0, ""},
+		"interim only":      {"HTTP/1.1 103 Early Hints\r\n\r\n", 0, ""},
+		"interim, length":   {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]", 0, ""},
+		"continue, length":  {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]", 200, "[1,2]"},
+		"continue only":     {"HTTP/1.1 100 Continue\r\n\r\n", 0, ""},
 		"unmarked refusal":  {"HTTP/1.1 429 Too Many Requests\r\n\r\n{}", 429, ""},
 		"unmarked overload": {"HTTP/1.1 503 Service Unavailable\r\n\r\n{}", 503, ""},
 	}
