Backend: a response that ends inside its trailers is not complete

Callers saw: a response in chunks whose connection was closed or reset after the line of the last chunk, or inside the trailers, looked whole.

Cause: the HTTP library takes any error at the start of the trailers, and the end of the connection inside them, for the end of the body.

Evidence before the fix: TestServiceResponseNeedsMarkedEnd, cases without_last_line and within_a_trailer, 'error is nil, not "backend: connection lost during the request"'.

All bodies pass readBody. It reads once more after the end: the library then returns io.EOF again only if it has read the trailers to their end.

--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -87,9 +87,26 @@
 	if err == nil && int64(len(data)) > limit {
 		err = fmt.Errorf("%w: more than %d bytes", errBodyTooLarge, limit)
 	}
+	if err == nil {
+		err = checkBodyEnd(resp.BodyStream())
+	}
 	if err != nil {
 		forceClose(resp)
 		return nil, wrapTransportError(err)
 	}
 	return data, nil
 }
+
+// checkBodyEnd returns an error if a body that was read to io.EOF is not complete: the HTTP
+// library returns io.EOF when a connection ends before or inside the trailers of a chunked
+// body, but only once.
+func checkBodyEnd(body io.Reader) error {
+	_, err := body.Read(make([]byte, 1))
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/backend/response_end_test.go
+++ b/internal/backend/response_end_test.go
@@ -31,6 +31,8 @@
 		"short":             {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n[1,2]", 0, ""},
 		"within a chunk":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1", 0, ""},
 		"without the end":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1,2]\r\n", 0, ""},
+		"without last line": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1,2]\r\n0\r\n", 0, ""},
+		"within a trailer":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n5\r\n[1,2]\r\n0\r\nA: 1", 0, ""},
 		"interim only":      {"HTTP/1.1 103 Early Hints\r\n\r\n", 0, ""},
 		"interim, length":   {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]", 0, ""},
 		"continue, length":  {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]", 200, "[1,2]"},
