Backend: an exported prefix needs a marked end

Callers saw: the export of a cached prefix from a response with neither a length nor chunks was cut short wherever the connection was closed or reset, and looked whole. The format is the engine's own, so that the caller cannot tell. No caller in the tree uses the export yet.

Cause: only service calls asked for a marked end of the body. The HTTP library does not report the break of such a response.

ExportCache is the only other call whose body does not show its own end; JSON documents do.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -144,9 +144,14 @@
 	return ignoreNotFound(err)
 }
 
-// ExportCache returns the cached prefix of a program in the engine's own format.
+// ExportCache returns the cached prefix of a program in the engine's own format. If the
+// response has no marked end, the result is ErrConnectionLost.
 func (c *Client) ExportCache(ctx context.Context, program string) ([]byte, error) {
-	return c.fetchLimited(ctx, consts.MethodGet, "/v1/cache/"+url.PathEscape(program), nil, maxExportBytes)
+	data, marked, err := c.fetchLimited(ctx, consts.MethodGet, "/v1/cache/"+url.PathEscape(program), nil, maxExportBytes)
+	if err == nil && !marked {
+		return nil, errUnmarkedEnd
+	}
+	return data, err
 }
 
 // ImportCache loads a prefix that ExportCache returned into the engine's cache.
@@ -188,11 +193,13 @@
 		return ServiceResponse{}, newStatusError(resp, data)
 	}
 	if !hasMarkedEnd(resp) {
-		return ServiceResponse{}, fmt.Errorf("%w: the response has neither a length nor chunks, so its end cannot be told from a break", ErrConnectionLost)
+		return ServiceResponse{}, errUnmarkedEnd
 	}
 	return ServiceResponse{Status: status, Body: data}, nil
 }
 
+var errUnmarkedEnd = fmt.Errorf("%w: the response has neither a length nor chunks, so its end cannot be told from a break", ErrConnectionLost)
+
 // identityLength is the length that the HTTP library reports for a response which states
 // neither a length nor chunks. The library returns no error when the connection of such a
 // response is reset.
@@ -219,11 +226,13 @@
 // fetch sends a request that must end within requestTimeout and returns the body of the
 // response, of at most maxBodyBytes. Errors: ErrUnreachable, ErrConnectionLost, *StatusError.
 func (c *Client) fetch(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	return c.fetchLimited(ctx, method, path, body, maxBodyBytes)
+	data, _, err := c.fetchLimited(ctx, method, path, body, maxBodyBytes)
+	return data, err
 }
 
-// fetchLimited is fetch with a limit of the response body in bytes.
-func (c *Client) fetchLimited(ctx context.Context, method, path string, body []byte, limit int64) ([]byte, error) {
+// fetchLimited is fetch with a limit of the response body in bytes. It also returns whether
+// the end of the body was marked.
+func (c *Client) fetchLimited(ctx context.Context, method, path string, body []byte, limit int64) (data []byte, marked bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	req, resp := c.newRequest(method, path, body, "")
@@ -233,16 +242,16 @@
 		httpClient = c.large
 	}
 	if err := do(ctx, httpClient, req, resp); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	data, err := readBody(resp, limit)
+	data, err = readBody(resp, limit)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if resp.StatusCode() >= consts.StatusMultipleChoices {
-		return nil, newStatusError(resp, data)
+		return nil, false, newStatusError(resp, data)
 	}
-	return data, nil
+	return data, hasMarkedEnd(resp), nil
 }
 
 func (c *Client) newRequest(method, path string, body []byte, requestID string) (*protocol.Request, *protocol.Response) {
