Backend: an event that a lost connection cuts off is no malformed event

Callers saw: a chat call failed as invalid instead of being resumed when the connection of a stream without a length or chunks ended inside an event.

Cause: the SSE reader of the HTTP library returns what it has of an event when the body ends without an error, and the body of such a response ends without an error on each break. The cut event was decoded as a whole one, and its JSON or its offset was wrong.

Evidence before the fix, TestCutResponsesAreLostConnections/chat,_no_length: error is "backend: invalid response: unexpected end of JSON input" (*fmt.wrapErrors), not "backend: connection lost during the request"

Next reports ErrConnectionLost if the event that it cannot decode is the last one of a response without a marked end. Such a body is in memory as a whole before the first event, so that looking further does not wait.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -195,7 +195,12 @@
 	if string(event.Data) == endMarker {
 		return Chunk{}, s.checkEnd()
 	}
-	return s.decodeChunk(event)
+	chunk, err := s.decodeChunk(event)
+	if err != nil && !hasMarkedEnd(s.resp) && errors.Is(s.reader.Read(event), io.EOF) {
+		// The SSE reader returns an event that the end of the connection has cut off.
+		return Chunk{}, fmt.Errorf("%w: stream ended inside an event", ErrConnectionLost)
+	}
+	return chunk, err
 }
 
 // checkEnd returns io.EOF, or ErrInvalidResponse if the stream had no usage.
--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -49,6 +49,12 @@
 	cutLoad   = `{"running":1,"waiting":2,"batch_limit":30}`
 	cutEvents = `{"events":[{"sequence":7,"kind":"stored","program":"p","tokens":12}],"next":7}`
 	cutCache  = `{"sequence":7,"programs":[{"program":"p","tokens":12},{"program":"q","tokens":3}]}`
+	cutChat   = "data: {\"id\":\"r\",\"choices\":[{\"delta\":{\"content\":\"ab\"}}]}\nid: 2\n\n" +
+		": ping\n\n" +
+		"id: 12\ndata: {\"id\":\"r\",\ndata: \"choices\":[{\"delta\":{\"content\":\"cdefghijkl\"}}]}\n\n" +
+		"data: {\"id\":\"r\",\"usage\":{\"completion_tokens\":3}}\n\n" +
+		"data: [DONE]\n\n"
+	cutText = "abcdefghijkl"
 )
 
 // cutCalls are the calls whose responses are cut. Each returns the result as text, or an error.
@@ -89,6 +95,24 @@
 		}
 		return "", err
 	}},
+	"chat": {cutChat, "text/event-stream", cutText, false, true, true, func(t *testing.T, c *Client) (string, error) {
+		stream, err := c.Chat(t.Context(), &ChatRequest{RequestID: "r"})
+		if err != nil {
+			return "", err
+		}
+		defer stream.Close()
+		text := ""
+		for {
+			chunk, err := stream.Next()
+			if errors.Is(err, io.EOF) {
+				return text, nil
+			}
+			if err != nil {
+				return text, err
+			}
+			text += chunk.Text
+		}
+	}},
 }
 
 // TestCutResponsesAreLostConnections cuts the responses to each call at each byte. A call that was
