--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -333,8 +333,13 @@
 // routesVerdict returns what the routes in force may be used for. limit is the time within which an
 // acknowledged version must be in force.
 func (v *view) routesVerdict(limit time.Duration) routeage.Verdict {
+	now := v.bootTime()
 	return routeage.Decide(
-		routeage.State{SinceUpdate: v.since(&v.lastUpdate), SinceQuorum: v.since(&v.lastQuorum), Behind: v.routeAge.Behind(v.bootTime())},
+		routeage.State{
+			SinceUpdate: now - time.Duration(v.lastUpdate.Load()),
+			SinceQuorum: now - time.Duration(v.lastQuorum.Load()),
+			Behind:      v.routeAge.Behind(now),
+		},
 		routeage.Limits{Age: limit, Silence: fleetwatch.SilenceTimeout},
 	)
 }
