Quarantine: a response counts even if the crashes become known after it

Callers saw an added route out of service: after eight servers ended at once, 160 of 160 requests to it got 503 "quarantined" at all eight entries, and 160 of 160 to other routes of the same service were served.

Requests on one route may be alike (method, host, path, body). Entries hold interrupted responses until a refused connection or a restart confirms that the server crashed, and tell each other. A response cleared only crashes that were known by then: what was answered between the interruption and its confirmation was forgotten, three crashes were confirmed together, and a quarantined request is never sent, so that nothing could clear it for 90 s.

A response now counts against every crash of a request that was sent before it, whenever that becomes known. Entries remember which content they served for 30 to 60 s (at most 8,192 digests). A crash counts from when its request was sent. An entry that learns of a crash of content that it has served since tells the others; a clearing that arrives before the crash is kept. A request that crashes every server is never answered, and is quarantined as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,8 +92,8 @@
 	case outcome == outcomeUnreachable:
 		c.g.crashDetector.recordUnreachable(c.server, now)
 	case outcome == outcomeFailed && errors.Is(err, passthrough.ErrConnectionLost):
-		c.g.crashDetector.recordInterrupted(c.fingerprint(), c.server, now)
-	case err == nil && c.g.crashDetector.hasCrashes.Load():
+		c.g.crashDetector.recordInterrupted(c.fingerprint(), c.server, c.attemptStarted, now)
+	case err == nil:
 		c.g.crashDetector.recordSuccess(c.fingerprint(), now)
 	}
 }
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -46,6 +46,7 @@
 	fingerprint   quarantine.Fingerprint
 	instance      string // instanceKey of the server
 	serverID      string
+	startedAt     time.Time // when the request was sent
 	interruptedAt time.Time
 }
 
@@ -58,12 +59,13 @@
 	return fmt.Sprintf("%s/%d/%s", i.ID, i.StartUnixMs, i.Address)
 }
 
-// recordInterrupted records a response whose connection was lost before its end.
-func (d *crashDetector) recordInterrupted(fingerprint quarantine.Fingerprint, server *fleet.Instance, now time.Time) {
+// recordInterrupted records a response whose connection was lost before its end. The request
+// was sent at startedAt.
+func (d *crashDetector) recordInterrupted(fingerprint quarantine.Fingerprint, server *fleet.Instance, startedAt, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.pending) < maxPendingResponses {
-		d.pending = append(d.pending, interruptedResponse{fingerprint: fingerprint, instance: instanceKey(server), serverID: server.ID, interruptedAt: now})
+		d.pending = append(d.pending, interruptedResponse{fingerprint: fingerprint, instance: instanceKey(server), serverID: server.ID, startedAt: startedAt, interruptedAt: now})
 	}
 }
 
@@ -110,24 +112,32 @@
 	d.hasCrashes.Store(!d.crashes.Empty())
 }
 
-// recordCrash counts a crash and reports it if it is new. The caller holds the mutex.
+// recordCrash counts a crash and reports it if it is new. It does not count against a request
+// that has been answered since it was sent. The caller holds the mutex.
 func (d *crashDetector) recordCrash(p interruptedResponse) {
-	if !d.crashes.Record(p.fingerprint, p.instance, p.interruptedAt) {
+	if d.crashes.AnsweredAt(p.fingerprint).After(p.startedAt) || !d.crashes.Record(p.fingerprint, p.instance, p.startedAt) {
 		return
 	}
 	d.log.Info("server crashed while running a request", "server", p.serverID, "fingerprint", hex.EncodeToString(p.fingerprint[:4]))
-	d.onCrash(&fleetpb.Crash{Fingerprint: p.fingerprint[:], Server: p.instance, AgeMs: time.Since(p.interruptedAt).Milliseconds()})
+	d.onCrash(&fleetpb.Crash{Fingerprint: p.fingerprint[:], Server: p.instance, AgeMs: time.Since(p.startedAt).Milliseconds()})
 }
 
-// recordSuccess clears the crashes of a request that was answered, and reports that.
+// recordSuccess records that a request was answered. If crashes count against it, it clears
+// them and reports that.
 func (d *crashDetector) recordSuccess(fingerprint quarantine.Fingerprint, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.crashes.Contains(fingerprint) {
-		return
+	if d.crashes.Answered(fingerprint, now) {
+		d.clear(fingerprint, now, now)
+	}
+}
+
+// clear discards the crashes of a request that was answered at a time, and reports that if it
+// is new. The caller holds the mutex.
+func (d *crashDetector) clear(fingerprint quarantine.Fingerprint, at, now time.Time) {
+	if d.crashes.Clear(fingerprint, at) {
+		d.onCrash(&fleetpb.Crash{Fingerprint: fingerprint[:], AgeMs: now.Sub(at).Milliseconds(), Cleared: true})
 	}
-	d.crashes.Clear(fingerprint, now)
-	d.onCrash(&fleetpb.Crash{Fingerprint: fingerprint[:], Cleared: true})
 }
 
 // isQuarantined reports whether a request must not be sent to any server.
@@ -152,6 +162,9 @@
 			d.crashes.Clear(fingerprint, crashTime)
 			continue
 		}
+		if answered := d.crashes.AnsweredAt(fingerprint); answered.After(crashTime) {
+			d.clear(fingerprint, answered, now)
+		}
 		d.crashes.Record(fingerprint, crash.Server, crashTime)
 	}
 	d.hasCrashes.Store(!d.crashes.Empty())
--- a/internal/gateway/crash_detector_test.go
+++ b/internal/gateway/crash_detector_test.go
@@ -61,7 +61,7 @@
 	fingerprint := quarantine.ComputeFingerprint("POST /x", nil, []byte("b"))
 	server := &fleet.Instance{ID: "a", StartUnixMs: 1, Address: "10.0.0.1:80"}
 	for range 10 {
-		detector.recordInterrupted(fingerprint, server, testTime)
+		detector.recordInterrupted(fingerprint, server, testTime, testTime)
 		detector.updateServers([]*fleet.Instance{server}, testTime.Add(time.Second))
 	}
 	assert.Equal(t, len(*reports), 0)
@@ -89,7 +89,7 @@
 	fingerprint := quarantine.ComputeFingerprint("GET /x", nil, nil)
 	for i := range 3 {
 		server := &fleet.Instance{ID: fmt.Sprint(i), StartUnixMs: 1}
-		detector.recordInterrupted(fingerprint, server, testTime)
+		detector.recordInterrupted(fingerprint, server, testTime, testTime)
 		detector.recordUnreachable(server, testTime)
 	}
 	assert.Assert(t, detector.isQuarantined(fingerprint, testTime))
--- a/internal/policy/quarantine/crashes_test.go
+++ b/internal/policy/quarantine/crashes_test.go
@@ -45,3 +45,33 @@
 	c.Expire(now.Add(crashRetentionPeriod))
 	assert.Assert(t, c.Empty())
 }
+
+// TestCrashKnownAfterAnAnswerDoesNotCount has crashes and answers that become known in another
+// order than they happened.
+func TestCrashKnownAfterAnAnswerDoesNotCount(t *testing.T) {
+	c := NewCrashCounter()
+	f := ComputeFingerprint("GET /x", nil, nil)
+	now := time.Unix(1_700_000_000, 0)
+	assert.Assert(t, !c.Answered(f, now), "no crash counts")
+	assert.Assert(t, c.AnsweredAt(f).Equal(now))
+	assert.Assert(t, c.Clear(f, now))
+	assert.Assert(t, !c.Clear(f, now), "it is known")
+	assert.Assert(t, !c.Record(f, "before", now.Add(-time.Second)))
+	assert.Assert(t, c.Record(f, "after", now.Add(time.Second)))
+	assert.Assert(t, c.Clear(f, now.Add(time.Millisecond)))
+	assert.Assert(t, c.Answered(f, now.Add(2*time.Second)), "an answer before a crash does not clear it")
+}
+
+func TestAnswersAreKnownForALimitedTime(t *testing.T) {
+	c := NewCrashCounter()
+	now := time.Unix(1_700_000_000, 0)
+	f := ComputeFingerprint("GET /x", nil, nil)
+	c.Answered(f, now)
+	c.Answered(ComputeFingerprint("GET /y", nil, nil), now.Add(answerRetentionPeriod-1))
+	assert.Assert(t, !c.AnsweredAt(f).IsZero())
+	for i := range 3 * maxFingerprints {
+		c.Answered(ComputeFingerprint("GET /x", nil, fmt.Append(nil, i)), now)
+	}
+	assert.Assert(t, c.AnsweredAt(f).IsZero())
+	assert.Assert(t, len(c.answered)+len(c.previous) <= 2*maxFingerprints)
+}
