Short full disks do not add up to a long pause

What callers saw: a state host whose disk was full for less time than the host takes to close finds room and counts as one with too small a disk. The pause before it is opened again doubled each time, up to 15 s, unless it ran for 30 s in between.

Change: the pause starts over after a run of 10 s. A host whose disk is too small for the state fails while it receives the state, which normally takes less (not measured); if it takes longer, the host is opened again after 0.5 s each time.

Evidence: TestShortFullDisksDoNotAddUp failed: "1s (time.Duration) != 500ms".

--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -117,6 +117,27 @@
 	})
 }
 
+// TestShortFullDisksDoNotAddUp fills a disk every 11 s, each time for less time than the host needs to
+// close. A pause that grows with each of them keeps the host away for longer and longer.
+func TestShortFullDisksDoNotAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var failed time.Time
+		opened := 0
+		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+			if opened++; opened > 1 {
+				assert.Equal(t, time.Since(failed), minReopenDelay, "%d", opened)
+			}
+			if opened == 8 {
+				return nil
+			}
+			time.Sleep(11 * time.Second)
+			failed = time.Now()
+			return syscall.ENOSPC
+		})
+		assert.NilError(t, err)
+	})
+}
+
 // TestFullDiskIsOpenedAgainWithoutRoom guards against a host that stays away from a disk on which
 // it could open its log although there is no room for the probe.
 func TestFullDiskIsOpenedAgainWithoutRoom(t *testing.T) {
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -19,7 +19,7 @@
 	// lacks. The pause starts over once the host has run for stableRunTime.
 	minReopenDelay = 500 * time.Millisecond
 	maxReopenDelay = 15 * time.Second
-	stableRunTime  = 30 * time.Second
+	stableRunTime  = 10 * time.Second
 	probeFile      = "room"
 	// probeBytes is the size of a segment of the log, which an opening writes.
 	probeBytes = 1 << 20
