A body store opens after a write that did not fit

What callers saw: nothing yet; found by reading. A write of a body that fails in the middle, as on a full disk, leaves a part of a record. The next record was written over it, but a shorter one does not cover it. If the process ran on, as after a failed compaction, and the segment became full, the rest counted as damage at the next start, which failed for good: ".seg at byte 210: history: damaged record".

Change: what a failed write has left is cut off, at once or before the next append.

Evidence: TestStoreOpensAfterAWriteThatDidNotFit failed with that message.

--- a/internal/history/segment.go
+++ b/internal/history/segment.go
@@ -27,6 +27,7 @@
 	size      int64
 	liveBytes int64 // total size of the records that the index refers to
 	dirty     bool  // has changes that are not synced to disk
+	torn      bool  // a failed write has left data after size
 }
 
 func recordBytes(bodyLength uint32) int64 {
@@ -37,14 +38,21 @@
 	return fmt.Sprintf("%08x.seg", number)
 }
 
-// append writes a record at the end and returns its offset. A record whose write failed
-// is overwritten by the next one.
+// append writes a record at the end and returns its offset. What a failed write has left is
+// removed: a shorter record would not cover it. If the removal fails, so do later appends.
 func (g *segment) append(id uint64, body []byte) (uint32, error) {
 	if len(body) > maxBodyBytes || g.size > math.MaxUint32 {
 		return 0, fmt.Errorf("body of %d bytes (limit %d) or segment of %d bytes (limit 2^32-1) is too large", len(body), maxBodyBytes, g.size)
 	}
 	offset := g.size
+	if g.torn {
+		if err := g.file.Truncate(offset); err != nil {
+			return 0, err
+		}
+		g.torn = false
+	}
 	if _, err := g.file.WriteAt(encodeRecord(id, body), offset); err != nil {
+		g.torn = g.file.Truncate(offset) != nil
 		return 0, err
 	}
 	g.size += headerBytes + int64(len(body))
