A failed sync of a body store is repeated for all segments

What callers saw: nothing yet; found by reading. When one segment could not be synced, the segments after it, and when the directory could not be synced, all of them counted as synced. The next Sync reported bodies as durable that a power failure could take.

Change: all segments that were not synced, and those whose directory was not, stay marked.

Evidence: TestSyncKeepsWhatItHasNotReached failed with "seg.dirty:.seg", TestSyncRepeatsAFailedSyncOfTheDirectory at the second Sync, which returned nil.

--- a/internal/history/full_disk_test.go
+++ b/internal/history/full_disk_test.go
@@ -1,7 +1,9 @@
 package history
 
 import (
+	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -42,3 +44,32 @@
 	s.Close()
 	assert.Equal(t, openTestStore(t, dir).Stats().Bodies, want)
 }
+
+// TestSyncKeepsWhatItHasNotReached fails the sync of a segment. The next Sync must not report the
+// others as durable without syncing them.
+func TestSyncKeepsWhatItHasNotReached(t *testing.T) {
+	s := openTestStore(t, t.TempDir())
+	for id := uint64(1); s.Stats().Segments < 4; id++ {
+		putText(t, s, id, strings.Repeat("x", testSegmentBytes))
+	}
+	for _, seg := range s.segments {
+		seg.file.Close()
+	}
+	assert.Assert(t, s.Sync() != nil)
+	for _, seg := range s.segments {
+		assert.Assert(t, seg.dirty, filepath.Base(seg.file.Name()))
+	}
+}
+
+// TestSyncRepeatsAFailedSyncOfTheDirectory fails the sync of the directory. The next Sync must not
+// report a new segment as durable without syncing its name.
+func TestSyncRepeatsAFailedSyncOfTheDirectory(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "bodies")
+	s := openTestStore(t, dir)
+	putText(t, s, 1, "first")
+	assert.NilError(t, os.Rename(dir, dir+"-gone"))
+	assert.Assert(t, s.Sync() != nil)
+	assert.Assert(t, s.Sync() != nil)
+	assert.NilError(t, os.Rename(dir+"-gone", dir))
+	assert.NilError(t, s.Sync())
+}
--- a/internal/history/store.go
+++ b/internal/history/store.go
@@ -168,16 +168,20 @@
 // that reads and writes continue. The caller holds syncMu.
 func (s *Store) syncDirty() error {
 	dirty := s.takeDirty()
-	for _, seg := range dirty {
+	for i, seg := range dirty {
 		if err := seg.file.Sync(); err != nil {
-			s.markDirty(seg)
+			s.markDirty(dirty[i:])
 			return fmt.Errorf("history: sync segment %d: %w", seg.number, err)
 		}
 	}
 	if len(dirty) == 0 {
 		return nil
 	}
-	return syncDirectory(s.dir)
+	if err := syncDirectory(s.dir); err != nil {
+		s.markDirty(dirty)
+		return err
+	}
+	return nil
 }
 
 func (s *Store) takeDirty() []*segment {
@@ -193,10 +197,12 @@
 	return dirty
 }
 
-func (s *Store) markDirty(seg *segment) {
+func (s *Store) markDirty(segments []*segment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seg.dirty = true
+	for _, seg := range segments {
+		seg.dirty = true
+	}
 }
 
 // Reset removes all bodies and deletes their files.
