The failure of an earlier opening does not close a state host

What callers saw: a new state host, such as one with an empty disk, whose disk filled up while it was opened, was opened once there was room, closed at once and opened a second time, after a pause that grows.

Cause: the log of the failed attempt reports its failure after the attempt has returned, to the channel on which the next host's failures are awaited.

Change: each attempt has its own channel.

Evidence: TestFailureOfAnOpeningDoesNotCloseTheNext failed with "the host was closed and opened again".

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -45,6 +45,8 @@
 	// diskRetryInterval is the pause between attempts to open a data directory on a full disk.
 	diskRetryInterval = 300 * time.Millisecond
 	dirMode           = 0o700
+	// maxFailures is the number of failures that are kept; the first one ends the process.
+	maxFailures = 4
 	// maxHeaderBytes limits the header of a request, which is held in memory. Routes
 	// documents may set a lower limit.
 	maxHeaderBytes = 64 << 10
@@ -102,7 +104,7 @@
 	opts       Options
 	metrics    *telemetry.Metrics
 	pool       *transport.Pool
-	failed     chan error
+	failed     failures
 	goroutines sync.WaitGroup
 	servers    []*httpServer
 	closers    []func() // called by close
@@ -113,14 +115,22 @@
 		opts:    opts,
 		metrics: telemetry.NewMetrics(),
 		pool:    transport.NewPool(transport.DialTCPTimeout(peerDialTimeout)),
-		failed:  make(chan error, 4),
+		failed:  newFailures(),
 	}
 }
 
-// fail makes the process end with err. Errors after the first few are dropped.
-func (p *process) fail(err error) {
+// fail makes the process end with err.
+func (p *process) fail(err error) { p.failed.report(err) }
+
+// failures receives the errors that end a process.
+type failures chan error
+
+func newFailures() failures { return make(chan error, maxFailures) }
+
+// report adds an error. Errors after the first few are dropped.
+func (f failures) report(err error) {
 	select {
-	case p.failed <- err:
+	case f <- err:
 	default:
 	}
 }
@@ -336,10 +346,12 @@
 }
 
 // openStateHost opens the state host. Each attempt gets a new metrics registry, because
-// a failed one may already have registered metrics.
+// a failed one may already have registered metrics, and a new channel of failures, because the
+// storage of a failed one may report its failure late.
 func (p *process) openStateHost(cfg statehost.Config) (*statehost.Host, error) {
 	p.metrics = telemetry.NewMetrics()
-	return statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.fail)
+	p.failed = newFailures()
+	return statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.failed.report)
 }
 
 // openWithRetries opens a state host. It retries while the disk is full, because a
