Watcher of state hosts: end at once, not with the next update

A process that stopped waited up to 0.4 s for the next keep-alive of its state hosts after its requests had ended: a closed stream still waits for the peer. With a shutdown margin of 0.7 s, an entry was 10 ms from SIGKILL, or killed, while it closed its connections ("stopped after_ms 7486" of a grace period of 8 s, then 0.5 s for the servers). The end of the context now also ends the wait.

Evidence: TestWatcherEndsBetweenTwoUpdates failed before with "the watcher waits for the next update".

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -149,7 +149,13 @@
 		return false, err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		// A closed stream still waits for the peer's next message.
+		if err := stream.SetReadDeadline(time.Now()); err != nil {
+			w.opts.Logger.Debug("wait for an update not ended", "address", address, "error", err)
+		}
+		stream.Close()
+	})
 	defer stop()
 	if err := stream.Send(w.opts.NewRequest()); err != nil {
 		return false, err
@@ -160,6 +166,9 @@
 		if err := stream.SetDeadline(time.Now().Add(SilenceTimeout)); err != nil {
 			return received, errors.Join(transport.ErrInterrupted, err)
 		}
+		if ctx.Err() != nil {
+			break // the end of ctx has set an earlier deadline
+		}
 		update := new(fleetpb.Update)
 		if err := stream.Recv(update); err != nil {
 			return received, err
