Stopping entry: idle connections are closed at once, streams that have begun go on

A request that is read while its connection is closed as an idle one must not be passed on, since nobody can get its response; net/http guarantees this after Shutdown only, and the closing of idle connections near the limits did not. connections now decides it with one atomic exchange for each connection. A response that has begun is not ended with the others, as there is no other response to send.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -93,6 +93,9 @@
 	hasPermit        bool            // the request took a permit of its account
 	permitTakenAt    time.Duration   // on the clock of the account client
 	interimLeaving   bool            // an interim response of the current attempt said that its server leaves
+	// ignoreShutdown lets a response that has begun go on when the others must be complete: there
+	// is no other response to send.
+	ignoreShutdown func() bool
 	// stopSilenceTimers is called at the first output of the current attempt.
 	stopSilenceTimers func()
 }
@@ -298,8 +301,9 @@
 func (c *call) forward() error {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	ctx, detach := c.g.shutdown.limit(ctx)
-	defer detach()
+	ctx, end, detach := c.g.shutdown.limit(ctx)
+	defer end()
+	c.ignoreShutdown = detach
 	c.limitUnread()
 	c.stream = newStreamVersion(&c.meta)
 	if !c.route.ProgramTurns {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -86,6 +86,7 @@
 
 // writeStatus sends the status line and the headers to the client.
 func (c *call) writeStatus(status int) {
+	c.ignoreShutdown()
 	c.responseStarted = true
 	c.status = status
 	c.firstOutput = time.Since(c.arrived)
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -62,14 +62,15 @@
 }
 
 // limit returns a copy of ctx that also ends, with errStopping as its cause, when responses must
-// be complete. The caller calls cancel afterwards.
-func (s *shutdown) limit(ctx context.Context) (limited context.Context, cancel func()) {
+// be complete, unless detach is called before. The caller calls cancel afterwards.
+func (s *shutdown) limit(ctx context.Context) (limited context.Context, cancel func(), detach func() bool) {
 	limited, cancelCause := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(s.over, func() { cancelCause(errStopping) })
-	return limited, func() {
+	detach = context.AfterFunc(s.over, func() { cancelCause(errStopping) })
+	cancel = func() {
 		detach()
 		cancelCause(nil)
 	}
+	return limited, cancel, detach
 }
 
 // limitBody makes reads of the request's body fail when responses must be complete. The caller
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -126,6 +126,22 @@
 	assert.Equal(t, got.body, eventText(1, 4))
 }
 
+// TestStreamThatHasBegunGoesOnAtTheEndOfAStop guards against streams that end sooner than the
+// process does.
+func TestStreamThatHasBegunGoesOnAtTheEndOfAStop(t *testing.T) {
+	f := newFixture(t, newBackend(t, "a", func(w http.ResponseWriter, r *http.Request, body string) {
+		streamEvents(1, 2, true)(w, r, body)
+		assert.Check(t, http.NewResponseController(w).Flush())
+		time.Sleep(300 * time.Millisecond)
+		writeEvents(w, 3, 4)
+	}))
+	f.recordRuns("feed", 100*time.Millisecond)
+	f.Drain(time.Now().Add(200 * time.Millisecond))
+	got := f.send(t, http.MethodPost, "/feed/x", "", "Id", "1")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 4))
+}
+
 func TestRunsOfEarlierPeriodsAreForgotten(t *testing.T) {
 	runs := newRouteRuns()
 	now := time.Now()
--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -31,8 +31,13 @@
 	closedClient = "client" // of a client, near the limits
 	closedServer = "server" // to a backend server, near the limits
 	closedIdle   = "idle"   // of a client, after the timeouts of the routes
+	closedStop   = "stop"   // of a client, since the entry stops
 )
 
+// closedMark in place of the time since which a connection has waited says that the entry has
+// closed it.
+const closedMark = -1
+
 // serverConnections are the connections of an entry to backend servers.
 type serverConnections interface {
 	// ServerConnections returns the numbers of open ones and of those without a request.
@@ -47,11 +52,41 @@
 type clientConn struct {
 	net.Conn
 	// waitingSince is when it began to wait for a request, on the clock of connections; 0 while
-	// it carries one.
+	// it carries one, and closedMark once the entry has closed it.
 	waitingSince atomic.Int64
 	used         atomic.Bool // it has carried a request
 }
 
+// begin records that a request has arrived, unless the connection was closed before.
+func (c *clientConn) begin() {
+	for {
+		since := c.waitingSince.Load()
+		if since == closedMark || c.waitingSince.CompareAndSwap(since, 0) {
+			return
+		}
+	}
+}
+
+// waitingConn is a connection that waits for a request.
+type waitingConn struct {
+	*clientConn
+	since int64 // value of waitingSince
+}
+
+type clientConnKey struct{}
+
+// guard returns a handler that drops requests which were read while their connection was closed
+// as an idle one. They have no way to get a response, so they must not be passed on.
+func guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, found := r.Context().Value(clientConnKey{}).(*clientConn)
+		if found && conn.waitingSince.Load() == closedMark {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // connections holds the open connections of clients and keeps their number within limits. It
 // is safe for concurrent use. Requests take no lock.
 type connections struct {
@@ -60,6 +95,8 @@
 	metrics *telemetry.Metrics
 	started time.Time
 
+	stopping atomic.Bool
+
 	open  sync.Map // net.Conn to *clientConn
 	count atomic.Int64
 }
@@ -71,11 +108,23 @@
 // now returns the time on the clock of connections, which is never 0.
 func (c *connections) now() int64 { return int64(time.Since(c.started)) + 1 }
 
+// connContext registers a new connection and returns its context, also for guard. It is meant for
+// http.Server.ConnContext.
+func (c *connections) connContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx = c.accept(ctx, conn)
+	known, found := c.open.Load(conn)
+	if !found {
+		return ctx
+	}
+	return context.WithValue(ctx, clientConnKey{}, known)
+}
+
 // accept registers a new connection, closes idle ones if there are many, and returns the
-// context of the connection. It is meant for http.Server.ConnContext.
+// context of the connection.
 func (c *connections) accept(ctx context.Context, conn net.Conn) context.Context {
 	added := &clientConn{Conn: conn}
-	added.waitingSince.Store(c.now())
+	since := c.now()
+	added.waitingSince.Store(since)
 	c.open.Store(conn, added)
 	clients := int(c.count.Add(1))
 	plan := c.plan(clients)
@@ -90,7 +139,7 @@
 		return ctx
 	}
 	if c.limits.Clients > 0 && clients > c.limits.Clients+refusedConnections {
-		c.close(added, closedClient)
+		c.close(waitingConn{added, since}, closedClient)
 	}
 	return gateway.RefuseConnection(ctx)
 }
@@ -108,18 +157,16 @@
 }
 
 // idle returns the connections that wait for another request, longest first.
-func (c *connections) idle() []*clientConn {
-	var list []*clientConn
-	since := make(map[*clientConn]int64)
+func (c *connections) idle() []waitingConn {
+	var list []waitingConn
 	c.open.Range(func(_, value any) bool {
 		conn := value.(*clientConn)
-		if at := conn.waitingSince.Load(); at != 0 && conn.used.Load() {
-			list = append(list, conn)
-			since[conn] = at
+		if since := conn.waitingSince.Load(); since > 0 && conn.used.Load() {
+			list = append(list, waitingConn{conn, since})
 		}
 		return true
 	})
-	slices.SortFunc(list, func(a, b *clientConn) int { return cmp.Compare(since[a], since[b]) })
+	slices.SortFunc(list, func(a, b waitingConn) int { return cmp.Compare(a.since, b.since) })
 	return list
 }
 
@@ -131,9 +178,17 @@
 	}
 }
 
-// close closes a connection, unless it has ended.
-func (c *connections) close(conn *clientConn, reason string) {
-	if !c.remove(conn.Conn) {
+// stop closes the connections that wait for another request, now and later.
+func (c *connections) stop() {
+	c.stopping.Store(true)
+	for _, conn := range c.idle() {
+		c.close(conn, closedStop)
+	}
+}
+
+// close closes a connection, unless it has ended or a request has arrived meanwhile.
+func (c *connections) close(conn waitingConn, reason string) {
+	if !conn.waitingSince.CompareAndSwap(conn.since, closedMark) || !c.remove(conn.Conn) {
 		return
 	}
 	conn.Close()
@@ -162,10 +217,14 @@
 	known := value.(*clientConn)
 	switch state {
 	case http.StateActive:
-		known.waitingSince.Store(0)
+		known.begin()
 		known.used.Store(true)
 	case http.StateIdle:
-		known.waitingSince.Store(c.now())
+		since := c.now()
+		known.waitingSince.Store(since)
+		if c.stopping.Load() {
+			c.close(waitingConn{known, since}, closedStop)
+		}
 	}
 }
 
@@ -186,8 +245,8 @@
 			timeout = limits.IdleTimeout
 		}
 		since := conn.waitingSince.Load()
-		if timeout > 0 && since != 0 && time.Duration(now-since) > timeout {
-			c.close(conn, closedIdle)
+		if timeout > 0 && since > 0 && time.Duration(now-since) > timeout {
+			c.close(waitingConn{conn, since}, closedIdle)
 		}
 		return true
 	})
--- a/internal/hosted/connections_test.go
+++ b/internal/hosted/connections_test.go
@@ -149,3 +149,45 @@
 	assert.Assert(t, !isOpen(client))
 	c.closeIdle(3)
 }
+
+// TestRequestThatCrossesTheCloseIsNotPassedOn guards against a request that is read while its
+// connection is closed as an idle one, and passed on though nobody can get its response.
+func TestRequestThatCrossesTheCloseIsNotPassedOn(t *testing.T) {
+	c := newConnections(memory.Limits{}, &fakeServers{}, telemetry.NewMetrics())
+	client, server := net.Pipe()
+	defer client.Close()
+	ctx := c.connContext(t.Context(), server)
+	passedOn := 0
+	handler := guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passedOn++ }))
+	arrive := func() (dropped any) {
+		defer func() { dropped = recover() }()
+		c.observe(server, http.StateActive)
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", http.NoBody))
+		return nil
+	}
+	assert.Assert(t, arrive() == nil)
+	c.observe(server, http.StateIdle)
+	before := c.idle()
+	assert.Assert(t, arrive() == nil)
+	c.close(before[0], closedClient)
+	assert.Assert(t, isOpen(client), "a request has arrived meanwhile")
+	c.observe(server, http.StateIdle)
+	c.closeIdle(1)
+	assert.Assert(t, !isOpen(client))
+	assert.Equal(t, arrive(), http.ErrAbortHandler)
+	assert.Equal(t, passedOn, 2)
+}
+
+func TestStopClosesConnectionsOnceTheyAreIdle(t *testing.T) {
+	c := newConnections(memory.Limits{}, &fakeServers{}, telemetry.NewMetrics())
+	idle := addIdle(t, c)
+	busy, server := net.Pipe()
+	defer busy.Close()
+	c.accept(t.Context(), server)
+	c.observe(server, http.StateActive)
+	c.stop()
+	assert.Assert(t, !isOpen(idle))
+	assert.Assert(t, isOpen(busy))
+	c.observe(server, http.StateIdle)
+	assert.Assert(t, !isOpen(busy))
+}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -143,7 +143,7 @@
 }
 
 // stopAccepting takes no further connections. Unlike after Shutdown, requests on those that are
-// open get a response: Shutdown closes a connection on which it reads a request.
+// open get a response: after Shutdown, a connection on which one is read is closed without.
 func (s *httpServer) stopAccepting() {
 	s.stopped.Store(true)
 	s.listener.Close()
@@ -154,8 +154,8 @@
 	return p.serveLimited(address, handler, nil)
 }
 
-// serveLimited is like serveHTTP for clients whose connections are limited, unless
-// connections is nil.
+// serveLimited is like serveHTTP for clients whose connections are known, unless connections is
+// nil.
 func (p *process) serveLimited(address string, handler http.Handler, connections *connections) (*httpServer, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -172,7 +172,8 @@
 		ErrorLog:          log.New(p.opts.Logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
 	}}
 	if connections != nil {
-		server.ConnContext, server.ConnState = connections.accept, connections.observe
+		server.ConnContext, server.ConnState = connections.connContext, connections.observe
+		server.Handler = guard(handler)
 	}
 	p.servers = append(p.servers, server)
 	p.goroutines.Go(func() {
@@ -233,7 +234,8 @@
 	hedgePool := transport.NewPool(transport.DialTCPTimeout(peerDialTimeout))
 	defer hedgePool.Close()
 	g := gateway.New(cfg, opts.Logger.Named("gateway"), p.metrics, p.pool, hedgePool)
-	clients, err := p.serveLimited(addresses.Clients, g, p.limitConnections(g))
+	connections := p.limitConnections(g)
+	clients, err := p.serveLimited(addresses.Clients, g, connections)
 	if err != nil {
 		return err
 	}
@@ -250,15 +252,16 @@
 		return err
 	case <-stop:
 	}
-	return p.stopEntry(g, clients)
+	return p.stopEntry(g, clients, connections)
 }
 
-// limitConnections returns the connections of clients, or nil if they have no limits.
+// limitConnections returns the connections of clients. Idle ones are closed after the timeouts of
+// the routes if there are limits.
 func (p *process) limitConnections(g *gateway.Gateway) *connections {
+	c := newConnections(p.opts.Connections, g, p.metrics)
 	if p.opts.Connections == (memory.Limits{}) {
-		return nil
+		return c
 	}
-	c := newConnections(p.opts.Connections, g, p.metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.closers = append(p.closers, cancel)
 	p.goroutines.Go(func() { c.run(ctx) })
@@ -268,13 +271,14 @@
 // stopEntry reports the entry as not ready, keeps serving until the load balancer sends
 // no new connections, and waits for the running requests. Those that would run longer end with
 // a response.
-func (p *process) stopEntry(g *gateway.Gateway, clients *httpServer) error {
+func (p *process) stopEntry(g *gateway.Gateway, clients *httpServer, connections *connections) error {
 	start := time.Now()
 	end := start.Add(p.opts.GracePeriod - shutdownMargin)
 	g.Drain(end.Add(-responseMargin))
 	p.opts.Logger.Info("stopping", "role", "entry", "grace_ms", p.opts.GracePeriod.Milliseconds())
 	time.Sleep(min(deregistrationDelay, p.opts.GracePeriod/2))
 	clients.stopAccepting()
+	connections.stop()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := g.Stop(ctx)
