--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,3 +155,36 @@
 	runs.prune(now.Add(10 * runsPeriod))
 	assert.Equal(t, len(runs.byRoute), 0)
 }
+
+// TestRetryLateInAStopIsNotSent guards against attempts that begin late in a stop: after a refusal,
+// after a failure and after a wait.
+func TestRetryLateInAStopIsNotSent(t *testing.T) {
+	cases := map[string]struct {
+		path   string
+		first  func(w http.ResponseWriter)
+		status int
+	}{
+		"refused": {"/unsafe/x", func(w http.ResponseWriter) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, http.StatusServiceUnavailable},
+		"broken off": {"/safe/x", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			var attempts atomic.Int32
+			respond := func(w http.ResponseWriter, _ *http.Request, _ string) {
+				attempts.Add(1)
+				f.Drain(time.Now().Add(time.Second))
+				tc.first(w)
+			}
+			f = newFixture(t, newBackend(t, "a", respond), newBackend(t, "b", respond))
+			got := f.send(t, http.MethodPost, tc.path, "", "Id", "1")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, tc.status)
+			assert.Equal(t, attempts.Load(), int32(1))
+			assert.Assert(t, got.close)
+		})
+	}
+}
