Tests: messages, documents and control requests cut at each byte

The same class elsewhere: readers that could take the end of their input for the end of a value. RPC streams, packed route documents, route documents, heartbeats and the requests to the control address hold without a change.

--- a/internal/routesync/fetcher_test.go
+++ b/internal/routesync/fetcher_test.go
@@ -175,3 +175,12 @@
 		assert.Equal(t, h.inForce.Load(), uint64(9))
 	})
 }
+// TestCutDocumentIsMalformed cuts a packed document at each byte.
+func TestCutDocumentIsMalformed(t *testing.T) {
+	packed, err := Pack([]byte(strings.Repeat(`{"name":"r"},`, 300)))
+	assert.NilError(t, err)
+	for at := range packed {
+		document, err := Unpack(packed[:at])
+		assert.ErrorIs(t, err, ErrMalformed, "cut at %d of %d: %d bytes", at, len(packed), len(document))
+	}
+}
