Gateway: refuse HTTP/1.0 requests whose body has no length

Callers saw: a POST of HTTP/1.0 whose body came in chunks, or without a length, was run with an empty body.

Cause: net/http removes a Transfer-Encoding from the header of an HTTP/1.0 message and takes the body of a request without a length for empty.

A POST, PUT or PATCH of HTTP/1.0 without a Content-Length now gets 400 (RFC 1945, 7.2.2) and is not run. What remains: a request of HTTP/1.0 with another method and chunks, which handlers cannot tell from one without a body.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -262,6 +262,9 @@
 
 // readBody reads the request body and builds the upstream request.
 func (c *call) readBody(target string) error {
+	if hasUnknownLength(c.r) {
+		return fmt.Errorf("%w: body of an HTTP/1.0 request without a length", ErrBadRequest)
+	}
 	limit := int64(c.routes.Limits.BodyBytes)
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -280,6 +283,16 @@
 	return nil
 }
 
+// hasUnknownLength reports whether a request should have a body, but its length is not known:
+// net/http ignores and removes a Transfer-Encoding in HTTP/1.0 and takes the body for empty.
+func hasUnknownLength(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return !r.ProtoAtLeast(1, 1) && r.Header.Get("Content-Length") == ""
+	}
+	return false
+}
+
 // bodyError returns the error of a request whose body could not be read. net/http ends the
 // request's context before it returns an error of the client's connection. Any other error says
 // that the body is malformed.
