--- a/internal/routesync/fetcher_test.go
+++ b/internal/routesync/fetcher_test.go
@@ -175,6 +175,7 @@
 		assert.Equal(t, h.inForce.Load(), uint64(9))
 	})
 }
+
 // TestCutDocumentIsMalformed cuts a packed document at each byte.
 func TestCutDocumentIsMalformed(t *testing.T) {
 	packed, err := Pack([]byte(strings.Repeat(`{"name":"r"},`, 300)))
