Quarantine: long content is digested only while a crash is possible

The success of a request with more than 16 KiB is remembered only while an interrupted response waits for evidence or a crash counts; a shorter one always, in some microseconds.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,7 +93,7 @@
 		c.g.crashDetector.recordUnreachable(c.server, now)
 	case outcome == outcomeFailed && errors.Is(err, passthrough.ErrConnectionLost):
 		c.g.crashDetector.recordInterrupted(c.fingerprint(), c.server, c.attemptStarted, now)
-	case err == nil:
+	case err == nil && c.g.crashDetector.remembers(len(c.body)):
 		c.g.crashDetector.recordSuccess(c.fingerprint(), now)
 	}
 }
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -25,6 +25,9 @@
 	// maxPendingResponses is the maximum number of interrupted responses that wait for evidence.
 	maxPendingResponses = 4096
 	reportTimeout       = time.Second
+	// maxRememberedBytes limits the bodies of requests whose success is remembered before any
+	// response was interrupted, since the digest of a long one takes time.
+	maxRememberedBytes = 16 << 10
 )
 
 // crashDetector finds requests that crash the servers that run them. An interrupted
@@ -35,6 +38,7 @@
 	log        hclog.Logger
 	onCrash    func(*fleetpb.Crash)
 	hasCrashes atomic.Bool // crashes is not empty: requests must be checked
+	hasPending atomic.Bool // pending is not empty
 
 	mu      sync.Mutex
 	pending []interruptedResponse
@@ -65,6 +69,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.pending) < maxPendingResponses {
+		d.hasPending.Store(true)
 		d.pending = append(d.pending, interruptedResponse{fingerprint: fingerprint, instance: instanceKey(server), serverID: server.ID, startedAt: startedAt, interruptedAt: now})
 	}
 }
@@ -108,6 +113,7 @@
 		}
 	}
 	d.pending = pending
+	d.hasPending.Store(len(pending) > 0)
 	d.crashes.Expire(now)
 	d.hasCrashes.Store(!d.crashes.Empty())
 }
@@ -122,6 +128,11 @@
 	d.onCrash(&fleetpb.Crash{Fingerprint: p.fingerprint[:], Server: p.instance, AgeMs: time.Since(p.startedAt).Milliseconds()})
 }
 
+// remembers reports whether the success of a request with a body of the given size is recorded.
+func (d *crashDetector) remembers(bodyBytes int) bool {
+	return bodyBytes <= maxRememberedBytes || d.hasPending.Load() || d.hasCrashes.Load()
+}
+
 // recordSuccess records that a request was answered. If crashes count against it, it clears
 // them and reports that.
 func (d *crashDetector) recordSuccess(fingerprint quarantine.Fingerprint, now time.Time) {
--- a/internal/gateway/lost_servers_test.go
+++ b/internal/gateway/lost_servers_test.go
@@ -81,3 +81,18 @@
 	}
 	assert.Equal(t, len(*reports), 2, "the crash and one success")
 }
+
+// TestLongContentIsRememberedWhileACrashIsPossible has a request whose digest takes time.
+func TestLongContentIsRememberedWhileACrashIsPossible(t *testing.T) {
+	detector, _ := newTestDetector()
+	assert.Assert(t, detector.remembers(maxRememberedBytes))
+	assert.Assert(t, !detector.remembers(maxRememberedBytes+1))
+	server := &fleet.Instance{ID: "a", StartUnixMs: 1, Address: "10.0.0.1:80"}
+	detector.recordInterrupted(quarantine.ComputeFingerprint("GET /x", nil, nil), server, testTime, testTime)
+	assert.Assert(t, detector.remembers(maxRememberedBytes+1))
+	detector.updateServers([]*fleet.Instance{server}, testTime.Add(crashConfirmationWindow))
+	assert.Assert(t, !detector.remembers(maxRememberedBytes+1))
+	detector.recordInterrupted(quarantine.ComputeFingerprint("GET /x", nil, nil), server, testTime, testTime)
+	detector.recordUnreachable(server, testTime)
+	assert.Assert(t, detector.remembers(maxRememberedBytes+1))
+}
