Test: two hosts are back after several full disks

The reported case: the disks of two of three stores are full in turn, for a second each, five times, never at once.

--- a/internal/hosted/disk_full_test.go
+++ b/internal/hosted/disk_full_test.go
@@ -261,6 +261,32 @@
 	}
 }
 
+// TestHostsAreBackAfterSeveralFullDisks fills the disks of two of the three stores in turn, for a second
+// each and several times. Pauses that grow with each time leave the third one without a quorum long
+// after both have room.
+func TestHostsAreBackAfterSeveralFullDisks(t *testing.T) {
+	d := startDeployment(t, 1)
+	for i := range d.hosts {
+		d.run(i)
+	}
+	defer d.close()
+	assert.NilError(t, d.change(10, recoveryTimeout))
+	ctx, cancel := context.WithCancel(t.Context())
+	var load sync.WaitGroup
+	defer load.Wait()
+	defer cancel()
+	load.Go(func() { d.load(ctx, 0) })
+	for range 5 {
+		for i, h := range d.hosts[:2] {
+			d.checkRoutes(i, h)
+			h.fs.SetFault(waltest.Fault{NoSpace: true})
+			time.Sleep(time.Second)
+			h.fs.SetFault(waltest.Fault{})
+		}
+	}
+	assert.NilError(t, d.change(100, changeTimeout))
+}
+
 // fillDisk fills the disk of a host for a few seconds, beside changes, and returns the longest
 // time that a change took.
 func (d *deployment) fillDisk(i int) time.Duration {
