Stopping entry: wait for the first request of connections that it has accepted

An entry without requests in progress ended at once after it had closed its listener. net/http then read a request that was on its way on a new connection and closed the connection without a response, so that the client of an unsafe request could not retry it. The entry now waits up to 0.5 s until each connection has carried a request.

--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -26,6 +26,10 @@
 	refusedConnections = 32
 )
 
+// unusedPollInterval is the interval at which a stopping entry looks for connections that have
+// carried no request.
+const unusedPollInterval = 10 * time.Millisecond
+
 // Reasons for which idle connections are closed.
 const (
 	closedClient = "client" // of a client, near the limits
@@ -186,6 +190,23 @@
 	}
 }
 
+// awaitFirstRequests waits until each connection has carried a request, for timeout at most.
+func (c *connections) awaitFirstRequests(timeout time.Duration) {
+	for end := time.Now().Add(timeout); c.hasUnused() && time.Now().Before(end); {
+		time.Sleep(unusedPollInterval)
+	}
+}
+
+// hasUnused reports whether a connection has carried no request.
+func (c *connections) hasUnused() bool {
+	found := false
+	c.open.Range(func(_, value any) bool {
+		found = !value.(*clientConn).used.Load()
+		return !found
+	})
+	return found
+}
+
 // close closes a connection, unless it has ended or a request has arrived meanwhile.
 func (c *connections) close(conn waitingConn, reason string) {
 	if !conn.waitingSince.CompareAndSwap(conn.since, closedMark) || !c.remove(conn.Conn) {
--- a/internal/hosted/connections_test.go
+++ b/internal/hosted/connections_test.go
@@ -191,3 +191,25 @@
 	c.observe(server, http.StateIdle)
 	assert.Assert(t, !isOpen(busy))
 }
+
+// TestStopWaitsForTheFirstRequestOfAConnection guards against a request that is on its way when
+// the entry ends, on a connection that it has just accepted.
+func TestStopWaitsForTheFirstRequestOfAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newConnections(memory.Limits{}, &fakeServers{}, telemetry.NewMetrics())
+		addIdle(t, c)
+		client, server := net.Pipe()
+		defer client.Close()
+		c.accept(t.Context(), server)
+		c.stop()
+		assert.Assert(t, isOpen(client))
+		time.AfterFunc(100*time.Millisecond, func() { c.observe(server, http.StateActive) })
+		start := time.Now()
+		c.awaitFirstRequests(time.Second)
+		assert.Assert(t, time.Since(start) <= 100*time.Millisecond+unusedPollInterval)
+		c.accept(t.Context(), client)
+		start = time.Now()
+		c.awaitFirstRequests(time.Second)
+		assert.Equal(t, time.Since(start), time.Second, "it carries none")
+	})
+}
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -59,6 +59,9 @@
 	// requestEndTimeout limits the wait for requests in progress when a process closes its
 	// servers. It is a part of shutdownMargin.
 	requestEndTimeout = 500 * time.Millisecond
+	// firstRequestTimeout limits how long an entry that stops waits for the first request on a
+	// connection that it has accepted: it may be on its way.
+	firstRequestTimeout = 500 * time.Millisecond
 	// TCP keep-alive probes detect client connections whose peer does not respond.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
@@ -279,6 +282,7 @@
 	time.Sleep(min(deregistrationDelay, p.opts.GracePeriod/2))
 	clients.stopAccepting()
 	connections.stop()
+	connections.awaitFirstRequests(min(firstRequestTimeout, time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := g.Stop(ctx)
