Upgrade test: configurations change, are read and refused meanwhile

TestUpgrade sends new versions of the configuration, but all with the same routes, none of them invalid, and reads only at the end.

--- a/Makefile
+++ b/Makefile
@@ -43,13 +43,14 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
-# Runs the soak while hosts are replaced by those of the build FROM and back, from seed SEED on.
+# Runs the soak, and changes of the configuration, while hosts are replaced by those of the build
+# FROM and back, from seed SEED on.
 FROM ?= 0020a5d
 SEED ?= 1
 SEEDS ?= 1
 upgrade:
 	IBISTRAY_UPGRADE_FROM=$(FROM) IBISTRAY_UPGRADE_FIRST_SEED=$(SEED) IBISTRAY_UPGRADE_SEEDS=$(SEEDS) \
-		go test -count=1 -timeout 60m -run 'TestUpgrade$$' -v ./platform/platformtest
+		go test -count=1 -timeout 60m -run '^TestUpgrade(WhileConfigurationsChange)?$$' -v ./platform/platformtest
 
 demo: build
 	./bin/demo
