Routes have the version under which state hosts hold them

Callers would see 503 (routes_outdated) at an entry without end, or be served by routes that acknowledged versions have replaced: the entry took the version of routes from the document, state hosts from what they decoded when they accepted it. For a document with "version":7 and then "VERSION":9, the build before stored 9, which an entry of this build never reached; with "VERSION":1 it stored 1, and the entry ignored the versions 2 to 7 that followed. Found by reading.

The entry now takes the version that the state host names, as announcements, state hosts and the confirmations of accounts do.

Before, TestRoutesHaveTheVersionUnderWhichTheyAreHeld: 2 (uint64) != 5 (version uint64) and 9 (uint64) != 5 (version uint64).

--- a/internal/gateway/missing_route_test.go
+++ b/internal/gateway/missing_route_test.go
@@ -81,3 +81,24 @@
 	f.view.putInForce("state host", doc)
 	assert.Equal(t, f.send(t, http.MethodGet, "/safe/x", "", "Id", "2").status, http.StatusOK)
 }
+
+// TestRoutesHaveTheVersionUnderWhichTheyAreHeld guards against an entry that refuses all requests,
+// or ignores later versions, since it reads another version in a document than the state hosts did.
+func TestRoutesHaveTheVersionUnderWhichTheyAreHeld(t *testing.T) {
+	for name, inDocument := range map[string]uint64{"lower": 2, "higher": 9} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, newBackend(t, "a", respondOK))
+			doc := f.withAddedRoute(t)
+			f.view.decode = func([]byte) (*routing.Document, error) {
+				decoded := *doc
+				decoded.Version = inDocument
+				return &decoded, nil
+			}
+			for _, version := range []uint64{5, 6} {
+				f.view.apply("state host", &fleetpb.Update{Quorum: true, Routes: &fleetpb.Routes{Version: version, Document: []byte("{}")}})
+				assert.Equal(t, f.view.routesVersion(), version)
+				assert.Assert(t, !f.view.lacksRoutes())
+			}
+		})
+	}
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -174,7 +174,9 @@
 	v.rebuildIndex()
 }
 
-// applyRoutes puts routes in force if their version is higher than the current one.
+// applyRoutes puts routes in force if their version is higher than the current one. Their version is
+// the one under which state hosts hold them: an earlier build may have read another one in the
+// document.
 func (v *view) applyRoutes(address string, routes *fleetpb.Routes) {
 	doc, err := v.decode(routes.Document)
 	if err != nil {
@@ -182,6 +184,7 @@
 		v.log.Error("cannot decode routes", "from", address, "version", routes.Version, "error", err)
 		return
 	}
+	doc.Version = routes.Version
 	v.putInForce(address, doc)
 }
 
