A state that could not be made durable stops its host

What callers saw: nothing yet; found by reading.

The log was then cut, and a loss of power took acknowledged bodies.

Otherwise it stops as before, and its next start writes the bodies again from the log.

Before, TestHostStopsIfItsStateDoesNotFitTheDisk: the host stops: not within 10s

--- a/internal/replica/disk_full_test.go
+++ b/internal/replica/disk_full_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -144,3 +145,23 @@
 		c.waitValue(address, "k-19", "value")
 	})
 }
+
+// TestHostStopsIfItsStateDoesNotFitTheDisk guards against a snapshot that is taken after an fsync of
+// the state machine has failed: another fsync may succeed without writing what the first one lost.
+func TestHostStopsIfItsStateDoesNotFitTheDisk(t *testing.T) {
+	frequentSnapshots := func(opts *replica.Options) { opts.SnapshotEntries = 5 }
+	runClusterWith(t, frequentSnapshots, func(t *testing.T, c *cluster) {
+		c.putMany("before", 20)
+		full := c.follower()
+		n := c.nodes[full]
+		n.machines[testGroup].failNextSnapshot(fmt.Errorf("sync bodies: %w", syscall.ENOSPC))
+		c.eventually("the host stops", func() bool {
+			c.put(testGroup, "x", "1", full)
+			return n.host.Err() != nil
+		})
+		assert.ErrorIs(t, n.host.Err(), syscall.ENOSPC)
+		c.reopen(full)
+		c.put(testGroup, "after", "1", full)
+		c.waitValue(full, "after", "1")
+	})
+}
--- a/internal/replica/kv_test.go
+++ b/internal/replica/kv_test.go
@@ -13,6 +13,8 @@
 	mu     sync.Mutex
 	values map[string]string
 	gate   chan struct{} // not nil: Apply waits until it is closed
+	// failSnapshot is the error of the next Snapshot, nil: none.
+	failSnapshot error
 }
 
 // blockApply makes Apply wait until release is called.
@@ -24,6 +26,13 @@
 	return func() { close(gate) }
 }
 
+// failNextSnapshot makes the next Snapshot fail with err.
+func (s *kv) failNextSnapshot(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failSnapshot = err
+}
+
 func (s *kv) waitForGate() {
 	s.mu.Lock()
 	gate := s.gate
@@ -50,6 +59,10 @@
 func (s *kv) Snapshot(w io.Writer) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.failSnapshot; err != nil {
+		s.failSnapshot = nil
+		return err
+	}
 	return json.NewEncoder(w).Encode(s.values)
 }
 
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -75,7 +75,7 @@
 		return // the host stops: the next start replays the log
 	}
 	g.core.post(func() {
-		if wal.IsDiskFull(err) {
+		if wal.IsDiskFull(err) && !errors.Is(err, errSnapshotSource) {
 			g.postponeSnapshot(index, err)
 			return
 		}
--- a/internal/replica/snapshotstore.go
+++ b/internal/replica/snapshotstore.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -114,12 +115,33 @@
 	return nil
 }
 
+// errSnapshotSource means that a state machine could not write its snapshot for another reason than
+// an error of the snapshot file. It may have failed to make durable what the snapshot refers to,
+// which cannot be tried again: the next fsync could report success without writing it.
+var errSnapshotSource = errors.New("replica: the state machine wrote no snapshot")
+
+// fileWriter records whether a write of a snapshot file has failed.
+type fileWriter struct {
+	io.Writer
+	failed bool
+}
+
+func (w *fileWriter) Write(data []byte) (int, error) {
+	n, err := w.Writer.Write(data)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
 // save stores the snapshot of a state machine that a function writes, and returns its size in
-// bytes.
+// bytes. Error besides ErrStorage: errSnapshotSource.
 func (s *snapshotStore) save(group, index uint64, snapshot func(io.Writer) error) (size int64, err error) {
 	err = s.write(group, index, func(w io.Writer) error {
-		chunks := newChunkWriter(w)
+		file := &fileWriter{Writer: w}
+		chunks := newChunkWriter(file)
 		if err := snapshot(chunks); err != nil {
+			if !file.failed {
+				err = fmt.Errorf("%w: %w", errSnapshotSource, err)
+			}
 			return err
 		}
 		size = chunks.size()
