A body store does not repeat a failed fsync

What callers saw: nothing yet; found by reading. Compact logs an fsync that failed, and the next Sync or Compact repeated it on the same file, which may report success without writing what the first one lost.

Sync and Compact return the first such error until Reset. A failed sync of the directory is repeated as before.

Before, TestFailedSyncIsNotRepeated: error is nil, not "file already closed"

--- a/internal/history/full_disk_test.go
+++ b/internal/history/full_disk_test.go
@@ -73,3 +73,21 @@
 	assert.NilError(t, os.Rename(dir+"-gone", dir))
 	assert.NilError(t, s.Sync())
 }
+
+// TestFailedSyncIsNotRepeated guards against bodies that count as durable after a second fsync, which
+// may succeed without writing what the first one lost.
+func TestFailedSyncIsNotRepeated(t *testing.T) {
+	s := openTestStore(t, t.TempDir())
+	putText(t, s, 1, "first")
+	intact := s.active.file
+	closed, err := os.Open(intact.Name())
+	assert.NilError(t, err)
+	closed.Close()
+	s.active.file = closed
+	assert.ErrorIs(t, s.Sync(), os.ErrClosed)
+	s.active.file = intact
+	assert.ErrorIs(t, s.Sync(), os.ErrClosed)
+	assert.NilError(t, s.Reset())
+	putText(t, s, 2, "second")
+	assert.NilError(t, s.Sync())
+}
--- a/internal/history/store.go
+++ b/internal/history/store.go
@@ -34,6 +34,9 @@
 	// syncMu serializes Sync, Compact, Reset and Close, so that none of them closes a
 	// segment file that another one uses. It is locked before mu.
 	syncMu sync.Mutex
+	// syncErr is the error of the first file that could not be synced. Another fsync of that file
+	// could report success without writing it. Guarded by syncMu.
+	syncErr error
 
 	mu       sync.RWMutex
 	index    map[uint64]location
@@ -157,7 +160,8 @@
 	return nil
 }
 
-// Sync makes all bodies durable that were put before the call.
+// Sync makes all bodies durable that were put before the call. Once a file could not be synced, it
+// returns that error until Reset: the caller must open the store again and put the bodies again.
 func (s *Store) Sync() error {
 	s.syncMu.Lock()
 	defer s.syncMu.Unlock()
@@ -167,11 +171,15 @@
 // syncDirty syncs all segments with unsynced records. It does not hold mu meanwhile, so
 // that reads and writes continue. The caller holds syncMu.
 func (s *Store) syncDirty() error {
+	if s.syncErr != nil {
+		return s.syncErr
+	}
 	dirty := s.takeDirty()
 	for i, seg := range dirty {
 		if err := seg.file.Sync(); err != nil {
 			s.markDirty(dirty[i:])
-			return fmt.Errorf("history: sync segment %d: %w", seg.number, err)
+			s.syncErr = fmt.Errorf("history: sync segment %d: %w", seg.number, err)
+			return s.syncErr
 		}
 	}
 	if len(dirty) == 0 {
@@ -212,7 +220,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index = make(map[uint64]location)
-	s.active = nil
+	s.active, s.syncErr = nil, nil
 	for _, seg := range s.segments {
 		if err := s.removeSegment(seg); err != nil {
 			return err
