Tests of the gateway: the view of the entry stays current

The entries of the fixture hear no state host after their first update, so the latest contact to a quorum aged from their start: after minPartitionDelay, 1.2 s, they refused every request as partitioned. A test whose process was slow then saw 503 for a reason that it does not cover. Under load this failed TestKeyIsRefusedOnceItMayHaveBeenTakenAway (503 in place of 200), TestRefusalAfterTheTimeLimitOfTheRequestBefore (503 in place of 404) and 14 of 31 failures of TestLongCutResponsesNeverLookComplete (503 in place of 200).

newFixture sets the contact an hour ahead, as the fixture of cut responses did. Tests of a lost quorum set its age with setQuorumAge, so they check what they checked before: with the verdict blind to the age of the quorum, TestPartitionedEntryRefusesRequests, TestAddedRouteIsNotReportedAsMissing (no state host is heard) and TestAgeOfRoutesCountsSuspension fail.

With a pause of 1.3 s added to newFixture the first two tests failed before ("accounts_test.go:142: assertion failed: 503 ... != 200", "write_deadline_test.go:32: assertion failed: 503 (int) != 200"), and hold now, with the tests of a quorum.

--- a/internal/gateway/cut_response_test.go
+++ b/internal/gateway/cut_response_test.go
@@ -148,7 +148,6 @@
 	for _, route := range f.view.routes.Load().Routes {
 		route.MaxAttempts = len(servers)
 	}
-	f.view.lastQuorum.Add(time.Hour.Nanoseconds()) // no state host sends updates
 	return cutFixture{f}
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -264,6 +264,7 @@
 		update.Instances = append(update.Instances, instanceOf(server))
 	}
 	g.view.apply("test", update)
+	g.view.lastQuorum.Add(time.Hour.Nanoseconds()) // no state host sends updates
 	front := httptest.NewServer(g)
 	t.Cleanup(func() {
 		front.Close()
@@ -272,6 +273,11 @@
 	return &fixture{Gateway: g, front: front, ledger: ledger}
 }
 
+// setQuorumAge makes the latest contact to a quorum lie back by age.
+func (f *fixture) setQuorumAge(age time.Duration) {
+	f.view.lastQuorum.Store((f.view.bootTime() - age).Nanoseconds())
+}
+
 func instanceOf(b *backend) *fleetpb.Instance {
 	return &fleetpb.Instance{Id: b.id, Service: "s", Address: strings.TrimPrefix(b.URL, "http://"), Slots: 8, BornMs: 1, Sequence: 1}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -374,7 +374,7 @@
 	f := newFixture(t, newBackend(t, "a", respondOK))
 	f.view.apply("majority", &fleetpb.Update{Quorum: true})
 	long := minPartitionDelay + time.Second
-	f.view.lastQuorum.Add(-long.Nanoseconds())
+	f.setQuorumAge(long)
 	f.view.apply("minority", &fleetpb.Update{})
 	got := f.send(t, http.MethodGet, "/safe/x", "", "Id", "1")
 	assert.NilError(t, got.err)
--- a/internal/gateway/missing_route_test.go
+++ b/internal/gateway/missing_route_test.go
@@ -36,7 +36,7 @@
 	}{
 		"newest routes": {func(*fixture, *routing.Document) {}, http.StatusNotFound, reasonNoRoute},
 		"no state host is heard": {func(f *fixture, _ *routing.Document) {
-			f.view.lastQuorum.Add(-long.Nanoseconds())
+			f.setQuorumAge(long)
 			f.view.lastUpdate.Add(-long.Nanoseconds())
 		}, http.StatusServiceUnavailable, reasonUnsureRoute},
 		"the document is on its way": {func(f *fixture, doc *routing.Document) {
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -23,6 +23,7 @@
 // were replaced.
 func TestSuspendedEntryWaitsForAnUpdate(t *testing.T) {
 	f := newFixture(t, newBackend(t, "a", respondOK))
+	f.setQuorumAge(0)
 	suspended := suspendable(f.view)
 	suspended.Store(int64(5 * time.Second))
 	assert.Assert(t, !f.view.isFresh(time.Hour))
