Test of long cut responses: each client has a server of its own

"cut at 131075, reset false" got status 502 17 times, in 14 of 48 processes that ran the test twice, twelve at once. The test sends a request by HTTP/1.1 and another one by HTTP/1.0 to one entry. Its server sends a whole response that allows reuse of the connection, without Connection: close, and closes the connection after that. If the server is slow between the write and the close, the entry has read the response, and sends the second request on the same connection:

do conn=1 exchange=1 written 131185 of 131185 bytes body conn=1 exchange=1 EOF, connection kept for reuse do conn=1 exchange=2 close 106 unread bytes (the second request) error conn=1 exchange=2 read: connection reset by peer

All 17 were exchange 2 on connection 1, lost before a byte of the response; no exchange 1 was. In 9 the second request was there just before the close, in the others it came while the close was due. Each error was ECONNRESET: the client's side had no FIN before the reset, so the server still had the connection open as the request arrived. 502 is right then. The entry can't tell whether the server ran the request, an unsafe one, and must not send it again.

Each client of the test now has a server and an entry of its own, so that no connection is left over. The server still closes at once after the last byte, and every check is as before, for both clients.

That the pool does not reuse a connection that was closed is checked by TestConnectionClosedByServerIsNotReused. The other case, that the request has arrived before, had no test: TestRequestOnConnectionThatIsClosedMayHaveBeenSent.

--- a/internal/gateway/cut_response_test.go
+++ b/internal/gateway/cut_response_test.go
@@ -198,23 +198,29 @@
 				for _, reset := range []bool{false, true} {
 					t.Run(fmt.Sprintf("memory %d, chunks %t, cut at %d, reset %t", limit, chunks, at, reset), func(t *testing.T) {
 						t.Parallel()
-						f := newFixture(t, newBackend(t, "a", func(w http.ResponseWriter, r *http.Request, _ string) {
+						respond := func(w http.ResponseWriter, r *http.Request, _ string) {
 							text := rawHeader(r) + fmt.Sprintf("Content-Length: %d\r\n\r\n", length) + body[:at]
 							if chunks {
 								text = rawHeader(r) + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body[:at], at == length)
 							}
 							hijack(t, w, text, reset)
-						}))
-						if limit > 0 {
-							f.limitMemory(limit, time.Second)
 						}
-						for _, send := range []func(*testing.T, string, string, string, ...string) clientResponse{f.send, cutFixture{f}.sendHTTP10} {
+						for _, http10 := range []bool{false, true} {
+							// A server of its own, since a request may reach a connection before it is closed.
+							f := newFixture(t, newBackend(t, "a", respond))
+							if limit > 0 {
+								f.limitMemory(limit, time.Second)
+							}
+							send := f.send
+							if http10 {
+								send = cutFixture{f}.sendHTTP10
+							}
 							got := send(t, http.MethodPost, "/unsafe/x", "in", "Id", "1")
 							if got.status == http.StatusOK && got.err == nil {
 								assert.Equal(t, at, length, "the response looks complete: %d bytes", len(got.body))
 								assert.Assert(t, got.body == body)
 							}
-							assert.Assert(t, at < length || reset || got.status == http.StatusOK && got.err == nil, "status %d, %v", got.status, got.err)
+							assert.Assert(t, at < length || reset || got.status == http.StatusOK && got.err == nil, "HTTP/1.0 %t: status %d, %v", http10, got.status, got.err)
 						}
 					})
 				}
--- a/internal/passthrough/pool_test.go
+++ b/internal/passthrough/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -138,6 +139,30 @@
 	assert.Equal(t, dials.Load(), int64(2))
 }
 
+// TestRequestOnConnectionThatIsClosedMayHaveBeenSent guards against a second run of an unsafe
+// request: the server closes a reused connection only after the request has arrived.
+func TestRequestOnConnectionThatIsClosedMayHaveBeenSent(t *testing.T) {
+	p, dials := newCountingPool(t)
+	server := startRawServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		defer c.Close()
+		if req, _ := readRequest(r); req == nil {
+			return
+		}
+		fmt.Fprint(c, okResponse)
+		// The rest of the request stays unread, so that closing resets the connection.
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Error(err)
+		}
+	})
+	_, err := doExchange(t, p, server, getRequest)
+	assert.NilError(t, err)
+	_, err = doExchange(t, p, server, getRequest)
+	assert.ErrorIs(t, err, ErrConnectionLost)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Assert(t, MayHaveBeenSent(err))
+	assert.Equal(t, dials.Load(), int64(1))
+}
+
 func TestRefusedConnectionIsErrNotSent(t *testing.T) {
 	p, _ := newCountingPool(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
