Streams have a margin before the end of a stop

Callers could see a resumable stream broken off by the stop of an entry: it was taken if the longest of the latest streams would still fit, without a margin, although a stream that has begun cannot end with another response than its own. Streams get the margin of requests that may not be repeated.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/policy/drain"
+	"ibistray.example/ibistray/internal/routing"
 )
 
 const (
@@ -98,6 +99,7 @@
 	}
 	request := drain.Request{
 		Repeatable: c.route.Repeatable(),
+		Stream:     c.route.Kind == routing.KindStream,
 		TimeLimit:  time.Until(c.deadline),
 		Runs:       c.g.runs.latest(c.route.Name, time.Now()),
 	}
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -25,6 +25,7 @@
 // one.
 type Request struct {
 	Repeatable bool          // it may run again at another entry after it was cut off
+	Stream     bool          // a response that has begun is broken off at the end: no other can be sent
 	TimeLimit  time.Duration // after which it ends in any case
 	Runs       Runs          // on its route
 }
@@ -45,9 +46,9 @@
 func expected(r Request) time.Duration {
 	known := r.Runs.Count >= minRuns
 	switch {
-	case r.Repeatable && known:
+	case r.Repeatable && !r.Stream && known:
 		return r.Runs.Longest
-	case r.Repeatable:
+	case r.Repeatable && !known:
 		return r.TimeLimit / unknownDivisor
 	case known:
 		return r.Runs.Longest + r.Runs.Longest/unsafeMarginDivisor + unsafeMargin
--- a/internal/policy/drain/drain_test.go
+++ b/internal/policy/drain/drain_test.go
@@ -51,6 +51,16 @@
 	assert.Assert(t, taken > 320 && cut == 0 && needless <= 18, "%d taken, %d cut, %d refused needlessly", taken, cut, needless)
 }
 
+// TestStreamsThatTakeLongerThanTheOthersAreNotBrokenOff replays a stop whose streams can be resumed
+// and take a fifth longer than the longest one that is known.
+func TestStreamsThatTakeLongerThanTheOthersAreNotBrokenOff(t *testing.T) {
+	for _, longest := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second} {
+		r := Request{Repeatable: true, Stream: true, TimeLimit: 10 * time.Second, Runs: Runs{Count: minRuns, Longest: longest}}
+		taken, cut, _ := replay(r, longest*6/5)
+		assert.Assert(t, taken > 0 && cut == 0, "%v: %d taken, %d cut", longest, taken, cut)
+	}
+}
+
 func TestRepeatableRequestIsTakenUntilItsUsualRunDoesNotFit(t *testing.T) {
 	r := Request{Repeatable: true, TimeLimit: 10 * time.Second, Runs: Runs{Count: minRuns, Longest: time.Second}}
 	assert.Assert(t, Admit(r, time.Second))
