--- a/internal/hosted/disk_full_test.go
+++ b/internal/hosted/disk_full_test.go
@@ -197,8 +197,8 @@
 	return waltest.Fault{NoSpace: true}
 }
 
-// order returns the hosts in the order in which their disks fill up: the leader first, and
-// sometimes standby hosts, too.
+// order returns the hosts in the order in which their disks fill up: the stores in random order,
+// sometimes twice, and sometimes a standby host, too.
 func (d *deployment) order() []int {
 	list := d.random.Perm(3)
 	if d.random.IntN(3) == 0 {
