--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,15 +37,15 @@
 
 // Errors that end a request. refusals maps them to responses.
 var (
-	errNoRoutes       = errors.New("gateway: no routes received yet")
-	errPartitioned    = errors.New("gateway: this entry is cut off from the quorum of the state hosts")
-	errOutdatedRoutes = errors.New("gateway: this entry lacks routes that must be in force")
-	errNoRoute        = errors.New("gateway: no route matches host and path")
-	errUnsureRoute    = errors.New("gateway: no route matches host and path, but this entry may lack newer ones")
-	errNoServer       = errors.New("gateway: no backend server accepted the request")
-	errOutcomeUnknown = errors.New("gateway: the request may have run, but its response is lost")
-	errBodyTooLarge   = errors.New("gateway: request body is too large")
-	errClientGone     = errors.New("gateway: the client has disconnected")
+	errNoRoutes         = errors.New("gateway: no routes received yet")
+	errPartitioned      = errors.New("gateway: this entry is cut off from the quorum of the state hosts")
+	errOutdatedRoutes   = errors.New("gateway: this entry lacks routes that must be in force")
+	errNoRoute          = errors.New("gateway: no route matches host and path")
+	errRouteUnconfirmed = errors.New("gateway: no route matches host and path, but this entry may lack newer ones")
+	errNoServer         = errors.New("gateway: no backend server accepted the request")
+	errOutcomeUnknown   = errors.New("gateway: the request may have run, but its response is lost")
+	errBodyTooLarge     = errors.New("gateway: request body is too large")
+	errClientGone       = errors.New("gateway: the client has disconnected")
 )
 
 // call handles one client request. It is not safe for concurrent use.
@@ -203,7 +203,7 @@
 
 // findRoute finds the route of the request in c.routes, or in newer ones if none matches and these
 // arrive within viewTimeout. Errors: errNoRoute, only if the routes are the newest ones, since a
-// client does not retry then, and errUnsureRoute.
+// client does not retry then, and errRouteUnconfirmed.
 func (c *call) findRoute() error {
 	if c.matchRoute() {
 		return nil
@@ -219,7 +219,7 @@
 	}
 	if verdict != routeage.Current {
 		c.w.Header().Set("Connection", "close")
-		return errUnsureRoute
+		return errRouteUnconfirmed
 	}
 	return errNoRoute
 }
--- a/internal/gateway/missing_route_test.go
+++ b/internal/gateway/missing_route_test.go
@@ -38,14 +38,14 @@
 		"no state host is heard": {func(f *fixture, _ *routing.Document) {
 			f.setQuorumAge(long)
 			f.view.lastUpdate.Add(-long.Nanoseconds())
-		}, http.StatusServiceUnavailable, reasonUnsureRoute},
+		}, http.StatusServiceUnavailable, reasonRouteUnconfirmed},
 		"the document is on its way": {func(f *fixture, doc *routing.Document) {
 			f.view.routeAge.Announce(doc.Version, f.view.bootTime())
 			time.AfterFunc(viewTimeout/4, func() { f.view.putInForce("state host", doc) })
 		}, http.StatusOK, ""},
 		"the document does not arrive": {func(f *fixture, doc *routing.Document) {
 			f.view.routeAge.Announce(doc.Version, f.view.bootTime())
-		}, http.StatusServiceUnavailable, reasonUnsureRoute},
+		}, http.StatusServiceUnavailable, reasonRouteUnconfirmed},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -15,7 +15,7 @@
 const (
 	reasonNoRoutes          = "no_routes"
 	reasonNoRoute           = "no_route"
-	reasonUnsureRoute       = "route_unconfirmed"
+	reasonRouteUnconfirmed  = "route_unconfirmed"
 	reasonPartitioned       = "partitioned"
 	reasonOutdatedRoutes    = "routes_outdated"
 	reasonBadRequest        = "bad_request"
@@ -64,7 +64,7 @@
 	{errAccountLimit, refusal{reasonAccountLimit, http.StatusTooManyRequests, true}},
 	{errAccountUnavailable, refusal{reasonNoAccountPermit, http.StatusServiceUnavailable, true}},
 	{errNoRoute, refusal{reasonNoRoute, http.StatusNotFound, false}},
-	{errUnsureRoute, refusal{reasonUnsureRoute, http.StatusServiceUnavailable, true}},
+	{errRouteUnconfirmed, refusal{reasonRouteUnconfirmed, http.StatusServiceUnavailable, true}},
 	{ErrBadRequest, refusal{reasonBadRequest, http.StatusBadRequest, false}},
 	{errNoMemory, refusal{reasonMemory, http.StatusServiceUnavailable, true}},
 	{errNoConnection, refusal{reasonConnections, http.StatusServiceUnavailable, true}},
