Passthrough: the test of cut responses names no headers of the platform

Two headers of the responses that are cut had the platform's names, which belong in platform/. The package does not read them; the test uses the names of the gateway's tests. Every cut and check is as before.

--- a/internal/passthrough/cut_test.go
+++ b/internal/passthrough/cut_test.go
@@ -20,7 +20,7 @@
 const (
 	cutLength  = "Content-Length: 30\r\n"
 	cutChunked = "Transfer-Encoding: chunked\r\n"
-	cutFields  = "Request-Id: 1\r\nResponse-Seal: 3e1b\r\nContent-Type: text/event-stream\r\n"
+	cutFields  = "Id: 1\r\nSeal: 3e1b\r\nContent-Type: text/event-stream\r\n"
 	cutChunks  = "f\r\nid: 1\ndata: a\n\n\r\nF;x=\"y\"\r\nid: 2\ndata: b\n\n\r\n"
 )
 
