Connections leave their local ports to listeners

Seen: a process whose control port was the local port of an outgoing connection of the same address ended at once with "bind: address already in use". Where a deployment's ports lie in the range of outgoing connections, this is a matter of luck at each start, and connections between processes stay open for the life of a process, so that waiting does not help.

Cause: Linux gives a listener a port that connections have only if both sockets have SO_REUSEADDR, which package net sets for listeners only; and Multipath TCP, which package net offers on listeners by default, does not get such a port at all.

Change: connections of all roles are dialled with SO_REUSEADDR, and the listeners of hosted roles are plain TCP. TestOrdinaryConnectionTakesThePortOfAListener shows that the connection's option is needed; TestConnectionDoesNotTakeThePortOfAListener failed with the listener of package net ("bind: address already in use") and passes now.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -24,6 +24,7 @@
 	"ibistray.example/ibistray/internal/gateway"
 	"ibistray.example/ibistray/internal/policy/memory"
 	"ibistray.example/ibistray/internal/statehost"
+	"ibistray.example/ibistray/internal/tcp"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/internal/wal"
@@ -160,9 +161,10 @@
 // serveLimited is like serveHTTP for clients whose connections are known, unless connections is
 // nil.
 func (p *process) serveLimited(address string, handler http.Handler, connections *connections) (*httpServer, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+	config := tcp.ListenConfig()
+	config.KeepAliveConfig = net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
+	}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("hosted: listen: %w", err)
@@ -331,7 +333,7 @@
 	server := transport.NewServer(p.opts.Logger.Named("transport"))
 	p.closers = append(p.closers, server.Close)
 	host.Register(server)
-	listener, err := net.Listen("tcp", addresses.Peers)
+	listener, err := tcp.ListenConfig().Listen(context.Background(), "tcp", addresses.Peers)
 	if err != nil {
 		return fmt.Errorf("hosted: listen: %w", err)
 	}
--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"ibistray.example/ibistray/internal/tcp"
 )
 
 // Errors of an exchange.
@@ -83,14 +85,13 @@
 
 // dial opens a connection. Errors wrap ErrNotSent.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout: p.dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     tcpKeepAliveIdle,
-			Interval: tcpKeepAliveInterval,
-			Count:    tcpKeepAliveCount,
-		},
+	dialer := tcp.Dialer()
+	dialer.Timeout = p.dialTimeout
+	dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     tcpKeepAliveIdle,
+		Interval: tcpKeepAliveInterval,
+		Count:    tcpKeepAliveCount,
 	}
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/security/credentials.go
+++ b/internal/security/credentials.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/tcp"
 )
 
 // Errors of this package.
@@ -160,8 +161,10 @@
 		return nil, fmt.Errorf("security: %w", err)
 	}
 	s := c.current.Load()
+	netDialer := tcp.Dialer()
+	netDialer.Timeout = dialTimeout
 	dialer := &tls.Dialer{
-		NetDialer: &net.Dialer{Timeout: dialTimeout},
+		NetDialer: netDialer,
 		Config: &tls.Config{
 			MinVersion:   tls.VersionTLS13,
 			Certificates: []tls.Certificate{s.cert},
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"ibistray.example/ibistray/internal/tcp"
 )
 
 // DialFunc opens a connection to the process at an address.
@@ -18,7 +20,9 @@
 
 // DialTCP is a DialFunc for plain TCP with a timeout of dialTimeout.
 func DialTCP(address string) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, dialTimeout)
+	dialer := tcp.Dialer()
+	dialer.Timeout = dialTimeout
+	return dialer.Dial("tcp", address)
 }
 
 // DialTCPTimeout returns a DialFunc for plain TCP with a timeout. A host that is down
@@ -30,7 +34,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		return firstAnswer(ctx, func(ctx context.Context) (net.Conn, error) {
-			return new(net.Dialer).DialContext(ctx, "tcp", address)
+			return tcp.Dialer().DialContext(ctx, "tcp", address)
 		})
 	}
 }
