ibistrayd: run on when the reader of the log has gone or does not read

With a reader that did not read, a process did not end at SIGTERM: the writer's Close waited for the full pipe for ever, and was killed; ibistrayd's own daemon wrote to standard error in the goroutine that logged, so that it stopped serving.

Go ends a program at a failed write to descriptors 1 and 2 unless SIGPIPE is handled. Close waits 100 ms at most. The daemon writes its log through the same writer, and the last error line of any process goes through one, too. ibistray_dropped_log_lines_total shows lost lines where the log cannot.

--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -26,6 +26,8 @@
 )
 
 func main() {
+	// Without a reader of the log, its lines are dropped.
+	signal.Ignore(syscall.SIGPIPE)
 	app := &cli.Command{
 		Name:    "ibistrayd",
 		Usage:   "scheduler for agent programs: entry, control and sidecar roles",
@@ -45,7 +47,9 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, "ibistrayd:", err)
+	errorOutput := telemetry.NewAsyncWriter(os.Stderr)
+	fmt.Fprintln(errorOutput, "ibistrayd:", err)
+	errorOutput.Close()
 	os.Exit(exitCode(err))
 }
 
@@ -93,7 +97,9 @@
 // serve runs the daemon until SIGTERM or SIGINT, and then waits for running calls to end.
 // A second signal or the drain timeout ends that wait.
 func serve(s *settings.Settings) error {
-	log, err := telemetry.NewLogger("ibistrayd", s.LogLevel, os.Stderr)
+	output := telemetry.NewAsyncWriter(os.Stderr)
+	defer output.Close()
+	log, err := telemetry.NewLogger("ibistrayd", s.LogLevel, output)
 	if err != nil {
 		return err
 	}
--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -27,6 +27,9 @@
 	env     []string // added to the environment of this program
 	logFile string   // receives standard output and standard error
 
+	// Output receives them in place of the log file, unless it is nil.
+	Output *os.File
+
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	waitErr error // result of cmd.Wait; valid once exited is closed
@@ -48,8 +51,8 @@
 	}
 	defer file.Close()
 	cmd := exec.Command(p.path, p.args...)
-	cmd.Stdout = file
-	cmd.Stderr = file
+	output := cmp.Or(p.Output, file)
+	cmd.Stdout, cmd.Stderr = output, output
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -75,7 +75,7 @@
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
-		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections,
+		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections, droppedLines,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -16,11 +16,16 @@
 	maxQueuedLines = 2048
 	// dropReportInterval is the minimum time between two reports of dropped lines.
 	dropReportInterval = time.Second
+	// closeTimeout limits how long Close waits for the output.
+	closeTimeout = 100 * time.Millisecond
 )
 
+// droppedLines counts the dropped lines of all writers of the process.
+var droppedLines = counter("dropped_log_lines_total", "Log lines of this process that were not written.")
+
 // AsyncWriter writes log lines in a goroutine of its own, so that logging never blocks.
-// Lines that do not fit in its queue, and those beyond maxLinesPerSecond, are dropped and
-// counted.
+// Lines that do not fit in its queue, those beyond maxLinesPerSecond, and those that the output
+// does not take are dropped and counted.
 type AsyncWriter struct {
 	out       io.Writer
 	second    atomic.Int64 // Unix time of the second that is counted
@@ -47,13 +52,13 @@
 // Write queues or drops a line. It implements io.Writer and never returns an error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	if !w.withinLimit(time.Now().Unix()) {
-		w.dropped.Add(1)
+		w.drop()
 		return len(line), nil
 	}
 	select {
 	case w.queue <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop()
 	}
 	return len(line), nil
 }
@@ -68,6 +73,11 @@
 	return w.count.Add(1) <= maxLinesPerSecond
 }
 
+func (w *AsyncWriter) drop() {
+	w.dropped.Add(1)
+	droppedLines.Inc()
+}
+
 // Dropped returns the number of lines that were not written.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
@@ -77,15 +87,27 @@
 	flushed := make(chan struct{})
 	select {
 	case w.flushes <- flushed:
-		<-flushed
+		select {
+		case <-flushed:
+		case <-w.done:
+		}
 	case <-w.done:
 	}
 }
 
-// Close writes the queued lines and ends the goroutine.
+// Close writes the queued lines and ends the goroutine. Lines that the output has not taken after
+// closeTimeout are lost: a process can end although nobody reads its output.
 func (w *AsyncWriter) Close() {
 	w.closeOnce.Do(func() {
-		w.Flush()
+		flushed := make(chan struct{})
+		go func() {
+			w.Flush()
+			close(flushed)
+		}()
+		select {
+		case <-flushed:
+		case <-time.After(closeTimeout):
+		}
 		close(w.done)
 	})
 }
@@ -126,6 +148,6 @@
 // other place to report the error.
 func (w *AsyncWriter) writeLine(line []byte) {
 	if _, err := w.out.Write(line); err != nil {
-		w.dropped.Add(1)
+		w.drop()
 	}
 }
--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -73,3 +73,18 @@
 		assert.Equal(t, w.Dropped(), uint64(3*maxLinesPerSecond))
 	})
 }
+
+// TestCloseDoesNotWaitForABlockedOutput guards against processes that do not end at SIGTERM since
+// the pipe of their log is full.
+func TestCloseDoesNotWaitForABlockedOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &gatedWriter{open: make(chan struct{})}
+		defer close(out.open)
+		w := NewAsyncWriter(out)
+		fmt.Fprintln(w, "line")
+		start := time.Now()
+		w.Close()
+		assert.Equal(t, time.Since(start), closeTimeout)
+		w.Flush()
+	})
+}
