Wait for a listening address that is in use

A process ended at once, exit code 1, when another socket had one of its addresses at its start, be it for two seconds: a predecessor that had not ended, or an outgoing connection whose local port it was. Entries and state hosts also ended when the port of their metrics was taken, which they do not need.

internal/listener listens on all addresses of a role or on none, and tries again every 0.1 s while one is in use or the host lacks resources, until the process is told to stop. It logs the first failure and the success; ibistray_listen_failures_total counts. Addresses that never can be used still end the process. The metrics of hosted roles are served once their address is free. The daemon waits in the same way.

A state host listens before it opens its data directory: a process that still has the addresses may use the directory, too, and no replica runs that its peers cannot reach. When the directory cannot be opened, the addresses are released, so that peers are refused as before. A listener whose server never ran is closed with the process, since the next opening would wait for it.

TestProcessesWaitForTheirAddresses and TestProcessesServeWithoutMetrics (platform/platformtest) failed on: store-1 exited with status 1, "bind: address already in use", in both. They pass now, as do the tests of internal/hosted.

--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -106,13 +106,22 @@
 	log = log.With("node", s.NodeID)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		<-signals
+		stop()
+	}()
 	httpserver.SetLogger(log.Named("http"))
-	d, err := daemon.Start(s, log)
+	d, err := daemon.Start(running, s, log)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	select {
-	case <-signals:
+	case <-running.Done():
 	case err := <-d.Failed():
 		return fmt.Errorf("listener failed: %w", err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -18,6 +17,7 @@
 	"ibistray.example/ibistray/internal/entry"
 	"ibistray.example/ibistray/internal/httpserver"
 	"ibistray.example/ibistray/internal/leaderclient"
+	"ibistray.example/ibistray/internal/listener"
 	"ibistray.example/ibistray/internal/security"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shardclient"
@@ -60,8 +60,9 @@
 }
 
 // Start starts the roles that are enabled in the settings. When it returns without an
-// error, the process accepts connections.
-func Start(s *settings.Settings, log hclog.Logger) (*Daemon, error) {
+// error, the process accepts connections. While an address is in use, it waits until ctx
+// ends and then returns the error of ctx.
+func Start(ctx context.Context, s *settings.Settings, log hclog.Logger) (*Daemon, error) {
 	credentials, err := loadCredentials(s, log)
 	if err != nil {
 		return nil, err
@@ -75,35 +76,30 @@
 		server:      transport.NewServer(log.Named("transport")),
 		failures:    make(chan error, 2),
 	}
-	if err := d.start(); err != nil {
+	if err := d.start(ctx); err != nil {
 		d.close()
 		return nil, err
 	}
 	return d, nil
 }
 
-func (d *Daemon) start() error {
-	listener, err := net.Listen("tcp", d.settings.ListenAddress)
+func (d *Daemon) start(ctx context.Context) error {
+	listeners, err := listener.Config{Log: d.log.Named("listener")}.Listen(ctx, d.settings.ListenAddress, d.settings.HTTPAddress)
 	if err != nil {
 		return fmt.Errorf("daemon: listen: %w", err)
 	}
+	internal := listeners[0]
 	if d.credentials != nil {
-		listener = tls.NewListener(listener, d.credentials.ServerConfig())
+		internal = tls.NewListener(internal, d.credentials.ServerConfig())
 	}
-	httpListener, err := net.Listen("tcp", d.settings.HTTPAddress)
-	if err != nil {
-		listener.Close()
-		return fmt.Errorf("daemon: listen for HTTP: %w", err)
-	}
-	d.http = httpserver.New(httpListener, bodyLimitFactor*d.settings.MaxBodyBytes)
+	d.http = httpserver.New(listeners[1], bodyLimitFactor*d.settings.MaxBodyBytes)
 	if err := d.createRoles(); err != nil {
-		listener.Close()
-		httpListener.Close()
+		listener.CloseAll(listeners)
 		return err
 	}
 	d.registerHealth()
 	d.startLoops()
-	go func() { d.failures <- d.server.Serve(listener) }()
+	go func() { d.failures <- d.server.Serve(internal) }()
 	d.http.Start()
 	go d.watchHTTP()
 	d.log.Info("started", "roles", d.settings.Roles, "listen", d.settings.ListenAddress, "http", d.settings.HTTPAddress)
--- a/internal/hosted/close_test.go
+++ b/internal/hosted/close_test.go
@@ -12,24 +12,21 @@
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
-
-	"ibistray.example/ibistray/internal/localcluster"
 )
 
 // TestClosingProcessAnswersAcceptedRequests has a request in progress when the process closes
 // its servers.
 func TestClosingProcessAnswersAcceptedRequests(t *testing.T) {
-	addresses, err := localcluster.FreeAddresses(1)
-	assert.NilError(t, err)
 	p := newProcess(Options{Logger: hclog.NewNullLogger()})
 	accepted, closing := make(chan struct{}), make(chan struct{})
-	server, err := p.serveHTTP(addresses[0], http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	listeners, err := p.listen(t.Context(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := p.serveHTTP(listeners[0], http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(accepted)
 		<-closing
 		_, err := io.WriteString(w, "ok")
 		assert.Check(t, err)
-	}))
-	assert.NilError(t, err)
+	}), nil)
 	server.RegisterOnShutdown(func() { close(closing) })
 
 	type result struct {
@@ -38,7 +35,7 @@
 	}
 	results := make(chan result, 1)
 	go func() {
-		body, err := get(t.Context(), "http://"+addresses[0])
+		body, err := get(t.Context(), "http://"+listeners[0].Addr().String())
 		results <- result{body, err}
 	}()
 	<-accepted
@@ -66,13 +63,12 @@
 
 // TestEndlessRequestHeaderIsRefused has a client that sends header lines without end.
 func TestEndlessRequestHeaderIsRefused(t *testing.T) {
-	addresses, err := localcluster.FreeAddresses(1)
-	assert.NilError(t, err)
 	p := newProcess(Options{Logger: hclog.NewNullLogger()})
 	defer p.close()
-	_, err = p.serveHTTP(addresses[0], http.NotFoundHandler())
+	listeners, err := p.listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
-	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[0])
+	p.serveHTTP(listeners[0], http.NotFoundHandler(), nil)
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", listeners[0].Addr().String())
 	assert.NilError(t, err)
 	defer conn.Close()
 	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n")
@@ -91,15 +87,14 @@
 // TestRequestHeaderHasAtMost64KB sends headers below and above the limit. net/http allows 4 KB
 // beyond it for the request line.
 func TestRequestHeaderHasAtMost64KB(t *testing.T) {
-	addresses, err := localcluster.FreeAddresses(1)
-	assert.NilError(t, err)
 	p := newProcess(Options{Logger: hclog.NewNullLogger()})
 	defer p.close()
-	_, err = p.serveHTTP(addresses[0], http.NotFoundHandler())
+	listeners, err := p.listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
+	p.serveHTTP(listeners[0], http.NotFoundHandler(), nil)
 	cases := map[int]int{60 << 10: http.StatusNotFound, 69 << 10: http.StatusRequestHeaderFieldsTooLarge}
 	for size, status := range cases {
-		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", addresses[0])
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", listeners[0].Addr().String())
 		assert.NilError(t, err)
 		defer conn.Close()
 		const start, end = "GET / HTTP/1.1\r\nHost: h\r\nX-Filler: ", "\r\n\r\n"
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -19,9 +18,9 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ibistray.example/ibistray/internal/gateway"
+	"ibistray.example/ibistray/internal/listener"
 	"ibistray.example/ibistray/internal/policy/memory"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -30,15 +29,9 @@
 )
 
 const (
-	metricsPath = "/metrics"
 	// peerDialTimeout is several times the one-way delay between the regions of a
 	// deployment.
 	peerDialTimeout = 300 * time.Millisecond
-	// headerTimeout limits how long a client may take to send the header of a request.
-	headerTimeout = 10 * time.Second
-	// clientIdleTimeout is longer than clients keep an idle connection for reuse, so that the
-	// server does not close a connection on which a client sends its next request.
-	clientIdleTimeout = 120 * time.Second
 	// deregistrationDelay is how long the load balancer may send new connections after the
 	// entry stops being ready: two checks one second apart, plus a margin.
 	deregistrationDelay = 3 * time.Second
@@ -47,9 +40,6 @@
 	dirMode           = 0o700
 	// maxFailures is the number of failures that are kept; the first one ends the process.
 	maxFailures = 4
-	// maxHeaderBytes limits the header of a request, which is held in memory. Routes
-	// documents may set a lower limit.
-	maxHeaderBytes = 64 << 10
 	// shutdownMargin is the time reserved before the process is killed for the rest of the
 	// shutdown, after the wait for running requests.
 	shutdownMargin = 700 * time.Millisecond
@@ -62,10 +52,6 @@
 	// firstRequestTimeout limits how long an entry that stops waits for the first request on a
 	// connection that it has accepted: it may be on its way.
 	firstRequestTimeout = 500 * time.Millisecond
-	// TCP keep-alive probes detect client connections whose peer does not respond.
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 3
 )
 
 // Options are common to all roles.
@@ -138,66 +124,6 @@
 	}
 }
 
-// httpServer is an HTTP server with its listener.
-type httpServer struct {
-	*http.Server
-	listener net.Listener
-	stopped  atomic.Bool
-}
-
-// stopAccepting takes no further connections. Unlike after Shutdown, requests on those that are
-// open get a response: after Shutdown, a connection on which one is read is closed without.
-func (s *httpServer) stopAccepting() {
-	s.stopped.Store(true)
-	s.listener.Close()
-}
-
-// serveHTTP listens on an address and serves it in the background.
-func (p *process) serveHTTP(address string, handler http.Handler) (*httpServer, error) {
-	return p.serveLimited(address, handler, nil)
-}
-
-// serveLimited is like serveHTTP for clients whose connections are known, unless connections is
-// nil.
-func (p *process) serveLimited(address string, handler http.Handler, connections *connections) (*httpServer, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("hosted: listen: %w", err)
-	}
-	server := &httpServer{listener: listener, Server: &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       clientIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(p.opts.Logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
-	}}
-	if connections != nil {
-		server.ConnContext, server.ConnState = connections.connContext, connections.observe
-		server.Handler = guard(handler)
-	}
-	p.servers = append(p.servers, server)
-	p.goroutines.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !server.stopped.Load() {
-			p.fail(fmt.Errorf("hosted: serve %s: %w", address, err))
-		}
-	})
-	return server, nil
-}
-
-// serveMetrics serves the metrics, unless they have no address.
-func (p *process) serveMetrics() error {
-	if p.opts.MetricsAddress == "" {
-		return nil
-	}
-	mux := http.NewServeMux()
-	mux.Handle(metricsPath, promhttp.HandlerFor(p.metrics.Registry, promhttp.HandlerOpts{}))
-	_, err := p.serveHTTP(p.opts.MetricsAddress, mux)
-	return err
-}
-
 // close ends the process's servers and connections. Requests that were accepted get their
 // response, within requestEndTimeout.
 func (p *process) close() {
@@ -228,26 +154,29 @@
 }
 
 // RunEntry runs an entry until stop is closed, then shuts it down and returns nil. It
-// returns an error if the entry cannot start or fails. newReadyHandler makes the
-// handler of the readiness checks.
+// returns an error if the entry cannot start or fails. While an address is in use, the
+// entry waits for it and is not ready. newReadyHandler makes the handler of the readiness checks.
 func RunEntry(cfg gateway.Config, addresses Addresses, newReadyHandler func(func() bool) http.Handler, opts Options, stop <-chan struct{}) error {
 	p := newProcess(opts)
 	defer p.close()
+	ctx, cancel := untilStopped(stop)
+	defer cancel()
+	listeners, err := p.listen(ctx, addresses.Clients, addresses.Ready)
+	if ctx.Err() != nil {
+		listener.CloseAll(listeners)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	cfg.Seeds = opts.Seeds.Addresses
 	hedgePool := transport.NewPool(transport.DialTCPTimeout(peerDialTimeout))
 	defer hedgePool.Close()
 	g := gateway.New(cfg, opts.Logger.Named("gateway"), p.metrics, p.pool, hedgePool)
 	connections := p.limitConnections(g)
-	clients, err := p.serveLimited(addresses.Clients, g, connections)
-	if err != nil {
-		return err
-	}
-	if _, err := p.serveHTTP(addresses.Ready, newReadyHandler(g.Ready)); err != nil {
-		return err
-	}
-	if err := p.serveMetrics(); err != nil {
-		return err
-	}
+	clients := p.serveHTTP(listeners[0], g, connections)
+	p.serveHTTP(listeners[1], newReadyHandler(g.Ready), nil)
+	p.serveMetrics()
 	g.Start()
 	opts.Logger.Info("started", "role", "entry", "clients", addresses.Clients, "seeds", opts.Seeds.Addresses())
 	select {
@@ -307,14 +236,19 @@
 func runStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
 	p := newProcess(opts)
 	defer p.close()
+	ctx, cancel := untilStopped(stop)
+	defer cancel()
 	cfg.Seeds = opts.Seeds.Addresses
-	host, err := openWithRetries(cfg, p.openStateHost, opts.Logger, stop)
+	var listeners []net.Listener
+	open := func(cfg statehost.Config) (host *statehost.Host, err error) {
+		host, listeners, err = p.openStateHost(ctx, cfg, addresses)
+		return host, err
+	}
+	host, err := openWithRetries(cfg, open, opts.Logger, stop)
 	if host == nil {
 		return err
 	}
-	if err := p.serveStateHost(host, addresses, newControlHandler); err != nil {
-		return errors.Join(err, closeNow(host))
-	}
+	p.serveStateHost(host, listeners, newControlHandler)
 	host.Run()
 	opts.Logger.Info("started", "role", "state host", "peers", addresses.Peers, "control", addresses.Control,
 		"bootstrap", cfg.Bootstrap, "standby", cfg.Standby, "seeds", opts.Seeds.Addresses())
@@ -326,24 +260,18 @@
 	return p.stopStateHost(host)
 }
 
-// serveStateHost listens on the addresses of a state host.
-func (p *process) serveStateHost(host *statehost.Host, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler) error {
+// serveStateHost serves the listeners for peers and for control.
+func (p *process) serveStateHost(host *statehost.Host, listeners []net.Listener, newControlHandler func(*statehost.Host) http.Handler) {
 	server := transport.NewServer(p.opts.Logger.Named("transport"))
-	p.closers = append(p.closers, server.Close)
+	p.closers = append(p.closers, server.Close, func() { listener.CloseAll(listeners) })
 	host.Register(server)
-	listener, err := net.Listen("tcp", addresses.Peers)
-	if err != nil {
-		return fmt.Errorf("hosted: listen: %w", err)
-	}
 	p.goroutines.Go(func() {
-		if err := server.Serve(listener); err != nil {
+		if err := server.Serve(listeners[0]); err != nil {
 			p.fail(err)
 		}
 	})
-	if _, err := p.serveHTTP(addresses.Control, newControlHandler(host)); err != nil {
-		return err
-	}
-	return p.serveMetrics()
+	p.serveHTTP(listeners[1], newControlHandler(host), nil)
+	p.serveMetrics()
 }
 
 // closeNow closes a state host without handing its leaderships over.
@@ -353,13 +281,31 @@
 	return host.Stop(ctx)
 }
 
-// openStateHost opens the state host. Each attempt gets a new metrics registry, because
-// a failed one may already have registered metrics, and a new channel of failures, because the
-// storage of a failed one may report its failure late.
-func (p *process) openStateHost(cfg statehost.Config) (*statehost.Host, error) {
+// openStateHost listens on the addresses for peers and for control, and then opens the state host:
+// a process that still has the addresses may use the data directory, too, and no replica runs that
+// its peers cannot reach. If the state host cannot be opened, the addresses are free again, so that
+// clients are refused at once.
+//
+// Each attempt gets a new metrics registry, because a failed one may already have registered
+// metrics, and a new channel of failures, because the storage of a failed one may report its failure
+// late. If ctx ends before, it returns nil and no error.
+func (p *process) openStateHost(ctx context.Context, cfg statehost.Config, addresses Addresses) (*statehost.Host, []net.Listener, error) {
+	listeners, err := p.listen(ctx, addresses.Peers, addresses.Control)
+	if ctx.Err() != nil {
+		listener.CloseAll(listeners)
+		return nil, nil, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
 	p.metrics = telemetry.NewMetrics()
 	p.failed = newFailures()
-	return statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.failed.report)
+	host, err := statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.failed.report)
+	if err != nil {
+		listener.CloseAll(listeners)
+		return nil, nil, err
+	}
+	return host, listeners, nil
 }
 
 // openWithRetries opens a state host. It retries while the disk is full, because a
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -7,6 +7,14 @@
 
 const namespace = "ibistray"
 
+// Counters of the whole process, which are in every registry.
+var (
+	// ListenFailures counts attempts to listen that are made again.
+	ListenFailures = counter("listen_failures_total", "Failed attempts to listen on an address that is in use, or for lack of resources.")
+	// droppedLines counts the dropped lines of all writers.
+	droppedLines = counter("dropped_log_lines_total", "Log lines of this process that were not written.")
+)
+
 // Metrics holds the metrics of a process and the registry that exposes them.
 type Metrics struct {
 	Registry *prometheus.Registry
@@ -75,7 +83,7 @@
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
-		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections, droppedLines,
+		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -20,9 +20,6 @@
 	closeTimeout = 100 * time.Millisecond
 )
 
-// droppedLines counts the dropped lines of all writers of the process.
-var droppedLines = counter("dropped_log_lines_total", "Log lines of this process that were not written.")
-
 // AsyncWriter writes log lines in a goroutine of its own, so that logging never blocks.
 // Lines that do not fit in its queue, those beyond maxLinesPerSecond, and those that the output
 // does not take are dropped and counted.
