A failed accept ends no server

A state host ended, exit code 1, when its port for peers could not accept a connection because its descriptors were used up: 100 idle connections with a limit of 64 descriptors. transport.Server.Serve returned at the first error, and net/http's server tries again only after EMFILE, ENFILE and EINTR, not after ENOBUFS, ENOMEM, or the network errors that accept(2) passes on.

The listeners of internal/listener, which all servers use, try again after each error except those of a closed or broken socket, with a pause of 5 ms to 1 s. A line every 5 s at most and ibistray_accept_failures_total tell.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -1,5 +1,5 @@
-// Package listener opens TCP listeners. What may pass by itself, such as an address in use, does
-// not end a process: it is tried again.
+// Package listener opens TCP listeners and accepts connections on them. What may pass by itself,
+// such as an address in use or a lack of descriptors, does not end a process: it is tried again.
 package listener
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,11 @@
 const (
 	// retryInterval is the pause between two attempts to listen.
 	retryInterval = 100 * time.Millisecond
+	// The pause after a failed Accept doubles with each failure in a row.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+	// acceptLogInterval is the minimum time between two log lines about failed Accepts.
+	acceptLogInterval = 5 * time.Second
 )
 
 // Config says how connections are accepted.
@@ -29,7 +35,8 @@
 
 // Listen listens on all addresses or on none: while one of them is in use, or while the host lacks
 // resources, it holds none of them and tries again. It returns the error of ctx if that ends before,
-// and other errors, such as an address of another host, at once.
+// and other errors, such as an address of another host, at once. The listeners' Accept returns an
+// error only once the listener is closed or broken.
 func (c Config) Listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	for waiting := false; ; waiting = true {
 		listeners, err := c.listenOnce(ctx, addresses)
@@ -60,7 +67,7 @@
 			CloseAll(listeners)
 			return nil, fmt.Errorf("listener: %w", err)
 		}
-		listeners = append(listeners, inner)
+		listeners = append(listeners, c.newListener(inner))
 	}
 	return listeners, nil
 }
@@ -78,3 +85,48 @@
 		l.Close()
 	}
 }
+
+// listener retries failed Accepts. Only one goroutine may accept.
+type listener struct {
+	net.Listener
+	log       hclog.Logger
+	closed    chan struct{}
+	closeOnce sync.Once
+	logged    time.Time // last log line about a failed Accept
+}
+
+func (c Config) newListener(inner net.Listener) *listener {
+	return &listener{Listener: inner, log: c.Log, closed: make(chan struct{})}
+}
+
+// Accept returns the next connection. After an error it tries again, unless the listener is closed
+// or no socket that listens.
+func (l *listener) Accept() (net.Conn, error) {
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		conn, err := l.Listener.Accept()
+		if err == nil || broken(err) {
+			return conn, err
+		}
+		telemetry.AcceptFailures.Inc()
+		if now := time.Now(); now.Sub(l.logged) >= acceptLogInterval {
+			l.logged = now
+			l.log.Error("connection not accepted", "address", l.Addr().String(), "error", err)
+		}
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(pause):
+		}
+	}
+}
+
+// broken reports whether every later Accept fails, too.
+func broken(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EBADF) || errors.Is(err, syscall.EINVAL) || errors.Is(err, syscall.ENOTSOCK)
+}
+
+// Close ends Accept with net.ErrClosed.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"os"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -78,3 +81,45 @@
 		assert.Assert(t, err != nil, address)
 	}
 }
+
+// failingListener fails with each of errs in order and then returns connections.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Addr() net.Addr { return new(net.TCPAddr) }
+
+func (l *failingListener) Close() error { return nil }
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) == 0 {
+		return new(net.TCPConn), nil
+	}
+	err := l.errs[0]
+	l.errs = l.errs[1:]
+	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+}
+
+// TestAcceptSurvivesALackOfResources guards against servers that a failed accept ends.
+func TestAcceptSurvivesALackOfResources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errs := []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO, syscall.EPERM, syscall.EHOSTUNREACH}
+		config, lines := newConfig()
+		l := config.newListener(&failingListener{errs: errs})
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		assert.Assert(t, conn != nil)
+		assert.Equal(t, len(lines), 1)
+	})
+}
+
+func TestCloseEndsTheWaitForResources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		config, _ := newConfig()
+		l := config.newListener(&failingListener{errs: []error{syscall.EMFILE, syscall.EBADF}})
+		go l.Close()
+		_, err := l.Accept()
+		assert.ErrorIs(t, err, net.ErrClosed)
+	})
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -11,6 +11,8 @@
 var (
 	// ListenFailures counts attempts to listen that are made again.
 	ListenFailures = counter("listen_failures_total", "Failed attempts to listen on an address that is in use, or for lack of resources.")
+	// AcceptFailures counts failed attempts to accept a connection.
+	AcceptFailures = counter("accept_failures_total", "Failed attempts to accept a connection.")
 	// droppedLines counts the dropped lines of all writers.
 	droppedLines = counter("dropped_log_lines_total", "Log lines of this process that were not written.")
 )
@@ -83,7 +85,7 @@
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
-		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures,
+		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures, AcceptFailures,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
