--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -17,6 +17,8 @@
 	readTimeout    = 30 * time.Second
 	writeTimeout   = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
+	// startPollInterval is the interval at which Stop checks whether the server runs.
+	startPollInterval = 5 * time.Millisecond
 )
 
 // Server is an HTTP server. Routes must be added to Hertz before Start.
@@ -24,6 +26,7 @@
 	*server.Hertz
 	listener net.Listener
 	failed   chan error
+	ended    chan struct{} // closed when serving has ended
 }
 
 // New returns a server on a listener. It refuses request bodies larger than
@@ -41,13 +44,14 @@
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
 	)
-	return &Server{Hertz: h, listener: listener, failed: make(chan error, 1)}
+	return &Server{Hertz: h, listener: listener, failed: make(chan error, 1), ended: make(chan struct{})}
 }
 
 // Start serves in the background until Stop. If serving fails, the error is sent to
 // Failed.
 func (s *Server) Start() {
 	go func() {
+		defer close(s.ended)
 		if err := s.Run(); err != nil {
 			s.failed <- err
 		}
@@ -60,7 +64,22 @@
 }
 
 // Stop closes the listener and waits for running requests to finish, at most until ctx
-// ends.
+// ends. It must be called after Start.
 func (s *Server) Stop(ctx context.Context) error {
+	s.awaitRunning(ctx)
 	return s.Shutdown(ctx)
 }
+
+// awaitRunning waits until the server runs or has ended: Hertz refuses to shut down a server that
+// does not run yet.
+func (s *Server) awaitRunning(ctx context.Context) {
+	for !s.IsRunning() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.ended:
+			return
+		case <-time.After(startPollInterval):
+		}
+	}
+}
