Stops: a request that arrives as the last one ends does not end the process

An entry that was asked to stop could end at once with "panic: sync: WaitGroup is reused before previous Wait has returned", exit 2, and cut off the requests that it still served. Gateway.Stop waited for its requests with a sync.WaitGroup, which must not be raised from zero while somebody waits, but requests on open connections arrive when they like. Three processors or one make no difference.

The first three use inflight.Group now, which allows it; the shutdown ends the workers first.

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/raft"
@@ -57,7 +58,7 @@
 
 	mu           sync.Mutex
 	replacing    map[uint64]bool // groups with a replacement in progress
-	replacements sync.WaitGroup
+	replacements inflight.Group
 }
 
 // NewRepairer returns the repairer of one control process.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
@@ -84,7 +85,7 @@
 
 	shutdown   *shutdown
 	runs       *routeRuns
-	inFlight   sync.WaitGroup // requests, settlements and crash reports
+	inFlight   inflight.Group // requests, settlements and crash reports
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 }
@@ -198,8 +199,8 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
+	g.inFlight.Begin()
+	defer g.inFlight.End()
 	g.metrics.RunningCalls.Inc()
 	defer g.metrics.RunningCalls.Dec()
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), triedServers: make(map[string]bool), memory: membudget.NewClaim(g.budget)}
--- a/internal/gateway/notice_reporter.go
+++ b/internal/gateway/notice_reporter.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -31,13 +32,13 @@
 	// targets returns the addresses of state hosts, the most suitable first.
 	targets func() []string
 	send    func(ctx context.Context, address string, report *fleetpb.NoticeReport) error
-	wait    *sync.WaitGroup // reports in progress
+	wait    *inflight.Group // reports in progress
 
 	mu      sync.Mutex
 	pending map[serverStart]fleet.Notice
 }
 
-func newNoticeReporter(entry string, log hclog.Logger, pool *transport.Pool, targets func() []string, wait *sync.WaitGroup) *noticeReporter {
+func newNoticeReporter(entry string, log hclog.Logger, pool *transport.Pool, targets func() []string, wait *inflight.Group) *noticeReporter {
 	return &noticeReporter{
 		entry:   entry,
 		log:     log,
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -293,8 +293,8 @@
 	h.shutdownOnce.Do(func() {
 		h.cancel()
 		h.ticker.Wait()
+		h.coreWorkers.close() // first, because they start snapshot sends
 		h.snapshotSends.Wait()
-		h.coreWorkers.close()
 		h.applyWorkers.close()
 		h.snapshotWrites.Wait()
 		h.outbox.close()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"ibistray.example/ibistray/internal/backend"
 	"ibistray.example/ibistray/internal/configclient"
 	"ibistray.example/ibistray/internal/configlease"
+	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -66,7 +67,7 @@
 	healthy          atomic.Bool
 	announceSequence atomic.Uint64
 
-	work sync.WaitGroup // running attempts
+	work inflight.Group // running attempts
 }
 
 // New returns a sidecar that has not been started.
