--- a/internal/replica/chunk.go
+++ b/internal/replica/chunk.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
@@ -96,6 +97,9 @@
 	unread []byte // part of buf that Read has not returned yet
 	size   int64  // bytes of the chunks read so far
 	ended  bool
+	// damaged says that the data is truncated or fails a checksum. Other errors may be those of a
+	// disk that cannot be read now.
+	damaged bool
 }
 
 func newChunkReader(r io.Reader) *chunkReader {
@@ -120,10 +124,11 @@
 	}
 	var header [chunkHeaderBytes]byte
 	if _, err := io.ReadFull(c.r, header[:]); err != nil {
-		return fmt.Errorf("%w: chunk %d: %w", ErrInvalidSnapshot, c.number, err)
+		return c.incomplete(err)
 	}
 	length := binary.LittleEndian.Uint32(header[:])
 	if length > chunkBytes {
+		c.damaged = true
 		return fmt.Errorf("%w: chunk %d: length %d exceeds %d bytes", ErrInvalidSnapshot, c.number, length, chunkBytes)
 	}
 	if c.buf == nil {
@@ -131,9 +136,10 @@
 	}
 	data := c.buf[:length]
 	if _, err := io.ReadFull(c.r, data); err != nil {
-		return fmt.Errorf("%w: chunk %d: %w", ErrInvalidSnapshot, c.number, err)
+		return c.incomplete(err)
 	}
 	if binary.LittleEndian.Uint32(header[chunkCRCOffset:]) != chunkCRC(c.number, data) {
+		c.damaged = true
 		return fmt.Errorf("%w: chunk %d: checksum mismatch", ErrInvalidSnapshot, c.number)
 	}
 	c.number++
@@ -145,3 +151,9 @@
 	}
 	return nil
 }
+
+// incomplete returns the error of a chunk that could not be read.
+func (c *chunkReader) incomplete(err error) error {
+	c.damaged = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	return fmt.Errorf("%w: chunk %d: %w", ErrInvalidSnapshot, c.number, err)
+}
--- a/internal/replica/snapshotstore.go
+++ b/internal/replica/snapshotstore.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"math"
 	"path/filepath"
 	"strings"
@@ -171,20 +172,29 @@
 	return file, nil
 }
 
-// restore replaces the state of a state machine with a stored snapshot and returns the size
-// of the snapshot in bytes.
+// restore replaces the state of a state machine with a stored snapshot, which the log names, and
+// returns the size of the snapshot in bytes. Error besides ErrStorage: wal.ErrCorrupt, if the file is
+// missing, truncated or fails a checksum. A state machine that cannot decode intact data is not
+// such a case: another copy of the data would be no better.
 func (s *snapshotStore) restore(group, index uint64, sm StateMachine) (size int64, err error) {
 	file, err := s.openFile(group, index)
+	if errors.Is(err, fs.ErrNotExist) {
+		err = fmt.Errorf("%w: %w", wal.ErrCorrupt, err)
+	}
 	if err != nil {
 		return 0, err
 	}
 	defer file.Close()
 	chunks := newChunkReader(file)
-	if err := sm.Restore(chunks); err != nil {
-		return 0, fmt.Errorf("%w: restore group %d from snapshot at index %d: %w", ErrStorage, group, index, err)
+	err = sm.Restore(chunks)
+	if err == nil {
+		// Verify the chunks that the state machine has not read, up to the end marker.
+		_, err = io.Copy(io.Discard, chunks)
 	}
-	// Verify the chunks that the state machine has not read, up to the end marker.
-	if _, err := io.Copy(io.Discard, chunks); err != nil {
+	if chunks.damaged {
+		err = fmt.Errorf("%w: %w", wal.ErrCorrupt, err)
+	}
+	if err != nil {
 		return 0, fmt.Errorf("%w: restore group %d from snapshot at index %d: %w", ErrStorage, group, index, err)
 	}
 	return chunks.size, nil
