State hosts: a storage failure does not end the process

A state host ended, exit 1, at the first input/output error, failed fsync, read-only file system or lack of descriptors in its data directory, and again at each start while the disk refused. Only a full disk was answered by closing the host and opening it again.

That holds for the whole class now: for all errors of the storage the host is closed and opened once a probe of the directory can be written, or after a pause that grows to 15 s if the probe finds nothing. Opening writes the end of the log to a new file, so it trusts no page of which an fsync failed: it was made for a process that starts after such a failure and has the same pages. No fsync is tried again on an open file. A data directory in use by another process is left out.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -28,7 +28,8 @@
 // explain one.
 var contextMessages = []string{
 	"leader changed", "state host is out of reach", "state host is watched", "backend server is silent", "backend server changed", "backend server said",
-	"membership step", "started", "stopping", "routes in force", "disk is full: the state host waits", "process ends",
+	"membership step", "started", "stopping", "routes in force", "disk is full: the state host waits",
+	"storage failed: the state host is opened again", "process ends",
 }
 
 func explainCommand() *cli.Command {
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -291,14 +291,14 @@
 }
 
 // RunStateHost runs a state host until stop is closed, then shuts it down and returns
-// nil. When the disk is full, the state host is closed and opened again once there is
-// room: the process does not end, and the other hosts hold all acknowledged data
-// meanwhile. It returns an error if the state host cannot start or fails otherwise.
+// nil. When its storage fails or its disk is full, the state host is closed and opened again once
+// the disk can be written: the process does not end, and the other hosts hold all acknowledged
+// data meanwhile. It returns an error if the state host cannot start or fails otherwise.
 // newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
 	probe := newDiskProbe(cfg)
 	probe.removeFile()
-	return reopenOnFullDisk(opts.Logger, stop, probe.hasRoom, func() error {
+	return reopenOnStorageFailure(opts.Logger, stop, probe.writable, func() error {
 		return runStateHost(cfg, addresses, newControlHandler, opts, stop)
 	})
 }
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -34,7 +34,7 @@
 	return nil, fmt.Errorf("open: %w", err)
 }
 
-func hasRoom() bool { return true }
+func writable() bool { return true }
 
 func TestOpenRetriesWhileDiskIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -55,7 +55,7 @@
 		other := errors.New("other failure")
 		start := time.Now()
 		var opened []time.Duration
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			opened = append(opened, time.Since(start))
 			if len(opened) < 8 {
 				return fmt.Errorf("write: %w", syscall.ENOSPC)
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var ended []time.Time
 		var pauses []time.Duration
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if len(ended) > 0 {
 				pauses = append(pauses, time.Since(ended[len(ended)-1]))
 			}
@@ -98,9 +98,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const full = 1200 * time.Millisecond
 		var failed time.Time
-		hasRoom := func() bool { return time.Since(failed) >= full }
+		writable := func() bool { return time.Since(failed) >= full }
 		opened := 0
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if opened++; opened > 1 {
 				away := time.Since(failed)
 				assert.Assert(t, away >= full && away <= full+diskRetryInterval, "%d: away for %s", opened, away)
@@ -123,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var failed time.Time
 		opened := 0
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if opened++; opened > 1 {
 				assert.Equal(t, time.Since(failed), minReopenDelay, "%d", opened)
 			}
@@ -143,7 +143,7 @@
 func TestFullDiskIsOpenedAgainWithoutRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start, opened := time.Now(), 0
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
+		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
 			if opened++; opened == 2 {
 				return nil
 			}
@@ -158,24 +158,24 @@
 func TestProbeFindsAFullDisk(t *testing.T) {
 	fs := waltest.New()
 	probe := newDiskProbe(statehost.Config{DataDir: "/data", FS: fs})
-	assert.Assert(t, probe.hasRoom())
+	assert.Assert(t, probe.writable())
 	for _, fault := range []waltest.Fault{
 		{NoSpace: true}, {Full: waltest.OpCreate}, {Full: waltest.OpWrite}, {Full: waltest.OpSync}, {Full: waltest.OpSyncDir},
 		{Full: waltest.OpRename}, {Capacity: probeBytes - 1},
 	} {
 		fs.SetFault(fault)
-		assert.Assert(t, !probe.hasRoom(), "%+v", fault)
+		assert.Assert(t, !probe.writable(), "%+v", fault)
 		assert.Equal(t, len(fs.Files("")), 0, "%+v", fault)
 	}
 	fs.SetFault(waltest.Fault{Capacity: probeBytes})
-	assert.Assert(t, probe.hasRoom())
+	assert.Assert(t, probe.writable())
 }
 
 func TestStopEndsTheWaitForAFullDisk(t *testing.T) {
 	stop := make(chan struct{})
 	close(stop)
 	runs := 0
-	err := reopenOnFullDisk(hclog.NewNullLogger(), stop, hasRoom, func() error {
+	err := reopenOnStorageFailure(hclog.NewNullLogger(), stop, writable, func() error {
 		runs++
 		return syscall.ENOSPC
 	})
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -1,22 +1,25 @@
 package hosted
 
 import (
+	"errors"
 	"io"
+	"io/fs"
 	"path/filepath"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
 )
 
 const (
-	// A state host whose disk filled up while it ran is opened again as soon as the disk has
-	// room again. A disk that has room right after the host was closed is too small for what
-	// the host stores, or has just got room: the host is opened again after a pause that
-	// doubles each time, since every opening reads the whole log and the group sends it what it
-	// lacks. The pause starts over once the host has run for stableRunTime.
+	// A state host whose storage failed is opened again as soon as its disk can be written
+	// again. A disk that can be written right after the host was closed is too small for what
+	// the host stores, cannot be read, or has just recovered: the host is opened again after a
+	// pause that doubles each time, since every opening reads the whole log and the group sends it
+	// what it lacks. The pause starts over once the host has run for stableRunTime.
 	minReopenDelay = 500 * time.Millisecond
 	maxReopenDelay = 15 * time.Second
 	stableRunTime  = 10 * time.Second
@@ -25,49 +28,64 @@
 	probeBytes = 1 << 20
 )
 
-// reopenOnFullDisk calls run until it returns something else than a full disk, or until
-// stop is closed. Between the calls it waits for room.
-func reopenOnFullDisk(log hclog.Logger, stop <-chan struct{}, hasRoom func() bool, run func() error) error {
+// isStorageFailure reports whether err is that of a disk, after which a state host can be opened again.
+// Opening writes everything anew of which an earlier fsync may have failed, so it is as good as a
+// restart of the process. A data directory that another process uses is not such a failure.
+func isStorageFailure(err error) bool {
+	return (errors.Is(err, replica.ErrStorage) || wal.IsDiskFull(err)) && !errors.Is(err, wal.ErrLocked)
+}
+
+// reopenOnStorageFailure calls run until it returns something else than a storage failure, or until
+// stop is closed. Between the calls it waits for a disk that can be written.
+func reopenOnStorageFailure(log hclog.Logger, stop <-chan struct{}, writable func() bool, run func() error) error {
 	delay := minReopenDelay
 	for {
 		start := time.Now()
 		err := run()
-		if !wal.IsDiskFull(err) {
+		if !isStorageFailure(err) {
 			return err
 		}
 		if time.Since(start) >= stableRunTime {
 			delay = minReopenDelay
 		}
-		log.Error("disk is full: the state host is opened again", "after_ms_at_most", delay.Milliseconds(), "error", err)
-		wasFull, stopped := waitForRoom(stop, hasRoom, delay)
+		log.Error(reopenReason(err)+": the state host is opened again", "after_ms_at_most", delay.Milliseconds(), "error", err)
+		wasUnwritable, stopped := waitUntilWritable(stop, writable, delay)
 		if stopped {
 			return nil
 		}
 		delay = min(2*delay, maxReopenDelay)
-		if wasFull {
+		if wasUnwritable {
 			delay = minReopenDelay
 		}
 	}
 }
 
-// waitForRoom waits until a disk without room has some, maxReopenDelay at most, or for delay if it
-// has room now. It returns whether the disk was full, and early if stop is closed.
-func waitForRoom(stop <-chan struct{}, hasRoom func() bool, delay time.Duration) (wasFull, stopped bool) {
-	wasFull = !hasRoom()
-	if wasFull {
+// reopenReason names a storage failure in the log.
+func reopenReason(err error) string {
+	if wal.IsDiskFull(err) {
+		return "disk is full"
+	}
+	return "storage failed"
+}
+
+// waitUntilWritable waits until a disk that cannot be written can be, maxReopenDelay at most, or for
+// delay if it can be now. It returns whether it could not be, and early if stop is closed.
+func waitUntilWritable(stop <-chan struct{}, writable func() bool, delay time.Duration) (wasUnwritable, stopped bool) {
+	wasUnwritable = !writable()
+	if wasUnwritable {
 		delay = maxReopenDelay
 	}
 	for end := time.Now().Add(delay); time.Now().Before(end); {
 		select {
 		case <-stop:
-			return wasFull, true
+			return wasUnwritable, true
 		case <-time.After(min(diskRetryInterval, time.Until(end))):
 		}
-		if wasFull && hasRoom() {
+		if wasUnwritable && writable() {
 			break
 		}
 	}
-	return wasFull, false
+	return wasUnwritable, false
 }
 
 // diskProbe finds out whether files can be written in a data directory.
@@ -77,21 +95,22 @@
 }
 
 func newDiskProbe(cfg statehost.Config) diskProbe {
-	fs := cfg.FS
-	if fs == nil {
-		fs = wal.OS()
+	fsys := cfg.FS
+	if fsys == nil {
+		fsys = wal.OS()
 	}
-	return diskProbe{fs: fs, path: filepath.Join(cfg.DataDir, probeFile)}
+	return diskProbe{fs: fsys, path: filepath.Join(cfg.DataDir, probeFile)}
 }
 
-// hasRoom reports whether a file of probeBytes can be written, synced and renamed. An error of
-// another kind than a full disk is left to the next opening.
-func (p diskProbe) hasRoom() bool {
+// writable reports whether a file of probeBytes can be written, synced and renamed. A directory that
+// is missing is left to the next opening, which creates it.
+func (p diskProbe) writable() bool {
 	defer p.removeFile()
-	return !wal.IsDiskFull(wal.WriteFileAtomic(p.fs, p.path, func(w io.Writer) error {
+	err := wal.WriteFileAtomic(p.fs, p.path, func(w io.Writer) error {
 		_, err := w.Write(make([]byte, probeBytes))
 		return err
-	}))
+	})
+	return err == nil || errors.Is(err, fs.ErrNotExist)
 }
 
 // removeFile removes what an interrupted probe has left.
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -155,7 +155,7 @@
 }
 
 // New opens the data directory and starts the replicas. onFailure is called once, when
-// the storage fails; the process must exit then. Errors: those of replica.NewHost and
+// the storage fails; the host must be closed then, and may be opened again. Errors: those of replica.NewHost and
 // replica.Host.AddGroup.
 func New(cfg Config, log hclog.Logger, registry prometheus.Registerer, pool *transport.Pool, onFailure func(error)) (*Host, error) {
 	peers := peer.New(pool, log.Named("peer"))
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -12,7 +12,7 @@
 	// missing.
 	ErrCorrupt = errors.New("wal: corrupt")
 	// ErrFailed reports that this write or fsync or an earlier one failed. The log
-	// refuses all later appends; the process has to be restarted.
+	// refuses all later appends; it has to be closed and opened again.
 	ErrFailed = errors.New("wal: failed")
 	// ErrClosed reports an append to a closed log.
 	ErrClosed = errors.New("wal: closed")
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -50,6 +50,17 @@
 	// NoSpaceFor is the suffix of the names of files for which File.Write fails as with NoSpace,
 	// while others still fit. Empty: none.
 	NoSpaceFor string
+	// Err is the error of the operations that the other fields make fail for want of room; nil:
+	// ErrNoSpace.
+	Err error
+}
+
+// noSpace returns the error of an operation that needs room. The caller holds f.mu.
+func (f *FS) noSpace() error {
+	if f.fault.Err != nil {
+		return fmt.Errorf("waltest: %w", f.fault.Err)
+	}
+	return ErrNoSpace
 }
 
 // Op is a set of operations.
@@ -159,7 +170,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fault.Full&OpCreate != 0 {
-		return nil, ErrNoSpace
+		return nil, f.noSpace()
 	}
 	c := new(fileData)
 	f.files[name] = c
@@ -188,7 +199,7 @@
 		return fmt.Errorf("waltest: rename %s: %w", oldName, fs.ErrNotExist)
 	}
 	if f.fault.Full&OpRename != 0 {
-		return ErrNoSpace
+		return f.noSpace()
 	}
 	delete(f.files, oldName)
 	f.files[newName] = c
@@ -206,7 +217,7 @@
 		return fmt.Errorf("waltest: remove %s: %w", name, fs.ErrNotExist)
 	}
 	if f.fault.Full&OpRemove != 0 {
-		return ErrNoSpace
+		return f.noSpace()
 	}
 	delete(f.files, name)
 	return nil
@@ -247,7 +258,7 @@
 		return ErrSync
 	}
 	if f.fault.Full&OpSyncDir != 0 {
-		return ErrNoSpace
+		return f.noSpace()
 	}
 	dir = filepath.Clean(dir)
 	for name := range f.durableFiles {
@@ -311,7 +322,7 @@
 	written := f.fs.room(f.name, len(data))
 	if written < len(data) {
 		f.content.data = append(f.content.data, data[:written]...)
-		return written, ErrNoSpace
+		return written, f.fs.noSpace()
 	}
 	f.content.data = append(f.content.data, data...)
 	return len(data), nil
@@ -357,7 +368,7 @@
 		return ErrSync
 	}
 	if f.fs.fault.Full&OpSync != 0 {
-		return ErrNoSpace
+		return f.fs.noSpace()
 	}
 	f.fs.syncCount++
 	f.content.syncedLen = len(f.content.data)
