Panics by input end the input, not the process

A panic ended the process if the goroutine was not one of net/http: in the handler of a message of a peer, in an update of the servers and routes, in a routes document that an entry fetches, in a replicated command. An input that every process receives ends them all, and again after each restart. No such input is known.

panics.Contain logs the stack, counts the panic and returns it as an error. An RPC ends with CODE_INTERNAL, the stream of updates is opened again, a fetch counts as failed. Replicas are in doubt then, so they stop: the mailbox that panicked never runs again, the host closes its log without a further message and is opened again from what is stored, after a growing pause, as after a failure of its storage. Panics of HTTP handlers were logged at debug level only; they are errors now.

--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -13,6 +13,7 @@
 
 	"ibistray.example/ibistray/internal/clock"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 )
@@ -183,7 +184,9 @@
 		}
 		received = true
 		w.recordUpdate(ctx, address)
-		w.opts.OnUpdate(address, update)
+		if err := panics.Contain(w.opts.Logger, "update", func() { w.opts.OnUpdate(address, update) }); err != nil {
+			return received, err
+		}
 	}
 	return received, ctx.Err()
 }
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -22,6 +22,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ibistray.example/ibistray/internal/gateway"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/policy/memory"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -167,6 +168,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("hosted: listen: %w", err)
 	}
+	handler = panics.Handler(p.opts.Logger, "http", handler)
 	server := &httpServer{listener: listener, Server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -291,14 +293,14 @@
 }
 
 // RunStateHost runs a state host until stop is closed, then shuts it down and returns
-// nil. When its storage fails or its disk is full, the state host is closed and opened again once
-// the disk can be written: the process does not end, and the other hosts hold all acknowledged
-// data meanwhile. It returns an error if the state host cannot start or fails otherwise.
+// nil. When its storage fails, its disk is full or its replicas panic, the state host is closed and
+// opened again once the disk can be written: the process does not end, and the other hosts hold all
+// acknowledged data meanwhile. It returns an error if the state host cannot start or fails otherwise.
 // newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
 	probe := newDiskProbe(cfg)
 	probe.removeFile()
-	return reopenOnStorageFailure(opts.Logger, stop, probe.writable, func() error {
+	return reopenOnFailure(opts.Logger, stop, probe.writable, func() error {
 		return runStateHost(cfg, addresses, newControlHandler, opts, stop)
 	})
 }
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/internal/wal/waltest"
@@ -55,7 +56,7 @@
 		other := errors.New("other failure")
 		start := time.Now()
 		var opened []time.Duration
-		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			opened = append(opened, time.Since(start))
 			if len(opened) < 8 {
 				return fmt.Errorf("write: %w", syscall.ENOSPC)
@@ -70,11 +71,19 @@
 	})
 }
 
+// TestOtherFailuresEndTheProcess tells failures after which a host is opened again from others.
+func TestOtherFailuresEndTheProcess(t *testing.T) {
+	for err, again := range map[error]bool{replica.ErrStorage: true, replica.ErrPanic: true, syscall.EDQUOT: true, wal.ErrLocked: false, replica.ErrConfig: false} {
+		assert.Equal(t, canReopen(fmt.Errorf("run: %w", err)), again, err)
+	}
+	assert.Assert(t, !canReopen(fmt.Errorf("%w: %w", replica.ErrStorage, wal.ErrLocked)))
+}
+
 func TestPauseStartsOverAfterAStableRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ended []time.Time
 		var pauses []time.Duration
-		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if len(ended) > 0 {
 				pauses = append(pauses, time.Since(ended[len(ended)-1]))
 			}
@@ -100,7 +109,7 @@
 		var failed time.Time
 		writable := func() bool { return time.Since(failed) >= full }
 		opened := 0
-		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if opened++; opened > 1 {
 				away := time.Since(failed)
 				assert.Assert(t, away >= full && away <= full+diskRetryInterval, "%d: away for %s", opened, away)
@@ -123,7 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var failed time.Time
 		opened := 0
-		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, writable, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if opened++; opened > 1 {
 				assert.Equal(t, time.Since(failed), minReopenDelay, "%d", opened)
 			}
@@ -143,7 +152,7 @@
 func TestFullDiskIsOpenedAgainWithoutRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start, opened := time.Now(), 0
-		err := reopenOnStorageFailure(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
 			if opened++; opened == 2 {
 				return nil
 			}
@@ -175,7 +184,7 @@
 	stop := make(chan struct{})
 	close(stop)
 	runs := 0
-	err := reopenOnStorageFailure(hclog.NewNullLogger(), stop, writable, func() error {
+	err := reopenOnFailure(hclog.NewNullLogger(), stop, writable, func() error {
 		runs++
 		return syscall.ENOSPC
 	})
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// A state host whose storage failed is opened again as soon as its disk can be written
+	// A state host that failed is opened again as soon as its disk can be written
 	// again. A disk that can be written right after the host was closed is too small for what
 	// the host stores, cannot be read, or has just recovered: the host is opened again after a
 	// pause that doubles each time, since every opening reads the whole log and the group sends it
@@ -28,21 +28,23 @@
 	probeBytes = 1 << 20
 )
 
-// isStorageFailure reports whether err is that of a disk, after which a state host can be opened again.
-// Opening writes everything anew of which an earlier fsync may have failed, so it is as good as a
-// restart of the process. A data directory that another process uses is not such a failure.
-func isStorageFailure(err error) bool {
-	return (errors.Is(err, replica.ErrStorage) || wal.IsDiskFull(err)) && !errors.Is(err, wal.ErrLocked)
+// canReopen reports whether a state host can be opened again after err: a failure of its disk, or a panic of
+// its replicas. Opening writes everything anew of which an earlier fsync may have failed and rebuilds the
+// state from what is stored, so it is as good as a restart of the process. A data directory that
+// another process uses is not such a failure.
+func canReopen(err error) bool {
+	failed := errors.Is(err, replica.ErrStorage) || errors.Is(err, replica.ErrPanic) || wal.IsDiskFull(err)
+	return failed && !errors.Is(err, wal.ErrLocked)
 }
 
-// reopenOnStorageFailure calls run until it returns something else than a storage failure, or until
-// stop is closed. Between the calls it waits for a disk that can be written.
-func reopenOnStorageFailure(log hclog.Logger, stop <-chan struct{}, writable func() bool, run func() error) error {
+// reopenOnFailure calls run until it returns an error of another kind or none, or until stop is
+// closed. Between the calls it waits for a disk that can be written.
+func reopenOnFailure(log hclog.Logger, stop <-chan struct{}, writable func() bool, run func() error) error {
 	delay := minReopenDelay
 	for {
 		start := time.Now()
 		err := run()
-		if !isStorageFailure(err) {
+		if !canReopen(err) {
 			return err
 		}
 		if time.Since(start) >= stableRunTime {
@@ -60,10 +62,13 @@
 	}
 }
 
-// reopenReason names a storage failure in the log.
+// reopenReason names a failure in the log.
 func reopenReason(err error) string {
-	if wal.IsDiskFull(err) {
+	switch {
+	case wal.IsDiskFull(err):
 		return "disk is full"
+	case errors.Is(err, replica.ErrPanic):
+		return "replicas failed"
 	}
 	return "storage failed"
 }
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -30,6 +31,7 @@
 	nodes     map[string]*node
 	members   []*raftpb.Member // initial members of each group
 	configure func(*replica.Options)
+	failure   error // with which hosts may have stopped; nil: replica.ErrStorage
 }
 
 // node is one host with its disk, which survives restarts.
@@ -163,7 +165,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if err := n.host.Stop(ctx); err != nil {
-		assert.ErrorIs(c.t, err, replica.ErrStorage)
+		assert.ErrorIs(c.t, err, cmp.Or(c.failure, replica.ErrStorage))
 	}
 	n.host = nil
 }
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -9,6 +9,9 @@
 	// ErrStorage reports that durable state could not be read or written. The
 	// host stops. Replicas whose state is damaged must be rebuilt from peers.
 	ErrStorage = errors.New("replica: storage failed")
+	// ErrPanic reports that the code of a group or of its state machine has panicked. The host
+	// stops; its stored state is not affected.
+	ErrPanic = errors.New("replica: the host has panicked")
 	// ErrGroupExists reports that the group already has a replica on this host.
 	ErrGroupExists = errors.New("replica: the group has a replica on this host")
 	// ErrRefused reports a membership change or a leadership transfer that the
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
 )
@@ -75,8 +76,8 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.peers = newPeerTable(h.senderMetadata(), opts.Raft.ElectionTicks, opts.Raft.HeartbeatTicks)
-	h.coreWorkers = newRunQueue(opts.Workers)
-	h.applyWorkers = newRunQueue(opts.ApplyWorkers)
+	h.coreWorkers = newRunQueue(opts.Workers, h.contain, h.failAfterPanic)
+	h.applyWorkers = newRunQueue(opts.ApplyWorkers, h.contain, h.failAfterPanic)
 	h.outbox = newOutbox(opts.Transport, h.metrics)
 	h.ticker.Go(h.runTicker)
 	return h, nil
@@ -240,12 +241,29 @@
 	}
 }
 
+// contain calls a function and returns its panic as an error.
+func (h *Host) contain(f func()) error { return panics.Contain(h.opts.Logger, "replica", f) }
+
+// contained calls a function, after whose panic the host stops.
+func (h *Host) contained(f func()) {
+	if err := h.contain(f); err != nil {
+		h.failAfterPanic(err)
+	}
+}
+
 // fail stops the host after a storage failure and reports the first one to OnFailure.
-func (h *Host) fail(cause error) {
+func (h *Host) fail(cause error) { h.failWith(fmt.Errorf("%w: %w", ErrStorage, cause)) }
+
+// failAfterPanic stops the host because the state of a group in memory is in doubt. What is stored is
+// as it was before.
+func (h *Host) failAfterPanic(cause error) { h.failWith(fmt.Errorf("%w: %w", ErrPanic, cause)) }
+
+// failWith stops the host and reports its first failure to OnFailure.
+func (h *Host) failWith(failure error) {
 	h.mu.Lock()
 	first := h.failure == nil
 	if first {
-		h.failure = fmt.Errorf("%w: %w", ErrStorage, cause)
+		h.failure = failure
 	}
 	err := h.failure
 	h.mu.Unlock()
@@ -253,14 +271,14 @@
 	if !first {
 		return
 	}
-	h.opts.Logger.Error("storage failed, host is stopping", "error", cause)
+	h.opts.Logger.Error("host failed and is stopping", "error", err)
 	go func() {
 		h.shutdown()
 		h.opts.OnFailure(err)
 	}()
 }
 
-// Err returns the storage failure that stopped the host, or nil.
+// Err returns the failure that stopped the host, or nil.
 func (h *Host) Err() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -275,7 +293,7 @@
 // Stop refuses new requests, transfers the leadership of all groups to other
 // replicas, waits until accepted proposals have a result and stops the host. When
 // ctx ends first, the host stops without waiting, and pending calls return
-// ErrStopped or ErrUncertain. Stop returns the storage failure, if there was one.
+// ErrStopped or ErrUncertain. Stop returns the failure of the host, if there was one.
 func (h *Host) Stop(ctx context.Context) error {
 	h.stopping.Store(true)
 	h.transferLeaderships(ctx)
--- a/internal/replica/kv_test.go
+++ b/internal/replica/kv_test.go
@@ -15,6 +15,14 @@
 	gate   chan struct{} // not nil: Apply waits until it is closed
 	// failSnapshot is the error of the next Snapshot, nil: none.
 	failSnapshot error
+	panicOn      string // key whose next command makes Apply panic, "": none
+}
+
+// panicAt makes Apply panic at the next command for a key.
+func (s *kv) panicAt(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.panicOn = key
 }
 
 // blockApply makes Apply wait until release is called.
@@ -51,6 +59,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key, value, _ := strings.Cut(string(data), "=")
+	if key == s.panicOn && key != "" {
+		s.panicOn = ""
+		panic("cannot apply " + key)
+	}
 	before := s.values[key]
 	s.values[key] = value
 	return before
--- a/internal/replica/mailbox.go
+++ b/internal/replica/mailbox.go
@@ -4,6 +4,8 @@
 
 // runQueue runs scheduled mailboxes on a fixed number of goroutines, in FIFO order.
 type runQueue struct {
+	contain func(func()) error // calls a function and returns its panic as an error
+	fail    func(error)        // reports a panic
 	mu      sync.Mutex
 	wake    *sync.Cond
 	ready   []*mailbox
@@ -11,8 +13,8 @@
 	workers sync.WaitGroup
 }
 
-func newRunQueue(workers int) *runQueue {
-	q := new(runQueue)
+func newRunQueue(workers int, contain func(func()) error, fail func(error)) *runQueue {
+	q := &runQueue{contain: contain, fail: fail}
 	q.wake = sync.NewCond(&q.mu)
 	for range workers {
 		q.workers.Go(q.work)
@@ -44,9 +46,13 @@
 	return m
 }
 
+// work runs mailboxes. One that has panicked stays scheduled, so it never runs again: its state is in
+// doubt.
 func (q *runQueue) work() {
 	for m := q.pop(); m != nil; m = q.pop() {
-		m.run()
+		if err := q.contain(m.run); err != nil {
+			q.fail(err)
+		}
 	}
 }
 
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -63,9 +63,10 @@
 		return
 	}
 	write := capturer.CaptureSnapshot()
-	g.host.snapshotWrites.Go(func() {
+	save := func() {
 		g.saveSnapshot(index, func(w io.Writer) error { return write(contextWriter{g.host.ctx, w}) })
-	})
+	}
+	g.host.snapshotWrites.Go(func() { g.host.contained(save) })
 }
 
 // saveSnapshot stores the snapshot that a function writes, and records it.
--- a/internal/routesync/fetcher.go
+++ b/internal/routesync/fetcher.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/fleetpb"
 )
 
@@ -158,7 +159,7 @@
 func (f *Fetcher) fetch(ctx context.Context, from *source, version uint64) {
 	routes, err := f.opts.Fetch(ctx, from.address, version)
 	if err == nil && routes.Version >= version {
-		f.opts.Apply(from.address, routes)
+		err = panics.Contain(f.opts.Logger, "routes", func() { f.opts.Apply(from.address, routes) })
 	}
 	reached := f.opts.InForce() >= version
 	if !reached && ctx.Err() != context.Canceled {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"ibistray.example/ibistray/internal/panics"
 )
 
 const namespace = "ibistray"
@@ -76,6 +78,7 @@
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
 		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections,
+		panics.Collector(),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -153,10 +154,15 @@
 	}
 }
 
-func (s *Server) dispatch(ctx context.Context, method string, stream *Stream) error {
+// dispatch calls the handler of a method. A panic of the handler ends the RPC with CODE_INTERNAL.
+func (s *Server) dispatch(ctx context.Context, method string, stream *Stream) (err error) {
 	h, ok := s.handlers[method]
 	if !ok {
 		return Errorf(rpcpb.Code_CODE_UNKNOWN_METHOD, "method %q is not served here", method)
 	}
-	return h(ctx, stream)
+	stream.log = s.log
+	if panicked := panics.Contain(s.log, method, func() { err = h(ctx, stream) }); panicked != nil {
+		return panicked
+	}
+	return err
 }
--- a/internal/transport/shared.go
+++ b/internal/transport/shared.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -262,7 +263,7 @@
 }
 
 // serveShared serves the calls on one stream until it ends, then waits for the calls
-// that still run.
+// that still run. A call whose handler panics gets CODE_INTERNAL.
 func serveShared(ctx context.Context, s *Stream, serve func(context.Context, *rpcpb.Call) *rpcpb.Reply) error {
 	ctx, cancel := context.WithCancel(ctx)
 	replies := newSendQueue[*rpcpb.Reply]()
@@ -284,7 +285,13 @@
 			return err
 		}
 		for _, call := range calls.Calls {
-			goroutines.Go(func() { replies.add(serve(ctx, call)) })
+			goroutines.Go(func() {
+				var reply *rpcpb.Reply
+				if err := panics.Contain(s.log, "shared call", func() { reply = serve(ctx, call) }); err != nil {
+					reply = &rpcpb.Reply{Id: call.Id, Status: statusFromError(err)}
+				}
+				replies.add(reply)
+			})
 		}
 	}
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -20,6 +21,7 @@
 type Stream struct {
 	conn net.Conn
 	r    *bufio.Reader
+	log  hclog.Logger // of the server; nil on the side of the client
 
 	mu  sync.Mutex // guards buf and writes to conn
 	buf []byte
