--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/internal/wal/waltest"
@@ -34,7 +35,7 @@
 	return nil, fmt.Errorf("open: %w", err)
 }
 
-func hasRoom() bool { return true }
+func writable() bool { return true }
 
 func TestOpenRetriesWhileDiskIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -55,7 +56,7 @@
 		other := errors.New("other failure")
 		start := time.Now()
 		var opened []time.Duration
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			opened = append(opened, time.Since(start))
 			if len(opened) < 8 {
 				return fmt.Errorf("write: %w", syscall.ENOSPC)
@@ -70,11 +71,19 @@
 	})
 }
 
+// TestOtherFailuresEndTheProcess tells failures after which a host is opened again from others.
+func TestOtherFailuresEndTheProcess(t *testing.T) {
+	for err, again := range map[error]bool{replica.ErrStorage: true, replica.ErrPanic: true, syscall.EDQUOT: true, wal.ErrLocked: false, replica.ErrConfig: false} {
+		assert.Equal(t, canReopen(fmt.Errorf("run: %w", err)), again, err)
+	}
+	assert.Assert(t, !canReopen(fmt.Errorf("%w: %w", replica.ErrStorage, wal.ErrLocked)))
+}
+
 func TestPauseStartsOverAfterAStableRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var ended []time.Time
 		var pauses []time.Duration
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if len(ended) > 0 {
 				pauses = append(pauses, time.Since(ended[len(ended)-1]))
 			}
@@ -98,9 +107,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const full = 1200 * time.Millisecond
 		var failed time.Time
-		hasRoom := func() bool { return time.Since(failed) >= full }
+		writable := func() bool { return time.Since(failed) >= full }
 		opened := 0
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if opened++; opened > 1 {
 				away := time.Since(failed)
 				assert.Assert(t, away >= full && away <= full+diskRetryInterval, "%d: away for %s", opened, away)
@@ -123,7 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var failed time.Time
 		opened := 0
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, writable, func() error {
 			if opened++; opened > 1 {
 				assert.Equal(t, time.Since(failed), minReopenDelay, "%d", opened)
 			}
@@ -143,7 +152,7 @@
 func TestFullDiskIsOpenedAgainWithoutRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start, opened := time.Now(), 0
-		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
+		err := reopenOnFailure(hclog.NewNullLogger(), nil, func() bool { return false }, func() error {
 			if opened++; opened == 2 {
 				return nil
 			}
@@ -158,24 +167,24 @@
 func TestProbeFindsAFullDisk(t *testing.T) {
 	fs := waltest.New()
 	probe := newDiskProbe(statehost.Config{DataDir: "/data", FS: fs})
-	assert.Assert(t, probe.hasRoom())
+	assert.Assert(t, probe.writable())
 	for _, fault := range []waltest.Fault{
 		{NoSpace: true}, {Full: waltest.OpCreate}, {Full: waltest.OpWrite}, {Full: waltest.OpSync}, {Full: waltest.OpSyncDir},
 		{Full: waltest.OpRename}, {Capacity: probeBytes - 1},
 	} {
 		fs.SetFault(fault)
-		assert.Assert(t, !probe.hasRoom(), "%+v", fault)
+		assert.Assert(t, !probe.writable(), "%+v", fault)
 		assert.Equal(t, len(fs.Files("")), 0, "%+v", fault)
 	}
 	fs.SetFault(waltest.Fault{Capacity: probeBytes})
-	assert.Assert(t, probe.hasRoom())
+	assert.Assert(t, probe.writable())
 }
 
 func TestStopEndsTheWaitForAFullDisk(t *testing.T) {
 	stop := make(chan struct{})
 	close(stop)
 	runs := 0
-	err := reopenOnFullDisk(hclog.NewNullLogger(), stop, hasRoom, func() error {
+	err := reopenOnFailure(hclog.NewNullLogger(), stop, writable, func() error {
 		runs++
 		return syscall.ENOSPC
 	})
--- a/internal/hosted/serve.go
+++ b/internal/hosted/serve.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ibistray.example/ibistray/internal/listener"
+	"ibistray.example/ibistray/internal/panics"
 )
 
 const (
@@ -61,6 +62,7 @@
 // newServer returns a server for a listener. connections is nil unless the connections of its
 // clients are known.
 func (p *process) newServer(l net.Listener, handler http.Handler, connections *connections) *httpServer {
+	handler = panics.Handler(p.opts.Logger, "http", handler)
 	server := &httpServer{listener: l, Server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
