Replica: a group starts without a lost initial member

A system of three stores and three standby hosts never served a request if one of its seeds ended in its first moments: no configuration was acknowledged, every entry answered 503, and all other processes ran. It made no difference whether the seed stayed away or came back, because the platform starts it again with bootstrap false. The same if all state hosts were restarted before the groups had started.

Cause: an initial member took part only when each other one had confirmed it, and it stored nothing before. A seed that started again without bootstrap waited to join under a new ID and never confirmed the others; those waited for it for ever.

Now an initial member stores the membership when it starts, and a later process on that disk goes on as that member. Other users of the package wait for all, as before.

--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
@@ -29,16 +33,27 @@
 // bootstrap is the state of an initial member until each other initial member has
 // confirmed that it has not seen this replica on another disk. The confirmations
 // keep a replica that lost its disk, and with it its vote, from voting again:
-// the members that confirmed it before refuse its new disk.
+// the members that confirmed it before refuse its new disk. See also
+// Options.BootstrapQuorumDelay.
 type bootstrap struct {
 	members         []*raftpb.Member
 	confirmed       map[uint64]bool
+	quorumTick      uint64 // tick from which a majority is enough; 0: never
 	nextRequestTick uint64 // tick of the next identity requests
 	persisting      bool   // the initial state is being written to the log
 }
 
-// beginBootstrap prepares an initial member of a new group.
-func (g *group) beginBootstrap(members []*raftpb.Member) error {
+// isComplete reports whether enough members have confirmed this replica.
+func (b *bootstrap) isComplete(now uint64) bool {
+	if b.quorumTick != 0 && now >= b.quorumTick {
+		return len(b.confirmed) > len(b.members)/2
+	}
+	return len(b.confirmed) == len(b.members)
+}
+
+// beginBootstrap prepares an initial member of a new group. It records the members, so that a
+// process that ends before the group is active resumes as an initial member.
+func (g *group) beginBootstrap(state *wal.GroupState, members []*raftpb.Member) error {
 	for _, member := range members {
 		if member.GetAddress() == g.host.opts.Address {
 			g.replicaID = member.GetId()
@@ -47,18 +62,50 @@
 	if g.replicaID == 0 {
 		return fmt.Errorf("%w: no initial member has the address %s", ErrConfig, g.host.opts.Address)
 	}
+	g.recordInitialMembers(state, members)
 	g.bootstrap = &bootstrap{members: members, confirmed: map[uint64]bool{g.replicaID: true}}
+	if delay := g.host.opts.BootstrapQuorumDelay; delay > 0 {
+		g.bootstrap.quorumTick = g.host.ticks() + uint64(delay/g.host.opts.TickInterval)
+	}
 	g.setMembers(members)
 	g.publish()
 	return nil
 }
 
+// recordInitialMembers starts to write the initial members to the log, in place of recorded ones.
+// A failure of the log stops the host. The disk of this replica is recorded only when the others
+// have confirmed it.
+func (g *group) recordInitialMembers(state *wal.GroupState, members []*raftpb.Member) {
+	initial := raft.Bootstrap(&raftpb.Membership{Members: members})
+	if state != nil && proto.Equal(state.Snapshot.GetMembership(), initial.Snapshot.GetMembership()) {
+		return
+	}
+	g.host.log.AppendAsync(g.replacement(wal.Update{Group: g.id, Snapshot: initial.Snapshot}), func(error) {})
+}
+
+// recordedMembers returns the initial members that recordInitialMembers has stored, or nil.
+func recordedMembers(state *wal.GroupState) []*raftpb.Member {
+	if state == nil || state.Snapshot.GetIndex() > 0 {
+		return nil
+	}
+	return state.Snapshot.GetMembership().GetMembers()
+}
+
+// replacement returns the updates that replace the stored state of the group by an update and
+// the known bindings.
+func (g *group) replacement(update wal.Update) []wal.Update {
+	for _, id := range slices.Sorted(maps.Keys(g.bindings)) {
+		update.Bindings = append(update.Bindings, wal.Binding{ReplicaID: id, DiskID: g.bindings[id]})
+	}
+	return []wal.Update{{Group: g.id, Remove: true}, update}
+}
+
 // beginJoin prepares a replica that waits to be added to its group. It records a
 // new replica ID for this disk, so a host that loses its disk gets another ID.
 func (g *group) beginJoin() error {
 	g.replicaID = g.host.newReplicaID()
 	binding := wal.Binding{ReplicaID: g.replicaID, DiskID: g.host.diskID}
-	if err := g.host.log.Append([]wal.Update{{Group: g.id, Bindings: []wal.Binding{binding}}}); err != nil {
+	if err := g.host.log.Append(g.replacement(wal.Update{Group: g.id, Bindings: []wal.Binding{binding}})); err != nil {
 		return fmt.Errorf("%w: %w", ErrStorage, err)
 	}
 	return g.startNode(raft.InitialState{})
@@ -83,13 +130,13 @@
 }
 
 // sendIdentityRequests sends due requests to the members that have not confirmed
-// this replica yet. Once all have, it starts to persist the initial state.
+// this replica yet. Once enough have, it starts to persist the initial state.
 func (g *group) sendIdentityRequests(now uint64) {
 	b := g.bootstrap
 	if b.persisting || now < b.nextRequestTick {
 		return
 	}
-	if len(b.confirmed) == len(b.members) {
+	if b.isComplete(now) {
 		g.persistBootstrap()
 		return
 	}
@@ -152,8 +199,12 @@
 	})
 }
 
-// confirmBinding confirms an initial member whose disk ID is durable now.
+// confirmBinding confirms an initial member whose disk ID is durable now, unless the stored state
+// was replaced meanwhile.
 func (g *group) confirmBinding(m *raftpb.Message) {
+	if !g.pendingBindings[m.GetFrom()] {
+		return
+	}
 	delete(g.pendingBindings, m.GetFrom())
 	g.bindings[m.GetFrom()] = m.GetContext()
 	g.sendIdentityReply(m, false)
@@ -201,6 +252,7 @@
 		"replica", g.replicaID, "refused_by", refusedBy)
 	g.bootstrap = nil
 	g.lostDisk = true
+	g.pendingBindings = make(map[uint64]bool)
 	g.setMembers(nil)
 	g.host.mu.Lock()
 	err := g.beginJoin()
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -97,8 +97,8 @@
 }
 
 // start resumes the replica from its stored state. Without one, the replica is an
-// initial member, or waits to join if there are no members or an earlier replica
-// was removed from this host. The caller holds the mutex of the host.
+// initial member, or waits to join if there are neither members nor recorded ones, or an
+// earlier replica was removed from this host. The caller holds the mutex of the host.
 func (g *group) start(state *wal.GroupState, members []*raftpb.Member) error {
 	removed := false
 	for _, binding := range storedBindings(state) {
@@ -108,11 +108,14 @@
 			g.replicaID = binding.ReplicaID
 		}
 	}
+	if len(members) == 0 {
+		members = recordedMembers(state)
+	}
 	switch {
 	case g.replicaID != 0:
 		return g.resume(state)
 	case len(members) > 0 && !removed:
-		return g.beginBootstrap(members)
+		return g.beginBootstrap(state, members)
 	default:
 		return g.beginJoin()
 	}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -134,8 +134,10 @@
 // directory contains resumes from its stored state, and members is ignored. Otherwise,
 // with members, the replica is the initial member of a new group that has the
 // address of this host; it participates once each other initial member has
-// confirmed that it has not seen this replica on another disk. Without members,
-// the replica waits until the group adds it as a learner with the ID from ReplicaID.
+// confirmed that it has not seen this replica on another disk, see also
+// Options.BootstrapQuorumDelay. Without members, an initial member that was started on
+// this data directory before continues; any other replica waits until the group adds it
+// as a learner with the ID from ReplicaID.
 //
 // Errors: ErrConfig, ErrGroupExists, ErrStopped, and ErrStorage when the stored
 // state is damaged.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -42,6 +42,13 @@
 	// default is the monotonic clock, which stops while the host is suspended.
 	Clock func() time.Duration
 
+	// BootstrapQuorumDelay is how long an initial member of a new group waits until all others
+	// have confirmed it. From then on a majority of the members, with itself, is enough, so that
+	// a group starts without a host that is lost. 0: it always waits for all. Set it only if
+	// AddGroup gets initial members at the first start of a group alone: a replica that lost its
+	// disk could vote again if the members that know its disk are out of reach meanwhile.
+	BootstrapQuorumDelay time.Duration
+
 	SnapshotEntries uint64 // applied entries after which a snapshot is taken; default 4096
 	SnapshotBytes   int    // bytes of applied commands after which a snapshot is taken; default 4 MiB
 	// MinSnapshotBytes is the lower bound of the bytes after which a snapshot of a small state
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -222,9 +222,13 @@
 		MaxSegments:      maxSegments,
 		SegmentSize:      diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
 		Clock:            bootTime,
-		Logger:           log.Named("replica"),
-		Registerer:       registry,
-		OnFailure:        onFailure,
+
+		// Bootstrap is never set for a disk that held replicas.
+		BootstrapQuorumDelay: hostLossTimeout,
+
+		Logger:     log.Named("replica"),
+		Registerer: registry,
+		OnFailure:  onFailure,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("statehost: open replicas in %s: %w", cfg.DataDir, err)
