State hosts: a jump of the time of day does not end the retention of turns

The leader stamped commands of the program ledger with its time of day, and records expire by the highest stamp. A jump ahead on the leader, by more than the retention and 30 s, removed every kept turn (404 to the next one) and, above five minutes, the budget of every program; after it had jumped back, nothing expired until the time of day had caught up.

Now the time of the ledger goes on from the stamps of earlier commands at the pace of the clock that counts suspension, on whichever host leads. The time of day is read for the first command only. Stamps stay in the same unit and near the time of day, so builds before this one read them; time for which all state hosts are down does not count, and records are kept that much longer.

--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// retentionMargin extends the retention of a turn. Hosts stamp commands with
-	// their own wall clocks, which may differ by some seconds.
+	// retentionMargin extends the retention of a turn. Builds that stamp commands with
+	// the time of day of their host may differ by some seconds.
 	retentionMargin = 30 * time.Second
 	// programRetentionPeriod is how long a program's budget is stored after its last
 	// command. A stopped program may resume within the retention of its turns.
@@ -81,6 +81,14 @@
 	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: newStreamTable()}
 }
 
+// NowMs returns the highest time stamp of a command, in milliseconds since the Unix epoch, or 0 before
+// the first one.
+func (s *State) NowMs() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.nowMs
+}
+
 // Result is the outcome of a command.
 type Result struct {
 	Outcome       ledgerpb.Outcome
--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -62,6 +62,7 @@
 	dir       string        // for the files outside of the log
 	bootstrap bool
 	standby   bool
+	clockStep atomic.Int64 // of the time of day, in nanoseconds
 
 	host       *Host
 	registry   *prometheus.Registry
@@ -98,6 +99,7 @@
 		{"change that is sent again", three, resentRoutes},
 		{"defective routes of an earlier build", three, defectiveRoutesInForce},
 		{"chain that is too long for one message", three, longChainIsContinued},
+		{"steps of the time of day", three, stepsOfTheTimeOfDay},
 	}
 	for _, victim := range three {
 		for delay := time.Duration(0); delay <= maxPowerLossDelay; delay += time.Millisecond {
@@ -161,6 +163,7 @@
 		HeartbeatInterval: time.Second,
 		FS:                n.fs,
 		Clock:             func() time.Duration { return time.Since(startedAt) },
+		TimeOfDay:         func() time.Time { return time.Now().Add(time.Duration(n.clockStep.Load())) },
 	}, hclog.NewNullLogger(), n.registry, n.pool, func(error) {})
 	assert.NilError(c.t, err)
 	server := transport.NewServer(hclog.NewNullLogger())
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -104,6 +104,8 @@
 	// Clock is a monotonic clock that also advances while the host is suspended; nil:
 	// the boot-time clock of the operating system.
 	Clock func() time.Duration
+	// TimeOfDay is the clock by which the time of a new program ledger begins; nil: time.Now.
+	TimeOfDay func() time.Time
 	// AccountWindow says how the limits of client accounts are measured.
 	AccountWindow quota.Window
 }
@@ -134,6 +136,7 @@
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
+	ledgerClock *ledgerClock
 	peerWatcher *fleetwatch.Watcher
 
 	pendingProposals singleflight.Group // commands to the ledger by kind and call ID, routes by version and content
@@ -180,6 +183,8 @@
 		accounts: newAccountAllocator(cfg, programs),
 		hosts:    newHostTable(),
 
+		ledgerClock: newLedgerClock(cfg, programs),
+
 		replicaReplacement: make(chan struct{}, 1),
 
 		started: time.Now(),
@@ -309,6 +314,7 @@
 // updates the gauges of the ledger.
 func (h *Host) sweep(context.Context) {
 	now := time.Now()
+	h.ledgerClock.nowMs()
 	h.servers.Sweep(now)
 	h.permits.prune(clock.SinceBoot())
 	h.accounts.prune(clock.SinceBoot())
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -44,7 +44,7 @@
 		// A command whose kind only later builds know must not be acknowledged by this one.
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command of a known kind")
 	}
-	req.Command.NowMs = time.Now().UnixMilli()
+	req.Command.NowMs = h.ledgerClock.nowMs()
 	data, err := proto.Marshal(req.Command)
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
