State hosts: kept turns beyond a fourth of the memory are on disk

Cause: the input and output of all kept turns were in memory, bounded by time and number and not by bytes.

Fix: bodies beyond a fourth of the memory limit go to a store of segment files (internal/spill), which is never synced, is emptied at each start and takes at most a fourth of the disk. A body that the disk does not take stays in memory and is counted.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -23,6 +23,7 @@
 
 	"ibistray.example/ibistray/internal/gateway"
 	"ibistray.example/ibistray/internal/policy/memory"
+	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -400,6 +401,9 @@
 // setDataAside moves the contents of a data directory into a new subdirectory whose name
 // starts with damagedPrefix. Earlier such subdirectories stay where they are.
 func setDataAside(dir string) error {
+	if err := spill.RemoveFiles(statehost.SpillDir(dir)); err != nil {
+		return fmt.Errorf("hosted: set damaged data aside: %w", err)
+	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return fmt.Errorf("hosted: set damaged data aside: %w", err)
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -1,12 +1,14 @@
 package hosted
 
 import (
+	"errors"
 	"io"
 	"path/filepath"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
 )
@@ -25,20 +27,26 @@
 	probeBytes = 1 << 20
 )
 
-// reopenOnFullDisk calls run until it returns something else than a full disk, or until
-// stop is closed. Between the calls it waits for room.
+// reopens reports whether a state host that ended with an error is opened again in the same process:
+// the disk was full, or a file was damaged that holds no durable data.
+func reopens(err error) bool {
+	return wal.IsDiskFull(err) || errors.Is(err, spill.ErrUnreadable)
+}
+
+// reopenOnFullDisk calls run until it returns something else than an error after which a state host
+// is opened again, or until stop is closed. Between the calls it waits for room.
 func reopenOnFullDisk(log hclog.Logger, stop <-chan struct{}, hasRoom func() bool, run func() error) error {
 	delay := minReopenDelay
 	for {
 		start := time.Now()
 		err := run()
-		if !wal.IsDiskFull(err) {
+		if !reopens(err) {
 			return err
 		}
 		if time.Since(start) >= stableRunTime {
 			delay = minReopenDelay
 		}
-		log.Error("disk is full: the state host is opened again", "after_ms_at_most", delay.Milliseconds(), "error", err)
+		log.Error("disk is full or a file is damaged: the state host is opened again", "after_ms_at_most", delay.Milliseconds(), "error", err)
 		wasFull, stopped := waitForRoom(stop, hasRoom, delay)
 		if stopped {
 			return nil
--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -1,13 +1,46 @@
 package ledger
 
 import (
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
+
+	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
 // Chain is a kept turn with all its ancestors. Its content, their inputs and outputs, is
-// immutable.
+// immutable. Some of it may be on disk: Err returns the error of the first method that could not
+// read it, whose result is invalid. A Chain is not safe for concurrent use.
 type Chain struct {
 	turns []*turn // oldest first
+	err   error
+}
+
+// Err returns the first error of a read. It wraps spill.ErrUnreadable or spill.ErrClosed.
+func (c *Chain) Err() error { return c.err }
+
+// read returns the content of a turn, or nothing after an error.
+func (c *Chain) read(t *turn) (input, output []byte) {
+	if c.err != nil {
+		return nil, nil
+	}
+	if input, output, c.err = t.body.read(); c.err != nil {
+		c.err = fmt.Errorf("ledger: turn %q: %w", t.key.id, c.err)
+	}
+	return input, output
+}
+
+// Exchanges returns the inputs and outputs, oldest first, or nil after an error.
+func (c *Chain) Exchanges() []*ledgerpb.Exchange {
+	exchanges := make([]*ledgerpb.Exchange, len(c.turns))
+	for i, t := range c.turns {
+		input, output := c.read(t)
+		exchanges[i] = &ledgerpb.Exchange{Input: input, Output: output}
+	}
+	if c.err != nil {
+		return nil
+	}
+	return exchanges
 }
 
 // chainOf returns the chain of a turn, which is empty for nil.
@@ -36,30 +69,36 @@
 }
 
 // Size returns the size of the content in bytes.
-func (c Chain) Size() int64 {
+func (c *Chain) Size() int64 {
 	size := int64(0)
 	for _, t := range c.turns {
-		size += t.size()
+		size += t.body.size()
 	}
 	return size
 }
 
 // Checksum returns the xxhash of the content.
-func (c Chain) Checksum() uint64 {
+func (c *Chain) Checksum() uint64 {
 	hash := xxhash.New()
 	for _, t := range c.turns {
-		_, _ = hash.Write(t.input) // never fails
-		_, _ = hash.Write(t.output)
+		input, output := c.read(t)
+		_, _ = hash.Write(input) // never fails
+		_, _ = hash.Write(output)
 	}
 	return hash.Sum64()
 }
 
 // Part returns a copy of the content from offset on, of at most limit bytes. It is empty at the
 // end of the content and beyond.
-func (c Chain) Part(offset int64, limit int) []byte {
+func (c *Chain) Part(offset int64, limit int) []byte {
 	var part []byte
 	for _, t := range c.turns {
-		for _, content := range [...][]byte{t.input, t.output} {
+		if size := t.body.size(); offset >= size {
+			offset -= size
+			continue
+		}
+		input, output := c.read(t)
+		for _, content := range [...][]byte{input, output} {
 			size := int64(len(content))
 			if offset >= size {
 				offset -= size
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -89,20 +89,28 @@
 		}
 	}
 	for _, t := range c.turns {
-		if err := writeRecord(buffered, &ledgerpb.Record{Turn: t.record()}); err != nil {
+		record, err := t.record()
+		if err != nil {
+			return err
+		}
+		if err := writeRecord(buffered, &ledgerpb.Record{Turn: record}); err != nil {
 			return err
 		}
 	}
 	return buffered.Flush()
 }
 
-func (c capturedTurn) record() *ledgerpb.Turn {
+func (c capturedTurn) record() (*ledgerpb.Turn, error) {
 	t := c.turn
-	record := &ledgerpb.Turn{Account: t.key.account, Id: t.key.id, Input: t.input, Output: t.output, Server: t.server, ExpiresMs: c.expiresMs, Hidden: c.hidden}
+	input, output, err := t.body.read()
+	if err != nil {
+		return nil, fmt.Errorf("ledger: write snapshot: turn %q: %w", t.key.id, err)
+	}
+	record := &ledgerpb.Turn{Account: t.key.account, Id: t.key.id, Input: input, Output: output, Server: t.server, ExpiresMs: c.expiresMs, Hidden: c.hidden}
 	if t.previous != nil {
 		record.Previous = t.previous.key.id
 	}
-	return record
+	return record, nil
 }
 
 func sortedKeys[V any](records map[key]V) []key {
@@ -132,40 +140,56 @@
 // Restore implements replica.StateMachine. The state is unchanged after an
 // error, which wraps ErrInvalidSnapshot.
 func (s *State) Restore(r io.Reader) error {
-	restored := New()
-	hidden := make(map[key]*turn)
+	restored, err := s.readSnapshot(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.bodies.memory.Add(-restored.memoryBytes)
+		return err
+	}
+	s.bodies.memory.Add(-s.memoryBytes)
+	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
+	s.programs, s.turns, s.turnBytes, s.memoryBytes = restored.programs, restored.turns, restored.turnBytes, restored.memoryBytes
+	s.streams = restored.streams
+	s.unknown += restored.unknown
+	return nil
+}
+
+// readSnapshot returns the state in a snapshot. It uses the bodies of this state, which exists
+// until all of the snapshot has been read. After an error the state is incomplete.
+func (s *State) readSnapshot(r io.Reader) (*State, error) {
+	restore := restore{State: newState(s.bodies), replaced: s, hidden: make(map[key]*turn)}
 	buffered := bufio.NewReader(r)
 	options := protodelim.UnmarshalOptions{MaxSize: maxRecordBytes}
 	for {
 		record := new(ledgerpb.Record)
 		err := options.UnmarshalFrom(buffered, record)
 		if errors.Is(err, io.EOF) {
-			break
+			return restore.State, nil
 		}
 		if err != nil {
-			return fmt.Errorf("%w: %w", ErrInvalidSnapshot, err)
+			return restore.State, fmt.Errorf("%w: %w", ErrInvalidSnapshot, err)
 		}
-		if err := restored.restoreRecord(record, hidden); err != nil {
-			return err
+		if err := restore.addRecord(record); err != nil {
+			return restore.State, err
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
-	s.programs, s.turns, s.turnBytes = restored.programs, restored.turns, restored.turnBytes
-	s.streams = restored.streams
-	s.unknown += restored.unknown
-	return nil
 }
 
-// restoreRecord adds one snapshot record to the state. Hidden turns go into hidden
-// instead.
-func (s *State) restoreRecord(record *ledgerpb.Record, hidden map[key]*turn) error {
+// restore is a state that is being read from a snapshot.
+type restore struct {
+	*State
+	replaced *State
+	hidden   map[key]*turn // turns that are not stored under their IDs
+}
+
+// addRecord adds one snapshot record to the state.
+func (s *restore) addRecord(record *ledgerpb.Record) error {
 	switch {
 	case record.Program != nil:
 		s.programs[key{record.Program.Account, record.Program.Id}] = restoreProgram(record.Program)
 	case record.Turn != nil:
-		return s.restoreTurn(record.Turn, hidden)
+		return s.addTurn(record.Turn)
 	case record.Stream != nil:
 		s.streams.put(key{record.Stream.Account, record.Stream.CallId}, restoreStream(record.Stream))
 	case record.NowMs != 0:
@@ -194,11 +218,10 @@
 	return p
 }
 
-func (s *State) restoreTurn(record *ledgerpb.Turn, hidden map[key]*turn) error {
+func (s *restore) addTurn(record *ledgerpb.Turn) error {
 	t := &turn{
 		key:       key{record.Account, record.Id},
-		input:     record.Input,
-		output:    record.Output,
+		body:      s.body(record),
 		server:    record.Server,
 		expiresMs: record.ExpiresMs,
 	}
@@ -206,17 +229,27 @@
 		previous := key{record.Account, record.Previous}
 		t.previous = s.turns[previous]
 		if t.previous == nil {
-			t.previous = hidden[previous]
+			t.previous = s.hidden[previous]
 		}
 		if t.previous == nil {
 			return fmt.Errorf("%w: turn %q continues from turn %q, which is missing", ErrInvalidSnapshot, record.Id, record.Previous)
 		}
 	}
 	if record.Hidden {
-		hidden[t.key] = t
+		s.hidden[t.key] = t
 		return nil
 	}
-	s.turns[t.key] = t
-	s.turnBytes += t.size()
+	s.putTurn(t)
 	return nil
 }
+
+// body returns the body of a turn, that of the replaced state if it has the same.
+func (s *restore) body(record *ledgerpb.Turn) body {
+	s.replaced.mu.RLock()
+	known := s.replaced.turns[key{record.Account, record.Id}]
+	s.replaced.mu.RUnlock()
+	if known != nil && known.body.holds(record.Input, record.Output) {
+		return known.body
+	}
+	return s.bodies.keep(record.Input, record.Output)
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
@@ -37,6 +38,8 @@
 	programs     map[key]*program // by program ID
 	turns        map[key]*turn    // by call ID
 	turnBytes    int64            // of the input and output of turns
+	memoryBytes  int64            // the part of turnBytes that is in memory
+	bodies       *bodyStore
 	streams      streamTable
 	unknown      int // commands and snapshot records of unknown kinds, since the start
 }
@@ -67,18 +70,23 @@
 type turn struct {
 	key       key // with the call ID
 	previous  *turn
-	input     []byte
-	output    []byte
+	body      body
 	server    string // that ran the turn
 	expiresMs int64
 }
 
-// size returns the size of the input and output in bytes.
-func (t *turn) size() int64 { return int64(len(t.input) + len(t.output)) }
+// New returns an empty state that holds all turns in memory.
+func New() *State { return newState(new(bodyStore)) }
 
-// New returns an empty state.
-func New() *State {
-	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: newStreamTable()}
+// NewSpilling returns an empty state that holds the input and output of turns on disk once those
+// in memory have memoryBytes. What the disk refuses stays in memory. Outcomes of commands and
+// snapshots are the same as those of a state in memory.
+func NewSpilling(disk *spill.Store, memoryBytes int64) *State {
+	return newState(&bodyStore{disk: disk, limit: memoryBytes})
+}
+
+func newState(bodies *bodyStore) *State {
+	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: newStreamTable(), bodies: bodies}
 }
 
 // Result is the outcome of a command.
@@ -93,14 +101,10 @@
 func (r Result) StreamVersion() string { return r.streamVersion }
 
 // PreviousTurns returns the turn that a Begin continues from and all its
-// ancestors, oldest first.
+// ancestors, oldest first. It returns nil if one of them cannot be read: see Chain.
 func (r Result) PreviousTurns() []*ledgerpb.Exchange {
-	turns := r.Chain().turns
-	exchanges := make([]*ledgerpb.Exchange, len(turns))
-	for i, t := range turns {
-		exchanges[i] = &ledgerpb.Exchange{Input: t.input, Output: t.output}
-	}
-	return exchanges
+	chain := r.Chain()
+	return chain.Exchanges()
 }
 
 // PreviousServer returns the backend server that ran the turn that a Begin continues
@@ -120,10 +124,7 @@
 	if err := proto.Unmarshal(data, cmd); err != nil {
 		return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nowMs = max(s.nowMs, cmd.NowMs)
-	s.expire()
+	s.advance(cmd.NowMs)
 	switch kind := cmd.Kind.(type) {
 	case *ledgerpb.Command_Begin:
 		return s.begin(kind.Begin)
@@ -132,13 +133,25 @@
 	case *ledgerpb.Command_OpenStream:
 		return s.openStreamOnly(kind.OpenStream)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.unknown++
 	return Result{}
 }
 
+// advance takes the time stamp of a command and removes what has expired.
+func (s *State) advance(nowMs int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nowMs = max(s.nowMs, nowMs)
+	s.expire()
+}
+
 // begin reserves the tokens of a turn and looks up the turn that it continues from and
 // the version of the stream that it resumes.
 func (s *State) begin(b *ledgerpb.Begin) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var previous *turn
 	if b.Previous != "" {
 		if previous = s.turns[key{b.Account, b.Previous}]; previous == nil {
@@ -183,14 +196,21 @@
 	return true
 }
 
-// finish settles a call and stores its turn when the command asks for it.
+// finish settles a call and stores its turn when the command asks for it. It may write the body
+// of the turn to the disk, so it does not hold the lock meanwhile.
 func (s *State) finish(f *ledgerpb.Finish) Result {
+	var kept body
+	if f.Keep {
+		kept = s.bodies.keep(f.Input, f.Output)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.settle(f)
 	turnKey := key{f.Account, f.CallId}
 	if !f.Keep || s.turns[turnKey] != nil {
 		return Result{}
 	}
-	t := &turn{key: turnKey, input: f.Input, output: f.Output, server: f.Server}
+	t := &turn{key: turnKey, body: kept, server: f.Server}
 	if f.Previous != "" {
 		t.previous = s.turns[key{f.Account, f.Previous}]
 		if t.previous == nil {
@@ -199,14 +219,32 @@
 		}
 	}
 	t.expiresMs = s.nowMs + f.RetentionMs + retentionMargin.Milliseconds()
-	s.turns[turnKey] = t
-	s.turnBytes += t.size()
+	s.putTurn(t)
 	for ancestor := t.previous; ancestor != nil && ancestor.expiresMs < t.expiresMs; ancestor = ancestor.previous {
 		ancestor.expiresMs = t.expiresMs
 	}
 	return Result{}
 }
 
+// putTurn stores a turn under its ID.
+func (s *State) putTurn(t *turn) {
+	s.turns[t.key] = t
+	s.turnBytes += t.body.size()
+	s.countMemory(t.body.memoryBytes())
+}
+
+func (s *State) removeTurn(turnKey key, t *turn) {
+	delete(s.turns, turnKey)
+	s.turnBytes -= t.body.size()
+	s.countMemory(-t.body.memoryBytes())
+}
+
+// countMemory counts bytes of bodies in memory, which are negative for a removed turn.
+func (s *State) countMemory(bytes int64) {
+	s.memoryBytes += bytes
+	s.bodies.memory.Add(bytes)
+}
+
 // settle replaces the reservation of a call by the tokens that it used.
 func (s *State) settle(f *ledgerpb.Finish) {
 	p := s.programs[key{f.Account, f.Program}]
@@ -240,8 +278,7 @@
 	}
 	for turnKey, t := range s.turns {
 		if t.expiresMs < s.nowMs {
-			delete(s.turns, turnKey)
-			s.turnBytes -= t.size()
+			s.removeTurn(turnKey, t)
 		}
 	}
 	s.expireStreams()
@@ -268,6 +305,7 @@
 	Turns    int
 	Streams  int
 	Bytes    int64 // of the input and output of the turns
+	Memory   int64 // the part of Bytes that is in memory
 	Unknown  int   // commands and snapshot records whose kind only later builds know
 }
 
@@ -275,5 +313,8 @@
 func (s *State) Stats() Stats {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return Stats{Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall), Bytes: s.turnBytes, Unknown: s.unknown}
+	return Stats{
+		Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall),
+		Bytes: s.turnBytes, Memory: s.memoryBytes, Unknown: s.unknown,
+	}
 }
--- a/internal/ledger/stream.go
+++ b/internal/ledger/stream.go
@@ -108,6 +108,8 @@
 
 // openStreamOnly applies an OpenStream command of a call that is not a turn of a program.
 func (s *State) openStreamOnly(o *ledgerpb.OpenStream) Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	version, found := s.openStream(o.Account, o)
 	if !found {
 		return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -91,7 +91,7 @@
 		SegmentSize: h.opts.SegmentSize,
 		Logger:      h.opts.Logger.Named("wal"),
 		Registerer:  h.opts.Registerer,
-		BeforeWrite: h.snapshots.open,
+		BeforeWrite: h.beforeWrite,
 		OnFailure:   h.fail,
 	})
 	if err != nil {
@@ -111,6 +111,12 @@
 	return nil
 }
 
+// beforeWrite makes room in the data directory.
+func (h *Host) beforeWrite(recovered map[uint64]*wal.GroupState) error {
+	h.opts.BeforeWrite()
+	return h.snapshots.open(recovered)
+}
+
 // ticks returns the number of whole ticks since the host started.
 func (h *Host) ticks() uint64 {
 	return uint64(h.opts.Clock() / h.opts.TickInterval)
@@ -240,6 +246,10 @@
 	}
 }
 
+// Fail stops the host as after a failure of its storage: the state of a replica is damaged, but
+// the log and the snapshots are not.
+func (h *Host) Fail(cause error) { h.fail(cause) }
+
 // fail stops the host after a storage failure and reports the first one to OnFailure.
 func (h *Host) fail(cause error) {
 	h.mu.Lock()
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -52,6 +52,10 @@
 	MaxSegments      int    // log segments above which lagging groups take a snapshot; default 8
 	SegmentSize      int64  // bytes of a log segment; default: that of package wal
 
+	// BeforeWrite is called once the data directory is locked and has been read, before anything
+	// is written to it, so that it can remove what takes room without being needed.
+	BeforeWrite func()
+
 	Logger     hclog.Logger
 	Registerer prometheus.Registerer // nil: no metrics
 	// OnFailure is called once when the host has stopped because its storage
@@ -74,6 +78,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.BeforeWrite == nil {
+		o.BeforeWrite = func() {}
+	}
 	if o.OnFailure == nil {
 		o.OnFailure = func(error) {}
 	}
--- a/internal/statehost/chain.go
+++ b/internal/statehost/chain.go
@@ -19,14 +19,15 @@
 )
 
 // addChain adds the chain that a turn continues from to its response, or its size and checksum if
-// it is long and the caller fetches it.
-func addChain(resp *ledgerpb.Response, result ledger.Result, fetches bool) {
+// it is long and the caller fetches it. It returns the error of a chain that cannot be read.
+func addChain(resp *ledgerpb.Response, result ledger.Result, fetches bool) error {
 	chain := result.Chain()
 	if size := chain.Size(); fetches && size > maxInlineChainBytes {
 		resp.ChainBytes, resp.ChainChecksum = uint64(size), chain.Checksum()
-		return
+	} else {
+		resp.Chain = chain.Exchanges()
 	}
-	resp.Chain = result.PreviousTurns()
+	return chain.Err()
 }
 
 // handleChain returns a part of the chain of a kept turn. Only the leader of the ledger group can
@@ -39,5 +40,9 @@
 	if !found {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "no such turn is kept any more")
 	}
-	return &ledgerpb.ChainPart{Content: chain.Part(int64(req.Offset), chainPartBytes)}, nil
+	content := chain.Part(int64(req.Offset), chainPartBytes)
+	if err := chain.Err(); err != nil {
+		return nil, h.unreadableTurn(err)
+	}
+	return &ledgerpb.ChainPart{Content: content}, nil
 }
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -27,6 +27,7 @@
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/routing"
+	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
@@ -127,6 +128,7 @@
 	config   *configState
 	packed   packedRoutes
 	ledger   *ledger.State
+	spill    *spill.Store // bodies of the ledger
 	servers  *fleet.Table
 	crashes  *crashLog
 	permits  *permitAllocator
@@ -148,6 +150,7 @@
 	persistedRevision  uint64        // revision of the servers in serversFile; used by persistServers only
 	persistedHosts     []string      // state hosts in serversFile; used by persistServers only
 	unknownReported    int64         // records of unknown kinds that were logged
+	spillReported      int64         // bodies that were not written to the disk and are counted; used by sweep only
 	diskTooSmall       bool          // result of the last checkDisk; used by sweep only
 	replicaReplacement chan struct{} // semaphore, held while a replica is replaced on the disk
 	background         sync.WaitGroup
@@ -164,7 +167,8 @@
 		peers.Close()
 		return nil, err
 	}
-	programs := ledger.New()
+	disk := newSpill(&cfg)
+	programs := ledger.NewSpilling(disk, bodyMemoryBytes(&cfg))
 	h := &Host{
 		cfg:      cfg,
 		log:      log,
@@ -174,6 +178,7 @@
 		replicas: replicas,
 		config:   newConfigState(),
 		ledger:   programs,
+		spill:    disk,
 		servers:  fleet.NewTable(),
 		crashes:  newCrashLog(),
 		permits:  newPermitAllocator(),
@@ -193,6 +198,7 @@
 	h.restoreServers()
 	if err := h.addGroups(); err != nil {
 		err = errors.Join(err, h.replicas.Stop(context.Background()))
+		h.spill.Close()
 		peers.Close()
 		return nil, err
 	}
@@ -222,6 +228,7 @@
 		MaxSegments:      maxSegments,
 		SegmentSize:      diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
 		Clock:            bootTime,
+		BeforeWrite:      func() { removeSpill(&cfg, log) },
 		Logger:           log.Named("replica"),
 		Registerer:       registry,
 		OnFailure:        onFailure,
@@ -316,6 +323,8 @@
 	h.metrics.programs.Set(float64(stats.Programs))
 	h.metrics.streams.Set(float64(stats.Streams))
 	h.metrics.turnBytes.Set(float64(stats.Bytes))
+	h.metrics.turnMemoryBytes.Set(float64(stats.Memory))
+	h.reportSpill(h.spill.Stats())
 	h.metrics.routesVersion.Set(float64(h.config.routesInForce().GetVersion()))
 	h.reportUnknown(int64(stats.Unknown) + h.config.unknown.Load())
 	h.checkDisk(stats.Bytes)
@@ -334,7 +343,7 @@
 // checkDisk logs when the state no longer fits the disk of this host, and when it fits
 // again.
 func (h *Host) checkDisk(stateBytes int64) {
-	tooSmall := !fitsDisk(stateBytes, h.cfg.DiskBytes)
+	tooSmall := !h.fitsDisk(stateBytes, h.cfg.DiskBytes)
 	if tooSmall == h.diskTooSmall {
 		return
 	}
@@ -354,6 +363,7 @@
 		h.cancel()
 		h.background.Wait()
 	}
+	h.spill.Close()
 	h.peers.Close()
 	return err
 }
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -217,7 +217,7 @@
 		Known:         now.Sub(known.firstHeard),
 		Retiring:      h.isRetiring(known.host.Address),
 		Standby:       known.host.Standby,
-		DiskTooSmall:  !fitsDisk(stateBytes, known.host.DiskBytes),
+		DiskTooSmall:  !h.fitsDisk(stateBytes, known.host.DiskBytes),
 	}
 	for _, r := range known.host.Replicas {
 		if r.Group == group {
@@ -227,10 +227,15 @@
 	return host
 }
 
-// fitsDisk reports whether a host with a disk of diskBytes, 0 if not known, can hold a
-// replica with a state of stateBytes.
-func fitsDisk(stateBytes, diskBytes int64) bool {
-	return diskBytes <= 0 || stateBytes <= diskBytes/stateDiskShare
+// fitsDisk reports whether a host with a disk of diskBytes, 0 if not known, and the memory of this
+// one can hold a replica with a state of stateBytes: its snapshots, its log and what it does not
+// hold in memory.
+func (h *Host) fitsDisk(stateBytes, diskBytes int64) bool {
+	if diskBytes <= 0 {
+		return true
+	}
+	spilled := min(max(0, stateBytes-bodyMemoryBytes(&h.cfg)), spillBytes(diskBytes))
+	return stateDiskShare*stateBytes+spilled <= diskBytes
 }
 
 // wantedVoters returns the number of voters that tolerates the configured losses.
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -23,7 +23,10 @@
 	streams           prometheus.Gauge
 	turns             prometheus.Gauge
 	turnBytes         prometheus.Gauge
-	routesVersion     prometheus.Gauge // of the routes that this host has applied
+	turnMemoryBytes   prometheus.Gauge
+	turnSpilledBytes  prometheus.Gauge
+	spillFailures     prometheus.Counter // turns that the disk did not take
+	routesVersion     prometheus.Gauge   // of the routes that this host has applied
 }
 
 const namespace = "ibistray"
@@ -60,13 +63,18 @@
 		busyResponses: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_busy_answers_total", Help: "Responses that told an entry to send less because work waits for the processor.",
 		}),
-		watchers:      gauge("watchers", "Processes that watch the backend servers and routes here."),
-		programs:      gauge("ledger_programs", "Programs in the ledger."),
-		streams:       gauge("ledger_streams", "Streams in the ledger that clients can resume."),
-		turns:         gauge("ledger_turns", "Kept turns in the ledger."),
-		turnBytes:     gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
+		watchers:         gauge("watchers", "Processes that watch the backend servers and routes here."),
+		programs:         gauge("ledger_programs", "Programs in the ledger."),
+		streams:          gauge("ledger_streams", "Streams in the ledger that clients can resume."),
+		turns:            gauge("ledger_turns", "Kept turns in the ledger."),
+		turnBytes:        gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
+		turnMemoryBytes:  gauge("ledger_turn_memory_bytes", "Part of the size of the kept turns that is in memory."),
+		turnSpilledBytes: gauge("ledger_turn_spilled_bytes", "Size of the input and output of turns that are on disk and not in memory."),
+		spillFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "ledger_spill_failures_total", Help: "Turns that stay in memory beyond its share because the disk did not take them.",
+		}),
 		routesVersion: gauge("routes_applied_version", "Version of the routes that this state host has applied."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes, m.routesVersion)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes, m.turnMemoryBytes, m.turnSpilledBytes, m.spillFailures, m.routesVersion)
 	return m
 }
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -68,7 +68,9 @@
 		h.metrics.busyResponses.Inc()
 	}
 	resp := &ledgerpb.Response{Outcome: result.Outcome, Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}
-	addChain(resp, result, req.FetchesChain)
+	if err := addChain(resp, result, req.FetchesChain); err != nil {
+		return nil, h.unreadableTurn(err)
+	}
 	return resp, nil
 }
 
