--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
 )
@@ -28,12 +29,13 @@
 	probeBytes = 1 << 20
 )
 
-// canReopen reports whether a state host can be opened again after err: a failure of its disk, or a panic of
-// its replicas. Opening writes everything anew of which an earlier fsync may have failed and rebuilds the
+// canReopen reports whether a state host can be opened again after err: a failure of its disk, an
+// unreadable file that an opening does not need, or a panic of its replicas. Opening writes everything anew of which an earlier fsync may have failed and rebuilds the
 // state from what is stored, so it is as good as a restart of the process. A data directory that
 // another process uses is not such a failure.
 func canReopen(err error) bool {
-	failed := errors.Is(err, replica.ErrStorage) || errors.Is(err, replica.ErrPanic) || wal.IsDiskFull(err)
+	failed := errors.Is(err, replica.ErrStorage) || errors.Is(err, replica.ErrPanic) ||
+		errors.Is(err, spill.ErrUnreadable) || wal.IsDiskFull(err)
 	return failed && !errors.Is(err, wal.ErrLocked)
 }
 
