Wait for the lock of the data directory

A state host that was started while the process before it still ran ended at once, exit code 1, "wal: data folder is in use"; so did the daemon's control role. The predecessor of a restarted process may need seconds to end, for instance while its disk hangs.

Both now wait for the lock as a state host does for a full disk, with a log line, until they are told to stop. Only a lock that another process holds counts as such: other errors of flock(2) are reported as what they are.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -28,7 +28,8 @@
 // explain one.
 var contextMessages = []string{
 	"leader changed", "state host is out of reach", "state host is watched", "backend server is silent", "backend server changed", "backend server said",
-	"membership step", "started", "stopping", "routes in force", "disk is full: the state host waits", "process ends",
+	"membership step", "started", "stopping", "routes in force", "disk is full: the state host waits",
+	"data directory is in use: the state host waits", "cannot listen yet", "process ends",
 }
 
 func explainCommand() *cli.Command {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,12 +18,14 @@
 	"ibistray.example/ibistray/internal/httpserver"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/listener"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/security"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/sidecar"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -36,6 +38,9 @@
 // running calls have ended.
 const stopTimeout = 5 * time.Second
 
+// lockRetryInterval is the pause between attempts to open a data directory that is in use.
+const lockRetryInterval = 300 * time.Millisecond
+
 // Daemon is a process with its roles and the resources that they share.
 type Daemon struct {
 	settings    *settings.Settings
@@ -93,7 +98,7 @@
 		internal = tls.NewListener(internal, d.credentials.ServerConfig())
 	}
 	d.http = httpserver.New(listeners[1], bodyLimitFactor*d.settings.MaxBodyBytes)
-	if err := d.createRoles(); err != nil {
+	if err := d.createRoles(ctx); err != nil {
 		listener.CloseAll(listeners)
 		return err
 	}
@@ -124,7 +129,7 @@
 	return credentials.Dial
 }
 
-func (d *Daemon) createRoles() error {
+func (d *Daemon) createRoles(ctx context.Context) error {
 	s := d.settings
 	countRetry := func(reason string) { d.metrics.Retries.WithLabelValues(reason).Inc() }
 	if len(s.ControlAddresses) > 0 {
@@ -133,12 +138,10 @@
 		d.configuration = configclient.New(leaders)
 	}
 	if s.HasRole(settings.RoleControl) {
-		role, err := newControlRole(s, d.log.Named("control"), d.metrics, d.pool, d.fail)
-		if err != nil {
+		if err := d.openControl(ctx); err != nil {
 			return err
 		}
-		d.control = role
-		role.register(d.server)
+		d.control.register(d.server)
 	}
 	if s.HasRole(settings.RoleEntry) {
 		if err := d.createEntry(); err != nil {
@@ -151,6 +154,25 @@
 	return nil
 }
 
+// openControl opens the control role. It waits until no other process uses the data directory, such
+// as a predecessor that ends, or until ctx ends. Each attempt registers its metrics anew.
+func (d *Daemon) openControl(ctx context.Context) error {
+	for waiting := false; ; waiting = true {
+		d.metrics = telemetry.NewMetrics()
+		role, err := newControlRole(d.settings, d.log.Named("control"), d.metrics, d.pool, d.fail)
+		if !errors.Is(err, wal.ErrLocked) {
+			d.control = role
+			return err
+		}
+		if !waiting {
+			d.log.Error("data directory is in use: the control role waits", "error", err)
+		}
+		if !loop.Sleep(ctx, lockRetryInterval) {
+			return fmt.Errorf("daemon: %w", ctx.Err())
+		}
+	}
+}
+
 func (d *Daemon) createEntry() error {
 	s := d.settings
 	operatorKeys, err := entry.LoadOperatorKeys(s.OperatorKeyFile)
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -35,8 +35,8 @@
 	// deregistrationDelay is how long the load balancer may send new connections after the
 	// entry stops being ready: two checks one second apart, plus a margin.
 	deregistrationDelay = 3 * time.Second
-	// diskRetryInterval is the pause between attempts to open a data directory on a full disk.
-	diskRetryInterval = 300 * time.Millisecond
+	// openRetryInterval is the pause between attempts to open a data directory.
+	openRetryInterval = 300 * time.Millisecond
 	dirMode           = 0o700
 	// maxFailures is the number of failures that are kept; the first one ends the process.
 	maxFailures = 4
@@ -309,19 +309,21 @@
 }
 
 // openWithRetries opens a state host. It retries while the disk is full, because a
-// restarted process would find the same disk. Damaged data is set aside once, as if the
-// disk had been lost: the other hosts hold all acknowledged data. If stop is closed
-// before the host is open, it returns nil and no error.
+// restarted process would find the same disk, and while another process uses the data
+// directory, because that may be a predecessor that ends. Damaged data is set aside once,
+// as if the disk had been lost: the other hosts hold all acknowledged data. If stop is
+// closed before the host is open, it returns nil and no error.
 func openWithRetries(cfg statehost.Config, open func(statehost.Config) (*statehost.Host, error), log hclog.Logger, stop <-chan struct{}) (*statehost.Host, error) {
-	diskFull, setAsideOnce := false, false
+	logged, setAsideOnce := "", false
 	for {
 		host, err := open(cfg)
+		reason := waitReason(err)
 		switch {
-		case wal.IsDiskFull(err):
-			if !diskFull {
-				log.Error("disk is full: the state host waits", "error", err)
+		case reason != "":
+			if reason != logged {
+				log.Error(reason+": the state host waits", "error", err)
 			}
-			diskFull = true
+			logged = reason
 		case errors.Is(err, wal.ErrCorrupt) && !setAsideOnce:
 			setAsideOnce = true
 			log.Error("stored data is damaged: it is set aside and fetched from other hosts", "error", err)
@@ -335,11 +337,22 @@
 		select {
 		case <-stop:
 			return nil, nil
-		case <-time.After(diskRetryInterval):
+		case <-time.After(openRetryInterval):
 		}
 	}
 }
 
+// waitReason returns why a state host waits that cannot be opened, or "" if it must not wait.
+func waitReason(err error) string {
+	switch {
+	case wal.IsDiskFull(err):
+		return "disk is full"
+	case errors.Is(err, wal.ErrLocked):
+		return "data directory is in use"
+	}
+	return ""
+}
+
 // damagedPrefix is the prefix of the names of directories with damaged data.
 const damagedPrefix = "damaged-"
 
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -1,10 +1,12 @@
 package hosted
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -43,7 +45,22 @@
 		host, err := openWithRetries(statehost.Config{}, o.open, hclog.NewNullLogger(), nil)
 		assert.NilError(t, err)
 		assert.Assert(t, host != nil)
-		assert.Equal(t, time.Since(start), 3*diskRetryInterval)
+		assert.Equal(t, time.Since(start), 3*openRetryInterval)
+	})
+}
+
+// TestOpenWaitsForThePredecessor guards against a state host that ends since the process before it has
+// not ended yet.
+func TestOpenWaitsForThePredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &fakeOpener{errs: []error{wal.ErrLocked, wal.ErrLocked, syscall.ENOSPC}}
+		var lines bytes.Buffer
+		start := time.Now()
+		host, err := openWithRetries(statehost.Config{}, o.open, hclog.New(&hclog.LoggerOptions{Output: &lines}), nil)
+		assert.NilError(t, err)
+		assert.Assert(t, host != nil)
+		assert.Equal(t, time.Since(start), 3*openRetryInterval)
+		assert.Equal(t, strings.Count(lines.String(), "the state host waits"), 2, "one line for each cause: %s", lines.String())
 	})
 }
 
@@ -103,7 +120,7 @@
 		err := reopenOnFullDisk(hclog.NewNullLogger(), nil, hasRoom, func() error {
 			if opened++; opened > 1 {
 				away := time.Since(failed)
-				assert.Assert(t, away >= full && away <= full+diskRetryInterval, "%d: away for %s", opened, away)
+				assert.Assert(t, away >= full && away <= full+openRetryInterval, "%d: away for %s", opened, away)
 			}
 			if opened == 8 {
 				return nil
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -61,7 +61,7 @@
 		select {
 		case <-stop:
 			return wasFull, true
-		case <-time.After(min(diskRetryInterval, time.Until(end))):
+		case <-time.After(min(openRetryInterval, time.Until(end))):
 		}
 		if wasFull && hasRoom() {
 			break
--- a/internal/hosted/stale_failure_test.go
+++ b/internal/hosted/stale_failure_test.go
@@ -31,7 +31,7 @@
 	go func() {
 		ended <- RunStateHost(cfg, Addresses{Control: "127.0.0.1:0", Peers: "127.0.0.1:0"}, handler, opts, stop)
 	}()
-	time.Sleep(diskRetryInterval)
+	time.Sleep(openRetryInterval)
 	assert.Equal(t, len(opened), 0)
 	fs.SetFault(waltest.Fault{})
 	<-opened
--- a/internal/wal/osfs.go
+++ b/internal/wal/osfs.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -77,7 +78,10 @@
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		f.Close()
-		return nil, fmt.Errorf("%w: %s: %w", ErrLocked, name, err)
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%w: %s: %w", ErrLocked, name, err)
+		}
+		return nil, fmt.Errorf("wal: lock %s: %w", name, err)
 	}
 	return f, nil
 }
