SIGHUP ends no process that starts

A settings change while a process started ended it: SIGHUP had its default action until signal.Notify was called, after the Go runtime, the initialization of all packages and the settings file. internal/hangup ignores the signal in a C constructor, before the Go runtime starts, which leaves it ignored until Notify. Without cgo it is ignored when packages are initialized. The settings are read later in any case, so nothing is lost.

--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ibistray.example/ibistray/internal/daemon"
+	_ "ibistray.example/ibistray/internal/hangup" // before the first instruction of main
 	"ibistray.example/ibistray/internal/httpserver"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/telemetry"
