Wait for the settings file at the start

A process ended with exit code 2 when its settings file was missing, empty or cut off at that moment, or lacked an address of its role, while at a reload such a file is passed over. A file that is cut off between two fields was taken as it was: without `bootstrap`, no group is created.

Hosted roles now read the file again until two reads in a row, 20 ms apart, agree and have what the role needs, for 5 s at most. SIGTERM ends the wait. After that the process ends as before, with the same error. A start takes 20 ms longer. Signals are taken before the file is read.

TestProcessesWaitForTheirSettings failed before: store-1 had ended with an empty file. It passes now (go test -run TestProcessesWaitForTheirS ./platform/platformtest), as do the tests of cmd/ibistrayd.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -10,9 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
 	"ibistray.example/ibistray/internal/gateway"
@@ -33,9 +30,6 @@
 	// gcPercent keeps the heap close to the size of the live objects at the cost of more
 	// collections. A hosted process uses only a few percent of a core.
 	gcPercent = 30
-	// settingsReloadInterval is the interval between two reads of the settings file, which
-	// may change without a signal.
-	settingsReloadInterval = time.Second
 )
 
 // hostedCommands returns the commands of the roles on hosts whose platform writes a
@@ -49,8 +43,8 @@
 		&cli.BoolFlag{Name: flagStandby, Usage: "hold replicas only while too few other state hosts can", Sources: cli.EnvVars("IBISTRAYD_STANDBY")},
 	}
 	return []*cli.Command{
-		{Name: "entry", Usage: "serve clients on a host of the platform", Flags: append(memoryFlags(), flags...), Action: runHosted(runEntry)},
-		{Name: "statehost", Usage: "store replicated state on a host of the platform", Flags: append(stateHostFlags, flags...), Action: runHosted(runStateHost)},
+		{Name: "entry", Usage: "serve clients on a host of the platform", Flags: append(memoryFlags(), flags...), Action: runHosted(hostedRole{checkEntrySettings, runEntry})},
+		{Name: "statehost", Usage: "store replicated state on a host of the platform", Flags: append(stateHostFlags, flags...), Action: runHosted(hostedRole{checkStateHostSettings, runStateHost})},
 	}
 }
 
@@ -63,15 +57,18 @@
 	stop     <-chan struct{} // closed when the process must stop
 }
 
+// hostedRole is a role on hosts whose platform writes a settings file.
+type hostedRole struct {
+	check func(*platform.Settings) error // an error says that the role lacks a setting
+	run   func(hostedProcess) error
+}
+
 // runHosted returns an action that loads the settings of the platform, prepares the process
 // and runs a role.
-func runHosted(run func(hostedProcess) error) cli.ActionFunc {
+func runHosted(role hostedRole) cli.ActionFunc {
 	return func(_ context.Context, cmd *cli.Command) error {
-		path := os.Getenv(platform.SettingsPathEnvVar)
-		settings, err := platform.LoadSettings(path)
-		if err != nil {
-			return err
-		}
+		signals := make(chan os.Signal, 4)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 		memory, err := readMemorySettings(cmd)
 		if err != nil {
 			return err
@@ -82,6 +79,14 @@
 		if err != nil {
 			return err
 		}
+		path := os.Getenv(platform.SettingsPathEnvVar)
+		if path == "" {
+			return fmt.Errorf("%w: %s is not set", platform.ErrSettings, platform.SettingsPathEnvVar)
+		}
+		settings, err := newSettingsLoader(path, role.check).await(signals, log)
+		if settings == nil {
+			return err
+		}
 		log = log.With("node", settings.Host)
 		limitRuntime(settings)
 		p := hostedProcess{settings: settings, options: hosted.Options{
@@ -92,8 +97,8 @@
 		if port := cmd.Uint16(flagMetricsPort); port != 0 {
 			p.options.MetricsAddress = fmt.Sprintf("%s:%d", settings.IP, port)
 		}
-		p.stop = watchSignals(path, p.options.Seeds, log)
-		if err := run(p); err != nil {
+		p.stop = watchSignals(signals, path, p.options.Seeds, log)
+		if err := role.run(p); err != nil {
 			log.Error("process ends", "error", err)
 			return &runError{err: err}
 		}
@@ -111,51 +116,8 @@
 	}
 }
 
-// watchSignals returns a channel that is closed at SIGTERM or SIGINT. Until then, it reloads
-// the settings file at SIGHUP and every settingsReloadInterval.
-func watchSignals(path string, seeds *hosted.Seeds, log hclog.Logger) <-chan struct{} {
-	stop := make(chan struct{})
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go func() {
-		ticker := time.NewTicker(settingsReloadInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case s := <-signals:
-				if s != syscall.SIGHUP {
-					close(stop)
-					return
-				}
-				reloadSettings(path, seeds, log)
-			case <-ticker.C:
-				reloadSettings(path, seeds, log)
-			}
-		}
-	}()
-	return stop
-}
-
-// reloadSettings updates the seeds from the settings file. A file that cannot be loaded
-// changes nothing.
-func reloadSettings(path string, seeds *hosted.Seeds, log hclog.Logger) {
-	settings, err := platform.LoadSettings(path)
-	if err != nil {
-		log.Warn("settings not reloaded, the earlier ones stay in use", "error", err)
-		return
-	}
-	if seeds.Replace(settings.SeedPeerAddresses()) {
-		log.Info("settings reloaded", "seeds", seeds.Addresses())
-	}
-}
-
-var errIncompleteSettings = errors.New("the settings lack an address or the data directory of this role")
-
 func runEntry(p hostedProcess) error {
 	s := p.settings
-	if s.ClientAddress == "" || s.ReadyAddress == "" {
-		return fmt.Errorf("entry: %w", errIncompleteSettings)
-	}
 	cfg := gateway.Config{
 		Name:                s.Host,
 		FailureDomain:       s.FailureDomain,
@@ -174,9 +136,6 @@
 
 func runStateHost(p hostedProcess) error {
 	s := p.settings
-	if s.ControlAddress == "" || s.DataDir == "" {
-		return fmt.Errorf("statehost: %w", errIncompleteSettings)
-	}
 	cfg := statehost.Config{
 		Name:              s.Host,
 		Address:           s.PeerAddress(),
