--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -86,7 +86,7 @@
 		select {
 		case <-stop:
 			return wasUnwritable, true
-		case <-time.After(min(diskRetryInterval, time.Until(end))):
+		case <-time.After(min(openRetryInterval, time.Until(end))):
 		}
 		if wasUnwritable && writable() {
 			break
