State hosts: two messages of peers that made a handler panic

A request for permits whose candidate has no notice, and one for a part of a chain whose offset is 2^63 or more, made the goroutine of the call panic, which ended the state host before panics were contained. This build sends neither; a message of another build or a changed one may.

A missing notice names no server now, and an offset that no chain has is beyond its end.

--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -72,7 +72,11 @@
 	return &fleetpb.Notice{Server: n.ID, Address: n.Address, BornMs: n.StartUnixMs, Leaving: n.Leaving, Limit: LimitToProto(n.Limit)}
 }
 
-// NoticeFromProto converts a notice that an entry sent from its wire format.
+// NoticeFromProto converts a notice that an entry sent from its wire format. A nil notice names no
+// server.
 func NoticeFromProto(msg *fleetpb.Notice, source string) Notice {
-	return Notice{ID: msg.Server, Address: msg.Address, StartUnixMs: msg.BornMs, Leaving: msg.Leaving, Limit: LimitFromProto(msg.Limit), Source: source}
+	return Notice{
+		ID: msg.GetServer(), Address: msg.GetAddress(), StartUnixMs: msg.GetBornMs(), Leaving: msg.GetLeaving(),
+		Limit: LimitFromProto(msg.GetLimit()), Source: source,
+	}
 }
--- a/internal/statehost/chain.go
+++ b/internal/statehost/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/peer"
@@ -39,5 +40,5 @@
 	if !found {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "no such turn is kept any more")
 	}
-	return &ledgerpb.ChainPart{Content: chain.Part(int64(req.Offset), chainPartBytes)}, nil
+	return &ledgerpb.ChainPart{Content: chain.Part(int64(min(req.Offset, math.MaxInt64)), chainPartBytes)}, nil
 }
