--- a/internal/statehost/chain.go
+++ b/internal/statehost/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/peer"
@@ -40,7 +41,7 @@
 	if !found {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "no such turn is kept any more")
 	}
-	content := chain.Part(int64(req.Offset), chainPartBytes)
+	content := chain.Part(int64(min(req.Offset, math.MaxInt64)), chainPartBytes)
 	if err := chain.Err(); err != nil {
 		return nil, h.unreadableTurn(err)
 	}
