Test of kept turns in memory: the work stands still while it is measured

The test failed once in a whole run beside a load of 98: "writing: 35 MB in use of 48". Now the work passes 2 MB at a time, and a collection with nothing beside it says what is in use.

--- a/internal/statehost/kept_turns_memory_test.go
+++ b/internal/statehost/kept_turns_memory_test.go
@@ -5,9 +5,8 @@
 	"io"
 	"os"
 	"path/filepath"
-	"runtime/debug"
+	"runtime"
 	runtimemetrics "runtime/metrics"
-	"sync"
 	"testing"
 	"time"
 
@@ -20,31 +19,46 @@
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
 
-// liveHeap returns the bytes that the latest garbage collection found in use.
+// liveHeap collects the garbage and returns the bytes in use.
 func liveHeap() int64 {
+	runtime.GC()
 	sample := []runtimemetrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	runtimemetrics.Read(sample)
 	return int64(sample[0].Value.Uint64())
 }
 
-// peakHeap returns the most that garbage collections find in use while a function runs.
-func peakHeap(run func()) (peak int64) {
-	var sampler sync.WaitGroup
-	stop := make(chan struct{})
-	sampler.Go(func() {
-		for {
-			peak = max(peak, liveHeap())
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	})
-	run()
-	close(stop)
-	sampler.Wait()
-	return peak
+// heapSampler finds the most memory that is in use while data passes through it. The work stands
+// still while it collects garbage, so that nothing but objects in use counts.
+type heapSampler struct {
+	unsampled int
+	peak      int64
+}
+
+// heapSampleBytes is the data between two samples.
+const heapSampleBytes = 2 << 20
+
+func (s *heapSampler) pass(bytes int) {
+	if s.unsampled += bytes; s.unsampled >= heapSampleBytes {
+		s.unsampled = 0
+		s.peak = max(s.peak, liveHeap())
+	}
+}
+
+// sampledFile samples the memory as a file is read or written.
+type sampledFile struct {
+	heapSampler
+	file *os.File
+}
+
+func (f *sampledFile) Read(data []byte) (int, error) {
+	n, err := f.file.Read(data)
+	f.pass(n)
+	return n, err
+}
+
+func (f *sampledFile) Write(data []byte) (int, error) {
+	f.pass(len(data))
+	return f.file.Write(data)
 }
 
 // startLimitedHost starts the only state host of a cluster on a disk, with limits.
@@ -72,30 +86,34 @@
 // exceeded their limit, and again when a restart or a new replica restored a snapshot.
 func TestKeptTurnsBeyondTheMemory(t *testing.T) {
 	const limit, kept, turnBytes = 48 << 20, 64 << 20, 32 << 10
-	defer debug.SetGCPercent(debug.SetGCPercent(30))
 	snapshot, err := os.Create(filepath.Join(t.TempDir(), "snapshot"))
 	assert.NilError(t, err)
 	defer snapshot.Close()
 	peaks := make(map[string]int64)
 	h := startLimitedHost(t, t.TempDir(), limit, func(err error) { t.Error(err) })
-	peaks["keeping"] = peakHeap(func() {
-		for n := range kept / turnBytes {
-			cmd, err := proto.Marshal(keptTurn(n, turnBytes))
-			assert.NilError(t, err)
-			h.ledger.Apply(uint64(n), cmd)
-		}
-	})
-	peaks["writing"] = peakHeap(func() { assert.NilError(t, h.ledger.Snapshot(snapshot)) })
-	restore := func() {
+	var keeping heapSampler
+	for n := range kept / turnBytes {
+		cmd, err := proto.Marshal(keptTurn(n, turnBytes))
+		assert.NilError(t, err)
+		h.ledger.Apply(uint64(n), cmd)
+		keeping.pass(turnBytes)
+	}
+	peaks["keeping"] = keeping.peak
+	writing := &sampledFile{file: snapshot}
+	assert.NilError(t, h.ledger.Snapshot(writing))
+	peaks["writing"] = writing.peak
+	restore := func() int64 {
 		_, err := snapshot.Seek(0, io.SeekStart)
 		assert.NilError(t, err)
-		assert.NilError(t, h.ledger.Restore(snapshot))
+		reading := &sampledFile{file: snapshot}
+		assert.NilError(t, h.ledger.Restore(reading))
+		return max(reading.peak, liveHeap())
 	}
-	peaks["installing"] = peakHeap(restore)
+	peaks["installing"] = restore()
 	stopHost(t, h)
 	h = startLimitedHost(t, t.TempDir(), limit, func(err error) { t.Error(err) })
 	defer stopHost(t, h)
-	peaks["restoring"] = peakHeap(restore)
+	peaks["restoring"] = restore()
 	assert.Equal(t, h.ledger.Stats().Bytes, int64(kept))
 	for phase, peak := range peaks {
 		t.Logf("%s: at most %d MB in use", phase, peak>>20)
