Entries: a client that reads slowly keeps its response

A response ended as "unread" although its client read all the time. A blocked write goes on only when a third of the kernel's send buffer is free, which grows to 4 MB, so nothing seems to be taken meanwhile. Besides, a write had between half of the timeout and all of it.

The unsent bytes of a client's connection are limited to 64 KB (TCP_NOTSENT_LOWAT), so that room shows early, and a write has between one and one and a quarter timeouts. What remains are the steps in which a client's kernel reports room: see docs/design/memory.md.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -281,13 +281,13 @@
 // FlushError flushes the response, for http.ResponseController.
 func (w *unreadLimiter) FlushError() error { return w.note(w.control.Flush()) }
 
-// extend moves the deadline of writes to at least half of the timeout after now. It does not
-// move it with each write, of which a stream has many.
+// extend moves the deadline of writes to at least the timeout after now, and at most a quarter more.
+// It does not move it with each write, of which a stream has many.
 func (w *unreadLimiter) extend(now time.Time) error {
-	if w.timeout <= 0 || w.deadline.Equal(w.end) || w.deadline.Sub(now) > w.timeout/2 {
+	if w.timeout <= 0 || w.deadline.Equal(w.end) || w.deadline.Sub(now) >= w.timeout {
 		return nil
 	}
-	w.deadline = now.Add(w.timeout)
+	w.deadline = now.Add(w.timeout + w.timeout/4)
 	if w.deadline.After(w.end) {
 		w.deadline = w.end
 	}
--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -126,6 +126,7 @@
 // accept registers a new connection, closes idle ones if there are many, and returns the
 // context of the connection.
 func (c *connections) accept(ctx context.Context, conn net.Conn) context.Context {
+	gateway.LimitUnsent(conn)
 	added := &clientConn{Conn: conn}
 	since := c.now()
 	added.waitingSince.Store(since)
