--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -29,7 +29,7 @@
 var contextMessages = []string{
 	"leader changed", "state host is out of reach", "state host is watched", "backend server is silent", "backend server changed", "backend server said",
 	"membership step", "started", "stopping", "routes in force", "disk is full: the state host waits",
-	"storage failed: the state host is opened again", "process ends",
+	"storage failed: the state host is opened again", "data directory is in use: the state host waits", "cannot listen yet", "process ends",
 }
 
 func explainCommand() *cli.Command {
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -1,32 +1,40 @@
 // Package inflight counts tasks that may begin while somebody waits for those in progress.
 package inflight
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// waiting is the bit of Group.state that is set while somebody waits.
+const waiting = 1 << 62
 
 // Group counts tasks in progress. Unlike with sync.WaitGroup, a task may begin at any time, also
 // while Wait waits and as the last task ends: the requests of clients and peers arrive when they
-// do. The zero value is ready for use. A Group is safe for concurrent use.
+// do. The zero value is ready for use. A Group is safe for concurrent use. Begin and End take no
+// lock unless somebody waits.
 type Group struct {
+	state atomic.Int64 // tasks in progress, plus waiting
 	mu    sync.Mutex
-	count int
-	idle  chan struct{} // closed when count becomes 0; nil while nobody waits
+	idle  chan struct{} // closed when no task is in progress; not nil while waiting is set
 }
 
 // Begin counts a task, which ends with a call of End.
-func (g *Group) Begin() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.count++
-}
+func (g *Group) Begin() { g.state.Add(1) }
 
 // End ends a task.
 func (g *Group) End() {
+	if g.state.Add(-1) == waiting {
+		g.wake()
+	}
+}
+
+// wake ends all waits, unless another task has begun: the end of that one calls wake again.
+func (g *Group) wake() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.count--
-	if g.count == 0 && g.idle != nil {
+	if g.state.CompareAndSwap(waiting, 0) {
 		close(g.idle)
-		g.idle = nil
 	}
 }
 
@@ -39,18 +47,18 @@
 	}()
 }
 
-// Wait returns when there was a moment after its call at which no task was in progress. Tasks that
-// began after that moment may run.
+// Wait returns at a moment at which no task was in progress. Tasks that began after that moment
+// may run.
 func (g *Group) Wait() {
 	g.mu.Lock()
-	if g.count == 0 {
-		g.mu.Unlock()
-		return
-	}
-	if g.idle == nil {
+	if g.state.Load()&waiting == 0 {
 		g.idle = make(chan struct{})
+		g.state.Or(waiting)
 	}
 	idle := g.idle
 	g.mu.Unlock()
+	if g.state.Load() == waiting {
+		g.wake()
+	}
 	<-idle
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -92,7 +92,7 @@
 		SegmentSize: h.opts.SegmentSize,
 		Logger:      h.opts.Logger.Named("wal"),
 		Registerer:  h.opts.Registerer,
-		BeforeWrite: h.snapshots.open,
+		BeforeWrite: h.beforeWrite,
 		OnFailure:   h.fail,
 	})
 	if err != nil {
@@ -112,6 +112,12 @@
 	return nil
 }
 
+// beforeWrite makes room in the data directory.
+func (h *Host) beforeWrite(recovered map[uint64]*wal.GroupState) error {
+	h.opts.BeforeWrite()
+	return h.snapshots.open(recovered)
+}
+
 // ticks returns the number of whole ticks since the host started.
 func (h *Host) ticks() uint64 {
 	return uint64(h.opts.Clock() / h.opts.TickInterval)
@@ -135,8 +141,10 @@
 // directory contains resumes from its stored state, and members is ignored. Otherwise,
 // with members, the replica is the initial member of a new group that has the
 // address of this host; it participates once each other initial member has
-// confirmed that it has not seen this replica on another disk. Without members,
-// the replica waits until the group adds it as a learner with the ID from ReplicaID.
+// confirmed that it has not seen this replica on another disk, see also
+// Options.BootstrapQuorumDelay. Without members, an initial member that was started on
+// this data directory before continues; any other replica waits until the group adds it
+// as a learner with the ID from ReplicaID.
 //
 // Errors: ErrConfig, ErrGroupExists, ErrStopped, and ErrStorage when the stored
 // state is damaged.
@@ -251,6 +259,10 @@
 	}
 }
 
+// Fail stops the host as after a failure of its storage: the state of a replica is damaged, but
+// the log and the snapshots are not.
+func (h *Host) Fail(cause error) { h.fail(cause) }
+
 // fail stops the host after a storage failure and reports the first one to OnFailure.
 func (h *Host) fail(cause error) { h.failWith(fmt.Errorf("%w: %w", ErrStorage, cause)) }
 
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -44,7 +44,7 @@
 		// A command whose kind only later builds know must not be acknowledged by this one.
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command of a known kind")
 	}
-	req.Command.NowMs = time.Now().UnixMilli()
+	req.Command.NowMs = h.ledgerClock.nowMs()
 	data, err := proto.Marshal(req.Command)
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
@@ -68,7 +68,9 @@
 		h.metrics.busyResponses.Inc()
 	}
 	resp := &ledgerpb.Response{Outcome: result.Outcome, Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}
-	addChain(resp, result, req.FetchesChain)
+	if err := addChain(resp, result, req.FetchesChain); err != nil {
+		return nil, h.unreadableTurn(err)
+	}
 	return resp, nil
 }
 
