--- a/internal/hosted/disk_full_test.go
+++ b/internal/hosted/disk_full_test.go
@@ -105,7 +105,9 @@
 		close(h.stop)
 	}
 	for _, h := range d.hosts {
-		assert.Check(d.t, <-h.ended == nil)
+		if err := <-h.ended; err != nil {
+			d.t.Errorf("the process of %s ended: %v", h.address, err)
+		}
 	}
 }
 
--- a/internal/hosted/storage_failure_test.go
+++ b/internal/hosted/storage_failure_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,10 +22,12 @@
 
 // lonelyHost is a state host that is its own quorum.
 type lonelyHost struct {
-	t      *testing.T
-	opened chan *statehost.Host // one for each opening
-	stop   chan struct{}
-	ended  chan error
+	t       *testing.T
+	address string // for other processes
+	opened  chan *statehost.Host
+	count   atomic.Int64 // of openings
+	stop    chan struct{}
+	ended   chan error
 }
 
 // runLonelyHost starts the process of a state host. A disk of 64 KB makes it begin a segment of the log
@@ -36,8 +39,9 @@
 		Name: "host", Address: addresses[0], DataDir: dir, Bootstrap: true, DiskBytes: 64 << 10, FS: fs,
 		DecodeRoutes: decodeVersion, HeartbeatInterval: time.Second,
 	}
-	h := &lonelyHost{t: t, opened: make(chan *statehost.Host, 100), stop: make(chan struct{}), ended: make(chan error, 1)}
+	h := &lonelyHost{t: t, address: addresses[0], opened: make(chan *statehost.Host, 100), stop: make(chan struct{}), ended: make(chan error, 1)}
 	handler := func(host *statehost.Host) http.Handler {
+		h.count.Add(1)
 		h.opened <- host
 		return http.NotFoundHandler()
 	}
@@ -67,8 +71,9 @@
 	ctx, cancel := context.WithTimeout(h.t.Context(), recoveryTimeout)
 	defer cancel()
 	document := fmt.Appendf(nil, "%d %01000d", version, 0)
+	openings := h.count.Load()
 	err := host.ApplyRoutes(ctx, document)
-	for err != nil && ctx.Err() == nil && len(h.opened) == 0 {
+	for err != nil && ctx.Err() == nil && h.count.Load() == openings {
 		time.Sleep(20 * time.Millisecond)
 		err = host.ApplyRoutes(ctx, document)
 	}
