--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
 )
@@ -75,8 +76,8 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.peers = newPeerTable(h.senderMetadata(), opts.Raft.ElectionTicks, opts.Raft.HeartbeatTicks)
-	h.coreWorkers = newRunQueue(opts.Workers)
-	h.applyWorkers = newRunQueue(opts.ApplyWorkers)
+	h.coreWorkers = newRunQueue(opts.Workers, h.contain, h.failAfterPanic)
+	h.applyWorkers = newRunQueue(opts.ApplyWorkers, h.contain, h.failAfterPanic)
 	h.outbox = newOutbox(opts.Transport, h.metrics)
 	h.ticker.Go(h.runTicker)
 	return h, nil
@@ -91,7 +92,7 @@
 		SegmentSize: h.opts.SegmentSize,
 		Logger:      h.opts.Logger.Named("wal"),
 		Registerer:  h.opts.Registerer,
-		BeforeWrite: h.snapshots.open,
+		BeforeWrite: h.beforeWrite,
 		OnFailure:   h.fail,
 	})
 	if err != nil {
@@ -111,6 +112,12 @@
 	return nil
 }
 
+// beforeWrite makes room in the data directory.
+func (h *Host) beforeWrite(recovered map[uint64]*wal.GroupState) error {
+	h.opts.BeforeWrite()
+	return h.snapshots.open(recovered)
+}
+
 // ticks returns the number of whole ticks since the host started.
 func (h *Host) ticks() uint64 {
 	return uint64(h.opts.Clock() / h.opts.TickInterval)
@@ -134,8 +141,10 @@
 // directory contains resumes from its stored state, and members is ignored. Otherwise,
 // with members, the replica is the initial member of a new group that has the
 // address of this host; it participates once each other initial member has
-// confirmed that it has not seen this replica on another disk. Without members,
-// the replica waits until the group adds it as a learner with the ID from ReplicaID.
+// confirmed that it has not seen this replica on another disk, see also
+// Options.BootstrapQuorumDelay. Without members, an initial member that was started on
+// this data directory before continues; any other replica waits until the group adds it
+// as a learner with the ID from ReplicaID.
 //
 // Errors: ErrConfig, ErrGroupExists, ErrStopped, and ErrStorage when the stored
 // state is damaged.
@@ -240,12 +249,33 @@
 	}
 }
 
+// contain calls a function and returns its panic as an error.
+func (h *Host) contain(f func()) error { return panics.Contain(h.opts.Logger, "replica", f) }
+
+// contained calls a function, after whose panic the host stops.
+func (h *Host) contained(f func()) {
+	if err := h.contain(f); err != nil {
+		h.failAfterPanic(err)
+	}
+}
+
+// Fail stops the host as after a failure of its storage: the state of a replica is damaged, but
+// the log and the snapshots are not.
+func (h *Host) Fail(cause error) { h.fail(cause) }
+
 // fail stops the host after a storage failure and reports the first one to OnFailure.
-func (h *Host) fail(cause error) {
+func (h *Host) fail(cause error) { h.failWith(fmt.Errorf("%w: %w", ErrStorage, cause)) }
+
+// failAfterPanic stops the host because the state of a group in memory is in doubt. What is stored is
+// as it was before.
+func (h *Host) failAfterPanic(cause error) { h.failWith(fmt.Errorf("%w: %w", ErrPanic, cause)) }
+
+// failWith stops the host and reports its first failure to OnFailure.
+func (h *Host) failWith(failure error) {
 	h.mu.Lock()
 	first := h.failure == nil
 	if first {
-		h.failure = fmt.Errorf("%w: %w", ErrStorage, cause)
+		h.failure = failure
 	}
 	err := h.failure
 	h.mu.Unlock()
@@ -253,14 +283,14 @@
 	if !first {
 		return
 	}
-	h.opts.Logger.Error("storage failed, host is stopping", "error", cause)
+	h.opts.Logger.Error("host failed and is stopping", "error", err)
 	go func() {
 		h.shutdown()
 		h.opts.OnFailure(err)
 	}()
 }
 
-// Err returns the storage failure that stopped the host, or nil.
+// Err returns the failure that stopped the host, or nil.
 func (h *Host) Err() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -275,7 +305,7 @@
 // Stop refuses new requests, transfers the leadership of all groups to other
 // replicas, waits until accepted proposals have a result and stops the host. When
 // ctx ends first, the host stops without waiting, and pending calls return
-// ErrStopped or ErrUncertain. Stop returns the storage failure, if there was one.
+// ErrStopped or ErrUncertain. Stop returns the failure of the host, if there was one.
 func (h *Host) Stop(ctx context.Context) error {
 	h.stopping.Store(true)
 	h.transferLeaderships(ctx)
@@ -293,8 +323,8 @@
 	h.shutdownOnce.Do(func() {
 		h.cancel()
 		h.ticker.Wait()
+		h.coreWorkers.close() // first, because they start snapshot sends
 		h.snapshotSends.Wait()
-		h.coreWorkers.close()
 		h.applyWorkers.close()
 		h.snapshotWrites.Wait()
 		h.outbox.close()
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -42,6 +42,13 @@
 	// default is the monotonic clock, which stops while the host is suspended.
 	Clock func() time.Duration
 
+	// BootstrapQuorumDelay is how long an initial member of a new group waits until all others
+	// have confirmed it. From then on a majority of the members, with itself, is enough, so that
+	// a group starts without a host that is lost. 0: it always waits for all. Set it only if
+	// AddGroup gets initial members at the first start of a group alone: a replica that lost its
+	// disk could vote again if the members that know its disk are out of reach meanwhile.
+	BootstrapQuorumDelay time.Duration
+
 	SnapshotEntries uint64 // applied entries after which a snapshot is taken; default 4096
 	SnapshotBytes   int    // bytes of applied commands after which a snapshot is taken; default 4 MiB
 	// MinSnapshotBytes is the lower bound of the bytes after which a snapshot of a small state
@@ -52,6 +59,10 @@
 	MaxSegments      int    // log segments above which lagging groups take a snapshot; default 8
 	SegmentSize      int64  // bytes of a log segment; default: that of package wal
 
+	// BeforeWrite is called once the data directory is locked and has been read, before anything
+	// is written to it, so that it can remove what takes room without being needed.
+	BeforeWrite func()
+
 	Logger     hclog.Logger
 	Registerer prometheus.Registerer // nil: no metrics
 	// OnFailure is called once when the host has stopped because its storage
@@ -74,6 +85,9 @@
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	if o.BeforeWrite == nil {
+		o.BeforeWrite = func() {}
+	}
 	if o.OnFailure == nil {
 		o.OnFailure = func(error) {}
 	}
