State hosts: a host opened again creates no groups

A state host that the platform started with bootstrap kept that setting for the life of its process. When its storage failed and its data was gone at the next opening (removed directory, replaced disk, data set aside as damaged and a further failure), it created the groups a second time: empty, under the replica IDs whose votes it had lost. Since a majority of the initial members is enough to start a group, another member that never knew the lost disk could confirm it. A process that was started anew had no such setting.

Bootstrap counts for the first opening only. Initial members are recorded on the disk, so a host that keeps its data goes on as one.

TestHostThatLostItsDiskCreatesNoGroups failed before ("the groups were created again": a new version was acknowledged by an empty group) and passes now, with TestStorageFailureDoesNotEndTheProcess.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -229,7 +229,10 @@
 	probe := newDiskProbe(cfg)
 	probe.removeFile()
 	return reopenOnFailure(opts.Logger, stop, probe.writable, func() error {
-		return runStateHost(cfg, addresses, newControlHandler, opts, stop)
+		err := runStateHost(cfg, addresses, newControlHandler, opts, stop)
+		// The disk may be empty at the next opening, and the votes that it held lost.
+		cfg.Bootstrap = false
+		return err
 	})
 }
 
--- a/internal/hosted/storage_failure_test.go
+++ b/internal/hosted/storage_failure_test.go
@@ -150,3 +150,26 @@
 		})
 	}
 }
+
+// TestHostThatLostItsDiskCreatesNoGroups guards against a host that creates its groups a second time,
+// empty, when it is opened again after its data was lost.
+func TestHostThatLostItsDiskCreatesNoGroups(t *testing.T) {
+	fs := waltest.New()
+	h := runLonelyHost(t, t.TempDir(), fs)
+	first := h.waitOpened()
+	assert.NilError(t, h.apply(first, 1))
+	fs.SetFault(waltest.Fault{Full: waltest.OpWrite, Err: syscall.EIO})
+	assert.Assert(t, h.apply(first, 2) != nil)
+	for _, name := range fs.Files("") {
+		assert.NilError(t, fs.Remove(name))
+	}
+	fs.SetFault(waltest.Fault{})
+	again := h.waitOpened()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		assert.Assert(t, again.ApplyRoutes(ctx, []byte("2")) != nil, "the groups were created again")
+		time.Sleep(50 * time.Millisecond)
+	}
+	h.close()
+}
