Entries: an update whose panic is contained does not count as applied

The panic of an update no longer ends an entry, but it left two things behind that the end of the process had undone. The update was recorded as received, by a deferred call, so that the entry counted as current without the servers and drains that the update told. And a panic while routes were put in force kept the lock of the view: every later update and request waited for it.

The update is recorded once all of it has been applied, and the lock is released by a deferred call.

TestUpdateThatPanicsIsNotApplied failed before in both cases ("the update counts as applied", "the lock is held") and passes now, with the other tests of the package.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -130,7 +130,7 @@
 
 // apply applies an update from the state host at address.
 func (v *view) apply(address string, update *fleetpb.Update) {
-	defer v.recordUpdate(v.bootTime(), update.Quorum)
+	heard := v.bootTime()
 	if v.watched.recordUpdate(address, update.Quorum, time.Now()) {
 		v.watcher.Refresh()
 	}
@@ -149,6 +149,7 @@
 		v.crashDetector.mergeReports(update.Crashes, time.Now())
 	}
 	v.applyServers(address, update)
+	v.recordUpdate(heard, update.Quorum)
 }
 
 // applyServers applies the state hosts and backend servers of an update.
@@ -199,14 +200,18 @@
 			v.routeAge.Applied(doc.Version)
 			v.metrics.RoutesVersion.WithLabelValues("in_force").Set(float64(doc.Version))
 			v.log.Info("routes in force", "version", doc.Version, "from", address, "routes", len(doc.Routes))
-			v.mu.Lock()
-			v.rebuildIndex()
-			v.mu.Unlock()
+			v.refreshIndex()
 			return
 		}
 	}
 }
 
+func (v *view) refreshIndex() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rebuildIndex()
+}
+
 // isNamed reports whether the routes in force have a service, or there are none yet.
 func (v *view) isNamed(service string) bool {
 	doc := v.routes.Load()
