State hosts: contain panics of proposals

Commands and routes are proposed in a goroutine of singleflight.DoChan, which passes a panic on in yet another goroutine, so that it ended the process in spite of the containment of handlers.

TestPanicOfAProposalEndsItsCommand ended the test's process before.

--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -13,6 +13,7 @@
 	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/ledger"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
@@ -102,7 +103,12 @@
 // proposeOnce proposes a command to a group. A command with the key of a pending one is not
 // proposed but shares its outcome, so that retries do not add entries to the log.
 func (h *Host) proposeOnce(ctx context.Context, group uint64, key string, propose func() (replica.Applied, error)) (replica.Applied, error) {
-	result := h.pendingProposals.DoChan(key, func() (any, error) { return propose() })
+	result := h.pendingProposals.DoChan(key, func() (result any, err error) {
+		if panicked := panics.Contain(h.log, "proposal", func() { result, err = propose() }); panicked != nil {
+			return nil, panicked
+		}
+		return result, err
+	})
 	select {
 	case <-ctx.Done():
 		return replica.Applied{}, peer.RPCError(h.replicas, group, ctx.Err())
