daemon: wait for certificates and keys that are being replaced

The daemon ended with exit code 1 when a certificate, its key or the file of operators' keys was missing or did not fit at its start, while at a reload such files are passed over.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,14 +18,12 @@
 	"ibistray.example/ibistray/internal/httpserver"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/listener"
-	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/security"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/sidecar"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
-	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -38,9 +36,6 @@
 // running calls have ended.
 const stopTimeout = 5 * time.Second
 
-// lockRetryInterval is the pause between attempts to open a data directory that is in use.
-const lockRetryInterval = 300 * time.Millisecond
-
 // Daemon is a process with its roles and the resources that they share.
 type Daemon struct {
 	settings    *settings.Settings
@@ -68,7 +63,7 @@
 // error, the process accepts connections. While an address is in use, it waits until ctx
 // ends and then returns the error of ctx.
 func Start(ctx context.Context, s *settings.Settings, log hclog.Logger) (*Daemon, error) {
-	credentials, err := loadCredentials(s, log)
+	credentials, err := awaitFiles(ctx, log, func() (*security.Credentials, error) { return loadCredentials(s, log) })
 	if err != nil {
 		return nil, err
 	}
@@ -144,7 +139,7 @@
 		d.control.register(d.server)
 	}
 	if s.HasRole(settings.RoleEntry) {
-		if err := d.createEntry(); err != nil {
+		if err := d.createEntry(ctx); err != nil {
 			return err
 		}
 	}
@@ -154,28 +149,9 @@
 	return nil
 }
 
-// openControl opens the control role. It waits until no other process uses the data directory, such
-// as a predecessor that ends, or until ctx ends. Each attempt registers its metrics anew.
-func (d *Daemon) openControl(ctx context.Context) error {
-	for waiting := false; ; waiting = true {
-		d.metrics = telemetry.NewMetrics()
-		role, err := newControlRole(d.settings, d.log.Named("control"), d.metrics, d.pool, d.fail)
-		if !errors.Is(err, wal.ErrLocked) {
-			d.control = role
-			return err
-		}
-		if !waiting {
-			d.log.Error("data directory is in use: the control role waits", "error", err)
-		}
-		if !loop.Sleep(ctx, lockRetryInterval) {
-			return fmt.Errorf("daemon: %w", ctx.Err())
-		}
-	}
-}
-
-func (d *Daemon) createEntry() error {
+func (d *Daemon) createEntry(ctx context.Context) error {
 	s := d.settings
-	operatorKeys, err := entry.LoadOperatorKeys(s.OperatorKeyFile)
+	operatorKeys, err := awaitFiles(ctx, d.log, func() (*entry.OperatorKeys, error) { return entry.LoadOperatorKeys(s.OperatorKeyFile) })
 	if err != nil {
 		return err
 	}
