A state host listens once it is open

The addresses are now released once they were found free, so that callers are refused while the state host opens, as before. An address that is taken meanwhile may be the local port of a connection of this process: after a second the state host is closed with its connections, and opened again.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -39,6 +38,8 @@
 	// openRetryInterval is the pause between attempts to open a data directory.
 	openRetryInterval = 300 * time.Millisecond
 	dirMode           = 0o700
+	// takenAddressTimeout limits how long a state host that is open waits for its addresses.
+	takenAddressTimeout = time.Second
 	// maxFailures is the number of failures that are kept; the first one ends the process.
 	maxFailures = 4
 	// shutdownMargin is the time reserved before the process is killed for the rest of the
@@ -243,16 +244,18 @@
 	ctx, cancel := untilStopped(stop)
 	defer cancel()
 	cfg.Seeds = opts.Seeds.Addresses
-	var listeners []net.Listener
-	open := func(cfg statehost.Config) (host *statehost.Host, err error) {
-		host, listeners, err = p.openStateHost(ctx, cfg, addresses)
-		return host, err
-	}
+	open := func(cfg statehost.Config) (*statehost.Host, error) { return p.openStateHost(ctx, cfg, addresses) }
 	host, err := openWithRetries(cfg, open, opts.Logger, stop)
 	if host == nil {
 		return err
 	}
-	p.serveStateHost(host, listeners, newControlHandler)
+	if err := p.serveStateHost(ctx, host, addresses, newControlHandler); err != nil {
+		err = errors.Join(err, closeNow(host))
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	host.Run()
 	opts.Logger.Info("started", "role", "state host", "peers", addresses.Peers, "control", addresses.Control,
 		"bootstrap", cfg.Bootstrap, "standby", cfg.Standby, "seeds", opts.Seeds.Addresses())
@@ -264,8 +267,19 @@
 	return p.stopStateHost(host)
 }
 
-// serveStateHost serves the listeners for peers and for control.
-func (p *process) serveStateHost(host *statehost.Host, listeners []net.Listener, newControlHandler func(*statehost.Host) http.Handler) {
+// errAddressTaken means that an address of a state host was taken while it was opened.
+var errAddressTaken = errors.New("hosted: address taken meanwhile")
+
+// serveStateHost listens on the addresses for peers and for control, and serves them. It waits for
+// them for takenAddressTimeout at most, since no replica should run that its peers cannot reach. Error:
+// errAddressTaken.
+func (p *process) serveStateHost(ctx context.Context, host *statehost.Host, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler) error {
+	ctx, cancel := context.WithTimeout(ctx, takenAddressTimeout)
+	defer cancel()
+	listeners, err := p.listen(ctx, addresses.Peers, addresses.Control)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errAddressTaken, err)
+	}
 	server := transport.NewServer(p.opts.Logger.Named("transport"))
 	p.closers = append(p.closers, server.Close, func() { listener.CloseAll(listeners) })
 	host.Register(server)
@@ -276,6 +290,7 @@
 	})
 	p.serveHTTP(listeners[1], newControlHandler(host), nil)
 	p.serveMetrics()
+	return nil
 }
 
 // closeNow closes a state host without handing its leaderships over.
@@ -285,31 +300,25 @@
 	return host.Stop(ctx)
 }
 
-// openStateHost listens on the addresses for peers and for control, and then opens the state host:
-// a process that still has the addresses may use the data directory, too, and no replica runs that
-// its peers cannot reach. If the state host cannot be opened, the addresses are free again, so that
-// clients are refused at once.
+// openStateHost opens the state host once the addresses for peers and for control are free: a process
+// that still has them may use the data directory, too, and no replica should run that its peers cannot
+// reach. Nothing listens while the state host is opened, so that clients are refused at once.
 //
 // Each attempt gets a new metrics registry, because a failed one may already have registered
 // metrics, and a new channel of failures, because the storage of a failed one may report its failure
 // late. If ctx ends before, it returns nil and no error.
-func (p *process) openStateHost(ctx context.Context, cfg statehost.Config, addresses Addresses) (*statehost.Host, []net.Listener, error) {
+func (p *process) openStateHost(ctx context.Context, cfg statehost.Config, addresses Addresses) (*statehost.Host, error) {
 	listeners, err := p.listen(ctx, addresses.Peers, addresses.Control)
+	listener.CloseAll(listeners)
 	if ctx.Err() != nil {
-		listener.CloseAll(listeners)
-		return nil, nil, nil
+		return nil, nil
 	}
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	p.metrics = telemetry.NewMetrics()
 	p.failed = newFailures()
-	host, err := statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.failed.report)
-	if err != nil {
-		listener.CloseAll(listeners)
-		return nil, nil, err
-	}
-	return host, listeners, nil
+	return statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.failed.report)
 }
 
 // openWithRetries opens a state host. It retries while the disk is full, because a
--- a/internal/hosted/reopen.go
+++ b/internal/hosted/reopen.go
@@ -30,12 +30,13 @@
 )
 
 // canReopen reports whether a state host can be opened again after err: a failure of its disk, an
-// unreadable file that an opening does not need, or a panic of its replicas. Opening writes everything anew of which an earlier fsync may have failed and rebuilds the
-// state from what is stored, so it is as good as a restart of the process. A data directory that
-// another process uses is not such a failure.
+// unreadable file that an opening does not need, a panic of its replicas, or an address that was taken
+// while it was opened. Opening writes everything anew of which an earlier fsync may have failed and
+// rebuilds the state from what is stored, so it is as good as a restart of the process. A data
+// directory that another process uses is not such a failure.
 func canReopen(err error) bool {
 	failed := errors.Is(err, replica.ErrStorage) || errors.Is(err, replica.ErrPanic) ||
-		errors.Is(err, spill.ErrUnreadable) || wal.IsDiskFull(err)
+		errors.Is(err, spill.ErrUnreadable) || errors.Is(err, errAddressTaken) || wal.IsDiskFull(err)
 	return failed && !errors.Is(err, wal.ErrLocked)
 }
 
@@ -71,6 +72,8 @@
 		return "disk is full"
 	case errors.Is(err, replica.ErrPanic):
 		return "replicas failed"
+	case errors.Is(err, errAddressTaken):
+		return "address was taken"
 	}
 	return "storage failed"
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -35,8 +35,8 @@
 }
 
 // Listen listens on all addresses or on none: while one of them is in use, or while the host lacks
-// resources, it holds none of them and tries again. It returns the error of ctx if that ends before,
-// and other errors, such as an address of another host, at once. The listeners' Accept returns an
+// resources, it holds none of them and tries again. If ctx ends before, it returns its error and
+// the last one. It returns other errors, such as an address of another host, at once. The listeners' Accept returns an
 // error only once the listener is closed or broken.
 func (c Config) Listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	for waiting := false; ; waiting = true {
@@ -53,7 +53,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, fmt.Errorf("listener: %w", ctx.Err())
+			return nil, fmt.Errorf("%w: %w", ctx.Err(), err)
 		case <-time.After(retryInterval):
 		}
 	}
