State hosts: damaged data that cannot be set aside is tried again

A state host ended, exit 1, if its disk refused to move damaged data aside: an input/output error or a read-only file system at that moment. Such an error is one of the storage now, after which the host is opened again.

TestDataThatCannotBeSetAsideIsTriedAgain failed before.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -21,6 +21,7 @@
 	"ibistray.example/ibistray/internal/gateway"
 	"ibistray.example/ibistray/internal/listener"
 	"ibistray.example/ibistray/internal/policy/memory"
+	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -341,7 +342,7 @@
 			setAsideOnce = true
 			log.Error("stored data is damaged: it is set aside and fetched from other hosts", "error", err)
 			if err := setDataAside(cfg.DataDir); err != nil {
-				return nil, err
+				return nil, fmt.Errorf("%w: %w", replica.ErrStorage, err)
 			}
 			cfg.Bootstrap = false
 		default:
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -234,6 +234,15 @@
 	assert.ErrorIs(t, err, wal.ErrCorrupt)
 }
 
+// TestDataThatCannotBeSetAsideIsTriedAgain guards against a process that ends since its disk refuses to
+// move damaged data.
+func TestDataThatCannotBeSetAsideIsTriedAgain(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "missing")
+	o := &fakeOpener{errs: []error{wal.ErrCorrupt}}
+	_, err := openWithRetries(statehost.Config{DataDir: missing}, o.open, hclog.NewNullLogger(), nil)
+	assert.Assert(t, canReopen(err), err)
+}
+
 func TestOpenReturnsOtherErrors(t *testing.T) {
 	cause := errors.New("no such data directory")
 	o := &fakeOpener{errs: []error{cause}}
