--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -47,10 +47,13 @@
 	// MinSnapshotBytes is the lower bound of the bytes after which a snapshot of a small state
 	// is taken, so that a restart replays less than it restores. Default: SnapshotBytes.
 	MinSnapshotBytes int
-	RetainEntries    uint64 // entries kept in memory after a snapshot, for slow members; default 256
-	RetainBytes      int    // data of these entries in each group; default 8 MiB
-	MaxSegments      int    // log segments above which lagging groups take a snapshot; default 8
-	SegmentSize      int64  // bytes of a log segment; default: that of package wal
+	// MaxUncoveredBytes limits the data of the entries that arrive while a snapshot is written, which
+	// are held in memory: proposals fail with ErrUnavailable above it. 0: no limit.
+	MaxUncoveredBytes int
+	RetainEntries     uint64 // entries kept in memory after a snapshot, for slow members; default 256
+	RetainBytes       int    // data of these entries in each group; default 8 MiB
+	MaxSegments       int    // log segments above which lagging groups take a snapshot; default 8
+	SegmentSize       int64  // bytes of a log segment; default: that of package wal
 
 	// BeforeWrite is called once the data directory is locked and has been read, before anything
 	// is written to it, so that it can remove what takes room without being needed.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -80,7 +80,7 @@
 
 // propose appends an entry if this replica is the leader. An error completes p.
 func (g *group) propose(p *proposal, propose proposeFunc) {
-	if g.removed || g.node == nil || g.progress.backlog() > maxApplyBacklog {
+	if g.removed || g.node == nil || g.progress.backlog() > maxApplyBacklog || g.progress.outpaced(&g.host.opts) {
 		p.complete(Applied{}, g.refusalError(ErrUnavailable))
 		return
 	}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -30,6 +30,11 @@
 	return p.submitted - min(p.submitted, p.applied)
 }
 
+// outpaced reports whether more entries have arrived than may while a snapshot is written.
+func (p *snapshotProgress) outpaced(opts *Options) bool {
+	return opts.MaxUncoveredBytes > 0 && p.inProgress && p.bytes > opts.MaxUncoveredBytes
+}
+
 // due reports whether a snapshot is due. A restart restores the latest snapshot and replays
 // the log after it, so the log may grow in proportion to the snapshot: then snapshots of a
 // large state cost a bounded multiple of the log, and a small state is up soon.
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -67,6 +67,9 @@
 	// which a snapshot covers, and pendingMemoryShare that of the commands which wait for a quorum.
 	retainMemoryShare  = 32
 	pendingMemoryShare = 8
+	// uncoveredMemoryShare is the part for the entries of one group that arrive while a snapshot is
+	// written. A disk that is slow takes longer for it.
+	uncoveredMemoryShare = 8
 	// defaultMemoryBytes is assumed for hosts without a memory limit.
 	defaultMemoryBytes = 256 << 20
 	sweepInterval      = time.Second
@@ -215,23 +218,24 @@
 		}
 	}
 	replicas, err := replica.NewHost(replica.Options{
-		Dir:              cfg.DataDir,
-		FS:               cfg.FS,
-		Address:          cfg.Address,
-		Transport:        peers,
-		TickInterval:     tickInterval,
-		Raft:             raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
-		SnapshotEntries:  snapshotEntries,
-		SnapshotBytes:    int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
-		MinSnapshotBytes: minSnapshotBytes,
-		RetainBytes:      int(cfg.memoryBytes() / retainMemoryShare),
-		MaxSegments:      maxSegments,
-		SegmentSize:      diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
-		Clock:            bootTime,
-		BeforeWrite:      func() { removeSpill(&cfg, log) },
-		Logger:           log.Named("replica"),
-		Registerer:       registry,
-		OnFailure:        onFailure,
+		Dir:               cfg.DataDir,
+		FS:                cfg.FS,
+		Address:           cfg.Address,
+		Transport:         peers,
+		TickInterval:      tickInterval,
+		Raft:              raft.Config{ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, QuorumTicks: quorumTicks},
+		SnapshotEntries:   snapshotEntries,
+		SnapshotBytes:     int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
+		MinSnapshotBytes:  minSnapshotBytes,
+		RetainBytes:       int(cfg.memoryBytes() / retainMemoryShare),
+		MaxUncoveredBytes: int(cfg.memoryBytes() / uncoveredMemoryShare),
+		MaxSegments:       maxSegments,
+		SegmentSize:       diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
+		Clock:             bootTime,
+		BeforeWrite:       func() { removeSpill(&cfg, log) },
+		Logger:            log.Named("replica"),
+		Registerer:        registry,
+		OnFailure:         onFailure,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("statehost: open replicas in %s: %w", cfg.DataDir, err)
