--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -36,8 +36,8 @@
 
 // Listen listens on all addresses or on none: while one of them is in use, or while the host lacks
 // resources, it holds none of them and tries again. If ctx ends before, it returns its error and
-// the last one. It returns other errors, such as an address of another host, at once. The listeners' Accept returns an
-// error only once the listener is closed or broken.
+// the last one. It returns other errors, such as an address of another host, at once. The
+// listeners' Accept returns an error only once the listener is closed or broken.
 func (c Config) Listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	for waiting := false; ; waiting = true {
 		listeners, err := c.listenOnce(ctx, addresses)
