Gateway: held outputs are a kind of their own; why a response was broken off

The memory for the output of turns that are kept counted as that of unread responses, so that ibistray_held_bytes could not tell a client that does not read from a stream without end. It is a kind of its own, outputs. ibistray_broken_responses_total counts the responses that had begun and ended before they were complete, by reason; the log line of the request names the reason (break_reason) and the size of the output (output_bytes). No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,6 +46,7 @@
 	errOutcomeUnknown   = errors.New("gateway: the request may have run, but its response is lost")
 	errBodyTooLarge     = errors.New("gateway: request body is too large")
 	errClientGone       = errors.New("gateway: the client has disconnected")
+	errNotKept          = errors.New("gateway: the ledger did not keep the turn")
 )
 
 // call handles one client request. It is not safe for concurrent use.
@@ -119,6 +120,7 @@
 		return
 	}
 	if c.responseStarted {
+		c.g.metrics.BrokenResponses.WithLabelValues(breakReason(err)).Inc()
 		c.logOutcome("broken_off", 0, err)
 		c.abort()
 	}
@@ -416,7 +418,7 @@
 	defer func() { c.keepDuration = time.Since(start) }()
 	if err := c.g.ledger.finish(ctx, c.finishCommand(true)); err != nil {
 		c.settleAsync()
-		return fmt.Errorf("%w: turn not kept: %w", errOutcomeUnknown, err)
+		return fmt.Errorf("%w: %w: %w", errOutcomeUnknown, errNotKept, err)
 	}
 	return nil
 }
@@ -444,7 +446,7 @@
 	}
 	fields := []any{
 		"request", c.meta.ID, "account", c.accountName(), "program", c.meta.Program, "previous", c.meta.PreviousTurn, "outcome", outcome, "status", status,
-		"sends", c.possibleRuns, "refused", c.notRunCount, "events", c.eventsSent,
+		"sends", c.possibleRuns, "refused", c.notRunCount, "events", c.eventsSent, "output_bytes", c.output.Len(),
 		"begin_ms", c.beginDuration.Milliseconds(), "keep_ms", c.keepDuration.Milliseconds(), "first_ms", c.firstOutput.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
 	}
 	if c.stream.resumed {
@@ -461,6 +463,9 @@
 	}
 	if err != nil {
 		fields = append(fields, "error", err, "attempt_error", c.lastErr)
+		if c.responseStarted {
+			fields = append(fields, "break_reason", breakReason(err))
+		}
 	}
 	c.g.log.Info("request ended", fields...)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -182,7 +182,7 @@
 		if c.route.KeepTurns {
 			c.output.Write(ev.data)
 			c.output.WriteByte('\n')
-			c.memory.Hold(membudget.Responses, int64(len(ev.data)+1))
+			c.memory.Hold(membudget.Outputs, int64(len(ev.data)+1))
 		}
 	}
 	if _, err := c.w.Write(ev.raw); err != nil {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -16,6 +16,7 @@
 	Bodies                // of requests
 	Histories             // earlier turns that are put before a body
 	Responses             // parts that the client has not read yet
+	Outputs               // event data of turns that are kept when they end
 	Kinds                 // number of kinds
 )
 
@@ -30,6 +31,8 @@
 		return "histories"
 	case Responses:
 		return "responses"
+	case Outputs:
+		return "outputs"
 	case Kinds:
 	}
 	return "unknown"
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -47,6 +47,7 @@
 	PermitWaiting      prometheus.Gauge         // requests that wait for a permit
 	LedgerWindow       prometheus.Gauge         // maximum number of concurrent requests to the ledger
 	LedgerWaiting      prometheus.Gauge         // requests that wait to be sent to the ledger
+	BrokenResponses    *prometheus.CounterVec   // by reason: responses that this entry broke off
 	HeldBytes          *prometheus.GaugeVec     // by kind: bytes held for clients
 	ClosedConnections  *prometheus.CounterVec   // by reason: idle connections that were closed
 }
@@ -80,6 +81,7 @@
 		PermitWaiting:      gauge("permit_waiting", "Requests that wait in this entry for a permit to be sent to a backend server with a limit."),
 		LedgerWindow:       gauge("ledger_window", "Maximum number of concurrent requests from this entry to the program ledger."),
 		LedgerWaiting:      gauge("ledger_waiting", "Requests that wait in this entry to be sent to the program ledger."),
+		BrokenResponses:    counterVec("broken_responses_total", "Responses that ended before they were complete, by reason.", "reason"),
 		HeldBytes:          gaugeVec("held_bytes", "Bytes that this entry holds for running requests, by kind.", "kind"),
 		ClosedConnections:  counterVec("closed_connections_total", "Idle connections that this entry closed, by reason.", "reason"),
 	}
@@ -87,7 +89,7 @@
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
-		m.LedgerWindow, m.LedgerWaiting, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures, AcceptFailures,
+		m.LedgerWindow, m.LedgerWaiting, m.BrokenResponses, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures, AcceptFailures,
 		panics.Collector(),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
