Panics of background tasks do not end a process

Callers saw nothing yet: no input is known that makes a background task panic. If one did, the process ended, and with it all requests that it was serving, while a panic in a handler ended one input.

Cause: only handlers, updates of a stream and the work of replicas were contained.

Where no logger is at hand, panics go to the default one, which the programs set.

Not contained: goroutines of libraries (yamux, net/http's accept loop), writes of request bodies and callbacks of timers, which call no code that handles input.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
 	"ibistray.example/ibistray/internal/gateway"
@@ -88,6 +89,7 @@
 			return err
 		}
 		log = log.With("node", settings.Host)
+		hclog.SetDefault(log)
 		limitRuntime(settings)
 		p := hostedProcess{settings: settings, options: hosted.Options{
 			Logger:      log,
--- a/cmd/ibistrayd/main.go
+++ b/cmd/ibistrayd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
 	"ibistray.example/ibistray/internal/daemon"
@@ -113,6 +114,7 @@
 		<-signals
 		stop()
 	}()
+	hclog.SetDefault(log)
 	httpserver.SetLogger(log.Named("http"))
 	d, err := daemon.Start(running, s, log)
 	if errors.Is(err, context.Canceled) {
--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -13,6 +13,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"ibistray.example/ibistray/internal/panics"
 )
 
 const (
@@ -129,7 +131,13 @@
 func (c *Client) waitForHeader(ctx context.Context, req *protocol.Request, resp *protocol.Response) error {
 	req.SetOptions(readTimeoutOption(ctx))
 	done := make(chan error, 1)
-	go func() { done <- roundTrip(ctx, c.http, req, resp) }()
+	go func() {
+		var err error
+		if panicked := panics.Contain(nil, "backend", func() { err = roundTrip(ctx, c.http, req, resp) }); panicked != nil {
+			err = fmt.Errorf("%w: %w", ErrConnectionLost, panicked)
+		}
+		done <- err
+	}()
 	timer := time.NewTimer(silenceTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/control/config_service.go
+++ b/internal/control/config_service.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"ibistray.example/ibistray/internal/config"
 	"ibistray.example/ibistray/internal/configlease"
-	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
@@ -57,15 +55,6 @@
 // timeout.
 const leadershipCheckInterval = 250 * time.Millisecond
 
-func (c *ConfigService) run(ctx context.Context) {
-	var tasks sync.WaitGroup
-	tasks.Go(func() { c.grantor.Run(ctx) })
-	tasks.Go(func() {
-		loop.Every(ctx, leadershipCheckInterval, func(ctx context.Context) { _ = c.confirmLeadership(ctx) })
-	})
-	tasks.Wait()
-}
-
 // confirmLeadership returns nil when this process leads the group with a valid lease,
 // and tells the tracker whether it leads.
 func (c *ConfigService) confirmLeadership(ctx context.Context) error {
--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -11,6 +11,7 @@
 
 	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
@@ -83,7 +84,7 @@
 // Run announces waiting replicas until the context ends, and then waits for running
 // replacements.
 func (r *Repairer) Run(ctx context.Context) {
-	loop.Every(ctx, announceInterval, r.announce)
+	panics.Restart(ctx, r.log, "repair", func(ctx context.Context) { loop.Every(ctx, announceInterval, r.announce) })
 	r.replacements.Wait()
 }
 
@@ -189,7 +190,7 @@
 		member := &raftpb.Member{Id: waiting.ReplicaId, Address: req.Address, FailureDomain: req.FailureDomain}
 		r.replacements.Go(func() {
 			defer r.endReplacement(waiting.Group)
-			r.replace(waiting.Group, old, member)
+			_ = panics.Contain(r.log, "repair", func() { r.replace(waiting.Group, old, member) })
 		})
 	}
 	return &rpcpb.Empty{}, nil
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
 	"ibistray.example/ibistray/internal/replica"
@@ -58,11 +59,15 @@
 // Run runs the periodic tasks until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
-	tasks.Go(func() {
-		loop.Every(ctx, directoryExpiryInterval, func(context.Context) { s.directory.removeExpired(time.Now()) })
-	})
-	tasks.Go(func() { loop.Every(ctx, expireInterval, s.expireShards) })
-	tasks.Go(func() { s.configService.run(ctx) })
+	every := func(interval time.Duration, f func(context.Context)) {
+		tasks.Go(func() {
+			panics.Restart(ctx, s.log, "control", func(ctx context.Context) { loop.Every(ctx, interval, f) })
+		})
+	}
+	every(directoryExpiryInterval, func(context.Context) { s.directory.removeExpired(time.Now()) })
+	every(expireInterval, s.expireShards)
+	every(leadershipCheckInterval, func(ctx context.Context) { _ = s.configService.confirmLeadership(ctx) })
+	tasks.Go(func() { panics.Restart(ctx, s.log, "configuration lease", s.configService.grantor.Run) })
 	tasks.Wait()
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -166,13 +166,14 @@
 // compactBodies periodically rewrites segments that hold mostly bodies of removed
 // programs.
 func (r *controlRole) compactBodies(ctx context.Context) {
-	loop.Every(ctx, compactInterval, func(context.Context) {
+	compact := func(context.Context) {
 		for _, store := range r.bodyStores {
 			if err := store.Compact(); err != nil {
 				r.log.Error("bodies not compacted", "error", err)
 			}
 		}
-	})
+	}
+	r.host.Contain(func() { loop.Every(ctx, compactInterval, compact) })
 }
 
 // stop transfers leadership to other replicas and closes the log. The context limits the
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"ibistray.example/ibistray/internal/httpserver"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/listener"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/security"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shardclient"
@@ -200,13 +201,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopLoops = cancel
 	if d.credentials != nil {
-		d.loops.Go(func() { d.credentials.Watch(ctx) })
+		d.loops.Go(func() { panics.Restart(ctx, d.log, "credentials", d.credentials.Watch) })
 	}
 	if d.control != nil {
 		d.loops.Go(func() { d.control.run(ctx) })
 	}
 	if d.entry != nil {
-		d.loops.Go(func() { d.entry.Run(ctx) })
+		d.loops.Go(func() { panics.Restart(ctx, d.log, "entry", d.entry.Run) })
 	}
 	if d.sidecar != nil {
 		d.loops.Go(func() { d.sidecar.Run(ctx) })
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
@@ -177,7 +178,7 @@
 
 func newSSEOutput(rc *app.RequestContext, callID string) *sseOutput {
 	o := &sseOutput{rc: rc, callID: callID, done: make(chan struct{})}
-	go o.keepAlive()
+	go func() { _ = panics.Contain(nil, "keep-alive", o.keepAlive) }()
 	return o
 }
 
--- a/internal/fleetwatch/watcher.go
+++ b/internal/fleetwatch/watcher.go
@@ -95,7 +95,9 @@
 		}
 		streamCtx, cancel := context.WithCancel(ctx)
 		w.streams[address] = cancel
-		w.running.Go(func() { w.maintain(streamCtx, address) })
+		w.running.Go(func() {
+			panics.Restart(streamCtx, w.opts.Logger, "watch", func(ctx context.Context) { w.maintain(ctx, address) })
+		})
 	}
 	for address, cancel := range w.streams {
 		if !wanted[address] {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -425,7 +425,7 @@
 // charged the maximum that it reserved.
 func (c *call) settleAsync() {
 	f := c.finishCommand(false)
-	c.g.inFlight.Go(func() {
+	c.g.goTask("settlement", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := c.g.ledger.finish(ctx, f); err != nil {
--- a/internal/gateway/crash_detector.go
+++ b/internal/gateway/crash_detector.go
@@ -193,9 +193,9 @@
 // reportCrash sends a crash report to all state hosts. It does not block, because the
 // caller may hold the lock of the view.
 func (g *Gateway) reportCrash(crash *fleetpb.Crash) {
-	g.inFlight.Go(func() {
+	g.goTask("crash report", func() {
 		for _, address := range g.view.stateHosts() {
-			g.inFlight.Go(func() { g.sendCrashReport(address, crash) })
+			g.goTask("crash report", func() { g.sendCrashReport(address, crash) })
 		}
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/membudget"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/policy/gate"
 	"ibistray.example/ibistray/internal/policy/routeage"
@@ -128,10 +129,21 @@
 func (g *Gateway) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.background.Go(func() { g.view.run(ctx) })
-	g.background.Go(func() { g.servers.Run(ctx) })
-	g.background.Go(func() { g.accounts.run(ctx) })
-	g.background.Go(func() { loop.Every(ctx, pruneInterval, g.pruneLoads) })
+	g.goContained(ctx, "routes", g.view.fetcher.Run)
+	g.goContained(ctx, "watch", g.view.watcher.Run)
+	g.goContained(ctx, "connections", g.servers.Run)
+	g.goContained(ctx, "accounts", g.accounts.run)
+	g.goContained(ctx, "loads", func(ctx context.Context) { loop.Every(ctx, pruneInterval, g.pruneLoads) })
+}
+
+// goContained calls f in the background until ctx ends, again after it has panicked.
+func (g *Gateway) goContained(ctx context.Context, part string, f func(context.Context)) {
+	g.background.Go(func() { panics.Restart(ctx, g.log, part, f) })
+}
+
+// goTask calls f in the background. Stop waits for it.
+func (g *Gateway) goTask(part string, f func()) {
+	g.inFlight.Go(func() { _ = panics.Contain(g.log, part, f) })
 }
 
 // pruneLoads removes the load data and the permits of servers that were removed, and the runs of
--- a/internal/gateway/notice_reporter.go
+++ b/internal/gateway/notice_reporter.go
@@ -11,6 +11,7 @@
 
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/inflight"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/fleetpb"
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -64,7 +65,7 @@
 	}
 	r.pending[start] = notice
 	if len(r.pending) == 1 {
-		r.wait.Go(r.report)
+		r.wait.Go(func() { _ = panics.Contain(r.log, "notices", r.report) })
 	}
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -351,11 +351,3 @@
 		routeage.Limits{Age: limit, Silence: fleetwatch.SilenceTimeout},
 	)
 }
-
-// run receives updates until ctx ends.
-func (v *view) run(ctx context.Context) {
-	var fetching sync.WaitGroup
-	fetching.Go(func() { v.fetcher.Run(ctx) })
-	v.watcher.Run(ctx)
-	fetching.Wait()
-}
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"ibistray.example/ibistray/internal/panics"
 )
 
 // Call makes the request over one path.
@@ -18,15 +20,18 @@
 // Do calls first, and also second if first has not returned after delay. It returns the
 // first success, or the last error if both fail. A failure of first within delay is
 // returned at once. The context of a call that is still running when Do returns is
-// cancelled. The request must be idempotent.
+// cancelled. A call that panics fails. The request must be idempotent.
 func Do[T any](ctx context.Context, delay time.Duration, first, second Call[T]) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result[T], 2)
 	start := func(call Call[T]) {
 		go func() {
-			value, err := call(ctx)
-			results <- result[T]{value, err}
+			var r result[T]
+			if err := panics.Contain(nil, "hedged request", func() { r.value, r.err = call(ctx) }); err != nil {
+				r.err = err
+			}
+			results <- r
 		}()
 	}
 	start(first)
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -53,3 +53,10 @@
 		})
 	}
 }
+
+// TestCallThatPanicsFails guards against a process that ends since a hedged request panics in a goroutine
+// of its own.
+func TestCallThatPanicsFails(t *testing.T) {
+	_, err := Do(t.Context(), time.Hour, func(context.Context) (int, error) { panic("boom") }, nil)
+	assert.ErrorContains(t, err, "boom")
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,8 +8,12 @@
 	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"ibistray.example/ibistray/internal/panics"
 )
 
 const (
@@ -44,9 +48,23 @@
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
 	)
+	h.Use(containPanic)
 	return &Server{Hertz: h, listener: listener, failed: make(chan error, 1), ended: make(chan struct{})}
 }
 
+// containPanic answers a request whose handler panics with status 500. If the body has begun, it
+// closes the connection, so that the response is not taken as complete.
+func containPanic(ctx context.Context, rc *app.RequestContext) {
+	if panics.Contain(nil, "http", func() { rc.Next(ctx) }) == nil {
+		return
+	}
+	if rc.Response.GetHijackWriter() != nil || rc.Response.IsBodyStream() {
+		rc.GetConn().Close()
+	}
+	rc.SetConnectionClose()
+	rc.AbortWithStatus(consts.StatusInternalServerError)
+}
+
 // Start serves in the background until Stop. If serving fails, the error is sent to
 // Failed.
 func (s *Server) Start() {
--- a/internal/panics/panics.go
+++ b/internal/panics/panics.go
@@ -1,5 +1,6 @@
 // Package panics contains panics of code that handles what others send: messages of peers, commands
-// of a replicated log, requests of clients. The input ends with an error, the process goes on.
+// of a replicated log, requests of clients, and of background tasks. The input ends with an error or
+// the task starts again, the process goes on.
 package panics
 
 import (
@@ -16,7 +17,7 @@
 const maxStackBytes = 8 << 10
 
 var contained = prometheus.NewCounterVec(prometheus.CounterOpts{
-	Namespace: "ibistray", Name: "contained_panics_total", Help: "Panics that ended one input, by the part of the program.",
+	Namespace: "ibistray", Name: "contained_panics_total", Help: "Panics that ended one input or were followed by a restart of a background task, by the part of the program.",
 }, []string{"part"})
 
 // Collector returns the metric of the contained panics of this process.
@@ -31,7 +32,8 @@
 func (e *Error) Error() string { return fmt.Sprintf("panic in %s: %v", e.Part, e.Value) }
 
 // Contain calls f. If f panics, Contain logs the panic with its stack, counts it and returns an
-// *Error. Whatever f was changing may be left half changed: the caller drops it.
+// *Error. Whatever f was changing may be left half changed: the caller drops it. Without a log, the
+// panic goes to the default logger.
 func Contain(log hclog.Logger, part string, f func()) (err error) {
 	defer func() {
 		if value := recover(); value != nil {
@@ -46,6 +48,9 @@
 	err := &Error{Part: part, Value: value}
 	stack := debug.Stack()
 	contained.WithLabelValues(part).Inc()
+	if log == nil {
+		log = hclog.Default()
+	}
 	log.Error("panic contained", "part", part, "error", err, "stack", string(stack[:min(len(stack), maxStackBytes)]))
 	return err
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/raftpb"
@@ -88,7 +89,9 @@
 	if !ok {
 		q = make(chan *raftpb.MessageBatch, maxQueuedBatches)
 		t.queues[address] = q
-		t.wg.Go(func() { t.runSender(address, q) })
+		t.wg.Go(func() {
+			panics.Restart(t.ctx, t.log, "peer", func(context.Context) { t.runSender(address, q) })
+		})
 	}
 	return q
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -78,8 +78,8 @@
 	h.peers = newPeerTable(h.senderMetadata(), opts.Raft.ElectionTicks, opts.Raft.HeartbeatTicks)
 	h.coreWorkers = newRunQueue(opts.Workers, h.contain, h.failAfterPanic)
 	h.applyWorkers = newRunQueue(opts.ApplyWorkers, h.contain, h.failAfterPanic)
-	h.outbox = newOutbox(opts.Transport, h.metrics)
-	h.ticker.Go(h.runTicker)
+	h.outbox = newOutbox(opts.Transport, h.metrics, h.Contain)
+	h.ticker.Go(func() { h.Contain(h.runTicker) })
 	return h, nil
 }
 
@@ -252,8 +252,9 @@
 // contain calls a function and returns its panic as an error.
 func (h *Host) contain(f func()) error { return panics.Contain(h.opts.Logger, "replica", f) }
 
-// contained calls a function, after whose panic the host stops.
-func (h *Host) contained(f func()) {
+// Contain calls a function that changes replicas. After its panic, the host stops as after a failure
+// of its storage, with ErrPanic.
+func (h *Host) Contain(f func()) {
 	if err := h.contain(f); err != nil {
 		h.failAfterPanic(err)
 	}
@@ -285,7 +286,7 @@
 	}
 	h.opts.Logger.Error("host failed and is stopping", "error", err)
 	go func() {
-		h.shutdown()
+		_ = h.contain(h.shutdown)
 		h.opts.OnFailure(err)
 	}()
 }
@@ -321,6 +322,7 @@
 // shutdown ends all goroutines and closes the log.
 func (h *Host) shutdown() {
 	h.shutdownOnce.Do(func() {
+		defer close(h.done)
 		h.cancel()
 		h.ticker.Wait()
 		h.coreWorkers.close() // first, because they start snapshot sends
@@ -331,6 +333,5 @@
 		if err := h.log.Close(); err != nil {
 			h.opts.Logger.Error("cannot close write-ahead log", "error", err)
 		}
-		close(h.done)
 	})
 }
--- a/internal/replica/outbox.go
+++ b/internal/replica/outbox.go
@@ -25,7 +25,8 @@
 	queuedCount int // messages in queued
 }
 
-func newOutbox(transport Transport, m *metrics) *outbox {
+// newOutbox returns an outbox whose goroutine calls its work with contain.
+func newOutbox(transport Transport, m *metrics, contain func(func())) *outbox {
 	o := &outbox{
 		transport: transport,
 		metrics:   m,
@@ -33,7 +34,10 @@
 		queued:    make(map[string][]*raftpb.Message),
 	}
 	o.wake = sync.NewCond(&o.mu)
-	go o.run()
+	go func() {
+		defer close(o.stopped)
+		contain(o.run)
+	}()
 	return o
 }
 
@@ -54,7 +58,6 @@
 }
 
 func (o *outbox) run() {
-	defer close(o.stopped)
 	for queued := o.takeQueued(); queued != nil; queued = o.takeQueued() {
 		for address, messages := range queued {
 			o.send(address, messages)
--- a/internal/replica/panic_test.go
+++ b/internal/replica/panic_test.go
@@ -1,11 +1,15 @@
 package replica_test
 
 import (
+	"context"
+	"io"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/wal/waltest"
+	"ibistray.example/ibistray/proto/raftpb"
 )
 
 // TestPanicOfAStateMachineStopsItsHost guards against a process that ends when a command cannot be
@@ -30,3 +34,28 @@
 		c.waitValue(address, "k-19", "value")
 	})
 }
+
+// panickingTransport panics at each batch and each snapshot.
+type panickingTransport struct{}
+
+func (panickingTransport) Send(string, *raftpb.MessageBatch) { panic("boom") }
+
+func (panickingTransport) SendSnapshot(context.Context, string, *raftpb.Message, io.Reader) error {
+	panic("boom")
+}
+
+// TestPanicOfABackgroundTaskStopsItsHost guards against a process that ends since a message cannot be
+// sent.
+func TestPanicOfABackgroundTaskStopsItsHost(t *testing.T) {
+	failures := make(chan error, 2)
+	host, err := replica.NewHost(replica.Options{
+		Dir: "/data", FS: waltest.New(), Address: "a", Transport: panickingTransport{}, TickInterval: tick,
+		OnFailure: func(err error) { failures <- err },
+	})
+	assert.NilError(t, err)
+	members := []*raftpb.Member{{Id: 1, Address: "a"}, {Id: 2, Address: "b"}}
+	assert.NilError(t, host.AddGroup(testGroup, members, newKV()))
+	assert.ErrorIs(t, <-failures, replica.ErrPanic)
+	<-host.Done()
+	assert.ErrorIs(t, host.Stop(t.Context()), replica.ErrPanic)
+}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -71,7 +71,7 @@
 	save := func() {
 		g.saveSnapshot(index, func(w io.Writer) error { return write(contextWriter{g.host.ctx, w}) })
 	}
-	g.host.snapshotWrites.Go(func() { g.host.contained(save) })
+	g.host.snapshotWrites.Go(func() { g.host.Contain(save) })
 }
 
 // saveSnapshot stores the snapshot that a function writes, and records it.
--- a/internal/replica/stream.go
+++ b/internal/replica/stream.go
@@ -18,7 +18,7 @@
 // startSnapshotSend sends a snapshot in the background and reports the outcome to the
 // node.
 func (g *group) startSnapshotSend(address string, m *raftpb.Message) {
-	g.host.snapshotSends.Go(func() {
+	send := func() {
 		err := g.host.sendSnapshot(g.id, address, m)
 		label := "sent"
 		if err != nil {
@@ -31,7 +31,8 @@
 				g.node.ReportSnapshot(m.GetTo(), err == nil)
 			}
 		})
-	})
+	}
+	g.host.snapshotSends.Go(func() { g.host.Contain(send) })
 }
 
 func (h *Host) sendSnapshot(group uint64, address string, m *raftpb.Message) error {
--- a/internal/routesync/fetcher.go
+++ b/internal/routesync/fetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -155,12 +156,20 @@
 	return running, next
 }
 
+// fetchAndApply fetches a document and puts it in force if it has the version or a later one.
+func (f *Fetcher) fetchAndApply(ctx context.Context, address string, version uint64) (routes *fleetpb.Routes, err error) {
+	panicked := panics.Contain(f.opts.Logger, "routes", func() {
+		routes, err = f.opts.Fetch(ctx, address, version)
+		if err == nil && routes.Version >= version {
+			f.opts.Apply(address, routes)
+		}
+	})
+	return routes, errors.Join(err, panicked)
+}
+
 // fetch fetches a document and puts it in force. If that fails, the host is asked again later.
 func (f *Fetcher) fetch(ctx context.Context, from *source, version uint64) {
-	routes, err := f.opts.Fetch(ctx, from.address, version)
-	if err == nil && routes.Version >= version {
-		err = panics.Contain(f.opts.Logger, "routes", func() { f.opts.Apply(from.address, routes) })
-	}
+	routes, err := f.fetchAndApply(ctx, from.address, version)
 	reached := f.opts.InForce() >= version
 	if !reached && ctx.Err() != context.Canceled {
 		f.opts.Logger.Warn("routes not fetched", "from", from.address, "version", version, "received", routes.GetVersion(), "error", err)
--- a/internal/sidecar/announce.go
+++ b/internal/sidecar/announce.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
@@ -83,7 +84,7 @@
 	var accepted atomic.Bool
 	var calls sync.WaitGroup
 	for _, address := range s.cfg.Control {
-		calls.Go(func() {
+		call := func() {
 			sent := time.Now()
 			resp := new(rpcpb.AnnounceResponse)
 			if err := s.announceTo(ctx, address, msg, resp); err != nil {
@@ -92,7 +93,8 @@
 			}
 			accepted.Store(true)
 			s.leaseHolder.Renew(resp.Configuration, sent)
-		})
+		}
+		calls.Go(func() { _ = panics.Contain(s.log, "announcement", call) })
 	}
 	calls.Wait()
 	if !accepted.Load() {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -6,7 +6,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/telemetry"
+	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
 )
 
@@ -19,8 +21,10 @@
 	s.metrics.RunningCalls.Inc()
 	s.work.Go(func() {
 		defer s.metrics.RunningCalls.Dec()
-		s.run(a)
-		s.ensureDurable(a)
+		if err := panics.Contain(s.log, "attempt", func() { s.run(a) }); err != nil && !a.state(0).ended() {
+			a.setRefusal(newRefusal(rpcpb.RunRefusal_RUN_REFUSAL_SERVER_ERROR, false, err.Error()))
+		}
+		_ = panics.Contain(s.log, "commit", func() { s.ensureDurable(a) })
 		s.attempts.markEnded(a, time.Now())
 	})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"ibistray.example/ibistray/internal/configlease"
 	"ibistray.example/ibistray/internal/inflight"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/shardclient"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
@@ -111,11 +112,16 @@
 // prefixes periodically until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { loop.Every(ctx, probeInterval, s.probe) })
-	loops.Go(func() { loop.Every(ctx, announceInterval, s.announce) })
-	loops.Go(func() { loop.Every(ctx, sweepInterval, s.sweep) })
+	every := func(interval time.Duration, f func(context.Context)) {
+		loops.Go(func() {
+			panics.Restart(ctx, s.log, "sidecar", func(ctx context.Context) { loop.Every(ctx, interval, f) })
+		})
+	}
+	every(probeInterval, s.probe)
+	every(announceInterval, s.announce)
+	every(sweepInterval, s.sweep)
 	if s.cfg.Kind == rpcpb.ServerKind_SERVER_KIND_ENGINE {
-		loops.Go(func() { loop.Every(ctx, holdReconcileInterval, s.reconcileHolds) })
+		every(holdReconcileInterval, s.reconcileHolds)
 	}
 	loops.Wait()
 }
--- a/internal/spill/compact.go
+++ b/internal/spill/compact.go
@@ -1,12 +1,18 @@
 package spill
 
-import "time"
+import (
+	"time"
+
+	"ibistray.example/ibistray/internal/panics"
+)
 
 const (
 	// Segments in which less than this share is referred to are rewritten.
 	minLivePercent = 50
 	// compactionInterval is the time between scans for such segments.
 	compactionInterval = time.Second
+	// panicRetryDelay is the time until a compaction is tried again that has panicked.
+	panicRetryDelay = 30 * time.Second
 )
 
 // startCompaction rewrites segments in the background, unless it has been tried just now.
@@ -19,10 +25,13 @@
 	}
 	s.compacting, s.nextCompaction = true, now.Add(compactionInterval)
 	s.compaction.Go(func() {
-		s.compact()
+		panicked := panics.Contain(nil, "spill", s.compact)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.compacting = false
+		if panicked != nil {
+			s.nextCompaction = time.Now().Add(panicRetryDelay)
+		}
 	})
 }
 
@@ -72,20 +81,25 @@
 	if err != nil {
 		return false
 	}
-	s.mu.Lock()
-	unused := false
-	if s.holdsLocked(from, r) {
-		s.displace(r)
-		s.place(r, to, offset)
-		unused = s.detachIfUnused(from)
-	}
-	s.mu.Unlock()
-	if unused {
+	if s.relocate(r, from, to, offset) {
 		from.remove()
 	}
 	return true
 }
 
+// relocate records where a body was moved to, unless it was dropped, and reports whether the caller
+// must remove the file that it was in.
+func (s *Store) relocate(r *record, from, to *segment, offset int64) (unused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.holdsLocked(from, r) {
+		return false
+	}
+	s.displace(r)
+	s.place(r, to, offset)
+	return s.detachIfUnused(from)
+}
+
 func (s *Store) holds(seg *segment, r *record) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/spill/store.go
+++ b/internal/spill/store.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ibistray.example/ibistray/internal/panics"
 )
 
 // Errors of this package.
@@ -114,7 +116,7 @@
 		return nil, err
 	}
 	b := &Body{store: s, record: r}
-	runtime.AddCleanup(b, s.drop, r)
+	runtime.AddCleanup(b, func(r *record) { _ = panics.Contain(nil, "spill", func() { s.drop(r) }) }, r)
 	return b, nil
 }
 
@@ -228,16 +230,23 @@
 
 // drop removes a body that nothing refers to.
 func (s *Store) drop(r *record) {
+	if seg := s.forget(r); seg != nil {
+		seg.remove()
+	}
+}
+
+// forget removes a body and returns the segment whose file the caller must remove, or nil.
+func (s *Store) forget(r *record) *segment {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	seg := r.segment
 	s.displace(r)
 	s.bodies--
 	s.live -= int64(r.length)
-	unused := s.detachIfUnused(seg)
-	s.mu.Unlock()
-	if unused {
-		seg.remove()
+	if s.detachIfUnused(seg) {
+		return seg
 	}
+	return nil
 }
 
 // Len returns the length of a body in bytes.
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -22,6 +22,7 @@
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/policy/quota"
 	"ibistray.example/ibistray/internal/raft"
@@ -312,13 +313,20 @@
 func (h *Host) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.background.Go(func() { loop.Every(ctx, fleetwatch.KeepAliveInterval, h.recordSelf) })
-	h.background.Go(func() { h.peerWatcher.Run(ctx) })
+	h.goEvery(ctx, "description", fleetwatch.KeepAliveInterval, h.recordSelf)
+	h.background.Go(func() { panics.Restart(ctx, h.log, "watch", h.peerWatcher.Run) })
 	for group := range h.stateMachines() {
-		h.background.Go(func() { loop.Every(ctx, membershipInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) }) })
+		h.goEvery(ctx, "members", membershipInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) })
 	}
-	h.background.Go(func() { loop.Every(ctx, sweepInterval, h.sweep) })
-	h.background.Go(func() { loop.Every(ctx, persistInterval, h.persistServers) })
+	h.goEvery(ctx, "sweep", sweepInterval, h.sweep)
+	h.goEvery(ctx, "servers file", persistInterval, h.persistServers)
+}
+
+// goEvery calls f once per interval in the background until ctx ends, later after it has panicked.
+func (h *Host) goEvery(ctx context.Context, part string, interval time.Duration, f func(context.Context)) {
+	h.background.Go(func() {
+		panics.Restart(ctx, h.log, part, func(ctx context.Context) { loop.Every(ctx, interval, f) })
+	})
 }
 
 // sweep removes backend servers without a heartbeat for long, marks the silent ones and
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -260,7 +260,7 @@
 	}
 	h.hosts.addRetirements(update.Retirements)
 	for _, stale := range update.Stale {
-		h.background.Go(func() { h.replaceReplica(stale) })
+		h.background.Go(func() { h.replicas.Contain(func() { h.replaceReplica(stale) }) })
 	}
 	now := time.Now()
 	for _, m := range update.Instances {
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/internal/tcp"
 )
 
@@ -53,7 +54,11 @@
 	defer cancel()
 	results := make(chan dialResult)
 	attempt := func() {
-		conn, err := dial(ctx)
+		var conn net.Conn
+		var err error
+		if panicked := panics.Contain(nil, "dial", func() { conn, err = dial(ctx) }); panicked != nil {
+			err = panicked
+		}
 		select {
 		case results <- dialResult{conn, err}:
 		case <-ctx.Done():
--- a/internal/transport/panic_test.go
+++ b/internal/transport/panic_test.go
@@ -46,3 +46,14 @@
 		assert.Equal(t, CodeOf(err), want)
 	}
 }
+
+// TestPanicOfADialFailsItsCalls guards against a process that ends since a connection cannot be opened:
+// callers share the attempt, which runs in a goroutine of its own.
+func TestPanicOfADialFailsItsCalls(t *testing.T) {
+	pool := NewPool(func(string) (net.Conn, error) { panic("boom") })
+	defer pool.Close()
+	assert.ErrorIs(t, pool.Call(t.Context(), "a", "one", new(rpcpb.Empty), new(rpcpb.Empty)), ErrUnreachable)
+	assert.ErrorIs(t, pool.CallShared(t.Context(), "a", "shared", new(rpcpb.Empty), new(rpcpb.Empty)), ErrUnreachable)
+	_, err := firstAnswer(t.Context(), func(context.Context) (net.Conn, error) { panic("boom") })
+	assert.ErrorContains(t, err, "boom")
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -76,7 +77,11 @@
 		shared:   make(map[sharedKey]*sharedStream),
 		done:     make(chan struct{}),
 	}
-	go p.sweep()
+	go func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		panics.Restart(ctx, nil, "sessions", func(context.Context) { p.sweep() })
+	}()
 	return p
 }
 
@@ -192,7 +197,7 @@
 		s.touch(time.Now())
 		return s, nil
 	}
-	result := p.dials.DoChan(address, func() (any, error) { return p.connect(address) })
+	result := p.dials.DoChan(address, contained(func() (any, error) { return p.connect(address) }))
 	select {
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, ctx.Err())
@@ -204,6 +209,17 @@
 	}
 }
 
+// contained returns a function that returns a panic of open as ErrUnreachable. A singleflight.Group
+// ends the process after a panic of its function.
+func contained(open func() (any, error)) func() (any, error) {
+	return func() (result any, err error) {
+		if panicked := panics.Contain(nil, "dial", func() { result, err = open() }); panicked != nil {
+			return nil, fmt.Errorf("%w: %w", ErrUnreachable, panicked)
+		}
+		return result, err
+	}
+}
+
 func (p *Pool) connect(address string) (*pooledSession, error) {
 	conn, err := p.dial(address)
 	if err != nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -87,7 +87,7 @@
 		return
 	}
 	s.sessions[session] = struct{}{}
-	s.wg.Go(func() { s.serveSession(session, &frames.readers) })
+	s.wg.Go(func() { _ = panics.Contain(s.log, "session", func() { s.serveSession(session, &frames.readers) }) })
 }
 
 // Close closes all listeners and sessions and waits for the handlers to return.
@@ -116,7 +116,7 @@
 		if err != nil {
 			break
 		}
-		streams.Go(func() { s.serveStream(ctx, tracked) })
+		streams.Go(func() { _ = panics.Contain(s.log, "stream", func() { s.serveStream(ctx, tracked) }) })
 	}
 	cancel()
 	streams.Wait()
--- a/internal/transport/shared.go
+++ b/internal/transport/shared.go
@@ -53,7 +53,7 @@
 	if shared != nil && !shared.isClosed() {
 		return shared, nil
 	}
-	result := p.dials.DoChan(method+" "+address, func() (any, error) { return p.openShared(key) })
+	result := p.dials.DoChan(method+" "+address, contained(func() (any, error) { return p.openShared(key) }))
 	select {
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, ctx.Err())
@@ -108,11 +108,18 @@
 		lastUsed: time.Now(),
 		done:     make(chan struct{}),
 	}
-	go s.sendCalls()
-	go s.receiveReplies()
+	go s.runUntilFailed(s.sendCalls)
+	go s.runUntilFailed(s.receiveReplies)
 	return s
 }
 
+// runUntilFailed calls f, after whose panic the stream is closed.
+func (s *sharedStream) runUntilFailed(f func()) {
+	if err := panics.Contain(nil, "shared stream", f); err != nil {
+		s.fail(err)
+	}
+}
+
 func (s *sharedStream) isClosed() bool {
 	select {
 	case <-s.done:
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -111,7 +111,7 @@
 		lock.Close()
 		return nil, nil, err
 	}
-	go l.runWriter()
+	go l.writeUntilClosed()
 	return l, groups, nil
 }
 
--- a/internal/wal/writer.go
+++ b/internal/wal/writer.go
@@ -1,10 +1,13 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"path/filepath"
 	"slices"
 	"time"
+
+	"ibistray.example/ibistray/internal/panics"
 )
 
 // writer is the state of the writer goroutine.
@@ -23,19 +26,31 @@
 	return w.file.Close()
 }
 
-// runWriter writes the queued requests until the log is closed or fails.
-func (l *Log) runWriter() {
+// writeUntilClosed writes the queued requests until the log is closed or fails, also by a panic.
+func (l *Log) writeUntilClosed() {
 	defer close(l.writerDone)
+	var batch []*appendRequest
+	var err error
+	panicked := panics.Contain(l.opts.Logger, "write-ahead log", func() { err = l.writeBatches(&batch) })
+	if err = errors.Join(err, panicked); err != nil {
+		l.fail(batch, err)
+	}
+}
+
+// writeBatches writes the queued requests until the log is closed, and keeps those in batch that have
+// no result yet.
+func (l *Log) writeBatches(batch *[]*appendRequest) error {
 	for {
-		batch := l.nextBatch()
-		if len(batch) == 0 {
-			return
+		*batch = l.nextBatch()
+		if len(*batch) == 0 {
+			return nil
 		}
-		if err := l.writeBatch(batch); err != nil {
-			l.fail(batch, err)
-			return
+		if err := l.writeBatch(*batch); err != nil {
+			return err
 		}
-		for _, req := range batch {
+		for len(*batch) > 0 {
+			req := (*batch)[0]
+			*batch = (*batch)[1:]
 			req.done(nil)
 		}
 	}
