Damaged data that was set aside does not fill the disk

Operators saw `damaged-…` directories pile up: each damage of the data left a whole copy, which nothing removed. A disk that damages data again and again stayed full, and the replicas that a host fetches from others had no room.

Cause: data was set aside without a bound of its number or bytes.

Change: before each opening, and after a failure for lack of room, policy/setaside says which copies go: the newest stays, older ones within a quarter of the disk, none on a disk that has refused a write. Of the newest one the empty directory stays, which tells that data was set aside. Removals are logged. Opening again after failures is package internal/reopen now, for other users of replicas than state hosts; its tests moved with it, unchanged but for names.

Evidence: TestDamagedDataDoesNotFillTheDisk, with the same steps on (five earlier copies, one new): "assertion failed: 6 (int) != 2 (int)"; 2 now, and 0 after a failure for lack of room.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -8,10 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +18,7 @@
 	"ibistray.example/ibistray/internal/gateway"
 	"ibistray.example/ibistray/internal/listener"
 	"ibistray.example/ibistray/internal/policy/memory"
-	"ibistray.example/ibistray/internal/replica"
+	"ibistray.example/ibistray/internal/reopen"
 	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -36,9 +33,6 @@
 	// deregistrationDelay is how long the load balancer may send new connections after the
 	// entry stops being ready: two checks one second apart, plus a margin.
 	deregistrationDelay = 3 * time.Second
-	// openRetryInterval is the pause between attempts to open a data directory.
-	openRetryInterval = 300 * time.Millisecond
-	dirMode           = 0o700
 	// takenAddressTimeout limits how long a state host that is open waits for its addresses.
 	takenAddressTimeout = time.Second
 	// maxFailures is the number of failures that are kept; the first one ends the process.
@@ -228,9 +222,8 @@
 // acknowledged data meanwhile. It returns an error if the state host cannot start or fails otherwise.
 // newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
-	probe := newDiskProbe(cfg)
-	probe.removeFile()
-	return reopenOnFailure(opts.Logger, stop, probe.writable, func() error {
+	probe := reopen.NewProbe(cfg.FS, cfg.DataDir)
+	return reopenConfig(cfg, opts.Logger, stop).OnFailure(probe.Writable, reopenReason, func() error {
 		err := runStateHost(cfg, addresses, newControlHandler, opts, stop)
 		// The disk may be empty at the next opening, and the votes that it held lost.
 		cfg.Bootstrap = false
@@ -322,77 +315,38 @@
 	return statehost.New(cfg, p.opts.Logger.Named("statehost"), p.metrics.Registry, p.pool, p.failed.report)
 }
 
-// openWithRetries opens a state host. It retries while the disk is full, because a
-// restarted process would find the same disk, and while another process uses the data
-// directory, because that may be a predecessor that ends. Damaged data is set aside once,
-// as if the disk had been lost: the other hosts hold all acknowledged data. If stop is
-// closed before the host is open, it returns nil and no error.
+// openWithRetries opens a state host, see reopen.Open. If stop is closed before the host is open, it
+// returns nil and no error.
 func openWithRetries(cfg statehost.Config, open func(statehost.Config) (*statehost.Host, error), log hclog.Logger, stop <-chan struct{}) (*statehost.Host, error) {
-	logged, setAsideOnce := "", false
-	for {
-		host, err := open(cfg)
-		reason := waitReason(err)
-		switch {
-		case reason != "":
-			if reason != logged {
-				log.Error(reason+": the state host waits", "error", err)
-			}
-			logged = reason
-		case errors.Is(err, wal.ErrCorrupt) && !setAsideOnce:
-			setAsideOnce = true
-			log.Error("stored data is damaged: it is set aside and fetched from other hosts", "error", err)
-			if err := setDataAside(cfg.DataDir); err != nil {
-				return nil, fmt.Errorf("%w: %w", replica.ErrStorage, err)
-			}
-			cfg.Bootstrap = false
-		default:
-			return host, err
-		}
-		select {
-		case <-stop:
-			return nil, nil
-		case <-time.After(openRetryInterval):
-		}
+	setAside := func() error {
+		cfg.Bootstrap = false
+		return setDataAside(cfg.DataDir)
 	}
+	return reopen.Open(reopenConfig(cfg, log, stop), setAside, func() (*statehost.Host, error) { return open(cfg) })
 }
 
-// waitReason returns why a state host waits that cannot be opened, or "" if it must not wait.
-func waitReason(err error) string {
+func reopenConfig(cfg statehost.Config, log hclog.Logger, stop <-chan struct{}) reopen.Config {
+	return reopen.Config{What: "state host", Dir: cfg.DataDir, DiskBytes: cfg.DiskBytes, Log: log, Stop: stop}
+}
+
+// reopenReason names a failure after which a state host is opened again, or returns "": those of
+// package reopen, and an address that was taken while it was opened.
+func reopenReason(err error) string {
 	switch {
-	case wal.IsDiskFull(err):
-		return "disk is full"
-	case errors.Is(err, wal.ErrLocked):
-		return "data directory is in use"
+	case errors.Is(err, errAddressTaken) && !errors.Is(err, wal.ErrLocked):
+		return "address was taken"
+	case reopen.Possible(err):
+		return reopen.Reason(err)
 	}
 	return ""
 }
 
-// damagedPrefix is the prefix of the names of directories with damaged data.
-const damagedPrefix = "damaged-"
-
-// setDataAside moves the contents of a data directory into a new subdirectory whose name
-// starts with damagedPrefix. Earlier such subdirectories stay where they are.
+// setDataAside moves the contents of a data directory aside, except bodies that no opening reads.
 func setDataAside(dir string) error {
 	if err := spill.RemoveFiles(statehost.SpillDir(dir)); err != nil {
 		return fmt.Errorf("hosted: set damaged data aside: %w", err)
 	}
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return fmt.Errorf("hosted: set damaged data aside: %w", err)
-	}
-	target := filepath.Join(dir, fmt.Sprintf("%s%d", damagedPrefix, time.Now().UnixMilli()))
-	if err := os.Mkdir(target, dirMode); err != nil {
-		return fmt.Errorf("hosted: set damaged data aside: %w", err)
-	}
-	for _, entry := range entries {
-		if strings.HasPrefix(entry.Name(), damagedPrefix) {
-			continue
-		}
-		if err := os.Rename(filepath.Join(dir, entry.Name()), filepath.Join(target, entry.Name())); err != nil {
-			return fmt.Errorf("hosted: set damaged data aside: %w", err)
-		}
-	}
-	return nil
+	return reopen.SetAside(dir)
 }
 
 // stopStateHost transfers leadership to other hosts and closes the state host.
--- a/internal/hosted/stale_failure_test.go
+++ b/internal/hosted/stale_failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"ibistray.example/ibistray/internal/reopen"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal/waltest"
 )
@@ -31,14 +32,14 @@
 	go func() {
 		ended <- RunStateHost(cfg, Addresses{Control: "127.0.0.1:0", Peers: "127.0.0.1:0"}, handler, opts, stop)
 	}()
-	time.Sleep(openRetryInterval)
+	time.Sleep(reopen.RetryInterval)
 	assert.Equal(t, len(opened), 0)
 	fs.SetFault(waltest.Fault{})
 	<-opened
 	select {
 	case <-opened:
 		t.Error("the host was closed and opened again")
-	case <-time.After(minReopenDelay + time.Second):
+	case <-time.After(reopen.MinDelay + time.Second):
 	}
 	close(stop)
 	assert.NilError(t, <-ended)
--- a/internal/hosted/storage_failure_test.go
+++ b/internal/hosted/storage_failure_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/localcluster"
+	"ibistray.example/ibistray/internal/reopen"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/internal/wal/waltest"
@@ -149,7 +150,7 @@
 			h = runLonelyHost(t, dir, nil)
 			h.waitOpened()
 			h.close()
-			aside, err := filepath.Glob(filepath.Join(dir, damagedPrefix+"*"))
+			aside, err := filepath.Glob(filepath.Join(dir, reopen.DamagedPrefix+"*"))
 			assert.NilError(t, err)
 			assert.Equal(t, len(aside), 1)
 		})
