A failure of the storage of a control process does not end it

Operators of the product's own interface saw the daemon end, with the calls of its entry and sidecar roles, when its disk refused an operation (full, input/output error, read-only, too many open files, failed fsync) or its replicas panicked, and at each start while the disk did; data that was damaged or missing ended each start for ever.

Cause: a failure of the control role was a failure of the daemon.

Change: the control role is closed and opened again (internal/reopen), with new handlers in place of the old ones; sessions of peers are closed then, since senders do not notice that the replicas behind an open stream are gone. Its metrics are removed with it, its body stores closed. The only control process of a cluster still ends, since no other host has the data. A panic whose value is an error unwraps to it, so that a full disk under a body is known as one.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -19,11 +19,12 @@
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/placement"
+	"ibistray.example/ibistray/internal/reopen"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/settings"
 	"ibistray.example/ibistray/internal/shard"
-	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
@@ -36,6 +37,8 @@
 // controlRole holds the replicas on this process and the services that use them.
 type controlRole struct {
 	log        hclog.Logger
+	metrics    *roleMetrics
+	failed     chan error // gets the failure that has stopped the replicas
 	host       *replica.Host
 	peers      *peer.Transport
 	repairer   *control.Repairer
@@ -43,28 +46,39 @@
 	service    *control.Service
 }
 
-// newControlRole opens the data directory and starts the replicas. onFailure is called when
-// the storage fails later.
-func newControlRole(s *settings.Settings, log hclog.Logger, metrics *telemetry.Metrics, pool *transport.Pool, onFailure func(error)) (*controlRole, error) {
+// newControlRole opens the data directory and starts the replicas. Errors: those of replica.NewHost and
+// replica.Host.AddGroup, with wal.ErrCorrupt for damaged or missing bodies.
+func newControlRole(d *Daemon) (*controlRole, error) {
+	s, log := d.settings, d.log.Named("control")
 	if err := os.MkdirAll(s.DataDir, dataDirMode); err != nil {
-		return nil, fmt.Errorf("daemon: create the data directory: %w", err)
+		return nil, fmt.Errorf("%w: daemon: create the data directory: %w", replica.ErrStorage, err)
 	}
-	peers := peer.New(pool, log.Named("peer"))
-	host, err := replica.NewHost(replica.Options{
+	r := &controlRole{
+		log:     log,
+		metrics: &roleMetrics{Registerer: d.metrics.Registry},
+		failed:  make(chan error, 1),
+		peers:   peer.New(d.pool, log.Named("peer")),
+	}
+	var err error
+	r.host, err = replica.NewHost(replica.Options{
 		Dir:        s.DataDir,
+		FS:         d.fs,
 		Address:    s.AdvertisedAddress,
-		Transport:  peers,
+		Transport:  r.peers,
 		Logger:     log.Named("replica"),
-		Registerer: metrics.Registry,
-		OnFailure:  onFailure,
+		Registerer: r.metrics,
+		OnFailure:  func(err error) { r.failed <- err },
 	})
 	if err != nil {
-		peers.Close()
+		r.peers.Close()
+		r.metrics.remove()
 		return nil, fmt.Errorf("daemon: open the replica host: %w", err)
 	}
-	r := &controlRole{log: log, host: host, peers: peers}
-	r.repairer = control.NewRepairer(repairerConfig(s), log.Named("repair"), host, pool)
-	if err := r.addGroups(s, log, pool); err != nil {
+	r.repairer = control.NewRepairer(repairerConfig(s), log.Named("repair"), r.host, d.pool)
+	if err := r.addGroups(s, log, d.pool); err != nil {
+		if errors.Is(err, history.ErrCorrupt) || errors.Is(err, shard.ErrNoBody) {
+			err = fmt.Errorf("%w: %w", wal.ErrCorrupt, err)
+		}
 		return nil, errors.Join(err, r.stop(context.Background()))
 	}
 	return r, nil
@@ -86,7 +100,7 @@
 		}
 		bodies, err := history.Open(filepath.Join(s.DataDir, bodiesDir, strconv.Itoa(i)))
 		if err != nil {
-			return fmt.Errorf("daemon: open bodies of shard %d: %w", i, err)
+			return fmt.Errorf("%w: daemon: open bodies of shard %d: %w", replica.ErrStorage, i, err)
 		}
 		r.bodyStores = append(r.bodyStores, bodies)
 		shards[i] = shard.New(bodies)
@@ -116,9 +130,9 @@
 }
 
 // initialMembers returns the initial members of a group, or none if this process joins
-// an existing group in place of a lost process.
+// an existing group in place of a lost process, or since its data was damaged.
 func initialMembers(s *settings.Settings, group uint64, hosts []placement.Host) []*raftpb.Member {
-	if s.ReplacedAddress != "" {
+	if s.ReplacedAddress != "" || reopen.WasSetAside(s.DataDir) {
 		return nil
 	}
 	return groupMembers(group, hosts)
@@ -176,10 +190,14 @@
 	r.host.Contain(func() { loop.Every(ctx, compactInterval, compact) })
 }
 
-// stop transfers leadership to other replicas and closes the log. The context limits the
-// wait.
+// stop transfers leadership to other replicas and closes the log and the bodies. The context limits
+// the wait for the transfers.
 func (r *controlRole) stop(ctx context.Context) error {
 	err := r.host.Stop(ctx)
 	r.peers.Close()
+	for _, store := range r.bodyStores {
+		store.Close()
+	}
+	r.metrics.remove()
 	return err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"ibistray.example/ibistray/internal/sidecar"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/internal/wal"
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
@@ -51,7 +52,8 @@
 
 	configuration *configclient.Client
 
-	control *controlRole
+	control *controlLoop
+	fs      wal.FS // of the control role; nil: that of the operating system
 	entry   *entry.Entry
 	sidecar *sidecar.Sidecar
 
@@ -64,6 +66,11 @@
 // error, the process accepts connections. While an address is in use, it waits until ctx
 // ends and then returns the error of ctx.
 func Start(ctx context.Context, s *settings.Settings, log hclog.Logger) (*Daemon, error) {
+	return startWithFS(ctx, s, log, nil)
+}
+
+// startWithFS is like Start, with a file system for the log and the snapshots of the control role.
+func startWithFS(ctx context.Context, s *settings.Settings, log hclog.Logger, fs wal.FS) (*Daemon, error) {
 	credentials, err := awaitFiles(ctx, log, func() (*security.Credentials, error) { return loadCredentials(s, log) })
 	if err != nil {
 		return nil, err
@@ -76,6 +83,7 @@
 		pool:        transport.NewPool(dialFunc(credentials)),
 		server:      transport.NewServer(log.Named("transport")),
 		failures:    make(chan error, 2),
+		fs:          fs,
 	}
 	if err := d.start(ctx); err != nil {
 		d.close()
@@ -137,7 +145,6 @@
 		if err := d.openControl(ctx); err != nil {
 			return err
 		}
-		d.control.register(d.server)
 	}
 	if s.HasRole(settings.RoleEntry) {
 		if err := d.createEntry(ctx); err != nil {
@@ -204,7 +211,7 @@
 		d.loops.Go(func() { panics.Restart(ctx, d.log, "credentials", d.credentials.Watch) })
 	}
 	if d.control != nil {
-		d.loops.Go(func() { d.control.run(ctx) })
+		go d.control.run()
 	}
 	if d.entry != nil {
 		d.loops.Go(func() { panics.Restart(ctx, d.log, "entry", d.entry.Run) })
@@ -219,8 +226,7 @@
 	d.fail(<-d.http.Failed())
 }
 
-// fail reports an error after which the process must end. After a failure of the
-// storage this replica must not continue; acknowledged data is on other replicas.
+// fail reports an error after which the process must end.
 func (d *Daemon) fail(err error) {
 	select {
 	case d.failures <- err:
@@ -228,8 +234,8 @@
 	}
 }
 
-// Failed returns a channel that receives the error of a failed listener or of failed
-// storage. The process should then end.
+// Failed returns a channel that receives the error of a failed listener, or of a control role that
+// cannot be opened again. The process should then end.
 func (d *Daemon) Failed() <-chan error {
 	return d.failures
 }
@@ -250,7 +256,7 @@
 	defer cancel()
 	errs = append(errs, d.http.Stop(stopCtx))
 	if d.control != nil {
-		errs = append(errs, d.control.stop(stopCtx))
+		errs = append(errs, d.control.close(stopCtx))
 	}
 	d.close()
 	err := errors.Join(errs...)
--- a/internal/panics/panics.go
+++ b/internal/panics/panics.go
@@ -31,6 +31,12 @@
 
 func (e *Error) Error() string { return fmt.Sprintf("panic in %s: %v", e.Part, e.Value) }
 
+// Unwrap returns the value of the panic if it is an error.
+func (e *Error) Unwrap() error {
+	err, _ := e.Value.(error)
+	return err
+}
+
 // Contain calls f. If f panics, Contain logs the panic with its stack, counts it and returns an
 // *Error. Whatever f was changing may be left half changed: the caller drops it. Without a log, the
 // panic goes to the default logger.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -26,7 +26,7 @@
 // Server accepts sessions and serves the RPCs on them.
 type Server struct {
 	log      hclog.Logger
-	handlers map[string]Handler
+	handlers sync.Map // Handler by method
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -39,14 +39,13 @@
 func NewServer(log hclog.Logger) *Server {
 	return &Server{
 		log:      log,
-		handlers: make(map[string]Handler),
 		sessions: make(map[*yamux.Session]struct{}),
 	}
 }
 
-// Handle registers the handler of a method. It must be called before Serve.
+// Handle registers the handler of a method, in place of an earlier one. RPCs in progress keep theirs.
 func (s *Server) Handle(method string, h Handler) {
-	s.handlers[method] = h
+	s.handlers.Store(method, h)
 }
 
 // Serve accepts connections until the listener or the server is closed. It returns
@@ -97,11 +96,18 @@
 	for _, ln := range s.listeners {
 		ln.Close()
 	}
+	s.mu.Unlock()
+	s.CloseSessions()
+	s.wg.Wait()
+}
+
+// CloseSessions closes all open sessions, so that clients open new ones.
+func (s *Server) CloseSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for session := range s.sessions {
 		session.Close()
 	}
-	s.mu.Unlock()
-	s.wg.Wait()
 }
 
 func (s *Server) serveSession(session *yamux.Session, open *readers) {
@@ -156,12 +162,12 @@
 
 // dispatch calls the handler of a method. A panic of the handler ends the RPC with CODE_INTERNAL.
 func (s *Server) dispatch(ctx context.Context, method string, stream *Stream) (err error) {
-	h, ok := s.handlers[method]
+	h, ok := s.handlers.Load(method)
 	if !ok {
 		return Errorf(rpcpb.Code_CODE_UNKNOWN_METHOD, "method %q is not served here", method)
 	}
 	stream.log = s.log
-	if panicked := panics.Contain(s.log, method, func() { err = h(ctx, stream) }); panicked != nil {
+	if panicked := panics.Contain(s.log, method, func() { err = h.(Handler)(ctx, stream) }); panicked != nil {
 		return panicked
 	}
 	return err
