Refuse first turns while there still is room for those under way

What callers saw: with more kept turns than the state hosts can hold, the hosts went on until their disks refused and their memory was used up: 503 and lost turns while they were killed and restored.

Cause: kept turns were bounded by their retention only.

Class: a resource that only time frees, given out without asking what is left.

Change: the leader of the ledger compares what is kept, and what the programs under way are expected to add, with the capacity that follows from the smallest disk of the members and from the memory limit. From the first level it refuses first turns on less urgent routes, from the second all first turns, before the Begin is proposed, with CODE_EXHAUSTED and the time until turns expire. Turns that continue from others, turns that are not kept, begun turns and the ends of turns are never refused for this. A refusal after an attempt that may have been applied settles the turn. Metrics ibistray_ledger_room_*, ibistray_ledger_refused_turns_total.

TestStateThatDoesNotFitTheDisk: a host joins if the capacity of its disk holds the state, in place of three times the state; the bound of the test is derived from that rule (disk of 7,680 bytes for 3,000) and is exact on both sides.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -368,7 +368,7 @@
 // queueOptions returns the options with which the turn waits for the ledger. The send
 // deadline leaves the client enough time for a retry.
 func (c *call) queueOptions() queueOptions {
-	return queueOptions{priority: c.priority(), sendBy: c.arrived.Add(c.deadline.Sub(c.arrived) * ledgerWaitPercent / 100)}
+	return queueOptions{priority: c.priority(), kept: c.route.KeepTurns, sendBy: c.arrived.Add(c.deadline.Sub(c.arrived) * ledgerWaitPercent / 100)}
 }
 
 // prependTurns puts the input and output of earlier turns before the request body.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,6 +233,10 @@
 	if errors.As(cause, &overload) {
 		after = overload.RetryAfter
 	}
+	var full *ledgerFullError
+	if errors.As(cause, &full) {
+		after = full.retryAfter
+	}
 	var shed *shedError
 	if errors.As(cause, &shed) {
 		after = shed.retryAfter
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -34,6 +34,7 @@
 	reasonUnanswered        = "unanswered"
 	reasonLedgerUnavailable = "ledger_unavailable"
 	reasonLedgerBusy        = "ledger_busy"
+	reasonLedgerFull        = "ledger_full"
 	reasonUnknownStream     = "unknown_stream"
 	reasonVersionGone       = "stream_version_gone"
 	reasonOutdatedView      = "servers_outdated"
@@ -84,6 +85,7 @@
 	{errLimited, refusal{reasonServerLimit, http.StatusServiceUnavailable, true}},
 	{errQuarantined, refusal{reasonQuarantined, http.StatusServiceUnavailable, false}},
 	{gate.ErrOverloaded, refusal{reasonLedgerBusy, http.StatusServiceUnavailable, true}},
+	{errLedgerFull, refusal{reasonLedgerFull, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrUnavailable, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 	{errChainBroken, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
 	{leaderclient.ErrRefused, refusal{reasonLedgerUnavailable, http.StatusServiceUnavailable, true}},
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -14,12 +14,14 @@
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
+	"ibistray.example/ibistray/proto/rpcpb"
 )
 
 // Errors of reservations.
 var (
 	errBudgetSpent = errors.New("gateway: the program's token budget is spent")
 	errUnknownTurn = errors.New("gateway: the previous turn is unknown")
+	errLedgerFull  = errors.New("gateway: the ledger has no room for the turns of more programs")
 	// errMayBeReserved says that a turn that did not begin may still hold a reservation.
 	// Settling the turn releases it.
 	errMayBeReserved = errors.New("gateway: the turn may hold a reservation")
@@ -45,6 +47,15 @@
 	finishTimeout = 4 * time.Second
 )
 
+// ledgerFullError is errLedgerFull with the delay after which there may be room.
+type ledgerFullError struct {
+	retryAfter time.Duration
+	cause      error
+}
+
+func (e *ledgerFullError) Error() string   { return fmt.Sprintf("%s: %s", errLedgerFull, e.cause) }
+func (e *ledgerFullError) Unwrap() []error { return []error{errLedgerFull, e.cause} }
+
 // retryHedged is the retry reason of hedged requests.
 const retryHedged = "hedged"
 
@@ -55,8 +66,8 @@
 	// begin reserves the tokens of a turn of a client account, opens its stream and returns
 	// what it continues from. stream is nil on routes whose streams cannot be resumed. It waits for a leader
 	// until ctx ends. Errors: errBudgetSpent, errUnknownTurn, errUnknownStream,
-	// *gate.OverloadError with the delay before a retry, leaderclient.ErrRefused, and
-	// leaderclient.ErrUnavailable, wrapped with errMayBeReserved if the request was sent.
+	// *gate.OverloadError and *ledgerFullError with the delay before a retry,
+	// leaderclient.ErrRefused, and leaderclient.ErrUnavailable, wrapped with errMayBeReserved if the request was sent.
 	begin(ctx context.Context, account string, meta *RequestMeta, stream *ledgerpb.OpenStream, opts queueOptions) (history, error)
 	// openStream records the version of a stream, or returns the version that began the
 	// stream which the call resumes. Errors: errUnknownStream, *gate.OverloadError,
@@ -80,6 +91,7 @@
 // queueOptions says how a turn waits to be sent to the ledger.
 type queueOptions struct {
 	priority int       // of its route; 0 is the most urgent
+	kept     bool      // the turn will be kept
 	sendBy   time.Time // the turn is refused if it was not sent by then
 }
 
@@ -136,7 +148,7 @@
 	if err := l.gate.acquire(sendCtx, call, admission); err != nil {
 		return history{}, err
 	}
-	resp, err := l.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
+	command := &ledgerpb.Command{Kind: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
 		CallId:      meta.ID,
 		Program:     meta.Program,
 		Previous:    meta.PreviousTurn,
@@ -145,7 +157,12 @@
 		Limited:     meta.HasBudget,
 		Stream:      stream,
 		Account:     account,
-	}}})
+	}}}
+	resp, err := l.call(ctx, &ledgerpb.Request{Command: command, TurnNotKept: !opts.kept, RoutePriority: uint32(max(0, opts.priority))})
+	var remote *transport.Error
+	if errors.As(err, &remote) && remote.Code == rpcpb.Code_CODE_EXHAUSTED {
+		return history{}, &ledgerFullError{remote.RetryAfter, err}
+	}
 	if err != nil {
 		return history{}, err
 	}
@@ -167,7 +184,7 @@
 	if err := l.gate.acquire(ctx, call, nil); err != nil {
 		return "", err
 	}
-	resp, err := l.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_OpenStream{OpenStream: stream}})
+	resp, err := l.call(ctx, &ledgerpb.Request{Command: &ledgerpb.Command{Kind: &ledgerpb.Command_OpenStream{OpenStream: stream}}})
 	if err != nil {
 		return "", err
 	}
@@ -189,7 +206,7 @@
 	if err := l.gate.acquire(ctx, call, nil); err != nil {
 		return err
 	}
-	resp, err := l.call(ctx, &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}})
+	resp, err := l.call(ctx, &ledgerpb.Request{Command: &ledgerpb.Command{Kind: &ledgerpb.Command_Finish{Finish: f}}})
 	if err != nil {
 		return err
 	}
@@ -199,24 +216,25 @@
 	return nil
 }
 
-// call sends a command that has acquired the gate to the leader, and releases the gate.
+// call sends a request that has acquired the gate to the leader, and releases the gate.
 // Errors: leaderclient.ErrUnavailable, wrapped with errMayBeReserved, and
 // leaderclient.ErrRefused.
-func (l *remoteLedger) call(ctx context.Context, cmd *ledgerpb.Command) (*ledgerpb.Response, error) {
+func (l *remoteLedger) call(ctx context.Context, req *ledgerpb.Request) (*ledgerpb.Response, error) {
+	req.FetchesChain = true
 	start := time.Now()
-	resp, err := hedge.Do(ctx, hedgeDelay, l.sendVia(l.client, cmd), l.sendHedged(cmd))
+	resp, err := hedge.Do(ctx, hedgeDelay, l.sendVia(l.client, req), l.sendHedged(req))
 	l.gate.release(time.Since(start), outcomeOf(ctx, resp, err))
-	if errors.Is(err, leaderclient.ErrUnavailable) {
+	if errors.Is(err, leaderclient.ErrUnavailable) || errors.Is(err, leaderclient.ErrUncertain) {
 		err = fmt.Errorf("%w: %w", errMayBeReserved, err)
 	}
 	return resp, err
 }
 
-// sendVia returns a call that sends a command to the leader over one of the clients.
-func (l *remoteLedger) sendVia(client *leaderclient.Client, cmd *ledgerpb.Command) hedge.Call[*ledgerpb.Response] {
+// sendVia returns a call that sends a request to the leader over one of the clients.
+func (l *remoteLedger) sendVia(client *leaderclient.Client, req *ledgerpb.Request) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
 		resp := new(ledgerpb.Response)
-		if err := client.Call(ctx, &l.leader, transport.MethodLedger, 0, &ledgerpb.Request{Command: cmd, FetchesChain: true}, resp); err != nil {
+		if err := client.Call(ctx, &l.leader, transport.MethodLedger, 0, req, resp); err != nil {
 			return nil, err
 		}
 		return resp, nil
@@ -225,7 +243,7 @@
 
 // sendHedged returns the hedged call. The call fails while the ledger is overloaded, and
 // waits while maxHedges hedged requests are running.
-func (l *remoteLedger) sendHedged(cmd *ledgerpb.Command) hedge.Call[*ledgerpb.Response] {
+func (l *remoteLedger) sendHedged(req *ledgerpb.Request) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
 		if !l.gate.hasSpareCapacity() {
 			return nil, fmt.Errorf("%w: no hedged request while the ledger is overloaded", leaderclient.ErrUnavailable)
@@ -237,6 +255,6 @@
 			return nil, fmt.Errorf("%w: %w", leaderclient.ErrUnavailable, ctx.Err())
 		}
 		l.onRetry(retryHedged)
-		return l.sendVia(l.hedgeClient, cmd)(ctx)
+		return l.sendVia(l.hedgeClient, req)(ctx)
 	}
 }
--- a/internal/leaderclient/client.go
+++ b/internal/leaderclient/client.go
@@ -25,6 +25,8 @@
 	// ErrRefused means that the request failed with an error that a retry does not
 	// resolve.
 	ErrRefused = errors.New("leaderclient: request refused")
+	// ErrUncertain comes with ErrRefused if an earlier attempt may have been applied.
+	ErrUncertain = errors.New("leaderclient: an earlier attempt may have been applied")
 )
 
 const (
@@ -91,14 +93,15 @@
 // Call sends an idempotent request to the leader of a group. It tries the cached
 // leader first and then the control processes in turn, with jittered backoff, until
 // one responds or the context ends. wait is how long the server may hold the request;
-// it extends the timeout of each attempt. The error wraps ErrUnavailable or
-// ErrRefused.
+// it extends the timeout of each attempt. The error wraps ErrUnavailable, ErrRefused, or
+// ErrRefused and ErrUncertain.
 func (c *Client) Call(ctx context.Context, cache *LeaderCache, method string, wait time.Duration, req, resp proto.Message) error {
 	addresses := c.addresses()
 	if len(addresses) == 0 {
 		return fmt.Errorf("%w: no address of a control process is known", ErrUnavailable)
 	}
 	next := rand.IntN(len(addresses))
+	uncertain := false
 	for attempt := 0; ; attempt++ {
 		address := addresses[next]
 		if cached := cache.address.Load(); cached != nil {
@@ -110,9 +113,13 @@
 			return nil
 		}
 		reason, retryable := retryReason(err)
+		if !retryable && uncertain {
+			return fmt.Errorf("%w: %w: %s: %w", ErrRefused, ErrUncertain, method, err)
+		}
 		if !retryable {
 			return fmt.Errorf("%w: %s: %w", ErrRefused, method, err)
 		}
+		uncertain = uncertain || mayBeApplied(err)
 		redirected := cache.update(err)
 		next = (next + 1) % len(addresses)
 		if ctx.Err() != nil {
@@ -146,6 +153,11 @@
 	return false
 }
 
+// mayBeApplied reports whether a request that ended with an error may have been applied.
+func mayBeApplied(err error) bool {
+	return !errors.Is(err, transport.ErrUnreachable) && transport.CodeOf(err) != rpcpb.Code_CODE_NOT_LEADER
+}
+
 // retryReason returns the reason to retry a request after an error. It returns false
 // when the request must not be retried.
 func retryReason(err error) (string, bool) {
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -24,6 +24,7 @@
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
 	"ibistray.example/ibistray/internal/policy/quota"
+	"ibistray.example/ibistray/internal/policy/retention"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
 	"ibistray.example/ibistray/internal/routing"
@@ -56,7 +57,7 @@
 	snapshotBytes    = 16 << 20
 	minSnapshotBytes = 1 << 20
 	// On small disks the log takes at most a fourth: the commands since the latest
-	// snapshot and the segments that are not removed yet.
+	// snapshot, those that arrive while one is written and the segments that are not removed yet.
 	snapshotDiskShare = 16
 	segmentDiskShare  = 64
 	// A start reads whole segments, also those that only a group with few entries retains,
@@ -148,17 +149,19 @@
 	pushes           pushLimiter
 	pendingCommands  atomic.Int64
 	pendingBytes     atomic.Int64 // of the pending commands of both groups
+	room             room
 
 	configLeader leaderclient.LeaderCache
 	ledgerLeader leaderclient.LeaderCache
 
 	started            time.Time
-	persistedRevision  uint64        // revision of the servers in serversFile; used by persistServers only
-	persistedHosts     []string      // state hosts in serversFile; used by persistServers only
-	unknownReported    int64         // records of unknown kinds that were logged
-	spillReported      int64         // bodies that were not written to the disk and are counted; used by sweep only
-	diskTooSmall       bool          // result of the last checkDisk; used by sweep only
-	replicaReplacement chan struct{} // semaphore, held while a replica is replaced on the disk
+	persistedRevision  uint64                     // revision of the servers in serversFile; used by persistServers only
+	persistedHosts     []string                   // state hosts in serversFile; used by persistServers only
+	unknownReported    int64                      // records of unknown kinds that were logged
+	spillReported      int64                      // bodies that were not written to the disk and are counted; used by sweep only
+	diskTooSmall       bool                       // result of the last checkDisk; used by sweep only
+	roomLevels         map[string]retention.Level // by resource, at the last updateRoom; used by sweep only
+	replicaReplacement chan struct{}              // semaphore, held while a replica is replaced on the disk
 	background         sync.WaitGroup
 	cancel             context.CancelFunc
 }
@@ -192,11 +195,13 @@
 		hosts:    newHostTable(),
 
 		ledgerClock: newLedgerClock(cfg, programs),
+		roomLevels:  make(map[string]retention.Level),
 
 		replicaReplacement: make(chan struct{}, 1),
 
 		started: time.Now(),
 	}
+	h.room.disk.Store(h.diskCapacity(cfg.DiskBytes))
 	h.leaders = leaderclient.NewWithOptions(pool, leaderclient.Options{
 		Addresses:      h.knownAddresses,
 		AttemptTimeout: leaderCallTimeout,
@@ -233,7 +238,7 @@
 		SnapshotBytes:     int(diskShare(cfg.DiskBytes, snapshotDiskShare, snapshotBytes)),
 		MinSnapshotBytes:  minSnapshotBytes,
 		RetainBytes:       int(cfg.memoryBytes() / retainMemoryShare),
-		MaxUncoveredBytes: int(cfg.memoryBytes() / uncoveredMemoryShare),
+		MaxUncoveredBytes: int(uncoveredBytes(&cfg, cfg.DiskBytes)),
 		MaxSegments:       maxSegments,
 		SegmentSize:       diskShare(cfg.DiskBytes, segmentDiskShare, maxSegmentBytes),
 		Clock:             bootTime,
@@ -323,7 +328,7 @@
 
 // sweep removes backend servers without a heartbeat for long, marks the silent ones and
 // updates the gauges of the ledger.
-func (h *Host) sweep(context.Context) {
+func (h *Host) sweep(ctx context.Context) {
 	now := time.Now()
 	h.ledgerClock.nowMs()
 	h.servers.Sweep(now)
@@ -342,6 +347,7 @@
 	h.metrics.routesVersion.Set(float64(h.config.routesInForce().GetVersion()))
 	h.reportUnknown(int64(stats.Unknown) + h.config.unknown.Load())
 	h.checkDisk(stats.Bytes)
+	h.updateRoom(ctx)
 }
 
 // reportUnknown logs and counts commands and snapshot records of kinds that only later builds
--- a/internal/statehost/members.go
+++ b/internal/statehost/members.go
@@ -31,9 +31,6 @@
 	// Restarts and partitions are usually shorter, and each replacement copies the state
 	// twice.
 	standbyDelay = 10 * time.Second
-	// stateDiskShare is the share of a disk that the state of a group may have. The disk
-	// holds two snapshots while one is replaced, and the log since then.
-	stateDiskShare = 3
 	// leaderCallTimeout limits one attempt of a call to a leader.
 	leaderCallTimeout = 500 * time.Millisecond
 )
@@ -231,11 +228,8 @@
 // one can hold a replica with a state of stateBytes: its snapshots, its log and what it does not
 // hold in memory.
 func (h *Host) fitsDisk(stateBytes, diskBytes int64) bool {
-	if diskBytes <= 0 {
-		return true
-	}
-	spilled := min(max(0, stateBytes-bodyMemoryBytes(&h.cfg)), spillBytes(diskBytes))
-	return stateDiskShare*stateBytes+spilled <= diskBytes
+	capacity := h.diskCapacity(diskBytes)
+	return capacity == 0 || stateBytes <= capacity
 }
 
 // wantedVoters returns the number of voters that tolerates the configured losses.
--- a/internal/statehost/members_test.go
+++ b/internal/statehost/members_test.go
@@ -52,7 +52,8 @@
 }
 
 // TestStateThatDoesNotFitTheDisk checks hosts with disks of several sizes against a ledger
-// with a turn of 3,000 bytes.
+// with a turn of 3,000 bytes. Two snapshots of it must fit besides the log, which takes 12/64 of such
+// a disk, and the reserve of 2/64.
 func TestStateThatDoesNotFitTheDisk(t *testing.T) {
 	h := newTestHost(t, t.TempDir(), "127.0.0.1:1")
 	defer stopHost(t, h)
@@ -61,7 +62,7 @@
 	}}})
 	assert.NilError(t, err)
 	h.ledger.Apply(1, cmd)
-	for disk, tooSmall := range map[int64]bool{0: false, 3000*stateDiskShare - 1: true, 3000 * stateDiskShare: false} {
+	for disk, tooSmall := range map[int64]bool{0: false, 7680 - 64: true, 7680: false} {
 		h.recordHost(&fleetpb.Host{Address: "a", DiskBytes: disk})
 		_, got := planHostOf(h, "a")
 		assert.Equal(t, got, tooSmall, "disk of %d bytes", disk)
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -25,8 +25,12 @@
 	turnBytes         prometheus.Gauge
 	turnMemoryBytes   prometheus.Gauge
 	turnSpilledBytes  prometheus.Gauge
-	spillFailures     prometheus.Counter // turns that the disk did not take
-	routesVersion     prometheus.Gauge   // of the routes that this host has applied
+	spillFailures     prometheus.Counter     // turns that the disk did not take
+	roomLevel         *prometheus.GaugeVec   // by resource, disk or memory: retention.Level at the leader
+	roomUsed          *prometheus.GaugeVec   // by resource: bytes
+	roomCapacity      *prometheus.GaugeVec   // by resource: bytes
+	refusedTurns      *prometheus.CounterVec // by resource: first turns for which there is no room
+	routesVersion     prometheus.Gauge       // of the routes that this host has applied
 }
 
 const namespace = "ibistray"
@@ -44,6 +48,9 @@
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 	}
+	gauges := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
 	m := &metrics{
 		retries:          counter("leader_retries_total", "Retried requests to leaders, by reason.", "reason"),
 		heartbeats:       counter("heartbeats_total", "Heartbeats of backend servers, by outcome.", "outcome"),
@@ -73,8 +80,12 @@
 		spillFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "ledger_spill_failures_total", Help: "Turns that stay in memory beyond its share because the disk did not take them.",
 		}),
+		roomLevel:     gauges("ledger_room_level", "Shortage of room for kept turns at the leader of the ledger, by resource: 0 free, 1 low, 2 full.", "resource"),
+		roomUsed:      gauges("ledger_room_used_bytes", "Use of the room for kept turns, by resource.", "resource"),
+		roomCapacity:  gauges("ledger_room_capacity_bytes", "Room for kept turns, by resource; 0: not limited.", "resource"),
+		refusedTurns:  counter("ledger_refused_turns_total", "First turns that were refused for lack of room, by resource.", "resource"),
 		routesVersion: gauge("routes_applied_version", "Version of the routes that this state host has applied."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes, m.turnMemoryBytes, m.turnSpilledBytes, m.spillFailures, m.routesVersion)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes, m.turnMemoryBytes, m.turnSpilledBytes, m.spillFailures, m.roomLevel, m.roomUsed, m.roomCapacity, m.refusedTurns, m.routesVersion)
 	return m
 }
--- /dev/null
+++ b/internal/statehost/retention.go
@@ -0,0 +1,159 @@
+package statehost
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"ibistray.example/ibistray/internal/ledger"
+	"ibistray.example/ibistray/internal/policy/retention"
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/ledgerpb"
+	"ibistray.example/ibistray/proto/raftpb"
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+const (
+	// indexMemoryShare is the part of the memory limit for what turns and programs take besides
+	// the inputs and outputs, and for those that the disk has refused.
+	indexMemoryShare = 8
+	// turnIndexBytes and programIndexBytes are what a turn and a program take in memory.
+	turnIndexBytes    = 300
+	programIndexBytes = 1000
+	// minScanShare is the part of a capacity below which no turn is refused, whatever the programs
+	// under way are expected to add.
+	minScanShare = 0.2
+)
+
+// Resources that kept turns use, as labels of metrics.
+const (
+	resourceDisk   = "disk"
+	resourceMemory = "memory"
+)
+
+// room is what is known about the room for kept turns.
+type room struct {
+	disk  atomic.Int64                // capacity of the smallest disk of the members, in bytes; 0: not limited
+	state atomic.Pointer[ledger.Room] // at the latest sweep, nil: all turns may begin
+	begun atomic.Int64                // programs that have begun since then
+}
+
+// logBytes returns the most that the log of both groups takes on the disk of a host.
+func logBytes(cfg *Config, diskBytes int64) int64 {
+	uncovered := uncoveredBytes(cfg, diskBytes)
+	return max(diskShare(diskBytes, snapshotDiskShare, snapshotBytes), uncovered) + uncovered +
+		2*maxSegments*diskShare(diskBytes, segmentDiskShare, maxSegmentBytes)
+}
+
+// uncoveredBytes returns the limit of the entries that arrive while a snapshot is written.
+func uncoveredBytes(cfg *Config, diskBytes int64) int64 {
+	return diskShare(diskBytes, snapshotDiskShare, cfg.memoryBytes()/uncoveredMemoryShare)
+}
+
+// diskCapacity returns how many bytes of turns a host with a disk of diskBytes and the memory of this
+// one can keep; 0: not limited.
+func (h *Host) diskCapacity(diskBytes int64) int64 {
+	return retention.Disk{
+		Size: diskBytes, Log: logBytes(&h.cfg, diskBytes), Bodies: spillBytes(diskBytes), Memory: bodyMemoryBytes(&h.cfg),
+	}.Capacity()
+}
+
+// keptResources returns the use of the disk and of the memory by kept turns, in that order.
+func (h *Host) keptResources() [2]keptResource {
+	var programs, running int64
+	if room := h.room.state.Load(); room != nil {
+		begun := h.room.begun.Load()
+		programs, running = room.Programs+begun, room.Running+begun
+	}
+	stats := h.ledger.Stats()
+	index := int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes
+	index += max(0, stats.Memory-bodyMemoryBytes(&h.cfg))
+	return [...]keptResource{
+		{resourceDisk, retention.Resource{Used: stats.Bytes, Capacity: h.room.disk.Load(), Programs: programs, Running: running}},
+		{resourceMemory, retention.Resource{Used: index, Capacity: h.cfg.memoryBytes() / indexMemoryShare, Programs: programs, Running: running}},
+	}
+}
+
+// keptResource is a resource with its label in metrics.
+type keptResource struct {
+	name string
+	retention.Resource
+}
+
+// updateRoom looks at what the ledger keeps, if this host leads it, and updates the metrics.
+func (h *Host) updateRoom(ctx context.Context) {
+	status, leads := h.leaderStatus(ctx, LedgerGroup)
+	h.room.disk.Store(h.leastDiskCapacity(status.Membership.GetMembers()))
+	var room *ledger.Room
+	resources := h.keptResources()
+	if leads && slices.ContainsFunc(resources[:], func(r keptResource) bool { return float64(r.Used) >= minScanShare*float64(r.Capacity) }) {
+		current := h.ledger.Room(retention.GrowthPeriod)
+		room = &current
+	}
+	h.room.state.Store(room)
+	h.room.begun.Store(0)
+	for _, r := range h.keptResources() {
+		level := retention.Free
+		if leads {
+			level = r.Level()
+		}
+		if previous := h.roomLevels[r.name]; level != previous {
+			h.log.Warn("room for kept turns", "resource", r.name, "level", level.String(), "before", previous.String(),
+				"used_bytes", r.Used, "growth_bytes", r.Growth(), "capacity_bytes", r.Capacity)
+		}
+		h.roomLevels[r.name] = level
+		h.metrics.roomLevel.WithLabelValues(r.name).Set(float64(level))
+		h.metrics.roomUsed.WithLabelValues(r.name).Set(float64(r.Used))
+		h.metrics.roomCapacity.WithLabelValues(r.name).Set(float64(r.Capacity))
+	}
+}
+
+// leastDiskCapacity returns the capacity of this host, or that of a member whose disk is smaller.
+func (h *Host) leastDiskCapacity(members []*raftpb.Member) int64 {
+	least := h.diskCapacity(h.cfg.DiskBytes)
+	for _, known := range h.hosts.all() {
+		isMember := slices.ContainsFunc(members, func(m *raftpb.Member) bool { return m.Address == known.host.Address })
+		if capacity := h.diskCapacity(known.host.DiskBytes); isMember && capacity > 0 && (least == 0 || capacity < least) {
+			least = capacity
+		}
+	}
+	return least
+}
+
+// admitTurn refuses a turn for which there may be no room once it is to be kept, before it is
+// proposed. A turn that has begun is not refused.
+func (h *Host) admitTurn(req *ledgerpb.Request) error {
+	begin := req.Command.GetBegin()
+	if begin == nil || h.replicas.Leader(LedgerGroup) != h.cfg.Address {
+		return nil
+	}
+	turn := retention.Turn{First: begin.Previous == "", Kept: !req.TurnNotKept, Priority: int(req.RoutePriority)}
+	if !turn.First || !turn.Kept {
+		return nil
+	}
+	for _, r := range h.keptResources() {
+		d := retention.Decide(turn, r.Resource, h.freedAfter(r.Resource))
+		if d.Admit || h.ledger.Begun(begin.Account, begin.Program, begin.CallId) {
+			continue
+		}
+		h.metrics.refusedTurns.WithLabelValues(r.name).Inc()
+		err := transport.Errorf(rpcpb.Code_CODE_EXHAUSTED, "no room for more kept turns: %d of %d bytes (%s) are in use, %d are expected of programs under way", r.Used, r.Capacity, r.name, r.Growth())
+		err.RetryAfter = d.RetryAfter
+		return err
+	}
+	h.room.begun.Add(1)
+	return nil
+}
+
+// freedAfter returns the time after which a part of a resource will have been freed, from what the
+// ledger kept at the latest sweep.
+func (h *Host) freedAfter(r retention.Resource) func(bytes int64) time.Duration {
+	return func(bytes int64) time.Duration {
+		room := h.room.state.Load()
+		if room == nil || r.Used == 0 {
+			return 0
+		}
+		return room.FreedAfter(int64(float64(bytes) / float64(r.Used) * float64(room.Bytes)))
+	}
+}
--- /dev/null
+++ b/internal/statehost/retention_test.go
@@ -0,0 +1,95 @@
+package statehost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/ledgerpb"
+	"ibistray.example/ibistray/proto/rpcpb"
+)
+
+// startLeader starts the only state host of a cluster and waits until it leads the ledger.
+func startLeader(t *testing.T, memoryBytes int64) *Host {
+	t.Helper()
+	h := startLimitedHost(t, t.TempDir(), memoryBytes, func(err error) { t.Error(err) })
+	t.Cleanup(func() { stopHost(t, h) })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, leads := h.leaderStatus(t.Context(), LedgerGroup); leads {
+			return poll.Success()
+		}
+		return poll.Continue("the host does not lead")
+	})
+	return h
+}
+
+// TestFirstTurnsAreRefusedBeforeTheRoomIsUsedUp guards against turns that are kept beyond the disk,
+// and against turns of programs under way that are refused.
+func TestFirstTurnsAreRefusedBeforeTheRoomIsUsedUp(t *testing.T) {
+	const turnBytes = 256 << 10
+	h := startLeader(t, 24<<20)
+	call := func(req *ledgerpb.Request) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := h.handleLedger(ctx, req)
+		return err
+	}
+	first := func(id string, priority uint32) *ledgerpb.Request {
+		return &ledgerpb.Request{Command: beginCommand(id, id, "", 1, 10), RoutePriority: priority}
+	}
+	kept := 0
+	keepUntil := func(share float64) {
+		for ; float64(h.ledger.Stats().Bytes) < share*float64(h.room.disk.Load()); kept++ {
+			cmd := keptTurn(kept, turnBytes)
+			cmd.NowMs = h.ledgerClock.nowMs()
+			data, err := proto.Marshal(cmd)
+			assert.NilError(t, err)
+			h.ledger.Apply(uint64(kept), data)
+		}
+		h.updateRoom(t.Context())
+	}
+	refused := func(req *ledgerpb.Request) {
+		t.Helper()
+		err := call(req)
+		assert.Equal(t, transport.CodeOf(err), rpcpb.Code_CODE_EXHAUSTED, "%v", err)
+		// The turns are kept for 600 s and the margin of 30 s.
+		var refusal *transport.Error
+		assert.Assert(t, errors.As(err, &refusal))
+		assert.Assert(t, refusal.RetryAfter > 600*time.Second && refusal.RetryAfter <= 640*time.Second, "%s", refusal.RetryAfter)
+	}
+	keepUntil(0.7)
+	assert.NilError(t, call(first("room", 1)))
+	keepUntil(0.8)
+	refused(first("low", 1))
+	assert.NilError(t, call(first("urgent", 0)))
+	keepUntil(1.1)
+	refused(first("full", 0))
+	assert.NilError(t, call(first("urgent", 1)), "a turn that has begun already")
+	assert.NilError(t, call(&ledgerpb.Request{Command: beginCommand("later", "p", "turn-1", 1, 10), RoutePriority: 1}))
+	assert.NilError(t, call(&ledgerpb.Request{Command: beginCommand("unkept", "q", "", 1, 10), TurnNotKept: true, RoutePriority: 1}))
+	assert.NilError(t, call(&ledgerpb.Request{Command: finishCommand("urgent", "urgent", "", 1)}))
+	assert.Equal(t, h.ledger.Stats().Turns, kept+1)
+	assert.Equal(t, h.ledger.Begun("", "full", "full"), false)
+}
+
+// TestManySmallTurnsAreLimitedByTheMemory guards against turns that fit the disk and whose index
+// does not fit the memory.
+func TestManySmallTurnsAreLimitedByTheMemory(t *testing.T) {
+	h := startLeader(t, 8<<20)
+	for n := range 8 << 20 / indexMemoryShare / turnIndexBytes {
+		data, err := proto.Marshal(keptTurn(n, 10))
+		assert.NilError(t, err)
+		h.ledger.Apply(uint64(n), data)
+	}
+	h.updateRoom(t.Context())
+	_, err := h.handleLedger(t.Context(), &ledgerpb.Request{Command: beginCommand("a", "a", "", 1, 10)})
+	assert.Equal(t, transport.CodeOf(err), rpcpb.Code_CODE_EXHAUSTED, "%v", err)
+	assert.ErrorContains(t, err, fmt.Sprintf("(%s)", resourceMemory))
+}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -45,12 +45,16 @@
 		// A command whose kind only later builds know must not be acknowledged by this one.
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command of a known kind")
 	}
+	kind := commandKind(req.Command)
+	if err := h.admitTurn(req); err != nil {
+		h.metrics.ledgerCommands.WithLabelValues(kind, "no_room").Inc()
+		return nil, err
+	}
 	req.Command.NowMs = h.ledgerClock.nowMs()
 	data, err := proto.Marshal(req.Command)
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
 	}
-	kind := commandKind(req.Command)
 	applied, err := h.proposeToLedger(ctx, commandKey(req.Command), data)
 	if err != nil {
 		h.metrics.ledgerCommands.WithLabelValues(kind, "failed").Inc()
