A disk that hangs does not delay the end of a process

Operators saw a state host that was still there when its grace period ended, since its disk hung: it was killed, without answers to the operators' requests that it held.

Cause: a stop waited without a limit for the log, for an opening in progress, or for the close after a failure. A hung disk of the settings file delayed the handling of SIGTERM, too. Likewise the daemon of the product's own interface, at its start and at its stop.

Change: a state host that has not stopped 50 ms after its requests' time is left behind: requests get their responses, and the process ends 150 ms before its grace period at the latest. What is on the disk is as after a kill, which every opening expects. Settings are reloaded beside the handling of signals. The daemon waits for its control role, handlers and loops for 5 s and 1 s, for a start that is stopped 1 s.

A thread that waits for a disk in the kernel may keep even an ended process; nothing here changes that.

--- a/cmd/ibistrayd/settingsfile.go
+++ b/cmd/ibistrayd/settingsfile.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ibistray.example/ibistray/internal/hosted"
+	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/platform"
 )
 
@@ -87,20 +89,18 @@
 // it reloads the settings file at SIGHUP and every settingsReloadInterval.
 func watchSignals(signals <-chan os.Signal, path string, seeds *hosted.Seeds, log hclog.Logger) <-chan struct{} {
 	stop := make(chan struct{})
+	reload := loop.NewWaker()
+	// The disk of the settings may hang, which must not delay a stop.
+	go loop.EveryOrWoken(context.Background(), settingsReloadInterval, reload, func(context.Context) {
+		reloadSettings(path, seeds, log)
+	})
 	go func() {
-		ticker := time.NewTicker(settingsReloadInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case s := <-signals:
-				if s != syscall.SIGHUP {
-					close(stop)
-					return
-				}
-				reloadSettings(path, seeds, log)
-			case <-ticker.C:
-				reloadSettings(path, seeds, log)
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				close(stop)
+				return
 			}
+			reload.Wake()
 		}
 	}()
 	return stop
--- a/internal/daemon/control_loop.go
+++ b/internal/daemon/control_loop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -30,15 +31,31 @@
 func (d *Daemon) openControl(ctx context.Context) error {
 	l := &controlLoop{daemon: d, stop: make(chan struct{}), ended: make(chan struct{})}
 	l.config = reopen.Config{What: "control role", Dir: d.settings.DataDir, Log: d.log.Named("control"), Stop: ctx.Done()}
-	err := l.config.OnFailure(l.probe().Writable, l.reopenReason, l.open)
+	opened := make(chan error, 1)
+	go func() { opened <- l.config.OnFailure(l.probe().Writable, l.reopenReason, l.open) }()
+	select {
+	case err := <-opened:
+		return l.started(ctx, err)
+	case <-ctx.Done():
+	}
+	select {
+	case err := <-opened:
+		return l.started(ctx, err)
+	case <-time.After(closeTimeout): // a disk that hangs must not delay the end of the process
+		return fmt.Errorf("daemon: %w", ctx.Err())
+	}
+}
+
+// started makes the role that was opened the one of the daemon.
+func (l *controlLoop) started(ctx context.Context, err error) error {
 	if err == nil && l.role == nil {
-		err = fmt.Errorf("daemon: %w", ctx.Err())
+		return fmt.Errorf("daemon: %w", ctx.Err())
 	}
 	if err != nil {
 		return err
 	}
 	l.config.Stop = l.stop
-	d.control = l
+	l.daemon.control = l
 	return nil
 }
 
@@ -110,15 +127,16 @@
 	}
 }
 
-// close stops the role and waits, until ctx ends, for the end of run.
+// close stops the role and waits for the end of run, for stopTimeout at most. ctx limits the transfers of
+// leaderships; it may have ended.
 func (l *controlLoop) close(ctx context.Context) error {
 	l.stopCtx = ctx
 	close(l.stop)
 	select {
 	case <-l.ended:
 		return l.stopErr
-	case <-ctx.Done():
-		return ctx.Err()
+	case <-time.After(stopTimeout):
+		return errNotClosed
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,27 @@
 // running calls have ended.
 const stopTimeout = 5 * time.Second
 
+// closeTimeout limits the wait for the background loops and for handlers, which a disk that hangs
+// may delay.
+const closeTimeout = time.Second
+
+var errNotClosed = errors.New("daemon: not closed in time")
+
+// within calls f and returns once it has ended, or errNotClosed after a timeout.
+func within(timeout time.Duration, f func()) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-time.After(timeout):
+		return errNotClosed
+	}
+}
+
 // Daemon is a process with its roles and the resources that they share.
 type Daemon struct {
 	settings    *settings.Settings
@@ -258,7 +279,7 @@
 	if d.control != nil {
 		errs = append(errs, d.control.close(stopCtx))
 	}
-	d.close()
+	errs = append(errs, within(closeTimeout, d.close))
 	err := errors.Join(errs...)
 	d.log.Info("stopped", "error", err)
 	return err
--- a/internal/daemon/storage_failure_test.go
+++ b/internal/daemon/storage_failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -135,6 +136,31 @@
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
+// TestHungDiskDoesNotDelayTheStop guards against a process that does not end since its disk hangs, while
+// it runs or while it starts.
+func TestHungDiskDoesNotDelayTheStop(t *testing.T) {
+	fs, released := waltest.New(), make(chan struct{})
+	defer close(released)
+	s := testSettings(t, 1)[0]
+	d := startDaemon(t, s, fs)
+	change(t, d, "first")
+	fs.SetFault(waltest.Fault{Hang: released})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	_, err := propose(ctx, d, "second")
+	cancel()
+	assert.Assert(t, err != nil)
+	assert.NilError(t, within(2*stopTimeout, func() { assert.Check(t, d.Stop(t.Context()) != nil) }))
+
+	ctx, cancel = context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	hung := waltest.New()
+	hung.SetFault(waltest.Fault{Hang: released})
+	assert.NilError(t, within(2*closeTimeout, func() {
+		_, err := startWithFS(ctx, testSettings(t, 1)[0], hclog.NewNullLogger(), hung)
+		assert.Check(t, errors.Is(err, context.DeadlineExceeded), err)
+	}))
+}
+
 // TestDamagedDataIsSetAside guards against a process that ends at each start since data on its disk is
 // damaged. Its replicas must be replaced by the groups, and must not begin new groups.
 func TestDamagedDataIsSetAside(t *testing.T) {
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -46,6 +46,11 @@
 	// requestEndTimeout limits the wait for requests in progress when a process closes its
 	// servers. It is a part of shutdownMargin.
 	requestEndTimeout = 500 * time.Millisecond
+	// hungStopMargin is the time that a state host has for its stop beyond the wait for its requests,
+	// before a disk is taken as hung, and exitMargin the time before the process is killed at which it
+	// ends all the same. They are parts of shutdownMargin.
+	hungStopMargin = 50 * time.Millisecond
+	exitMargin     = 150 * time.Millisecond
 	// firstRequestTimeout limits how long an entry that stops waits for the first request on a
 	// connection that it has accepted: it may be on its way.
 	firstRequestTimeout = 500 * time.Millisecond
@@ -220,17 +225,39 @@
 // nil. When its storage fails, its disk is full or its replicas panic, the state host is closed and
 // opened again once the disk can be written: the process does not end, and the other hosts hold all
 // acknowledged data meanwhile. It returns an error if the state host cannot start or fails otherwise.
+// A disk that hangs does not delay its return beyond the grace period: the process must exit then.
 // newControlHandler makes the handler of the control address.
 func RunStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
-	probe := reopen.NewProbe(cfg.FS, cfg.DataDir)
-	return reopenConfig(cfg, opts.Logger, stop).OnFailure(probe.Writable, reopenReason, func() error {
-		err := runStateHost(cfg, addresses, newControlHandler, opts, stop)
-		// The disk may be empty at the next opening, and the votes that it held lost.
-		cfg.Bootstrap = false
-		return err
+	return endWithin(opts.GracePeriod-exitMargin, stop, opts.Logger, func() error {
+		probe := reopen.NewProbe(cfg.FS, cfg.DataDir)
+		return reopenConfig(cfg, opts.Logger, stop).OnFailure(probe.Writable, reopenReason, func() error {
+			err := runStateHost(cfg, addresses, newControlHandler, opts, stop)
+			// The disk may be empty at the next opening, and the votes that it held lost.
+			cfg.Bootstrap = false
+			return err
+		})
 	})
 }
 
+// endWithin returns the result of run, or nil after a timeout from the close of stop on, also if run
+// goes on then.
+func endWithin(timeout time.Duration, stop <-chan struct{}, log hclog.Logger, run func() error) error {
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-stop:
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(timeout):
+		log.Error("the process ends although its disk hangs", "after_ms", timeout.Milliseconds())
+		return nil
+	}
+}
+
 // runStateHost runs a state host until stop is closed or it fails.
 func runStateHost(cfg statehost.Config, addresses Addresses, newControlHandler func(*statehost.Host) http.Handler, opts Options, stop <-chan struct{}) error {
 	p := newProcess(opts)
@@ -355,7 +382,17 @@
 	p.opts.Logger.Info("stopping", "role", "state host")
 	ctx, cancel := context.WithTimeout(context.Background(), p.opts.GracePeriod-shutdownMargin)
 	defer cancel()
-	err := host.Stop(ctx)
+	stopped := make(chan error, 1)
+	go func() { stopped <- host.Stop(ctx) }()
+	var err error
+	select {
+	case err = <-stopped:
+	case <-time.After(p.opts.GracePeriod - shutdownMargin + hungStopMargin):
+		err = errDiskHangs
+	}
 	p.opts.Logger.Info("stopped", "role", "state host", "after_ms", time.Since(start).Milliseconds(), "error", err)
 	return nil
 }
+
+// errDiskHangs means that a state host has not stopped in time.
+var errDiskHangs = errors.New("hosted: disk hangs")
--- a/internal/hosted/storage_failure_test.go
+++ b/internal/hosted/storage_failure_test.go
@@ -21,6 +21,8 @@
 	"ibistray.example/ibistray/internal/wal/waltest"
 )
 
+const gracePeriod = time.Second
+
 // lonelyHost is a state host that is its own quorum.
 type lonelyHost struct {
 	t       *testing.T
@@ -46,7 +48,7 @@
 		h.opened <- host
 		return http.NotFoundHandler()
 	}
-	opts := Options{Logger: hclog.NewNullLogger(), Seeds: NewSeeds(addresses), GracePeriod: time.Second}
+	opts := Options{Logger: hclog.NewNullLogger(), Seeds: NewSeeds(addresses), GracePeriod: gracePeriod}
 	go func() {
 		h.ended <- RunStateHost(cfg, Addresses{Control: "127.0.0.1:0", Peers: addresses[0]}, handler, opts, h.stop)
 	}()
--- a/internal/wal/waltest/fs.go
+++ b/internal/wal/waltest/fs.go
@@ -53,6 +53,18 @@
 	// Err is the error of the operations that the other fields make fail for want of room; nil:
 	// ErrNoSpace.
 	Err error
+	// Hang delays all operations on files and directories until it is closed. nil: none.
+	Hang <-chan struct{}
+}
+
+// wait returns once operations no longer hang.
+func (f *FS) wait() {
+	f.mu.Lock()
+	hang := f.fault.Hang
+	f.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
 }
 
 // noSpace returns the error of an operation that needs room. The caller holds f.mu.
@@ -167,6 +179,7 @@
 
 // Create implements wal.FS.
 func (f *FS) Create(name string) (wal.File, error) {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fault.Full&OpCreate != 0 {
@@ -180,6 +193,7 @@
 
 // Open implements wal.FS.
 func (f *FS) Open(name string) (wal.File, error) {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, found := f.files[name]
@@ -192,6 +206,7 @@
 
 // Rename implements wal.FS.
 func (f *FS) Rename(oldName, newName string) error {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, found := f.files[oldName]
@@ -211,6 +226,7 @@
 
 // Remove implements wal.FS.
 func (f *FS) Remove(name string) error {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, found := f.files[name]; !found {
@@ -225,6 +241,7 @@
 
 // Truncate implements wal.FS.
 func (f *FS) Truncate(name string, size int64) error {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, found := f.files[name]
@@ -238,6 +255,7 @@
 
 // List implements wal.FS.
 func (f *FS) List(dir string) ([]string, error) {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var names []string
@@ -252,6 +270,7 @@
 
 // SyncDir implements wal.FS.
 func (f *FS) SyncDir(dir string) error {
+	f.wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.fault.FailSync {
@@ -306,6 +325,7 @@
 }
 
 func (f *openFile) Read(buf []byte) (int, error) {
+	f.fs.wait()
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if f.offset >= len(f.content.data) {
@@ -317,6 +337,7 @@
 }
 
 func (f *openFile) Write(data []byte) (int, error) {
+	f.fs.wait()
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	written := f.fs.room(f.name, len(data))
@@ -358,6 +379,7 @@
 }
 
 func (f *openFile) Sync() error {
+	f.fs.wait()
 	f.fs.mu.Lock()
 	duration := f.fs.fault.SyncDelay
 	f.fs.mu.Unlock()
