Entries: a stream without end takes no memory from others

What callers saw: two of three servers of two services sent events without end on routes that keep turns; the entry exceeded its memory and was killed again and again, and requests of other services were lost with it or refused for lack of memory.

Cause: the output of a turn that is kept was appended to the call until the turn ended. The budget of memory was told of it and not asked, so nothing bounded it, and what it held turned away all other requests.

Change: outputs have memory of their own beside the budget of all other uses, a quarter of its size, and ask for each part before it is made (membudget.Outputs). When they exceed it the largest are ended (policy/memory.OutputsToEnd), so that no stream takes memory from small ones, bodies or new requests. A stream is broken off also when its output exceeds 4 MiB, and when it brings over twice the tokens (and 64 more) that its request declared. It never ends as complete, no other server continues it, the turn is settled and not kept. The output is stored in parts, so nothing is doubled; the copies on the way to the ledger are counted, those of large turns wait for each other, and commands above 64 KB are not hedged.

--- a/cmd/ibistrayd/memory.go
+++ b/cmd/ibistrayd/memory.go
@@ -28,7 +28,7 @@
 	// defaultConnectionShare is for connections without a request.
 	defaultConnectionShare = 0.15
 	// maxSharesTogether leaves a quarter of the memory limit for all else that counts toward
-	// memoryLimitShare.
+	// memoryLimitShare, such as the outputs of kept turns (see memory.OutputsLimit).
 	maxSharesTogether = memoryLimitShare - 0.25
 	// defaultUnreadTimeout is below the time for which backend servers keep an unread response,
 	// which is some seconds.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
+	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 	"ibistray.example/ibistray/internal/policy/streampin"
 	"ibistray.example/ibistray/internal/routing"
@@ -107,7 +108,7 @@
 		return outcomeRefused
 	case errors.Is(err, errNotAsked):
 		return outcomeInconclusive
-	case errors.Is(err, errSilent), errors.Is(err, errStopping), c.r.Context().Err() != nil:
+	case errors.Is(err, errSilent), errors.Is(err, errStopping), errors.Is(err, membudget.ErrOutputEnded), c.r.Context().Err() != nil:
 		// A silent server was penalized when its output was overdue.
 		return outcomeInconclusive
 	case errors.Is(err, passthrough.ErrNotSent):
@@ -121,6 +122,9 @@
 	if c.responseStarted && !c.isStream(c.status) {
 		return false
 	}
+	if isOutputError(c.lastErr) {
+		return false
+	}
 	if c.lastSentHasNoID {
 		// No server could tell where to continue.
 		return false
@@ -284,6 +288,10 @@
 	if err := c.checkServer(); err != nil {
 		return err
 	}
+	if c.output != nil {
+		c.output.OnEnd(func() { cancel(membudget.ErrOutputEnded) })
+		defer c.output.OnEnd(nil)
+	}
 	c.stopSilenceTimers = c.startSilenceTimers(cancel)
 	defer c.stopSilenceTimers()
 	c.g.cfg.Codec.EncodeRequest(c.request.Header, AttemptMeta{
@@ -320,10 +328,10 @@
 // errSilent ends an attempt whose server sent no output in time.
 var errSilent = errors.New("gateway: the backend server sent no output in time")
 
-// withCause adds errSilent or errStopping to err if that is why ctx was cancelled.
+// withCause adds errSilent, errStopping or membudget.ErrOutputEnded to err if that is why ctx was cancelled.
 func withCause(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
-	if err != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errStopping)) {
+	if err != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errStopping) || errors.Is(cause, membudget.ErrOutputEnded)) {
 		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 )
 
@@ -13,6 +14,9 @@
 	err    error
 	reason string
 }{
+	{membudget.ErrOutputEnded, "memory"},
+	{membudget.ErrOutputTooLarge, "output_too_large"},
+	{errBeyondDeclared, "beyond_declared"},
 	{errNotKept, "not_kept"},
 	{errStopping, "stopping"},
 	{context.DeadlineExceeded, "timeout"},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,7 +46,6 @@
 	errOutcomeUnknown   = errors.New("gateway: the request may have run, but its response is lost")
 	errBodyTooLarge     = errors.New("gateway: request body is too large")
 	errClientGone       = errors.New("gateway: the client has disconnected")
-	errNotKept          = errors.New("gateway: the ledger did not keep the turn")
 )
 
 // call handles one client request. It is not safe for concurrent use.
@@ -67,33 +66,33 @@
 	unread  *unreadLimiter // nil unless memory is limited
 
 	deadline         time.Time
-	stream           streamVersion   // on resumable routes
-	previousServer   string          // ID of the server that ran the turn before, "" if not known
-	triedServers     map[string]bool // servers that refused the request or failed, by ID
-	possibleRuns     int             // attempts that a server may have executed
-	server           *fleet.Instance // of the latest attempt
-	lastErr          error           // of the latest attempt
-	firstOutput      time.Duration   // time until the response started
-	connection       uint64          // that carried the response of the latest attempt, 0: none
-	exchange         int             // number of that attempt on the connection
-	attemptStarted   time.Time       // start of the current attempt
-	attemptOutput    time.Duration   // from the start of the current attempt until its first event, 0: none yet
-	eventsBefore     int             // events that earlier attempts sent
-	beginDuration    time.Duration   // time spent on the reservation before the turn
-	keepDuration     time.Duration   // time spent on storing the turn after it
-	eventsSent       int             // events with data that were sent to the client
-	lastSentHasNoID  bool            // the latest of eventsSent has no ID, so the stream cannot be resumed
-	output           bytes.Buffer    // event data of a turn that is kept
-	responseStarted  bool            // status and headers were sent to the client
-	status           int             // that was sent to the client, of a backend server
-	notRunCount      int             // attempts that no server executed
-	waitedForServers bool            // waitForServers was called before
-	newProgram       bool            // the turn begins a program
-	waiter           *permitWaiter   // while the request waits for a permit
-	permit           *permit         // of the current attempt, nil if its server has no limit
-	hasPermit        bool            // the request took a permit of its account
-	permitTakenAt    time.Duration   // on the clock of the account client
-	interimLeaving   bool            // an interim response of the current attempt said that its server leaves
+	stream           streamVersion     // on resumable routes
+	previousServer   string            // ID of the server that ran the turn before, "" if not known
+	triedServers     map[string]bool   // servers that refused the request or failed, by ID
+	possibleRuns     int               // attempts that a server may have executed
+	server           *fleet.Instance   // of the latest attempt
+	lastErr          error             // of the latest attempt
+	firstOutput      time.Duration     // time until the response started
+	connection       uint64            // that carried the response of the latest attempt, 0: none
+	exchange         int               // number of that attempt on the connection
+	attemptStarted   time.Time         // start of the current attempt
+	attemptOutput    time.Duration     // from the start of the current attempt until its first event, 0: none yet
+	eventsBefore     int               // events that earlier attempts sent
+	beginDuration    time.Duration     // time spent on the reservation before the turn
+	keepDuration     time.Duration     // time spent on storing the turn after it
+	eventsSent       int               // events with data that were sent to the client
+	lastSentHasNoID  bool              // the latest of eventsSent has no ID, so the stream cannot be resumed
+	output           *membudget.Output // event data of a turn that is kept, nil on other routes
+	responseStarted  bool              // status and headers were sent to the client
+	status           int               // that was sent to the client, of a backend server
+	notRunCount      int               // attempts that no server executed
+	waitedForServers bool              // waitForServers was called before
+	newProgram       bool              // the turn begins a program
+	waiter           *permitWaiter     // while the request waits for a permit
+	permit           *permit           // of the current attempt, nil if its server has no limit
+	hasPermit        bool              // the request took a permit of its account
+	permitTakenAt    time.Duration     // on the clock of the account client
+	interimLeaving   bool              // an interim response of the current attempt said that its server leaves
 	// ignoreShutdown lets a response that has begun go on when the others must be complete: there
 	// is no other response to send.
 	ignoreShutdown func() bool
@@ -321,6 +320,10 @@
 	c.ignoreShutdown = detach
 	c.limitUnread()
 	c.stream = newStreamVersion(&c.meta)
+	if c.route.KeepTurns {
+		c.output = c.g.outputs.New()
+		defer c.output.Release()
+	}
 	if !c.route.ProgramTurns {
 		if err := c.takeAccountPermit(ctx); err != nil {
 			return err
@@ -387,55 +390,6 @@
 	c.request.Body = body.Bytes()
 }
 
-// finishCommand returns the command that settles the turn, and stores it if keep is
-// set.
-func (c *call) finishCommand(keep bool) *ledgerpb.Finish {
-	f := &ledgerpb.Finish{Account: c.accountName(), CallId: c.meta.ID, Program: c.meta.Program, Tokens: c.tokensSent()}
-	if keep {
-		f.Keep = true
-		f.Previous = c.meta.PreviousTurn
-		f.Input = c.body
-		f.Output = c.output.Bytes()
-		f.RetentionMs = c.route.TurnRetention.Milliseconds()
-		f.Server = c.server.ID
-	}
-	return f
-}
-
-// tokensSent returns the number of tokens that were sent to the client.
-func (c *call) tokensSent() uint64 {
-	perEvent := 1
-	if c.service != nil && c.service.Engine != nil {
-		perEvent = max(1, c.service.Engine.TokensPerEvent)
-	}
-	return uint64(c.eventsSent * perEvent)
-}
-
-// keepTurn stores the turn durably before the response ends, so that the client can
-// continue from it at once through any entry.
-func (c *call) keepTurn(ctx context.Context) error {
-	start := time.Now()
-	defer func() { c.keepDuration = time.Since(start) }()
-	if err := c.g.ledger.finish(ctx, c.finishCommand(true)); err != nil {
-		c.settleAsync()
-		return fmt.Errorf("%w: %w: %w", errOutcomeUnknown, errNotKept, err)
-	}
-	return nil
-}
-
-// settleAsync settles the turn in the background. If the settlement fails, the turn is
-// charged the maximum that it reserved.
-func (c *call) settleAsync() {
-	f := c.finishCommand(false)
-	c.g.inFlight.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		defer cancel()
-		if err := c.g.ledger.finish(ctx, f); err != nil {
-			c.g.log.Warn("turn not settled: its full reservation is charged", "request", f.CallId, "account", f.Account, "program", f.Program, "error", err)
-		}
-	})
-}
-
 // logOutcome records the metrics of the request and writes its only summary line.
 func (c *call) logOutcome(outcome string, status int, err error) {
 	elapsed := time.Since(c.arrived)
@@ -446,9 +400,12 @@
 	}
 	fields := []any{
 		"request", c.meta.ID, "account", c.accountName(), "program", c.meta.Program, "previous", c.meta.PreviousTurn, "outcome", outcome, "status", status,
-		"sends", c.possibleRuns, "refused", c.notRunCount, "events", c.eventsSent, "output_bytes", c.output.Len(),
+		"sends", c.possibleRuns, "refused", c.notRunCount, "events", c.eventsSent,
 		"begin_ms", c.beginDuration.Milliseconds(), "keep_ms", c.keepDuration.Milliseconds(), "first_ms", c.firstOutput.Milliseconds(), "total_ms", elapsed.Milliseconds(), "patience_ms", c.deadline.Sub(c.arrived).Milliseconds(),
 	}
+	if c.output != nil {
+		fields = append(fields, "output_bytes", c.output.Len())
+	}
 	if c.stream.resumed {
 		fields = append(fields, "resumes", c.stream.resumes, "stream_version", c.stream.version)
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -39,6 +39,13 @@
 		}
 		meta.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	if value := header.Get("Max"); value != "" {
+		tokens, err := strconv.ParseUint(value, 10, 64)
+		if err != nil {
+			return meta, fmt.Errorf("%w: %w", ErrBadRequest, err)
+		}
+		meta.MaxTokens = tokens
+	}
 	meta.HasBudget = header.Get("Budget") != ""
 	return meta, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	accounts *accountClient
 	servers  *passthrough.Pool
 	budget   *membudget.Budget // nil: memory is not limited
+	outputs  *membudget.Outputs
+	commands *commandSlots
 	pool     *transport.Pool
 
 	crashDetector  *crashDetector
@@ -102,6 +104,8 @@
 		shedder:  newShedder(),
 		runs:     newRouteRuns(),
 		budget:   newBudget(cfg.Memory, metrics),
+		outputs:  newOutputs(cfg.Memory, metrics),
+		commands: newCommandSlots(cfg.Memory),
 		pool:     pool,
 		shutdown: newShutdown(),
 		servers:  passthrough.NewPool(dialTimeout, func(err error) { recordDial(metrics, err) }),
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -21,7 +21,8 @@
 // MemoryLimits bound what an entry holds for its clients. The zero value sets no bounds.
 type MemoryLimits struct {
 	// HeldBytes is the memory for running requests: their buffers, bodies, histories and
-	// unread responses. 0: no limit, and the other fields have no effect.
+	// unread responses. The outputs of turns that are kept have a share of this beside it. 0: no
+	// limit, and the other fields have no effect.
 	HeldBytes int64
 	// UnreadTimeout ends a response of which the client takes nothing for that long. It is
 	// shorter than the time for which backend servers keep an unread response.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -23,6 +23,8 @@
 func (f *fixture) limitMemory(bytes int64, unread time.Duration) {
 	f.cfg.Memory = MemoryLimits{HeldBytes: bytes, UnreadTimeout: unread}
 	f.budget = newBudget(f.cfg.Memory, f.metrics)
+	f.outputs = newOutputs(f.cfg.Memory, f.metrics)
+	f.commands = newCommandSlots(f.cfg.Memory)
 }
 
 // open sends the beginning of a request and returns the connection.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
 )
 
@@ -173,17 +172,15 @@
 
 // forwardEvent sends an event to the client and records it for the ledger.
 func (c *call) forwardEvent(ev event, flusher *http.ResponseController) error {
-	if ev.id != "" {
-		c.meta.LastEventID = ev.id
-	}
 	if ev.hasData {
+		if err := c.keepOutput(ev); err != nil {
+			return err
+		}
 		c.eventsSent++
 		c.lastSentHasNoID = ev.id == ""
-		if c.route.KeepTurns {
-			c.output.Write(ev.data)
-			c.output.WriteByte('\n')
-			c.memory.Hold(membudget.Outputs, int64(len(ev.data)+1))
-		}
+	}
+	if ev.id != "" {
+		c.meta.LastEventID = ev.id
 	}
 	if _, err := c.w.Write(ev.raw); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ibistray.example/ibistray/internal/hedge"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
@@ -45,6 +47,10 @@
 	finishTimeout = 4 * time.Second
 )
 
+// maxHedgedBytes is the largest command that is hedged. A large one takes long for its size, and
+// the second copy would take as much memory as the first.
+const maxHedgedBytes = 64 << 10
+
 // retryHedged is the retry reason of hedged requests.
 const retryHedged = "hedged"
 
@@ -223,10 +229,13 @@
 	}
 }
 
-// sendHedged returns the hedged call. The call fails while the ledger is overloaded, and
-// waits while maxHedges hedged requests are running.
+// sendHedged returns the hedged call. The call fails for a command above maxHedgedBytes and while
+// the ledger is overloaded, and waits while maxHedges hedged requests are running.
 func (l *remoteLedger) sendHedged(cmd *ledgerpb.Command) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
+		if size := proto.Size(cmd); size > maxHedgedBytes {
+			return nil, fmt.Errorf("%w: no hedged request of %d bytes", leaderclient.ErrUnavailable, size)
+		}
 		if !l.gate.hasSpareCapacity() {
 			return nil, fmt.Errorf("%w: no hedged request while the ledger is overloaded", leaderclient.ErrUnavailable)
 		}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -12,12 +12,12 @@
 
 // Kinds of bytes.
 const (
-	Requests  Kind = iota // goroutines, headers and buffers of a running request
-	Bodies                // of requests
-	Histories             // earlier turns that are put before a body
-	Responses             // parts that the client has not read yet
-	Outputs               // event data of turns that are kept when they end
-	Kinds                 // number of kinds
+	Requests    Kind = iota // goroutines, headers and buffers of a running request
+	Bodies                  // of requests
+	Histories               // earlier turns that are put before a body
+	Responses               // parts that the client has not read yet
+	KeptOutputs             // event data of turns that are kept when they end
+	Kinds                   // number of kinds
 )
 
 // String returns the name that metrics use.
@@ -31,7 +31,7 @@
 		return "histories"
 	case Responses:
 		return "responses"
-	case Outputs:
+	case KeptOutputs:
 		return "outputs"
 	case Kinds:
 	}
--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -6,7 +6,11 @@
 // What has cost the least so far is turned away first: large bodies, and buffers that only
 // allow a retry, before a program that would begin, on a less urgent route before an urgent
 // one, before a small request of a running program, and any request before the response to
-// one that runs. Decisions are pure functions of their inputs.
+// one that runs.
+//
+// It also answers backend servers whose streams do not end, on routes where the output of a turn
+// is kept: the largest output is ended first, and none may exceed a fixed size or be far larger
+// than its request declared. Decisions are pure functions of their inputs.
 package memory
 
 // Class is the rank of a use of memory. Higher classes may use more of it.
