Transport: streams keep neither the calls of callers that gave up nor large buffers

What was seen: a call on a shared stream stays in the queue after its caller has given up, and the caller tries again, over the hedged connection too. While a connection stands still, a turn of 4 MiB whose attempts end after 0.6 s is so queued up to seven times for each connection, and nothing counts these bytes. Besides, each stream kept the buffer of the largest message that it ever sent, up to 16 MiB.

Cause: nothing took calls off the queue but the writer; the buffer was always reused.

Change: a caller whose context ends takes its call off the queue unless it is being written. Buffers above 64 KiB are not kept, as for frames of the session. Wire format and results of calls do not change.

--- a/internal/transport/frameconn.go
+++ b/internal/transport/frameconn.go
@@ -15,7 +15,7 @@
 	muxTypeData     = 0
 )
 
-// maxFrameBufBytes limits the capacity of the buffer that is kept for the next frame.
+// maxFrameBufBytes limits the capacity of a buffer that is kept for the next frame.
 const maxFrameBufBytes = 64 << 10
 
 // frameConn coalesces the header and the body of a yamux data frame, which the
--- a/internal/transport/shared.go
+++ b/internal/transport/shared.go
@@ -140,6 +140,7 @@
 	case <-s.done:
 		return fmt.Errorf("%w: %w", ErrInterrupted, s.err)
 	case <-ctx.Done():
+		s.queue.remove(call)
 		return fmt.Errorf("%w: %w", ErrInterrupted, ctx.Err())
 	}
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -40,7 +40,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	buf, err := appendFrame(s.buf[:0], kind, m)
-	s.buf = buf
+	if cap(buf) <= maxFrameBufBytes {
+		s.buf = buf
+	}
 	if err != nil {
 		return err
 	}
