--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ibistray.example/ibistray/internal/hedge"
 	"ibistray.example/ibistray/internal/leaderclient"
 	"ibistray.example/ibistray/internal/policy/admit"
@@ -56,6 +58,10 @@
 func (e *ledgerFullError) Error() string   { return fmt.Sprintf("%s: %s", errLedgerFull, e.cause) }
 func (e *ledgerFullError) Unwrap() []error { return []error{errLedgerFull, e.cause} }
 
+// maxHedgedBytes is the largest command that is hedged. A large one takes long for its size, and
+// the second copy would take as much memory as the first.
+const maxHedgedBytes = 64 << 10
+
 // retryHedged is the retry reason of hedged requests.
 const retryHedged = "hedged"
 
@@ -241,10 +247,13 @@
 	}
 }
 
-// sendHedged returns the hedged call. The call fails while the ledger is overloaded, and
-// waits while maxHedges hedged requests are running.
+// sendHedged returns the hedged call. The call fails for a command above maxHedgedBytes and while
+// the ledger is overloaded, and waits while maxHedges hedged requests are running.
 func (l *remoteLedger) sendHedged(req *ledgerpb.Request) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
+		if size := proto.Size(req); size > maxHedgedBytes {
+			return nil, fmt.Errorf("%w: no hedged request of %d bytes", leaderclient.ErrUnavailable, size)
+		}
 		if !l.gate.hasSpareCapacity() {
 			return nil, fmt.Errorf("%w: no hedged request while the ledger is overloaded", leaderclient.ErrUnavailable)
 		}
