Systems whose seeds were killed at once never served

What callers saw: two or three of three seeds are killed in the first moments of the first start and started again without bootstrap, as platforms do. All processes run, each change and request gets 503, for ever.

Cause: a seed records its membership 55 to 75 ms after its start (strace: settings read at 16 to 26 ms and once more 20 ms later, ports, log), later on a busy host. Before that its directory is empty, and without bootstrap it waits to be added to groups that nobody can create: the one seed that has recorded the membership waits for a confirmation that never comes.

Change: a seed with an empty directory may begin if it is certain that it has not voted: a process that runs since the first start, 2 s ago at most, vouches for the time, or a majority of the seeds besides it are initial members that have not taken part. New field system_start of WatchRequest and Update, which earlier builds ignore and do not send. A host that is opened again in its process neither begins nor vouches.

Ruled out as proof: answers of hosts that never saw a group. They may not have met those that did.

TestDamagedDataIsSetAsideOnceWithoutBootstrap checks one thing more; no test was weakened.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -9,14 +9,18 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"ibistray.example/ibistray/internal/clock"
+	"ibistray.example/ibistray/internal/fleetwatch"
 	"ibistray.example/ibistray/internal/gateway"
 	"ibistray.example/ibistray/internal/hosted"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/platform"
+	"ibistray.example/ibistray/proto/fleetpb"
 )
 
 const (
@@ -52,9 +56,10 @@
 type hostedProcess struct {
 	settings *platform.Settings
 	options  hosted.Options
-	standby  bool            // state host: see statehost.Config
-	memory   memorySettings  // entry
-	stop     <-chan struct{} // closed when the process must stop
+	standby  bool                 // state host: see statehost.Config
+	memory   memorySettings       // entry
+	age      func() time.Duration // since the start of the process, with the time for which it was suspended
+	stop     <-chan struct{}      // closed when the process must stop
 }
 
 // hostedRole is a role on hosts whose platform writes a settings file.
@@ -67,6 +72,7 @@
 // and runs a role.
 func runHosted(role hostedRole) cli.ActionFunc {
 	return func(_ context.Context, cmd *cli.Command) error {
+		started := clock.SinceBoot()
 		signals := make(chan os.Signal, 4)
 		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 		memory, err := readMemorySettings(cmd)
@@ -93,7 +99,7 @@
 			Logger:      log,
 			Seeds:       hosted.NewSeeds(settings.SeedPeerAddresses()),
 			GracePeriod: settings.GracePeriod,
-		}, standby: cmd.Bool(flagStandby), memory: memory}
+		}, standby: cmd.Bool(flagStandby), memory: memory, age: func() time.Duration { return clock.SinceBoot() - started }}
 		if port := cmd.Uint16(flagMetricsPort); port != 0 {
 			p.options.MetricsAddress = fmt.Sprintf("%s:%d", settings.IP, port)
 		}
@@ -129,6 +135,9 @@
 
 		KeyRevocationTimeout: s.KeyRevocationTimeout,
 	}
+	if seeds := s.SeedPeerAddresses(); s.Bootstrap {
+		cfg.SystemStart = func() *fleetpb.SystemStart { return fleetwatch.NewSystemStart(p.age(), seeds) }
+	}
 	p.options.Connections = p.memory.connections(s)
 	addresses := hosted.Addresses{Clients: s.ClientAddress, Ready: s.ReadyAddress}
 	return hosted.RunEntry(cfg, addresses, platform.NewReadyHandler, p.options, p.stop)
@@ -143,6 +152,7 @@
 		FailureDomain:     s.FailureDomain,
 		DataDir:           s.DataDir,
 		Bootstrap:         s.Bootstrap,
+		ProcessAge:        p.age,
 		FaultTolerance:    s.ToleratedHostLosses,
 		Standby:           p.standby,
 		DiskBytes:         s.DiskBytes,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/internal/telemetry"
 	"ibistray.example/ibistray/internal/transport"
+	"ibistray.example/ibistray/proto/fleetpb"
 )
 
 const (
@@ -50,6 +51,9 @@
 	FailureDomain string
 	// Seeds returns the peer addresses of some state hosts. The list may change.
 	Seeds func() []string
+	// SystemStart returns what the entry says of the first start of its system, nil if nothing. It may
+	// be nil.
+	SystemStart func() *fleetpb.SystemStart
 	// DecodeRoutes decodes and validates a route document.
 	DecodeRoutes func(document []byte) (*routing.Document, error)
 	Codec        Codec
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -31,9 +31,11 @@
 	metrics *telemetry.Metrics
 	decode  func([]byte) (*routing.Document, error)
 	seeds   func() []string
-	watcher *fleetwatch.Watcher
-	watched *watchedHosts
-	fetcher *routesync.Fetcher
+	// systemStart is Config.SystemStart.
+	systemStart func() *fleetpb.SystemStart
+	watcher     *fleetwatch.Watcher
+	watched     *watchedHosts
+	fetcher     *routesync.Fetcher
 	// crashDetector receives crash reports and the current servers.
 	crashDetector *crashDetector
 
@@ -65,7 +67,7 @@
 }
 
 func newView(cfg Config, log hclog.Logger, metrics *telemetry.Metrics, pool *transport.Pool, detector *crashDetector) *view {
-	v := &view{log: log, metrics: metrics, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, bootTime: clock.SinceBoot, started: time.Now(), maxSilence: fleetwatch.SilenceTimeout, table: fleet.NewTable(), changed: make(chan struct{})}
+	v := &view{log: log, metrics: metrics, crashDetector: detector, decode: cfg.DecodeRoutes, seeds: cfg.Seeds, systemStart: cfg.SystemStart, bootTime: clock.SinceBoot, started: time.Now(), maxSilence: fleetwatch.SilenceTimeout, table: fleet.NewTable(), changed: make(chan struct{})}
 	v.watched = newWatchedHosts(cfg.Name, cfg.ToleratedHostLosses)
 	v.servers.Store(&serverIndex{})
 	v.lastQuorum.Store(v.bootTime().Nanoseconds())
@@ -115,7 +117,11 @@
 
 // watchRequest returns the request that watches updates.
 func (v *view) watchRequest(name string) *fleetpb.WatchRequest {
-	return &fleetpb.WatchRequest{Viewer: name, RoutesVersion: v.routesVersion(), FetchesRoutes: true}
+	req := &fleetpb.WatchRequest{Viewer: name, RoutesVersion: v.routesVersion(), FetchesRoutes: true}
+	if v.systemStart != nil {
+		req.SystemStart = v.systemStart()
+	}
+	return req
 }
 
 // stateHosts returns the addresses of the known state hosts: those named by updates and
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -233,7 +233,7 @@
 	return reopenOnFailure(opts.Logger, stop, probe.writable, func() error {
 		err := runStateHost(cfg, addresses, newControlHandler, opts, stop)
 		// The disk may be empty at the next opening, and the votes that it held lost.
-		cfg.Bootstrap = false
+		cfg.Bootstrap, cfg.ProcessAge = false, nil
 		return err
 	})
 }
@@ -344,7 +344,7 @@
 			if err := setDataAside(cfg.DataDir); err != nil {
 				return nil, fmt.Errorf("%w: %w", replica.ErrStorage, err)
 			}
-			cfg.Bootstrap = false
+			cfg.Bootstrap, cfg.ProcessAge = false, nil
 		default:
 			return host, err
 		}
--- a/internal/hosted/process_test.go
+++ b/internal/hosted/process_test.go
@@ -25,10 +25,12 @@
 type fakeOpener struct {
 	errs      []error
 	bootstrap []bool // Bootstrap of the configuration in each call
+	asks      []bool // whether ProcessAge is set in each call
 }
 
 func (o *fakeOpener) open(cfg statehost.Config) (*statehost.Host, error) {
 	o.bootstrap = append(o.bootstrap, cfg.Bootstrap)
+	o.asks = append(o.asks, cfg.ProcessAge != nil)
 	if len(o.errs) == 0 {
 		return new(statehost.Host), nil
 	}
@@ -222,9 +224,11 @@
 	dir := t.TempDir()
 	assert.NilError(t, os.WriteFile(filepath.Join(dir, "segment"), []byte("x"), 0o600))
 	o := &fakeOpener{errs: []error{wal.ErrCorrupt}}
-	_, err := openWithRetries(statehost.Config{DataDir: dir, Bootstrap: true}, o.open, hclog.NewNullLogger(), nil)
+	age := func() time.Duration { return 0 }
+	_, err := openWithRetries(statehost.Config{DataDir: dir, Bootstrap: true, ProcessAge: age}, o.open, hclog.NewNullLogger(), nil)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, o.bootstrap, []bool{true, false})
+	assert.DeepEqual(t, o.asks, []bool{true, false})
 	moved, err := filepath.Glob(filepath.Join(dir, damagedPrefix+"*", "segment"))
 	assert.NilError(t, err)
 	assert.Equal(t, len(moved), 1)
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -52,8 +52,9 @@
 }
 
 // beginBootstrap prepares an initial member of a new group. It records the members, so that a
-// process that ends before the group is active resumes as an initial member.
-func (g *group) beginBootstrap(state *wal.GroupState, members []*raftpb.Member) error {
+// process that ends before the group is active resumes as an initial member. With confirmed, it
+// records nothing and waits for all others.
+func (g *group) beginBootstrap(state *wal.GroupState, members []*raftpb.Member, confirmed bool) error {
 	for _, member := range members {
 		if member.GetAddress() == g.host.opts.Address {
 			g.replicaID = member.GetId()
@@ -62,9 +63,11 @@
 	if g.replicaID == 0 {
 		return fmt.Errorf("%w: no initial member has the address %s", ErrConfig, g.host.opts.Address)
 	}
-	g.recordInitialMembers(state, members)
 	g.bootstrap = &bootstrap{members: members, confirmed: map[uint64]bool{g.replicaID: true}}
-	if delay := g.host.opts.BootstrapQuorumDelay; delay > 0 {
+	if !confirmed {
+		g.recordInitialMembers(state, members)
+	}
+	if delay := g.host.opts.BootstrapQuorumDelay; delay > 0 && !confirmed {
 		g.bootstrap.quorumTick = g.host.ticks() + uint64(delay/g.host.opts.TickInterval)
 	}
 	g.setMembers(members)
--- a/internal/replica/bootstrap_test.go
+++ b/internal/replica/bootstrap_test.go
@@ -118,3 +118,48 @@
 		c.waitValue(lost, "x", "1")
 	})
 }
+
+// A group never started if most of its initial members ended before they had recorded anything.
+func TestGroupStartsAfterMostInitialMembersBeginAnew(t *testing.T) {
+	runUnstarted(t, quorumStarts, func(t *testing.T, c *cluster) {
+		c.start("a", testGroup)
+		for _, address := range []string{"b", "c"} {
+			c.nodes[address].confirmed = true
+			c.start(address, testGroup)
+		}
+		c.waitActive(testGroup)
+		c.put(testGroup, "x", "1")
+		c.killAll()
+		for _, address := range c.addresses() {
+			c.start(address, testGroup)
+		}
+		c.waitValue("b", "x", "1")
+	})
+}
+
+// An initial member whose disk may have been emptied must not take part without all others, nor go on
+// as one that a majority confirms after a restart, and must not take part if another one knows its disk.
+func TestInitialMemberThatBeginsAnewNeedsAllOthers(t *testing.T) {
+	runUnstarted(t, quorumStarts, func(t *testing.T, c *cluster) {
+		c.start("a", testGroup)
+		c.start("b", testGroup)
+		c.put(testGroup, "x", "1")
+		c.kill("b")
+		c.kill("a")
+		c.nodes["a"].fs, c.nodes["a"].confirmed = waltest.New(), true
+		for range 2 {
+			c.start("a", testGroup)
+			c.start("c", testGroup)
+			time.Sleep(10 * quorumDelay)
+			assert.Equal(t, c.status("a", testGroup).Active, false)
+			assert.Equal(t, c.nodes["a"].host.Stored(testGroup), false)
+			c.kill("a")
+			c.kill("c")
+		}
+		for _, address := range c.addresses() {
+			c.start(address, testGroup)
+		}
+		c.waitValue("c", "x", "1")
+		assert.Assert(t, c.status("a", testGroup).LostDisk)
+	})
+}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -42,6 +42,8 @@
 	endpoint *endpoint
 	machines map[uint64]*kv
 	joins    bool // its replicas wait to be added to their groups
+	// confirmed says that its replicas are initial members that all others must confirm.
+	confirmed bool
 }
 
 // runCluster runs a test on three hosts, "a", "b" and "c", with one group that has a
@@ -124,6 +126,9 @@
 		members = nil
 	}
 	n.machines[group] = newKV()
+	if n.confirmed && !n.host.Stored(group) {
+		return n.host.AddConfirmedGroup(group, members, n.machines[group])
+	}
 	return n.host.AddGroup(group, members, n.machines[group])
 }
 
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -68,6 +68,7 @@
 	isLeader      bool
 	hasProposals  bool // proposals without a result
 	leaderAddress string
+	initial       bool     // an initial member that has not taken part yet
 	idle          bool     // needs no ticks: removed, or quiesced without proposals that may expire
 	peerAddresses []string // of the other members
 }
@@ -98,8 +99,9 @@
 
 // start resumes the replica from its stored state. Without one, the replica is an
 // initial member, or waits to join if there are neither members nor recorded ones, or an
-// earlier replica was removed from this host. The caller holds the mutex of the host.
-func (g *group) start(state *wal.GroupState, members []*raftpb.Member) error {
+// earlier replica was removed from this host. confirmed is that of beginBootstrap. The caller holds the
+// mutex of the host.
+func (g *group) start(state *wal.GroupState, members []*raftpb.Member, confirmed bool) error {
 	removed := false
 	for _, binding := range storedBindings(state) {
 		g.bindings[binding.ReplicaID] = binding.DiskID
@@ -108,14 +110,14 @@
 			g.replicaID = binding.ReplicaID
 		}
 	}
-	if len(members) == 0 {
-		members = recordedMembers(state)
+	if recorded := recordedMembers(state); len(members) == 0 {
+		members, confirmed = recorded, false
 	}
 	switch {
 	case g.replicaID != 0:
 		return g.resume(state)
 	case len(members) > 0 && !removed:
-		return g.beginBootstrap(state, members)
+		return g.beginBootstrap(state, members, confirmed)
 	default:
 		return g.beginJoin()
 	}
@@ -264,7 +266,7 @@
 // publish updates the published state if it has changed.
 func (g *group) publish() {
 	last := g.published.Load()
-	next := publishedState{replicaID: g.replicaID, idle: g.removed, peerAddresses: g.peerAddresses}
+	next := publishedState{replicaID: g.replicaID, idle: g.removed, peerAddresses: g.peerAddresses, initial: g.bootstrap != nil}
 	if g.node != nil && !g.removed {
 		next.idle = g.wasQuiesced && g.proposalDeadline == 0
 		next.hasProposals = len(g.proposals) > 0
@@ -282,6 +284,7 @@
 		s.hasProposals == other.hasProposals &&
 		s.leaderAddress == other.leaderAddress &&
 		s.idle == other.idle &&
+		s.initial == other.initial &&
 		slices.Equal(s.peerAddresses, other.peerAddresses)
 }
 
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,6 +150,38 @@
 // Errors: ErrConfig, ErrGroupExists, ErrStopped, and ErrStorage when the stored
 // state is damaged.
 func (h *Host) AddGroup(id uint64, members []*raftpb.Member, sm StateMachine) error {
+	return h.addGroup(id, members, sm, false)
+}
+
+// AddConfirmedGroup is like AddGroup, for an initial member whose data directory may have been emptied.
+// It participates only once each other initial member has confirmed it, whatever
+// Options.BootstrapQuorumDelay says, and records nothing before.
+func (h *Host) AddConfirmedGroup(id uint64, members []*raftpb.Member, sm StateMachine) error {
+	return h.addGroup(id, members, sm, true)
+}
+
+// IsInitialMember reports whether the replica of a group on this host is an initial member that has not
+// taken part in the group yet.
+func (h *Host) IsInitialMember(id uint64) bool {
+	g, err := h.lookup(id)
+	return err == nil && g.published.Load().initial
+}
+
+// Stored reports whether the data directory contains a replica of a group that has not been added yet,
+// the initial members of one, or the trace of a removed one.
+func (h *Host) Stored(id uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state := h.recovered[id]
+	if len(recordedMembers(state)) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(storedBindings(state), func(b wal.Binding) bool {
+		return b.DiskID == h.diskID || b.DiskID == removedDiskID
+	})
+}
+
+func (h *Host) addGroup(id uint64, members []*raftpb.Member, sm StateMachine, confirmed bool) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.stopping.Load() {
@@ -158,7 +191,7 @@
 		return fmt.Errorf("%w: group %d", ErrGroupExists, id)
 	}
 	g := newGroup(h, id, sm)
-	if err := g.start(h.recovered[id], members); err != nil {
+	if err := g.start(h.recovered[id], members, confirmed); err != nil {
 		return fmt.Errorf("group %d: %w", id, err)
 	}
 	delete(h.recovered, id)
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -23,6 +23,7 @@
 	"ibistray.example/ibistray/internal/ledger"
 	"ibistray.example/ibistray/internal/loop"
 	"ibistray.example/ibistray/internal/peer"
+	"ibistray.example/ibistray/internal/policy/founding"
 	"ibistray.example/ibistray/internal/policy/quota"
 	"ibistray.example/ibistray/internal/raft"
 	"ibistray.example/ibistray/internal/replica"
@@ -85,6 +86,11 @@
 	// Bootstrap allows this host to create the groups if its address is one of the
 	// seeds.
 	Bootstrap bool
+	// ProcessAge returns the time since the start of the process, with the time for which it was
+	// suspended. Bootstrap then also says that the system did not run before, and a host without
+	// Bootstrap and replicas asks the others whether it may still create the groups, see
+	// internal/policy/founding. nil: this process may have used the data directory before.
+	ProcessAge func() time.Duration
 	// FaultTolerance is the number of state hosts that may be lost at the same time.
 	// Each group has 2*FaultTolerance+1 voters.
 	FaultTolerance int
@@ -141,6 +147,10 @@
 	hosts    *hostTable
 	leaders  *leaderclient.Client
 
+	systemStart   *systemStart
+	initialSeeds  []string // when the host was opened, sorted
+	pendingGroups []uint64 // without stored replicas, added by addPendingGroups
+
 	ledgerClock *ledgerClock
 	peerWatcher *fleetwatch.Watcher
 
@@ -191,6 +201,9 @@
 		accounts: newAccountAllocator(cfg, programs),
 		hosts:    newHostTable(),
 
+		systemStart:  newSystemStart(),
+		initialSeeds: slices.Compact(slices.Sorted(slices.Values(cfg.Seeds()))),
+
 		ledgerClock: newLedgerClock(cfg, programs),
 
 		replicaReplacement: make(chan struct{}, 1),
@@ -240,7 +253,7 @@
 		BeforeWrite:       func() { removeSpill(&cfg, log) },
 
 		// Bootstrap is never set for a disk that held replicas.
-		BootstrapQuorumDelay: hostLossTimeout,
+		BootstrapQuorumDelay: founding.QuorumDelay,
 
 		Logger:     log.Named("replica"),
 		Registerer: registry,
@@ -263,9 +276,15 @@
 
 // addGroups starts a replica of each group. A replica that is stored on the disk
 // resumes. A new one starts with the seeds as members if this host may create the
-// groups; otherwise it waits until it is added to its group.
+// groups; otherwise it waits until it is added to its group. Those of which that is not certain
+// yet are left to addPendingGroups.
 func (h *Host) addGroups() error {
+	mayBegin := h.mayBegin()
 	for group, state := range h.stateMachines() {
+		if mayBegin && !h.replicas.Stored(group) {
+			h.pendingGroups = append(h.pendingGroups, group)
+			continue
+		}
 		if err := h.replicas.AddGroup(group, h.initialMembers(), state); err != nil {
 			return fmt.Errorf("statehost: add group %d: %w", group, err)
 		}
@@ -278,18 +297,12 @@
 }
 
 // initialMembers returns the members of new groups, or nil if this host must not create
-// groups. Replica IDs are assigned in the order of the addresses.
+// groups.
 func (h *Host) initialMembers() []*raftpb.Member {
-	seeds := slices.Sorted(slices.Values(h.cfg.Seeds()))
-	seeds = slices.Compact(seeds)
-	if !h.cfg.Bootstrap || !slices.Contains(seeds, h.cfg.Address) {
+	if !h.cfg.Bootstrap || !slices.Contains(h.initialSeeds, h.cfg.Address) {
 		return nil
 	}
-	members := make([]*raftpb.Member, len(seeds))
-	for i, address := range seeds {
-		members[i] = &raftpb.Member{Id: uint64(i + 1), Address: address}
-	}
-	return members
+	return seedMembers(h.initialSeeds)
 }
 
 // Register registers the methods that other processes call.
@@ -314,6 +327,9 @@
 	h.cancel = cancel
 	h.background.Go(func() { loop.Every(ctx, fleetwatch.KeepAliveInterval, h.recordSelf) })
 	h.background.Go(func() { h.peerWatcher.Run(ctx) })
+	if len(h.pendingGroups) > 0 {
+		h.background.Go(func() { h.addPendingGroups(ctx) })
+	}
 	for group := range h.stateMachines() {
 		h.background.Go(func() { loop.Every(ctx, membershipInterval, func(ctx context.Context) { h.adjustMembers(ctx, group) }) })
 	}
--- a/internal/statehost/watch.go
+++ b/internal/statehost/watch.go
@@ -50,6 +50,9 @@
 	if w.address != "" {
 		h.recordHost(req.Host)
 	}
+	if req.SystemStart != nil {
+		h.systemStart.addViewer(req.Viewer, req.SystemStart)
+	}
 	for {
 		update, changed := w.nextUpdate(ctx)
 		if err := stream.SetDeadline(time.Now().Add(fleetwatch.SilenceTimeout)); err != nil {
@@ -134,7 +137,7 @@
 			if !yield(part) || len(rest) == 0 {
 				return
 			}
-			part = &fleetpb.Update{Quorum: update.Quorum}
+			part = &fleetpb.Update{Quorum: update.Quorum, SystemStart: update.SystemStart}
 		}
 	}
 }
@@ -187,6 +190,7 @@
 	}
 	if w.peer {
 		update.Sender = h.describeSelf()
+		update.SystemStart = h.describeSystemStart()
 		update.Retirements = h.config.retirementList()
 		update.Stale = h.staleReplicas(ctx, w.address)
 	}
@@ -246,7 +250,7 @@
 		Logger:    h.log.Named("watch"),
 		Addresses: h.peerAddresses,
 		NewRequest: func() *fleetpb.WatchRequest {
-			return &fleetpb.WatchRequest{Viewer: h.cfg.Name, Peer: true, Host: h.describeSelf()}
+			return &fleetpb.WatchRequest{Viewer: h.cfg.Name, Peer: true, Host: h.describeSelf(), SystemStart: h.describeSystemStart()}
 		},
 		OnUpdate: h.mergePeerUpdate,
 	})
@@ -254,7 +258,8 @@
 
 // mergePeerUpdate merges what another state host sent: its description, the servers, hosts
 // and retirements that it knows, and which replicas of this host must be replaced.
-func (h *Host) mergePeerUpdate(_ string, update *fleetpb.Update) {
+func (h *Host) mergePeerUpdate(address string, update *fleetpb.Update) {
+	h.systemStart.addHost(address, update.Quorum, update.SystemStart)
 	if update.Sender != nil {
 		h.recordHost(update.Sender)
 	}
