--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -233,7 +233,7 @@
 		return reopenConfig(cfg, opts.Logger, stop).OnFailure(probe.Writable, reopenReason, func() error {
 			err := runStateHost(cfg, addresses, newControlHandler, opts, stop)
 			// The disk may be empty at the next opening, and the votes that it held lost.
-			cfg.Bootstrap = false
+			cfg.Bootstrap, cfg.ProcessAge = false, nil
 			return err
 		})
 	})
@@ -346,7 +346,7 @@
 // returns nil and no error.
 func openWithRetries(cfg statehost.Config, open func(statehost.Config) (*statehost.Host, error), log hclog.Logger, stop <-chan struct{}) (*statehost.Host, error) {
 	setAside := func() error {
-		cfg.Bootstrap = false
+		cfg.Bootstrap, cfg.ProcessAge = false, nil
 		return setDataAside(cfg.DataDir)
 	}
 	return reopen.Open(reopenConfig(cfg, log, stop), setAside, func() (*statehost.Host, error) { return open(cfg) })
