A start with more turns than there is room for stays within the memory

Cause: inputs and outputs that the share of the disk did not take stayed in memory without a bound.

Change: once those in memory exceed their share by a fourth, further ones take a reserve of the disk, another fourth of it. The disk is only needed by what such a host should not have kept; without the memory it serves nothing.

go test -count=1 -v -run TestSnapshotBeyondTheRoomIsRestored ./internal/statehost (100 MB of turns, memory limit 48 MB, disk 192 MB): before: FAIL, 53 MB in use of 48 after: 17 MB

--- a/internal/ledger/body.go
+++ b/internal/ledger/body.go
@@ -65,14 +65,25 @@
 	memory atomic.Int64 // bytes of the bodies of kept turns in memory
 }
 
+// excessShare is the part of the limit by which the bodies in memory may exceed it while the disk
+// has reached its own limit. Beyond, they take the reserve of the disk.
+const excessShare = 0.25
+
 // keep returns the body of a turn. It writes the body to the disk if those in memory have reached
 // the limit. A body that cannot be written stays in memory.
 func (s *bodyStore) keep(input, output []byte) body {
-	size := int64(len(input) + len(output))
-	if s.disk != nil && s.memory.Load()+size > s.limit {
-		if stored, err := s.disk.Put(input, output); err == nil {
-			return body{disk: stored, inputBytes: len(input)}
-		}
+	inMemory := body{memory: &[2][]byte{input, output}}
+	excess := s.memory.Load() + inMemory.size() - s.limit
+	if s.disk == nil || excess <= 0 {
+		return inMemory
+	}
+	put := s.disk.Put
+	if float64(excess) > excessShare*float64(s.limit) {
+		put = s.disk.PutBeyond
+	}
+	stored, err := put(input, output)
+	if err != nil {
+		return inMemory
 	}
-	return body{memory: &[2][]byte{input, output}}
+	return body{disk: stored, inputBytes: len(input)}
 }
--- a/internal/spill/store.go
+++ b/internal/spill/store.go
@@ -39,6 +39,7 @@
 type Store struct {
 	dir          string
 	limit        int64 // of the size of all files, in bytes
+	maxLimit     int64 // for PutBeyond
 	segmentBytes int64
 
 	// writeMu serializes writes to the active segment. It is locked before mu.
@@ -91,13 +92,22 @@
 
 // New returns an empty store in a directory, which is created with the first body. Its files have
 // at most limit bytes and replace those of an earlier store.
-func New(dir string, limit int64) *Store {
-	return &Store{dir: dir, limit: limit, segmentBytes: min(segmentBytes, max(limit/8, 1)), segments: make(map[*segment]struct{})}
+func New(dir string, limit int64) *Store { return NewWithReserve(dir, limit, 0) }
+
+// NewWithReserve is like New for a store whose files may exceed the limit by a reserve, in bytes, for
+// PutBeyond.
+func NewWithReserve(dir string, limit, reserve int64) *Store {
+	return &Store{dir: dir, limit: limit, maxLimit: limit + reserve, segmentBytes: min(segmentBytes, max(limit/8, 1)), segments: make(map[*segment]struct{})}
 }
 
 // Put writes a body, which is the concatenation of the parts. Errors: ErrFull, ErrClosed and those
 // of the file system, after which nothing is written for a while. They are counted.
-func (s *Store) Put(parts ...[]byte) (*Body, error) {
+func (s *Store) Put(parts ...[]byte) (*Body, error) { return s.putWithin(s.limit, parts) }
+
+// PutBeyond is like Put, but takes the reserve too.
+func (s *Store) PutBeyond(parts ...[]byte) (*Body, error) { return s.putWithin(s.maxLimit, parts) }
+
+func (s *Store) putWithin(limit int64, parts [][]byte) (*Body, error) {
 	hash := xxhash.New()
 	length := 0
 	for _, part := range parts {
@@ -107,7 +117,7 @@
 	r := &record{checksum: hash.Sum64(), length: uint32(length)}
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	if err := s.put(r, parts); err != nil {
+	if err := s.put(r, limit, parts); err != nil {
 		s.mu.Lock()
 		s.failures++
 		s.mu.Unlock()
@@ -118,13 +128,13 @@
 	return b, nil
 }
 
-func (s *Store) put(r *record, parts [][]byte) error {
+func (s *Store) put(r *record, limit int64, parts [][]byte) error {
 	if !time.Now().After(s.retryAfter) {
 		return fmt.Errorf("%w: the disk has refused a write", ErrFull)
 	}
-	if size := s.Stats().DiskBytes; size+int64(r.length) > s.limit {
+	if size := s.Stats().DiskBytes; size+int64(r.length) > limit {
 		s.startCompaction()
-		return fmt.Errorf("%w: %d of %d bytes are in use", ErrFull, size, s.limit)
+		return fmt.Errorf("%w: %d of %d bytes are in use", ErrFull, size, limit)
 	}
 	seg, offset, err := s.write(r, parts)
 	if err != nil {
--- a/internal/spill/store_test.go
+++ b/internal/spill/store_test.go
@@ -161,6 +161,20 @@
 	}
 }
 
+// TestReserveIsTakenOnlyByPutBeyond covers bodies beyond the limit and beyond the reserve.
+func TestReserveIsTakenOnlyByPutBeyond(t *testing.T) {
+	s := NewWithReserve(t.TempDir(), 10, 10)
+	t.Cleanup(s.Close)
+	first := put(t, s, "0123456789")
+	_, err := s.Put([]byte("x"))
+	assert.ErrorIs(t, err, ErrFull)
+	beyond, err := s.PutBeyond([]byte("9876543210"))
+	assert.NilError(t, err)
+	_, err = s.PutBeyond([]byte("x"))
+	assert.ErrorIs(t, err, ErrFull)
+	assert.Equal(t, first.Len()+beyond.Len(), 20)
+}
+
 // TestFailedWritesAreCounted has the limit and the file system refuse bodies. A later segment takes
 // bodies again.
 func TestFailedWritesAreCounted(t *testing.T) {
--- a/internal/statehost/damaged_spill_test.go
+++ b/internal/statehost/damaged_spill_test.go
@@ -38,7 +38,7 @@
 	const limit = 4 << 20
 	dir := t.TempDir()
 	failed := make(chan error, 1)
-	h := startLimitedHost(t, dir, limit, func(err error) { failed <- err })
+	h := startLimitedHost(t, dir, limit, 8*limit, func(err error) { failed <- err })
 	for n := range 40 {
 		runCommand(t, h, keptTurn(n, 64<<10))
 	}
@@ -64,7 +64,7 @@
 	cancel()
 	assert.ErrorIs(t, h.Stop(ctx), spill.ErrUnreadable)
 
-	h = startLimitedHost(t, dir, limit, func(err error) { t.Error(err) })
+	h = startLimitedHost(t, dir, limit, 8*limit, func(err error) { t.Error(err) })
 	defer stopHost(t, h)
 	runCommand(t, h, keptTurn(40, 10))
 	resp, err := begin(h)
--- a/internal/statehost/kept_turns_memory_test.go
+++ b/internal/statehost/kept_turns_memory_test.go
@@ -15,6 +15,9 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"ibistray.example/ibistray/internal/ledger"
+	"ibistray.example/ibistray/internal/policy/retention"
+	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
 )
@@ -44,6 +47,18 @@
 	}
 }
 
+// sampledReader samples the memory as data is read.
+type sampledReader struct {
+	heapSampler
+	reader io.Reader
+}
+
+func (r *sampledReader) Read(data []byte) (int, error) {
+	n, err := r.reader.Read(data)
+	r.pass(n)
+	return n, err
+}
+
 // sampledFile samples the memory as a file is read or written.
 type sampledFile struct {
 	heapSampler
@@ -62,14 +77,14 @@
 }
 
 // startLimitedHost starts the only state host of a cluster on a disk, with limits.
-func startLimitedHost(t *testing.T, dir string, memoryBytes int64, onFailure func(error)) *Host {
+func startLimitedHost(t *testing.T, dir string, memoryBytes, diskBytes int64, onFailure func(error)) *Host {
 	t.Helper()
 	pool := transport.NewPool(transport.DialTCPTimeout(10 * time.Millisecond))
 	t.Cleanup(pool.Close)
 	h, err := New(Config{
 		Name: "host-a", Address: "a", FailureDomain: "domain-a", DataDir: dir, Seeds: func() []string { return []string{"a"} },
 		DecodeRoutes: decodeVersion, HeartbeatInterval: time.Second, Bootstrap: true,
-		MemoryBytes: memoryBytes, DiskBytes: 8 * memoryBytes,
+		MemoryBytes: memoryBytes, DiskBytes: diskBytes,
 	}, hclog.NewNullLogger(), prometheus.NewRegistry(), pool, onFailure)
 	assert.NilError(t, err)
 	h.Run()
@@ -90,7 +105,7 @@
 	assert.NilError(t, err)
 	defer snapshot.Close()
 	peaks := make(map[string]int64)
-	h := startLimitedHost(t, t.TempDir(), limit, func(err error) { t.Error(err) })
+	h := startLimitedHost(t, t.TempDir(), limit, 8*limit, func(err error) { t.Error(err) })
 	var keeping heapSampler
 	for n := range kept / turnBytes {
 		cmd, err := proto.Marshal(keptTurn(n, turnBytes))
@@ -111,7 +126,7 @@
 	}
 	peaks["installing"] = restore()
 	stopHost(t, h)
-	h = startLimitedHost(t, t.TempDir(), limit, func(err error) { t.Error(err) })
+	h = startLimitedHost(t, t.TempDir(), limit, 8*limit, func(err error) { t.Error(err) })
 	defer stopHost(t, h)
 	peaks["restoring"] = restore()
 	assert.Equal(t, h.ledger.Stats().Bytes, int64(kept))
@@ -120,3 +135,29 @@
 		assert.Check(t, peak <= limit*2/3, "%s: %d MB in use of %d", phase, peak>>20, limit>>20)
 	}
 }
+
+// TestSnapshotBeyondTheRoomIsRestored guards against a host that finds a snapshot of more turns than
+// it has room for, as an earlier build may leave, and exceeds its memory at each start.
+func TestSnapshotBeyondTheRoomIsRestored(t *testing.T) {
+	const limit, kept, turnBytes = 48 << 20, 100 << 20, 32 << 10
+	h := startLimitedHost(t, t.TempDir(), limit, 4*limit, func(err error) { t.Error(err) })
+	defer stopHost(t, h)
+	assert.Assert(t, h.room.disk.Load() < kept)
+	disk := spill.New(t.TempDir(), 2*kept)
+	defer disk.Close()
+	source := ledger.NewSpilling(disk, 0)
+	for n := range kept / turnBytes {
+		data, err := proto.Marshal(keptTurn(n, turnBytes))
+		assert.NilError(t, err)
+		source.Apply(uint64(n), data)
+	}
+	reader, writer := io.Pipe()
+	go func() { _ = writer.CloseWithError(source.Snapshot(writer)) }()
+	sampled := &sampledReader{reader: reader}
+	assert.NilError(t, h.ledger.Restore(sampled))
+	peak := max(sampled.peak, liveHeap())
+	t.Logf("at most %d MB in use", peak>>20)
+	assert.Assert(t, peak <= limit*2/3, "%d MB in use of %d", peak>>20, limit>>20)
+	assert.Equal(t, h.ledger.Stats().Bytes, int64(kept))
+	assert.Equal(t, h.keptResources()[0].Level(), retention.Full)
+}
--- a/internal/statehost/retention_test.go
+++ b/internal/statehost/retention_test.go
@@ -19,7 +19,7 @@
 // startLeader starts the only state host of a cluster and waits until it leads the ledger.
 func startLeader(t *testing.T, memoryBytes int64) *Host {
 	t.Helper()
-	h := startLimitedHost(t, t.TempDir(), memoryBytes, func(err error) { t.Error(err) })
+	h := startLimitedHost(t, t.TempDir(), memoryBytes, 8*memoryBytes, func(err error) { t.Error(err) })
 	t.Cleanup(func() { stopHost(t, h) })
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if _, leads := h.leaderStatus(t.Context(), LedgerGroup); leads {
--- a/internal/statehost/spill.go
+++ b/internal/statehost/spill.go
@@ -19,6 +19,10 @@
 	// and defaultSpillBytes the limit for a disk of unknown size.
 	spillDiskShare    = 4
 	defaultSpillBytes = 1 << 30
+	// spillReserveShare is the further part of the disk that they may take while those in memory
+	// exceed their share by more than a fourth: after a start with a snapshot of more turns than
+	// the host has room for.
+	spillReserveShare = 4
 )
 
 // SpillDir returns the directory of the files that a state host does not need after its end.
@@ -33,7 +37,8 @@
 }
 
 func newSpill(cfg *Config) *spill.Store {
-	return spill.New(SpillDir(cfg.DataDir), spillBytes(cfg.DiskBytes))
+	reserve := diskShare(cfg.DiskBytes, spillReserveShare, defaultSpillBytes)
+	return spill.NewWithReserve(SpillDir(cfg.DataDir), spillBytes(cfg.DiskBytes), reserve)
 }
 
 // removeSpill removes what an earlier process has left.
