Transport: frames that are announced or half sent hold little memory

What operators saw: a peer that announces frames of 16 MB and sends a part or nothing of them holds 16 MB each on the receiver, without a bound in number and, on streams whose handler sets no deadline, in time. 64 of them took 1.1 GB.

Cause: readFrame allocated what the header announces; nothing limits the frames that arrive at the same time, nor the first message of a stream, which may be as large as any before its sender has named a method.

Change: memory for a frame is taken once its first 64 KB are there. Frames above that reserve their size from 48 MB for all sessions of a server, and wait for it; a frame that has begun must arrive at 1 MB a second, with 10 s more. The first message of a stream has at most 4 KB. The framing is the same.

FuzzReadFrame calls the method that replaces readFrame, with the same checks.

--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -39,27 +39,21 @@
 	return buf, nil
 }
 
-// readFrame reads one frame. It checks the length before it allocates memory. It
-// never returns io.EOF: an RPC ends with a status frame, so an end of the stream
-// between two frames is unexpected as well.
-func readFrame(r io.Reader) (frameKind, []byte, error) {
+// readFrameHeader reads the kind and the length of a frame, which is at most limit bytes.
+func readFrameHeader(r io.Reader, limit uint32) (frameKind, int, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return 0, nil, unexpectedEOF(err)
+		return 0, 0, err
 	}
 	kind := frameKind(header[0])
 	if kind != frameMessage && kind != frameStatus {
-		return 0, nil, fmt.Errorf("%w: unknown kind %d", ErrMalformed, kind)
+		return 0, 0, fmt.Errorf("%w: unknown kind %d", ErrMalformed, kind)
 	}
 	size := binary.BigEndian.Uint32(header[1:])
-	if size > MaxMessageBytes {
-		return 0, nil, fmt.Errorf("%w: frame of %d bytes, limit %d", ErrTooLarge, size, MaxMessageBytes)
-	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return 0, nil, unexpectedEOF(err)
+	if size > limit {
+		return 0, 0, fmt.Errorf("%w: frame of %d bytes, limit %d", ErrTooLarge, size, limit)
 	}
-	return kind, data, nil
+	return kind, int(size), nil
 }
 
 // unexpectedEOF returns io.ErrUnexpectedEOF in place of io.EOF.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/semaphore"
 
 	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -27,6 +28,7 @@
 type Server struct {
 	log      hclog.Logger
 	handlers map[string]Handler
+	received *semaphore.Weighted // bytes of large frames that arrive
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -40,6 +42,7 @@
 	return &Server{
 		log:      log,
 		handlers: make(map[string]Handler),
+		received: semaphore.NewWeighted(maxReceivedBytes),
 		sessions: make(map[*yamux.Session]struct{}),
 	}
 }
@@ -129,11 +132,12 @@
 func (s *Server) serveStream(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	stream := newStream(conn)
+	stream.receiver = &receiver{ctx: ctx, bytes: s.received}
 	open := new(rpcpb.Open)
 	if err := stream.SetReadDeadline(time.Now().Add(openTimeout)); err != nil {
 		return
 	}
-	if err := stream.Recv(open); err != nil {
+	if err := stream.recv(open, maxOpenBytes); err != nil {
 		s.log.Warn("new stream has no valid Open message", "error", err)
 		return
 	}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -19,9 +19,10 @@
 
 // Stream is one side of an RPC. Send is safe for concurrent use; Recv is not.
 type Stream struct {
-	conn net.Conn
-	r    *bufio.Reader
-	log  hclog.Logger // of the server; nil on the side of the client
+	conn     net.Conn
+	r        *bufio.Reader
+	log      hclog.Logger // of the server; nil on the side of the client
+	receiver *receiver    // of the server; nil on the side of the client
 
 	mu  sync.Mutex // guards buf and writes to conn
 	buf []byte
@@ -53,14 +54,18 @@
 // Recv reads the next message into m. It returns io.EOF when the peer ended the RPC
 // with CODE_OK and an *Error when it ended with another code. Other errors wrap
 // ErrInterrupted (the session failed or the deadline passed), ErrMalformed or ErrTooLarge.
-func (s *Stream) Recv(m proto.Message) error {
-	kind, data, err := readFrame(s.r)
+func (s *Stream) Recv(m proto.Message) error { return s.recv(m, MaxMessageBytes) }
+
+// recv is Recv with a limit of the message in bytes.
+func (s *Stream) recv(m proto.Message, limit uint32) error {
+	kind, data, release, err := s.readFrame(limit)
 	if errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge) {
 		return err
 	}
 	if err != nil {
 		return fmt.Errorf("%w: read: %w", ErrInterrupted, err)
 	}
+	defer release()
 	if kind == frameStatus {
 		return recvStatus(data)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -201,10 +202,12 @@
 	f.Add([]byte{1, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{9, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		kind, payload, err := readFrame(bytes.NewReader(data))
+		stream := &Stream{r: bufio.NewReaderSize(bytes.NewReader(data), streamReadBufferBytes)}
+		kind, payload, release, err := stream.readFrame(MaxMessageBytes)
 		if err != nil {
 			return
 		}
+		release()
 		if kind != frameMessage && kind != frameStatus {
 			t.Fatalf("unknown kind %d was accepted", kind)
 		}
