--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/semaphore"
 
 	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -26,7 +27,8 @@
 // Server accepts sessions and serves the RPCs on them.
 type Server struct {
 	log      hclog.Logger
-	handlers sync.Map // Handler by method
+	handlers sync.Map            // Handler by method
+	received *semaphore.Weighted // bytes of large frames that arrive
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -39,6 +41,7 @@
 func NewServer(log hclog.Logger) *Server {
 	return &Server{
 		log:      log,
+		received: semaphore.NewWeighted(maxReceivedBytes),
 		sessions: make(map[*yamux.Session]struct{}),
 	}
 }
@@ -135,11 +138,12 @@
 func (s *Server) serveStream(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	stream := newStream(conn)
+	stream.receiver = &receiver{ctx: ctx, bytes: s.received}
 	open := new(rpcpb.Open)
 	if err := stream.SetReadDeadline(time.Now().Add(openTimeout)); err != nil {
 		return
 	}
-	if err := stream.Recv(open); err != nil {
+	if err := stream.recv(open, maxOpenBytes); err != nil {
 		s.log.Warn("new stream has no valid Open message", "error", err)
 		return
 	}
