Large turns do not exceed the memory of state hosts

What callers saw: turns of 8 MB (4 + 4), as the limits of a site allow, or of the size of a message, as an entry of the build before may send, four at a time or more: state hosts exceeded their memory limit and were killed, again after each restart, while callers tried again.

Cause: each request on its way was read, decoded and encoded without regard to others; large turns were kept in memory like small ones; chains were read by any number of requests at a time; the log kept a buffer of the size of the largest write for good. Class: memory bounded by a count of things whose size is not bounded.

Change: a state host reads large requests (64 KB or more) up to a sixteenth of its memory limit at a time, the others wait on their streams; it refuses a turn beyond that size before the proposal (CODE_INVALID, counted as too_large; the builds before take it for a refusal); chains are read within the same limit; large bodies are on disk, in a reserve of half of the disk if need be (before: a fourth, for starts only); the log does not keep large buffers.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -303,6 +303,7 @@
 	}
 	server := transport.NewServer(p.opts.Logger.Named("transport"))
 	p.closers = append(p.closers, server.Close, func() { listener.CloseAll(listeners) })
+	server.LimitLargeRequests(host.LargeRequestBytes())
 	host.Register(server)
 	p.goroutines.Go(func() {
 		if err := server.Serve(listeners[0]); err != nil {
--- a/internal/ledger/body.go
+++ b/internal/ledger/body.go
@@ -65,20 +65,26 @@
 	memory atomic.Int64 // bytes of the bodies of kept turns in memory
 }
 
-// excessShare is the part of the limit by which the bodies in memory may exceed it while the disk
-// has reached its own limit. Beyond, they take the reserve of the disk.
-const excessShare = 0.25
+const (
+	// excessShare is the part of the limit by which the bodies in memory may exceed it while the disk
+	// has reached its own limit. Beyond, they take the reserve of the disk.
+	excessShare = 0.25
+	// largeBodyShare is the part of the limit from which a body is on disk, in its reserve if need be.
+	largeBodyShare = 16
+)
 
-// keep returns the body of a turn. It writes the body to the disk if those in memory have reached
-// the limit. A body that cannot be written stays in memory.
+// keep returns the body of a turn. It writes the body to the disk if it is large or those in memory
+// have reached the limit. A body that cannot be written stays in memory.
 func (s *bodyStore) keep(input, output []byte) body {
 	inMemory := body{memory: &[2][]byte{input, output}}
-	excess := s.memory.Load() + inMemory.size() - s.limit
-	if s.disk == nil || excess <= 0 {
+	size := inMemory.size()
+	excess := s.memory.Load() + size - s.limit
+	large := size > s.limit/largeBodyShare
+	if s.disk == nil || excess <= 0 && !large {
 		return inMemory
 	}
 	put := s.disk.Put
-	if float64(excess) > excessShare*float64(s.limit) {
+	if large || float64(excess) > excessShare*float64(s.limit) {
 		put = s.disk.PutBeyond
 	}
 	stored, err := put(input, output)
--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -77,6 +77,15 @@
 	return size
 }
 
+// LargestTurn returns the size of the largest turn of the chain in bytes.
+func (c *Chain) LargestTurn() int64 {
+	largest := int64(0)
+	for _, t := range c.turns {
+		largest = max(largest, t.body.size())
+	}
+	return largest
+}
+
 // Checksum returns the xxhash of the content.
 func (c *Chain) Checksum() uint64 {
 	hash := xxhash.New()
--- a/internal/statehost/chain.go
+++ b/internal/statehost/chain.go
@@ -19,16 +19,43 @@
 	chainPartBytes      = 1 << 20
 )
 
+// readChain waits until a chain may be read, of which bytes are held in memory at a time, and returns
+// the function that ends the read. Error: CODE_TIMEOUT.
+func (h *Host) readChain(ctx context.Context, bytes int64) (end func(), err error) {
+	weight := min(bytes, h.LargeRequestBytes())
+	if err := h.chainReads.Acquire(ctx, weight); err != nil {
+		return nil, transport.Errorf(rpcpb.Code_CODE_TIMEOUT, "wait to read %d bytes of turns: %s", bytes, err)
+	}
+	return func() { h.chainReads.Release(weight) }, nil
+}
+
 // addChain adds the chain that a turn continues from to its response, or its size and checksum if
 // it is long and the caller fetches it. It returns the error of a chain that cannot be read.
-func addChain(resp *ledgerpb.Response, result ledger.Result, fetches bool) error {
+func (h *Host) addChain(ctx context.Context, resp *ledgerpb.Response, result ledger.Result, fetches bool) error {
 	chain := result.Chain()
-	if size := chain.Size(); fetches && size > maxInlineChainBytes {
+	size := chain.Size()
+	if size == 0 {
+		return nil
+	}
+	fetches = fetches && size > maxInlineChainBytes
+	held := size
+	if fetches {
+		held = chain.LargestTurn()
+	}
+	end, err := h.readChain(ctx, held)
+	if err != nil {
+		return err
+	}
+	defer end()
+	if fetches {
 		resp.ChainBytes, resp.ChainChecksum = uint64(size), chain.Checksum()
 	} else {
 		resp.Chain = chain.Exchanges()
 	}
-	return chain.Err()
+	if err := chain.Err(); err != nil {
+		return h.unreadableTurn(err)
+	}
+	return nil
 }
 
 // handleChain returns a part of the chain of a kept turn. Only the leader of the ledger group can
@@ -41,6 +68,11 @@
 	if !found {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "no such turn is kept any more")
 	}
+	end, err := h.readChain(ctx, chain.LargestTurn())
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	content := chain.Part(int64(min(req.Offset, math.MaxInt64)), chainPartBytes)
 	if err := chain.Err(); err != nil {
 		return nil, h.unreadableTurn(err)
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 
 	"ibistray.example/ibistray/internal/clock"
@@ -161,6 +162,7 @@
 	pendingCommands  atomic.Int64
 	pendingBytes     atomic.Int64 // of the pending commands of both groups
 	room             room
+	chainReads       *semaphore.Weighted // bytes of turns that are read for requests
 
 	configLeader leaderclient.LeaderCache
 	ledgerLeader leaderclient.LeaderCache
@@ -215,6 +217,7 @@
 
 		started: time.Now(),
 	}
+	h.chainReads = semaphore.NewWeighted(h.LargeRequestBytes())
 	h.room.disk.Store(h.diskCapacity(cfg.DiskBytes))
 	h.leaders = leaderclient.NewWithOptions(pool, leaderclient.Options{
 		Addresses:      h.knownAddresses,
--- a/internal/statehost/retention_test.go
+++ b/internal/statehost/retention_test.go
@@ -93,3 +93,19 @@
 	assert.Equal(t, transport.CodeOf(err), rpcpb.Code_CODE_EXHAUSTED, "%v", err)
 	assert.ErrorContains(t, err, fmt.Sprintf("(%s)", resourceMemory))
 }
+
+// TestTurnBeyondTheMemoryIsRefused guards against a turn whose copies exceed the memory of the replicas.
+func TestTurnBeyondTheMemoryIsRefused(t *testing.T) {
+	h := startLeader(t, 16<<20)
+	limit := int(h.maxTurnBytes())
+	finish := func(id string, size int) error {
+		cmd := finishCommand(id, "p", "", 1)
+		cmd.GetFinish().Input, cmd.GetFinish().Output = make([]byte, size/2), make([]byte, size-size/2)
+		_, err := h.handleLedger(t.Context(), &ledgerpb.Request{Command: cmd})
+		return err
+	}
+	assert.Equal(t, transport.CodeOf(finish("a", limit+1)), rpcpb.Code_CODE_INVALID)
+	assert.NilError(t, finish("b", limit))
+	assert.Equal(t, h.ledger.Stats().Bytes, int64(limit))
+	assert.Equal(t, h.ledger.Stats().Memory, int64(0), "a large turn is on disk")
+}
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -46,6 +46,10 @@
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "request without a command of a known kind")
 	}
 	kind := commandKind(req.Command)
+	if size := turnBytes(req.Command); size > h.maxTurnBytes() {
+		h.metrics.ledgerCommands.WithLabelValues(kind, "too_large").Inc()
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "turn of %d bytes, limit %d", size, h.maxTurnBytes())
+	}
 	if err := h.admitTurn(req); err != nil {
 		h.metrics.ledgerCommands.WithLabelValues(kind, "no_room").Inc()
 		return nil, err
@@ -55,6 +59,9 @@
 	if err != nil {
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "encode command: %s", err)
 	}
+	if finish := req.Command.GetFinish(); finish != nil {
+		finish.Input, finish.Output = nil, nil // the proposal holds a copy
+	}
 	applied, err := h.proposeToLedger(ctx, commandKey(req.Command), data)
 	if err != nil {
 		h.metrics.ledgerCommands.WithLabelValues(kind, "failed").Inc()
@@ -73,8 +80,8 @@
 		h.metrics.busyResponses.Inc()
 	}
 	resp := &ledgerpb.Response{Outcome: result.Outcome, Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}
-	if err := addChain(resp, result, req.FetchesChain); err != nil {
-		return nil, h.unreadableTurn(err)
+	if err := h.addChain(ctx, resp, result, req.FetchesChain); err != nil {
+		return nil, err
 	}
 	return resp, nil
 }
@@ -92,6 +99,23 @@
 	commandTimeout = 2 * time.Second
 )
 
+// largeRequestShare is the part of the memory limit for large requests that are handled at the same
+// time, and for the largest turn. A turn has several copies on its way: in the request, the log
+// entry, the write to the log and the messages to the other replicas.
+const largeRequestShare = 16
+
+// LargeRequestBytes returns the limit of the large requests that may be handled at the same time.
+func (h *Host) LargeRequestBytes() int64 { return h.cfg.memoryBytes() / largeRequestShare }
+
+// maxTurnBytes returns the largest input and output of a turn that is kept.
+func (h *Host) maxTurnBytes() int64 { return h.cfg.memoryBytes() / largeRequestShare }
+
+// turnBytes returns the size of the input and output that a command keeps.
+func turnBytes(cmd *ledgerpb.Command) int64 {
+	finish := cmd.GetFinish()
+	return int64(len(finish.GetInput()) + len(finish.GetOutput()))
+}
+
 // proposeToLedger proposes a command to the ledger, like proposeOnce.
 func (h *Host) proposeToLedger(ctx context.Context, key string, data []byte) (replica.Applied, error) {
 	return h.proposeOnce(ctx, LedgerGroup, key, func() (replica.Applied, error) {
--- a/internal/statehost/spill.go
+++ b/internal/statehost/spill.go
@@ -19,10 +19,10 @@
 	// and defaultSpillBytes the limit for a disk of unknown size.
 	spillDiskShare    = 4
 	defaultSpillBytes = 1 << 30
-	// spillReserveShare is the further part of the disk that they may take while those in memory
-	// exceed their share by more than a fourth: after a start with a snapshot of more turns than
-	// the host has room for.
-	spillReserveShare = 4
+	// spillReserveShare is the further part of the disk that large ones may take, and others while
+	// those in memory exceed their share by more than a fourth: after a start with a snapshot of more
+	// turns than the host has room for.
+	spillReserveShare = 2
 )
 
 // SpillDir returns the directory of the files that a state host does not need after its end.
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -55,6 +55,11 @@
 	if err != nil {
 		return 0, nil, nil, unexpectedEOF(err)
 	}
+	if s.admit != nil {
+		if err := s.admit(size); err != nil {
+			return 0, nil, nil, err
+		}
+	}
 	data, release, err = s.readBody(size)
 	return kind, data, release, unexpectedEOF(err)
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -29,6 +29,7 @@
 	log      hclog.Logger
 	handlers sync.Map            // Handler by method
 	received *semaphore.Weighted // bytes of large frames that arrive
+	large    *largeMessages      // nil: not limited
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -51,6 +52,11 @@
 	s.handlers.Store(method, h)
 }
 
+// LimitLargeRequests limits the bytes of the large requests to methods of SharedUnary that are handled
+// at the same time. Further ones are not read until others have been answered. It must be called
+// before Serve.
+func (s *Server) LimitLargeRequests(bytes int64) { s.large = newLargeMessages(bytes) }
+
 // Serve accepts connections until the listener or the server is closed. It returns
 // nil when the listener is closed, and net.ErrClosed if the server already was.
 func (s *Server) Serve(ln net.Listener) error {
@@ -170,7 +176,7 @@
 	if !ok {
 		return Errorf(rpcpb.Code_CODE_UNKNOWN_METHOD, "method %q is not served here", method)
 	}
-	stream.log = s.log
+	stream.log, stream.large = s.log, s.large
 	if panicked := panics.Contain(s.log, method, func() { err = h.(Handler)(ctx, stream) }); panicked != nil {
 		return panicked
 	}
--- a/internal/transport/shared.go
+++ b/internal/transport/shared.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -249,7 +250,9 @@
 func SharedUnary[Req any, PReq message[Req], Resp proto.Message](f func(ctx context.Context, req PReq) (Resp, error)) Handler {
 	serve := func(ctx context.Context, call *rpcpb.Call) *rpcpb.Reply {
 		req := PReq(new(Req))
-		if err := proto.Unmarshal(call.Request, req); err != nil {
+		err := proto.Unmarshal(call.Request, req)
+		call.Request = nil // its memory can be used again while the request is handled
+		if err != nil {
 			return &rpcpb.Reply{Id: call.Id, Status: statusFromError(Errorf(rpcpb.Code_CODE_INVALID, "%s", err))}
 		}
 		if call.TimeoutMs > 0 {
@@ -288,12 +291,22 @@
 		}
 	})
 	for {
-		calls := new(rpcpb.Calls)
-		if err := s.Recv(calls); err != nil {
+		calls, release, err := recvCalls(ctx, s)
+		if err != nil {
 			return err
 		}
-		for _, call := range calls.Calls {
+		var unanswered atomic.Int64
+		unanswered.Store(int64(len(calls)))
+		if len(calls) == 0 {
+			release()
+		}
+		for _, call := range calls {
 			goroutines.Go(func() {
+				defer func() {
+					if unanswered.Add(-1) == 0 {
+						release()
+					}
+				}()
 				var reply *rpcpb.Reply
 				if err := panics.Contain(s.log, "shared call", func() { reply = serve(ctx, call) }); err != nil {
 					reply = &rpcpb.Reply{Id: call.Id, Status: statusFromError(err)}
@@ -303,3 +316,21 @@
 		}
 	}
 }
+
+// recvCalls receives the next calls. release must be called once they have been answered.
+func recvCalls(ctx context.Context, s *Stream) (calls []*rpcpb.Call, release func(), err error) {
+	release = func() {}
+	s.admit = func(size int) error {
+		admitted, err := s.large.acquire(ctx, size)
+		if err == nil {
+			release = admitted
+		}
+		return err
+	}
+	message := new(rpcpb.Calls)
+	if err := s.Recv(message); err != nil {
+		release()
+		return nil, nil, err
+	}
+	return message.Calls, release, nil
+}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -23,6 +23,9 @@
 	r        *bufio.Reader
 	log      hclog.Logger // of the server; nil on the side of the client
 	receiver *receiver    // of the server; nil on the side of the client
+	// admit is called with the size of each frame before it is received, unless it is nil.
+	admit func(size int) error
+	large *largeMessages // of the server; nil: not limited
 
 	mu  sync.Mutex // guards buf and writes to conn
 	buf []byte
--- a/internal/wal/writer.go
+++ b/internal/wal/writer.go
@@ -85,7 +85,11 @@
 			return err
 		}
 	}
-	l.writer.beginFrame()
+	size := 0
+	for _, req := range batch {
+		size += len(req.payload)
+	}
+	l.writer.beginFrame(size)
 	for _, req := range batch {
 		l.writer.buf = append(l.writer.buf, req.payload...)
 	}
@@ -98,9 +102,16 @@
 	return nil
 }
 
-// beginFrame clears the buffer and reserves space for the header.
-func (w *writer) beginFrame() {
-	w.buf = append(w.buf[:0], make([]byte, frameHeaderSize)...)
+// maxKeptBufferBytes limits the capacity of the buffer that is kept for the next frame.
+const maxKeptBufferBytes = 1 << 20
+
+// beginFrame clears the buffer and reserves space for the header and a payload.
+func (w *writer) beginFrame(payloadBytes int) {
+	if cap(w.buf) > maxKeptBufferBytes {
+		w.buf = nil
+	}
+	w.buf = slices.Grow(w.buf[:0], frameHeaderSize+payloadBytes+frameAlignment)
+	w.buf = append(w.buf, make([]byte, frameHeaderSize)...)
 }
 
 // writeFrame writes the buffer as the next frame and syncs the segment.
@@ -157,7 +168,7 @@
 }
 
 func (l *Log) writeCheckpoints() error {
-	l.writer.beginFrame()
+	l.writer.beginFrame(0)
 	var err error
 	for group, checkpoint := range l.groups {
 		update := Update{Group: group, Bindings: checkpoint.bindings, HardState: checkpoint.hardState, Snapshot: checkpoint.snapshot}
