Scenarios of founding on real state hosts

A disk that is lost right after an acknowledgement, while processes of the first start can vouch for its time and another host is isolated; and seeds that begin anew before anyone took part. All scenarios now run with a process age, so that hosts without replicas ask before they join.

--- a/internal/statehost/cluster_test.go
+++ b/internal/statehost/cluster_test.go
@@ -86,6 +86,8 @@
 	scenarios := []scenario{
 		{"open turns count against the budget after power failures", three, budgetSurvivesPowerLosses},
 		{"disk losses in turn", three, diskLossesInTurn},
+		{"disk loss right after the start, another host isolated", three, diskLossAtTheStart},
+		{"seeds that begin anew, the other one is isolated later", []string{"a", "b", "c", "standby"}, seedsBeginAnew},
 		{"replacement by a host at another address", four, hostReplacement},
 		{"retirement and a disk loss right after", four, hostRetirement},
 		{"retirement without a spare host", []string{"a", "b", "c", "standby"}, hostRetirement},
@@ -163,6 +165,7 @@
 		HeartbeatInterval: time.Second,
 		FS:                n.fs,
 		Clock:             func() time.Duration { return time.Since(startedAt) },
+		ProcessAge:        func() time.Duration { return time.Since(startedAt) },
 		TimeOfDay:         func() time.Time { return time.Now().Add(time.Duration(n.clockStep.Load())) },
 	}, hclog.NewNullLogger(), n.registry, n.pool, func(error) {})
 	assert.NilError(c.t, err)
