Test of late connections has no race

TestLateConnectionsAreClosed failed under -race: attempts that run at the same time counted their connections in a plain integer. The product's code was not concerned. The counters of both tests of dials are atomic now; what they require is unchanged.

--- a/internal/transport/dial_test.go
+++ b/internal/transport/dial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,25 +15,25 @@
 // countedConn counts the connections that are not closed.
 type countedConn struct {
 	net.Conn
-	open *int
+	open *atomic.Int32
 }
 
 func (c countedConn) Close() error {
-	*c.open--
+	c.open.Add(-1)
 	return nil
 }
 
 // hostThatStarts returns a dial function for a host that drops all connection requests
 // until it starts, and the number of its open connections.
-func hostThatStarts(at time.Time) (func(context.Context) (net.Conn, error), *int) {
-	open := new(int)
+func hostThatStarts(at time.Time) (func(context.Context) (net.Conn, error), *atomic.Int32) {
+	open := new(atomic.Int32)
 	return func(ctx context.Context) (net.Conn, error) {
 		if time.Now().Before(at) {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
 		time.Sleep(time.Millisecond)
-		*open++
+		open.Add(1)
 		return countedConn{open: open}, nil
 	}, open
 }
@@ -50,23 +51,23 @@
 		assert.Assert(t, time.Since(up) <= dialInterval+time.Millisecond, "reached %s after it started", time.Since(up))
 		assert.NilError(t, conn.Close())
 		synctest.Wait()
-		assert.Equal(t, *open, 0)
+		assert.Equal(t, open.Load(), int32(0))
 	})
 }
 
 // TestLateConnectionsAreClosed lets two attempts succeed.
 func TestLateConnectionsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		open := new(int)
+		open := new(atomic.Int32)
 		slow := func(context.Context) (net.Conn, error) {
 			time.Sleep(100 * time.Millisecond)
-			*open++
+			open.Add(1)
 			return countedConn{open: open}, nil
 		}
 		_, err := firstAnswer(t.Context(), slow)
 		assert.NilError(t, err)
 		time.Sleep(time.Second)
-		assert.Equal(t, *open, 1)
+		assert.Equal(t, open.Load(), int32(1))
 	})
 }
 
