The limit of the size of files counts as a full disk

Change: wal.IsDiskFull is true for EFBIG.

Evidence: TestHostRunsWhileASnapshotDoesNotFit with EFBIG in place of ENOSPC fails before: "a holds full-99: not within 10s"; both pass now.

--- a/internal/replica/disk_full_test.go
+++ b/internal/replica/disk_full_test.go
@@ -100,14 +100,20 @@
 }
 
 // TestHostRunsWhileASnapshotDoesNotFit leaves room for the log of a host and none for its next
-// snapshot. The host must go on and take the snapshot when there is room.
+// snapshot, or allows no file of its size. The host must go on and take the snapshot when there is room.
 func TestHostRunsWhileASnapshotDoesNotFit(t *testing.T) {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EFBIG} {
+		t.Run(cause.Error(), func(t *testing.T) { runWithoutRoomForASnapshot(t, cause) })
+	}
+}
+
+func runWithoutRoomForASnapshot(t *testing.T, cause error) {
 	frequentSnapshots := func(opts *replica.Options) { opts.SnapshotEntries = 5; opts.SegmentSize = 500 }
 	runClusterWith(t, frequentSnapshots, func(t *testing.T, c *cluster) {
 		c.putMany("before", 20)
 		full := c.follower()
 		fs := c.nodes[full].fs
-		fs.SetFault(waltest.Fault{NoSpaceFor: ".tmp"})
+		fs.SetFault(waltest.Fault{NoSpaceFor: ".tmp", Err: cause})
 		before := c.status(full, testGroup).SnapshotIndex
 		c.putMany("full", 100)
 		c.waitValue(full, "full-99", "value")
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -22,9 +22,10 @@
 	ErrTooLarge = errors.New("wal: append is too large")
 )
 
-// IsDiskFull reports whether an operation failed because a disk or a quota is used up.
+// IsDiskFull reports whether an operation failed because a disk, a quota or the limit of the size of
+// files is used up.
 func IsDiskFull(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
 
 // CorruptError reports where a segment file or the identity file is corrupt, and why.
