Entry: responses without end leave the processor and the link to others

What callers saw: beside a few responses that a server sends as fast as they are taken, a response of an announced 1 TB or an event stream, far fewer requests of other, sound services were served, some of them after their time limit.

Cause: an entry forwards with one thread, and a response whose server and client are fast enough never blocks: each such response runs for a whole time slice of 10 ms in turn, and the network is polled only by the monitor of the runtime. A short request waits for several rounds.

Change: internal/policy/pace. Beyond its first 2 MB, counting 4 KB for each write, a response that is as fast as it may be is large. While other requests run, or have ended within the last second, large responses share a quarter of the link (limits.link_mbps of the settings; 32 MB/s if not given) equally. Without others there is no rate, only a pause of at least 0.1 ms every 4 MB. Responses that are slower than their share are not paused. forwardRest writes through it, and forwardStream calls it after each event.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -126,6 +126,7 @@
 		RoutesTimeout:       s.RoutesTimeout,
 		ToleratedHostLosses: s.ToleratedHostLosses,
 		Memory:              p.memory.limits(s),
+		LinkBytesPerS:       s.LinkBytesPerS,
 
 		KeyRevocationTimeout: s.KeyRevocationTimeout,
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"ibistray.example/ibistray/internal/fleet"
 	"ibistray.example/ibistray/internal/membudget"
 	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/policy/pace"
 	"ibistray.example/ibistray/internal/policy/routeage"
 	"ibistray.example/ibistray/internal/routing"
 	"ibistray.example/ibistray/proto/ledgerpb"
@@ -55,15 +56,16 @@
 	r       *http.Request
 	arrived time.Time
 
-	routes  *routing.Document
-	route   *routing.Route
-	service *routing.Service
-	meta    RequestMeta
-	account *account.Account // client account, nil if the request has none
-	body    []byte           // as received from the client
-	request passthrough.Request
-	memory  membudget.Claim
-	unread  *unreadLimiter // nil unless memory is limited
+	routes   *routing.Document
+	route    *routing.Route
+	service  *routing.Service
+	meta     RequestMeta
+	account  *account.Account // client account, nil if the request has none
+	body     []byte           // as received from the client
+	request  passthrough.Request
+	memory   membudget.Claim
+	unread   *unreadLimiter // nil unless memory is limited
+	response pace.Response  // how fast the response is forwarded
 
 	deadline         time.Time
 	stream           streamVersion   // on resumable routes
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	// ToleratedHostLosses is the number of state hosts that may be lost at the same time.
 	ToleratedHostLosses int
 	Memory              MemoryLimits
+	LinkBytesPerS       int64 // rate of the link of this host, 0: not known
 }
 
 // Gateway forwards client requests to backend servers. It implements http.Handler.
@@ -78,6 +79,7 @@
 	accounts *accountClient
 	servers  *passthrough.Pool
 	budget   *membudget.Budget // nil: memory is not limited
+	paces    *paceCounters
 	pool     *transport.Pool
 
 	crashDetector  *crashDetector
@@ -98,6 +100,7 @@
 		log:      log,
 		metrics:  metrics,
 		loads:    newLoadTracker(),
+		paces:    newPaceCounters(),
 		queues:   newPermitQueues(),
 		shedder:  newShedder(),
 		runs:     newRouteRuns(),
@@ -205,6 +208,8 @@
 	defer g.metrics.RunningCalls.Dec()
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), triedServers: make(map[string]bool), memory: membudget.NewClaim(g.budget)}
 	defer c.memory.Release()
+	c.beginPace()
+	defer c.endPace()
 	refused := isRefusedConnection(r.Context())
 	if refused || g.shutdown.started() || len(r.TransferEncoding) > 0 {
 		// Prevents request smuggling: another parser may find a second request in a chunked
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -74,10 +74,10 @@
 // forwardRest forwards the part of a body that follows the buffered one.
 func (c *call) forwardRest(exchange *passthrough.Exchange) error {
 	if exchange.Response.ContentLength >= 0 {
-		_, err := io.Copy(c.w, exchange.Body)
+		_, err := io.Copy(pacedWriter{c}, exchange.Body)
 		return err
 	}
-	n, err := io.Copy(c.w, io.LimitReader(exchange.Body, maxOpenEndedBytes))
+	n, err := io.Copy(pacedWriter{c}, io.LimitReader(exchange.Body, maxOpenEndedBytes))
 	if err == nil && n == maxOpenEndedBytes {
 		return errResponseTooLarge
 	}
@@ -143,6 +143,7 @@
 		if err := c.forwardEvent(ev, flusher); err != nil {
 			return err
 		}
+		c.pace(len(ev.raw))
 	}
 }
 
