ibistrayctl: a response of any stated length does not end the tool

What operators saw: an entry address that announces a body of 1 TB ends ibistrayctl with "fatal error: runtime: out of memory"; one that sends a header or a body without end makes it keep all that arrives within 20 s.

Cause: the Hertz library allocates the length that a response states, and reads headers and bodies without a length into memory until they are complete. The client of backend servers has limits for this, that of the tool had none.

Change: these limits move to internal/responselimit, unchanged, and the tool uses them with 64 MB for a response. The load generator reads bodies that are no stream with the same limit; its streams are not limited. The test of backend servers gets the case of the great length, which passed before.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -14,6 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"ibistray.example/ibistray/internal/responselimit"
 )
 
 const (
@@ -242,17 +244,5 @@
 	release(s.req, s.resp)
 }
 
-// forceCloser is implemented by the body streams of Hertz.
-type forceCloser interface {
-	ForceClose() error
-}
-
 // Abort closes the connection. A concurrent Next returns an error.
-func (s *Stream) Abort() { forceClose(s.resp) }
-
-// forceClose closes the connection of a response without reading the rest of its body.
-func forceClose(resp *protocol.Response) {
-	if f, ok := resp.BodyStream().(forceCloser); ok {
-		_ = f.ForceClose()
-	}
-}
+func (s *Stream) Abort() { responselimit.CloseConnection(s.resp) }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/app/client/retry"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"ibistray.example/ibistray/internal/responselimit"
 )
 
 const (
@@ -43,21 +45,21 @@
 
 // New returns a client for the server at baseURL.
 func New(baseURL string) (*Client, error) {
-	small, err := newHTTPClient(maxBodyBytes + framingBytes)
+	small, err := newHTTPClient(maxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
-	large, err := newHTTPClient(maxExportBytes + framingBytes)
+	large, err := newHTTPClient(maxExportBytes)
 	if err != nil {
 		return nil, err
 	}
 	return &Client{baseURL: baseURL, http: small, large: large}, nil
 }
 
-// newHTTPClient returns a client whose connections end after a number of bytes.
+// newHTTPClient returns a client for responses with bodies of at most limit bytes.
 func newHTTPClient(limit int) (*client.Client, error) {
 	h, err := client.NewClient(
-		client.WithDialer(newLimitedDialer(limit)),
+		client.WithDialer(responselimit.NewDialer(limit)),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnsPerHost(maxConns),
 		client.WithKeepAlive(false),
@@ -297,7 +299,7 @@
 // release closes the connection and returns both objects to their pools. The rest of the body is
 // not read, as it may have no end.
 func release(req *protocol.Request, resp *protocol.Response) {
-	forceClose(resp)
+	responselimit.CloseConnection(resp)
 	_ = resp.CloseBodyStream()
 	protocol.ReleaseRequest(req)
 	protocol.ReleaseResponse(resp)
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -25,6 +25,7 @@
 		{"header lines", "HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n"},
 		{"one header line", "HTTP/1.1 200 OK\r\nX-Filler: ", "x"},
 		{"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"body of a great length", "HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n", "x"},
 		{"chunks", chunked, "4\r\nabcd\r\n"},
 		{"chunk size", chunked, "0"},
 		{"chunk extension", chunked + "5;", "x"},
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"ibistray.example/ibistray/internal/responselimit"
 )
 
 // Errors of a request to the backend server.
@@ -24,7 +26,7 @@
 	ErrFenced = errors.New("backend: fencing token is outdated")
 	// ErrTooLarge means that a response, or a header or event in it, exceeds its limit and was
 	// read no further. It comes with ErrConnectionLost: the server may have run the request.
-	ErrTooLarge = errors.New("backend: response is too large")
+	ErrTooLarge = responselimit.ErrTooLarge
 	// ErrInvalidResponse means that the response is incomplete, malformed or belongs to
 	// another request.
 	ErrInvalidResponse = errors.New("backend: invalid response")
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -13,12 +13,12 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"ibistray.example/ibistray/internal/responselimit"
 	"ibistray.example/ibistray/proto/configpb"
 	"ibistray.example/ibistray/proto/rpcpb"
 	"ibistray.example/ibistray/proto/shardpb"
@@ -27,6 +27,8 @@
 const (
 	dialTimeout    = 2 * time.Second
 	requestTimeout = 20 * time.Second
+	// maxResponseBytes limits the response to one request.
+	maxResponseBytes = 64 << 20
 )
 
 // ErrUnreachable means that no entry responded: either none received the request,
@@ -68,7 +70,8 @@
 // tried in order. It authenticates with an operator's key.
 func NewClient(entryURLs []string, key string) (*Client, error) {
 	h, err := client.NewClient(
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(responselimit.NewDialer(maxResponseBytes)),
+		client.WithResponseBodyStream(true),
 		client.WithDialTimeout(dialTimeout),
 		client.WithClientReadTimeout(requestTimeout),
 	)
@@ -206,7 +209,12 @@
 	if err := c.http.Do(ctx, req, resp); err != nil {
 		return 0, nil, err
 	}
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+	defer func() {
+		responselimit.CloseConnection(resp)
+		_ = resp.CloseBodyStream()
+	}()
+	data, err := responselimit.ReadBody(resp, maxResponseBytes)
+	return resp.StatusCode(), data, err
 }
 
 // decodeError returns the error of a response that is not OK: a *ConflictError if the
--- a/internal/load/http.go
+++ b/internal/load/http.go
@@ -14,6 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"ibistray.example/ibistray/internal/responselimit"
 )
 
 // Request headers of a call.
@@ -33,6 +35,8 @@
 	maxConnections = 16_384
 	// maxEventBytes is the size limit of one event of a stream.
 	maxEventBytes = 4 << 20
+	// maxBodyBytes limits a response that is no stream.
+	maxBodyBytes = 64 << 20
 )
 
 func newHTTPClient() (*client.Client, error) {
@@ -124,7 +128,7 @@
 // whole body arrives within the idle timeout.
 func (c *Client) readBody(ctx context.Context, response *protocol.Response) ([]byte, error) {
 	w := newWatchdog(ctx, response, c.config.IdleTimeout)
-	data, err := io.ReadAll(response.BodyStream())
+	data, err := responselimit.ReadBody(response, maxBodyBytes)
 	cause := w.stop()
 	_ = response.CloseBodyStream()
 	if cause != nil {
