--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	// ToleratedHostLosses is the number of state hosts that may be lost at the same time.
 	ToleratedHostLosses int
 	Memory              MemoryLimits
+	LinkBytesPerS       int64 // rate of the link of this host, 0: not known
 }
 
 // Gateway forwards client requests to backend servers. It implements http.Handler.
@@ -85,6 +86,7 @@
 	budget   *membudget.Budget // nil: memory is not limited
 	outputs  *membudget.Outputs
 	commands *commandSlots
+	paces    *paceCounters
 	pool     *transport.Pool
 
 	crashDetector  *crashDetector
@@ -105,6 +107,7 @@
 		log:      log,
 		metrics:  metrics,
 		loads:    newLoadTracker(),
+		paces:    newPaceCounters(),
 		queues:   newPermitQueues(),
 		shedder:  newShedder(),
 		runs:     newRouteRuns(),
@@ -225,6 +228,8 @@
 	defer g.metrics.RunningCalls.Dec()
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), triedServers: make(map[string]bool), memory: membudget.NewClaim(g.budget)}
 	defer c.memory.Release()
+	c.beginPace()
+	defer c.endPace()
 	refused := isRefusedConnection(r.Context())
 	if refused || g.shutdown.started() || len(r.TransferEncoding) > 0 {
 		// Prevents request smuggling: another parser may find a second request in a chunked
