A hedged refusal does not hide a reservation

Callers: with a budget, the tokens of a first turn that got 503 "ledger_full" could stay reserved until the program's budget expired (5 minutes without commands), and later turns of the program got 402.

Cause: the leader may refuse a copy of a Begin whose first attempt is not applied yet. leaderclient says so with ErrUncertain, but hedge.Do returns only the error that came last. If that was the other copy's, none of whose attempts may have been applied, the entry took the refusal for certain and did not settle.

Change: an uncertain attempt of either copy makes the outcome uncertain.

--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -228,19 +229,24 @@
 func (l *remoteLedger) call(ctx context.Context, req *ledgerpb.Request) (*ledgerpb.Response, error) {
 	req.FetchesChain = true
 	start := time.Now()
-	resp, err := hedge.Do(ctx, hedgeDelay, l.sendVia(l.client, req), l.sendHedged(req))
+	var uncertain atomic.Bool // an attempt of either copy may have been applied
+	resp, err := hedge.Do(ctx, hedgeDelay, l.sendVia(l.client, req, &uncertain), l.sendHedged(req, &uncertain))
 	l.gate.release(time.Since(start), outcomeOf(ctx, resp, err))
-	if errors.Is(err, leaderclient.ErrUnavailable) || errors.Is(err, leaderclient.ErrUncertain) {
+	if errors.Is(err, leaderclient.ErrUnavailable) || err != nil && uncertain.Load() {
 		err = fmt.Errorf("%w: %w", errMayBeReserved, err)
 	}
 	return resp, err
 }
 
-// sendVia returns a call that sends a request to the leader over one of the clients.
-func (l *remoteLedger) sendVia(client *leaderclient.Client, req *ledgerpb.Request) hedge.Call[*ledgerpb.Response] {
+// sendVia returns a call that sends a request to the leader over one of the clients. It sets uncertain
+// if the call fails and an attempt may have been applied.
+func (l *remoteLedger) sendVia(client *leaderclient.Client, req *ledgerpb.Request, uncertain *atomic.Bool) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
 		resp := new(ledgerpb.Response)
 		if err := client.Call(ctx, &l.leader, transport.MethodLedger, 0, req, resp); err != nil {
+			if errors.Is(err, leaderclient.ErrUnavailable) || errors.Is(err, leaderclient.ErrUncertain) {
+				uncertain.Store(true)
+			}
 			return nil, err
 		}
 		return resp, nil
@@ -249,7 +255,7 @@
 
 // sendHedged returns the hedged call. The call fails for a command above maxHedgedBytes and while
 // the ledger is overloaded, and waits while maxHedges hedged requests are running.
-func (l *remoteLedger) sendHedged(req *ledgerpb.Request) hedge.Call[*ledgerpb.Response] {
+func (l *remoteLedger) sendHedged(req *ledgerpb.Request, uncertain *atomic.Bool) hedge.Call[*ledgerpb.Response] {
 	return func(ctx context.Context) (*ledgerpb.Response, error) {
 		if size := proto.Size(req); size > maxHedgedBytes {
 			return nil, fmt.Errorf("%w: no hedged request of %d bytes", leaderclient.ErrUnavailable, size)
@@ -264,6 +270,6 @@
 			return nil, fmt.Errorf("%w: %w", leaderclient.ErrUnavailable, ctx.Err())
 		}
 		l.onRetry(retryHedged)
-		return l.sendVia(l.hedgeClient, req)(ctx)
+		return l.sendVia(l.hedgeClient, req, uncertain)(ctx)
 	}
 }
