A small disk of one member refuses no first turns

Callers: while a standby host with a small disk was a voter in place of a store that was away, first turns got 503 "ledger_full", with a Retry-After of up to the retention, although two large stores had room.

Cause: the smallest disk of the members was the capacity for kept turns. With 144 MB of memory a disk of 390 MB keeps 119 MB (113 MiB), one of 64 MB 26 MB.

Change: the capacity is the largest that a majority of the voters has, and at most that of the leader. As before this refusal existed, a member whose disk gets too small fails alone and is replaced; learners do not count.

--- a/internal/policy/retention/retention.go
+++ b/internal/policy/retention/retention.go
@@ -7,7 +7,10 @@
 // then on all. Decisions are pure functions of their inputs.
 package retention
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Level says how short the room for kept turns is.
 type Level uint8
@@ -142,3 +145,15 @@
 	room := d.Size - d.Size/reserveShare - d.Log
 	return max(1, min(room/2, max(d.Memory, (room-d.Bodies)/2)))
 }
+
+// QuorumCapacity returns the largest capacity that a majority of the members has; 0: not limited. The
+// others keep what a smaller disk cannot, so that one refuses no turns.
+func QuorumCapacity(capacities []int64) int64 {
+	limited := slices.DeleteFunc(slices.Clone(capacities), func(c int64) bool { return c <= 0 })
+	slices.Sort(limited)
+	minority := (len(capacities) - 1) / 2
+	if minority >= len(limited) {
+		return 0
+	}
+	return limited[minority]
+}
--- a/internal/policy/retention/retention_test.go
+++ b/internal/policy/retention/retention_test.go
@@ -132,3 +132,26 @@
 	assert.Check(t, begun > 0)
 	assert.Equal(t, refused, int64(0))
 }
+
+// TestSmallDiskOfAStandbyRefusesNoTurns replays short programs on two large disks and one of a standby
+// host, which takes part while a third large one is away.
+func TestSmallDiskOfAStandbyRefusesNoTurns(t *testing.T) {
+	const large, small = 120 << 20, 25 << 20
+	load := load{clients: 200, turns: 9, turnBytes: 10_000, pause: 4 * time.Second, retention: 90 * time.Second}
+	most, begun, refused := replay(load, QuorumCapacity([]int64{large, small, large}))
+	t.Logf("%d bytes kept, %d programs begin, %d are refused", most, begun, refused)
+	assert.Assert(t, most > small && most < large)
+	assert.Equal(t, refused, int64(0))
+}
+
+func TestQuorumCapacity(t *testing.T) {
+	for _, c := range []struct {
+		capacities []int64
+		want       int64
+	}{
+		{nil, 0}, {[]int64{5}, 5}, {[]int64{0}, 0}, {[]int64{9, 5}, 5}, {[]int64{0, 5}, 5}, {[]int64{9, 1, 5}, 5}, {[]int64{0, 1, 0}, 0},
+		{[]int64{1, 9, 1}, 1}, {[]int64{8, 1, 9, 5}, 5}, {[]int64{8, 1, 9, 5, 2}, 5},
+	} {
+		assert.Equal(t, QuorumCapacity(c.capacities), c.want, "%v", c.capacities)
+	}
+}
--- a/internal/statehost/retention.go
+++ b/internal/statehost/retention.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -34,7 +35,7 @@
 
 // room is what is known about the room for kept turns.
 type room struct {
-	disk  atomic.Int64                // capacity of the smallest disk of the members, in bytes; 0: not limited
+	disk  atomic.Int64                // capacity of the disks of this host and of a quorum, in bytes; 0: not limited
 	state atomic.Pointer[ledger.Room] // at the latest sweep, nil: all turns may begin
 	begun atomic.Int64                // programs that have begun since then
 }
@@ -84,7 +85,7 @@
 // updateRoom looks at what the ledger keeps, if this host leads it, and updates the metrics.
 func (h *Host) updateRoom(ctx context.Context) {
 	status, leads := h.leaderStatus(ctx, LedgerGroup)
-	h.room.disk.Store(h.leastDiskCapacity(status.Membership.GetMembers()))
+	h.room.disk.Store(h.membersCapacity(status.Membership.GetMembers()))
 	var room *ledger.Room
 	resources := h.keptResources()
 	if leads && slices.ContainsFunc(resources[:], func(r keptResource) bool { return float64(r.Used) >= minScanShare*float64(r.Capacity) }) {
@@ -109,16 +110,29 @@
 	}
 }
 
-// leastDiskCapacity returns the capacity of this host, or that of a member whose disk is smaller.
-func (h *Host) leastDiskCapacity(members []*raftpb.Member) int64 {
-	least := h.diskCapacity(h.cfg.DiskBytes)
+// membersCapacity returns what the disk of this host and those of a quorum of the voters can keep. A
+// standby host with a smaller disk takes part only for a while.
+func (h *Host) membersCapacity(members []*raftpb.Member) int64 {
+	own := h.diskCapacity(h.cfg.DiskBytes)
+	capacities := make(map[string]int64) // 0 for hosts that are not known yet
+	for _, m := range members {
+		if !m.Learner {
+			capacities[m.Address] = 0
+		}
+	}
 	for _, known := range h.hosts.all() {
-		isMember := slices.ContainsFunc(members, func(m *raftpb.Member) bool { return m.Address == known.host.Address })
-		if capacity := h.diskCapacity(known.host.DiskBytes); isMember && capacity > 0 && (least == 0 || capacity < least) {
-			least = capacity
+		if _, votes := capacities[known.host.Address]; votes {
+			capacities[known.host.Address] = h.diskCapacity(known.host.DiskBytes)
 		}
 	}
-	return least
+	if _, votes := capacities[h.cfg.Address]; votes {
+		capacities[h.cfg.Address] = own
+	}
+	quorum := retention.QuorumCapacity(slices.Collect(maps.Values(capacities)))
+	if own == 0 || quorum > 0 && quorum < own {
+		return quorum
+	}
+	return own
 }
 
 // admitTurn refuses a turn for which there may be no room once it is to be kept, before it is
