Entries: turns that wait for the ledger turn away no requests of others

What callers saw: on an entry of 88 MB, 300 turns of 40 KiB at a time that all end (two of three servers, 20 events of 2 KiB): of the requests to another service 59 got 503 memory, 378 were served (load 33 on 8 cores, a trial with endlessMemoryMB = 88).

Cause: the copies that a turn needs on its way to the ledger were counted in the budget of all uses before the turn had its place in the ledger's window, so each turn that waited there counted three times what it held.

Change: they are not counted there.

--- a/internal/gateway/endless_turn_test.go
+++ b/internal/gateway/endless_turn_test.go
@@ -73,11 +73,7 @@
 		for f.outputs.Held() < maxEventBytes/2 {
 			time.Sleep(time.Millisecond)
 		}
-		for range 20 {
-			small := f.outputs.New()
-			assert.Check(t, small.Append(make([]byte, memory.SmallOutputBytes-1)))
-			t.Cleanup(small.Release)
-		}
+		fillOutputs(t, f)
 	}()
 	got := f.send(t, http.MethodPost, "/chat/x", "in", "Id", "1", "Program", "p", "Budget", "9")
 	assert.Assert(t, got.err != nil, "the response looks complete")
@@ -91,11 +87,7 @@
 func TestSmallTurnIsKeptWhileOthersUseTheMemory(t *testing.T) {
 	f := newFixture(t, newBackend(t, "a", streamEvents(1, 3, true)))
 	f.limitMemory(1<<20, time.Second)
-	for range 20 {
-		other := f.outputs.New()
-		assert.NilError(t, other.Append(make([]byte, memory.SmallOutputBytes-1)))
-		defer other.Release()
-	}
+	fillOutputs(t, f)
 	got := f.send(t, http.MethodPost, "/chat/x", "in", "Id", "1", "Program", "p", "Budget", "9")
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, eventText(1, 3))
@@ -104,6 +96,18 @@
 	assert.Equal(t, string(settled.Output), "token 1\ntoken 2\ntoken 3\n")
 }
 
+// fillOutputs uses up the memory for outputs with small ones.
+func fillOutputs(t *testing.T, f *fixture) {
+	t.Helper()
+	for f.outputs.Held() <= memory.OutputsLimit(f.cfg.Memory.HeldBytes) {
+		small := f.outputs.New()
+		if !assert.Check(t, small.Append(make([]byte, memory.SmallOutputBytes-1))) {
+			return
+		}
+		t.Cleanup(small.Release)
+	}
+}
+
 // counterValue returns the value of a counter with one label.
 func counterValue(t *testing.T, f *fixture, name, label string) int {
 	t.Helper()
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -44,7 +44,7 @@
 }
 
 func newCommandSlots(limits MemoryLimits) *commandSlots {
-	limit := memory.OutputsLimit(limits.HeldBytes)
+	limit := memory.CommandsLimit(limits.HeldBytes)
 	if limit <= 0 {
 		return &commandSlots{}
 	}
@@ -84,7 +84,6 @@
 		return err
 	}
 	defer release()
-	c.memory.Hold(membudget.KeptOutputs, copies)
 	output, err := c.output.Take()
 	if err != nil {
 		return err
--- a/internal/policy/memory/outputs.go
+++ b/internal/policy/memory/outputs.go
@@ -13,6 +13,9 @@
 	// outputsShare is the memory for all outputs together, as a share of the budget that other
 	// uses have. It is not part of that budget, so outputs turn away no request.
 	outputsShare = 0.25
+	// commandsShare is the memory for copies of large turns on their way to the ledger, as a share
+	// of the same budget and beside it.
+	commandsShare = 0.25
 	// A stream may bring declaredFactor times the tokens that its request declared as the most,
 	// and declaredMargin more.
 	declaredFactor = 2
@@ -23,6 +26,10 @@
 // budget of all other uses.
 func OutputsLimit(budget int64) int64 { return int64(outputsShare * float64(budget)) }
 
+// CommandsLimit returns the bytes that the copies of large turns that are sent to the ledger may
+// hold together beside the budget of all other uses.
+func CommandsLimit(budget int64) int64 { return int64(commandsShare * float64(budget)) }
+
 // OutputsToEnd returns the indices of the outputs that are ended so that the others hold at least
 // excess bytes less. held are their sizes in bytes. The largest go first, so that a stream without
 // end takes no memory from the others. Outputs of up to SmallOutputBytes are not ended, even if
