--- a/internal/policy/memory/outputs.go
+++ b/internal/policy/memory/outputs.go
@@ -12,7 +12,7 @@
 	SmallOutputBytes = 16 << 10
 	// outputsShare is the memory for all outputs together, as a share of the budget that other
 	// uses have. It is not part of that budget, so outputs turn away no request.
-	outputsShare = 0.25
+	outputsShare = 0.5
 	// commandsShare is the memory for copies of large turns on their way to the ledger, as a share
 	// of the same budget and beside it.
 	commandsShare = 0.25
