A panic while replicas are opened does not end a process

No data is known that makes it panic. The containment of panics covered what runs after the opening.

Cause and change: openings call the same code as running replicas.

Evidence: TestPanicWhileAHostIsOpenedIsAnError and TestPanicWhileALogIsOpenedIsAnError end the test binary on ("panic: boom") and pass now.

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -147,8 +147,8 @@
 // this data directory before continues; any other replica waits until the group adds it
 // as a learner with the ID from ReplicaID.
 //
-// Errors: ErrConfig, ErrGroupExists, ErrStopped, and ErrStorage when the stored
-// state is damaged.
+// Errors: ErrConfig, ErrGroupExists, ErrStopped, ErrStorage when the stored state is damaged, and
+// ErrPanic, after which the host must be stopped.
 func (h *Host) AddGroup(id uint64, members []*raftpb.Member, sm StateMachine) error {
 	return h.addGroup(id, members, sm, false)
 }
@@ -191,7 +191,11 @@
 		return fmt.Errorf("%w: group %d", ErrGroupExists, id)
 	}
 	g := newGroup(h, id, sm)
-	if err := g.start(h.recovered[id], members, confirmed); err != nil {
+	var err error
+	if panicked := h.contain(func() { err = g.start(h.recovered[id], members, confirmed) }); panicked != nil {
+		err = fmt.Errorf("%w: %w", ErrPanic, panicked)
+	}
+	if err != nil {
 		return fmt.Errorf("group %d: %w", id, err)
 	}
 	delete(h.recovered, id)
--- a/internal/replica/panic_test.go
+++ b/internal/replica/panic_test.go
@@ -59,3 +59,27 @@
 	<-host.Done()
 	assert.ErrorIs(t, host.Stop(t.Context()), replica.ErrPanic)
 }
+
+// unreadable is a state machine that panics when it restores a snapshot.
+type unreadable struct{ *kv }
+
+func (unreadable) Restore(io.Reader) error { panic("boom") }
+
+// TestPanicWhileAHostIsOpenedIsAnError guards against a process that ends while it opens its replicas.
+func TestPanicWhileAHostIsOpenedIsAnError(t *testing.T) {
+	frequentSnapshots := func(opts *replica.Options) { opts.SnapshotEntries = 5 }
+	runClusterWith(t, frequentSnapshots, func(t *testing.T, c *cluster) {
+		c.putMany("k", 20)
+		address := c.follower()
+		n := c.nodes[address]
+		c.eventually("snapshot", func() bool { return c.status(address, testGroup).SnapshotIndex > 0 })
+		c.network.detach(address)
+		c.stopNow(n)
+		assert.NilError(t, c.open(address))
+		assert.ErrorIs(t, n.host.AddGroup(testGroup, c.members, unreadable{newKV()}), replica.ErrPanic)
+		c.network.detach(address)
+		c.stopNow(n)
+		c.start(address, testGroup)
+		c.waitValue(address, "k-19", "value")
+	})
+}
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -222,7 +222,7 @@
 		OnRetry:        func(reason string) { h.metrics.retries.WithLabelValues(reason).Inc() },
 	})
 	h.peerWatcher = h.newPeerWatcher()
-	h.restoreServers()
+	_ = panics.Contain(log, "servers file", h.restoreServers)
 	if err := h.addGroups(); err != nil {
 		err = errors.Join(err, h.replicas.Stop(context.Background()))
 		h.spill.Close()
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/proto/raftpb"
 )
 
@@ -106,7 +107,11 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("wal: lock %s: %w", opts.Dir, err)
 	}
-	l, groups, err := openLocked(opts, dir, lock)
+	var l *Log
+	var groups map[uint64]*GroupState
+	if panicked := panics.Contain(opts.Logger, "write-ahead log", func() { l, groups, err = openLocked(opts, dir, lock) }); panicked != nil {
+		err = panicked
+	}
 	if err != nil {
 		lock.Close()
 		return nil, nil, err
--- a/internal/wal/panic_test.go
+++ b/internal/wal/panic_test.go
@@ -20,3 +20,13 @@
 	assert.ErrorIs(t, log.Append([]wal.Update{entries(1, 1, 2, 2)}), wal.ErrFailed)
 	assert.NilError(t, log.Close())
 }
+
+// TestPanicWhileALogIsOpenedIsAnError guards against a process that ends while it reads its log. The data
+// directory must not stay locked.
+func TestPanicWhileALogIsOpenedIsAnError(t *testing.T) {
+	fs := waltest.New()
+	_, _, err := wal.Open(wal.Options{FS: fs, Dir: dataDir, BeforeWrite: func(map[uint64]*wal.GroupState) error { panic("boom") }})
+	assert.ErrorContains(t, err, "boom")
+	log, _ := openLog(t, fs)
+	closeLog(t, log)
+}
