--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -150,7 +150,7 @@
 		return err
 	case <-timer.C:
 		go func() {
-			_ = <-done // a response that comes too late is discarded
+			<-done // a response that comes too late is discarded
 			release(req, resp)
 		}()
 		return fmt.Errorf("%w: no response for %s", ErrConnectionLost, silenceTimeout)
