--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -150,7 +150,9 @@
 		return err
 	case <-timer.C:
 		go func() {
-			<-done // a response that comes too late is discarded
+			if err := <-done; err == nil {
+				forceClose(resp) // the response came too late and is discarded
+			}
 			release(req, resp)
 		}()
 		return fmt.Errorf("%w: no response for %s", ErrConnectionLost, silenceTimeout)
