A stream that begins too late is not read on

A server whose response begins after the sidecar has given up, and brings a little for ever, kept a connection and a goroutine of the sidecar for each call.

Cause: discarding the late response read the rest of its body, up to the 4 MB of a connection, before the connection was closed.

Change: the connection is closed, as after every other response.

Evidence, before: late_stream_test.go:44: the connection is still read (5 s after the call had ended). After: the test passes, and go test -race ./internal/backend.

--- a/internal/backend/chat.go
+++ b/internal/backend/chat.go
@@ -150,11 +150,8 @@
 		return err
 	case <-timer.C:
 		go func() {
-			if err := <-done; err == nil {
-				// The response came too late and is discarded.
-				_ = resp.CloseBodyStream()
-			}
-			release(req, resp)
+			defer release(req, resp) // a response that comes too late is discarded
+			<-done                   //nolint:errcheck // the caller has returned
 		}()
 		return fmt.Errorf("%w: no response for %s", ErrConnectionLost, silenceTimeout)
 	}
