A large request that arrives slowly does not stop the others

Callers: while one peer of a state host stood still or was slow in the middle of a request of several MB, all large requests of the other entries, and all small ones behind them on the same streams, waited for it, for 26 s and more: turns did not begin and were not kept.

Cause: a request of 64 KB or more takes its part of the limit of large requests before it is read. One of 9 MB takes all of it, and keeps it until it has arrived and is answered.

Change: after 250 ms a request that still arrives gives its part back, and takes one again before it is handled.

Evidence, before: slow_large_test.go:39: assertion failed: error is not nil: transport: RPC was interrupted: context deadline exceeded: 102400 bytes (3 s). After: the test passes.

--- a/internal/transport/large.go
+++ b/internal/transport/large.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -10,6 +11,9 @@
 // ones never wait for it.
 const largeMessageBytes = 64 << 10
 
+// largeArrivalTime is how long a message that arrives counts toward the limit of largeMessages.
+const largeArrivalTime = 250 * time.Millisecond
+
 // largeMessages limits the bytes of the large messages that a server handles at the same time.
 type largeMessages struct {
 	limit int64
--- a/internal/transport/shared.go
+++ b/internal/transport/shared.go
@@ -317,18 +317,34 @@
 	}
 }
 
-// recvCalls receives the next calls. release must be called once they have been answered.
+// recvCalls receives the next calls. release must be called once they have been answered. A large
+// request that arrives slowly counts toward the limit of large ones only once it is there, so that it
+// does not stop others; until then it counts toward maxReceivedBytes.
 func recvCalls(ctx context.Context, s *Stream) (calls []*rpcpb.Call, release func(), err error) {
 	release = func() {}
+	var slow *time.Timer // nil: the request is small
+	large := 0
 	s.admit = func(size int) error {
+		if s.large == nil || size < largeMessageBytes {
+			return nil
+		}
 		admitted, err := s.large.acquire(ctx, size)
-		if err == nil {
-			release = admitted
+		if err != nil {
+			return err
 		}
-		return err
+		large, release = size, sync.OnceFunc(admitted)
+		slow = time.AfterFunc(largeArrivalTime, release)
+		return nil
 	}
 	message := new(rpcpb.Calls)
-	if err := s.Recv(message); err != nil {
+	err = s.Recv(message)
+	if err == nil && slow != nil && !slow.Stop() {
+		release()
+		if release, err = s.large.acquire(ctx, large); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err != nil {
 		release()
 		return nil, nil, err
 	}
