Entries: a body with its history takes the memory that is held for it

Cause: the earlier turns and the body were joined in a buffer that doubles, which takes up to twice the bytes that holdHistory asked for, and for a moment the smaller buffer besides. Found by reading, not from a failure that callers saw.

Change: the body is joined once, at its size, as one with a long chain already is.

Evidence: the new test on the code before, memory_test.go:118: cap(c.request.Body) is greater than 136 << 10: 147456 bytes are allocated for 120 KiB, and it holds after. `go test -count=1 ./internal/gateway` passes. Not counted still: the reply of the ledger and the turns decoded from it, until the join.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -381,13 +381,11 @@
 	if len(turns) == 0 {
 		return
 	}
-	var body bytes.Buffer
+	parts := make([][]byte, 0, 2*len(turns)+1)
 	for _, turn := range turns {
-		body.Write(turn.Input)
-		body.Write(turn.Output)
+		parts = append(parts, turn.Input, turn.Output)
 	}
-	body.Write(c.body)
-	c.request.Body = body.Bytes()
+	c.request.Body = slices.Concat(append(parts, c.body)...)
 }
 
 // logOutcome records the metrics of the request and writes its only summary line.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -110,6 +110,14 @@
 	f.waitForHeld(t, isZero)
 }
 
+// TestBodyWithHistoryTakesTheMemoryThatIsHeld has a history of several parts, which are joined once.
+func TestBodyWithHistoryTakesTheMemoryThatIsHeld(t *testing.T) {
+	c := &call{body: []byte("in")}
+	c.prependTurns([]*ledgerpb.Exchange{{Input: make([]byte, 30<<10), Output: make([]byte, 40<<10)}, {Input: make([]byte, 50<<10)}})
+	assert.Equal(t, len(c.request.Body), 120<<10+2)
+	assert.Assert(t, cap(c.request.Body) <= 136<<10, "%d bytes are allocated", cap(c.request.Body))
+}
+
 // TestRunningResponseIsNotCutWhenMemoryIsUsedUp has a response that is larger than what is
 // buffered, on an entry whose memory other requests use up while it runs.
 func TestRunningResponseIsNotCutWhenMemoryIsUsedUp(t *testing.T) {
