Streams that can be resumed count toward the room in memory

They are bounded by their retention only, like turns, and were not counted in what the state hosts have room for. They count as 400 bytes each.

--- a/internal/statehost/retention.go
+++ b/internal/statehost/retention.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	// indexMemoryShare is the part of the memory limit for what turns and programs take besides
-	// the inputs and outputs, and for those that the disk has refused.
+	// indexMemoryShare is the part of the memory limit for what turns, programs and streams take
+	// besides the inputs and outputs, and for those that the disk has refused.
 	indexMemoryShare = 8
-	// turnIndexBytes and programIndexBytes are what a turn and a program take in memory.
+	// What a turn, a program and a stream that can be resumed take in memory.
 	turnIndexBytes    = 300
 	programIndexBytes = 1000
+	streamIndexBytes  = 400
 	// minScanShare is the part of a capacity below which no turn is refused, whatever the programs
 	// under way are expected to add.
 	minScanShare = 0.2
@@ -68,7 +69,7 @@
 		programs, running = room.Programs+begun, room.Running+begun
 	}
 	stats := h.ledger.Stats()
-	index := int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes
+	index := int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes + int64(stats.Streams)*streamIndexBytes
 	index += max(0, stats.Memory-bodyMemoryBytes(&h.cfg))
 	return [...]keptResource{
 		{resourceDisk, retention.Resource{Used: stats.Bytes, Capacity: h.room.disk.Load(), Programs: programs, Running: running}},
