A slow member is not sent more large entries than it can hold

Cause: append messages without a reply were limited by number (16), and an entry of more than 1 MB is a message of its own: a member that does not keep up, or whose disk is slow, could be sent 16 turns of 8 MB that it had to hold. Found by reading the limits that are not in bytes; not seen in a run of processes. Class: memory bounded by a count of things whose size is not bounded.

Change: their bytes are limited to what 16 messages of the usual size have, or one message more.

go test -count=1 -run TestPipelineStops ./internal/raft before: FAIL, 10 messages in place of 4 after: ok

--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -24,7 +24,8 @@
 			n.sendAppend(p)
 		}
 	case stateReplicate:
-		for p.next <= n.log.last() && len(p.inFlight) < n.cfg.MaxInFlight && p.state == stateReplicate {
+		maxBytes := n.cfg.MaxInFlight * n.cfg.MaxBytesPerMessage
+		for p.next <= n.log.last() && p.mayAppend(n.cfg.MaxInFlight, maxBytes) && p.state == stateReplicate {
 			n.sendAppend(p)
 		}
 	}
@@ -49,7 +50,11 @@
 		Entries: entries,
 		Context: uint64(n.round),
 	})
-	p.recordSent(prev+uint64(len(entries)), n.round)
+	sent := sentAppend{last: prev + uint64(len(entries))}
+	for _, e := range entries {
+		sent.bytes += len(e.GetData())
+	}
+	p.recordSent(sent, n.round)
 }
 
 // recordLeaderContact records a message from the leader of the current term: it
--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -80,7 +80,7 @@
 
 	MaxEntriesPerMessage int // entries in one append message
 	MaxBytesPerMessage   int // bytes of entry data in one append message; a larger entry is sent alone
-	MaxInFlight          int // append messages to one member without a reply
+	MaxInFlight          int // append messages to one member without a reply; their bytes are limited to MaxInFlight*MaxBytesPerMessage
 	MaxUncommitted       int // uncommitted entries in the log of the leader
 
 	QuiesceTicks   int  // ticks without a request before a group quiesces; default: 2*ElectionTicks
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -199,6 +199,21 @@
 	assert.Equal(t, n.log.commit, uint64(2))
 }
 
+// TestPipelineStopsAtTheBytesInFlight guards against a member that is sent many large entries before
+// it has replied to any.
+func TestPipelineStopsAtTheBytesInFlight(t *testing.T) {
+	n := newLeader(t, Config{MaxInFlight: 8, MaxBytesPerMessage: 100})
+	for range 5 {
+		_, _, err := n.Propose(make([]byte, 500))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(persistReady(n).Messages), 4, "two entries of 500 bytes to each member")
+	acknowledge(t, n, 2, 2)
+	assert.Equal(t, len(persistReady(n).Messages), 1)
+	acknowledge(t, n, 2, 6)
+	assert.Equal(t, n.log.commit, uint64(6))
+}
+
 func TestLeaseCountsFromTheSendingOfTheRound(t *testing.T) {
 	n := newLeader(t, Config{})
 	sent := n.round
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -23,8 +23,8 @@
 	match   uint64 // highest index known to be durable on the member
 	next    uint64 // index of the next entry to send
 
-	inFlight  []uint64 // last index of each append without a reply, in stateReplicate
-	probeSent bool     // an append has no reply yet, in stateProbe
+	inFlight  []sentAppend // appends without a reply, in stateReplicate
+	probeSent bool         // an append has no reply yet, in stateProbe
 
 	ackedRound round // latest acknowledged heartbeat round; 0: none
 	sentRound  round // current round when the last append was sent
@@ -34,6 +34,22 @@
 	lostState       bool   // the member has lost durable entries
 }
 
+// sentAppend is an append message that was sent.
+type sentAppend struct {
+	last  uint64 // index of its last entry
+	bytes int    // of the data of its entries
+}
+
+// mayAppend reports whether a further append may be sent in stateReplicate, within the limits of the
+// appends without a reply and of their bytes. The bytes may exceed their limit by one append.
+func (p *progress) mayAppend(maxAppends, maxBytes int) bool {
+	bytes := 0
+	for _, sent := range p.inFlight {
+		bytes += sent.bytes
+	}
+	return len(p.inFlight) < maxAppends && bytes < maxBytes
+}
+
 func (p *progress) becomeProbe(next uint64) {
 	p.state = stateProbe
 	p.next = next
@@ -54,15 +70,15 @@
 	p.probeSent = false
 }
 
-// recordSent records an append that ends at the index last, sent in round r.
-func (p *progress) recordSent(last uint64, r round) {
+// recordSent records an append that was sent in round r.
+func (p *progress) recordSent(sent sentAppend, r round) {
 	p.sentRound = r
 	if p.state == stateProbe {
 		p.probeSent = true
 		return
 	}
-	p.next = last + 1
-	p.inFlight = append(p.inFlight, last)
+	p.next = sent.last + 1
+	p.inFlight = append(p.inFlight, sent)
 }
 
 // raiseMatch records, in round r, that the member holds the log durably up to index.
@@ -72,7 +88,7 @@
 		p.matchRound = r
 	}
 	p.next = max(p.next, p.match+1)
-	p.inFlight = slices.DeleteFunc(p.inFlight, func(last uint64) bool { return last <= index })
+	p.inFlight = slices.DeleteFunc(p.inFlight, func(sent sentAppend) bool { return sent.last <= index })
 }
 
 // recordAck records that the member has acknowledged a heartbeat round.
