Entry: pacing reads no clock within the first part of a response

pace.Response tells whether a response is still in its free part before the load is looked at, so short responses and short streams cost no reading of the clock.

--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -48,10 +48,13 @@
 // pace is called when n bytes of the response have been forwarded. It returns when the next ones
 // may follow, or when the client has gone.
 func (c *call) pace(n int) {
+	if !c.response.Forwarded(int64(n)) {
+		return
+	}
 	counters := c.g.paces
 	wasLarge := c.response.Large()
 	now := time.Since(counters.start)
-	pause := c.response.Forwarded(int64(n), now, counters.load(now, &c.response, c.g.cfg.LinkBytesPerS))
+	pause := c.response.Pause(int64(n), now, counters.load(now, &c.response, c.g.cfg.LinkBytesPerS))
 	switch isLarge := c.response.Large(); {
 	case isLarge && !wasLarge:
 		counters.large.Add(1)
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -65,15 +65,17 @@
 // slower, as its server or its client are, counts among the others.
 func (r *Response) Large() bool { return r.large }
 
-// Forwarded records that n bytes were forwarded, and returns how long to pause before the next
-// ones. now may have any origin. load includes this response among the large ones.
-func (r *Response) Forwarded(n int64, now time.Duration, load Load) time.Duration {
-	cost := n + writeBytes
-	r.charged += cost
-	if r.charged < FreeBytes {
-		return 0
-	}
-	r.due = max(r.due, now-maxAhead) + time.Duration(float64(cost)/load.rate()*float64(time.Second))
+// Forwarded records that n bytes were forwarded, and reports whether Pause must be called before
+// the next ones.
+func (r *Response) Forwarded(n int64) bool {
+	r.charged += n + writeBytes
+	return r.charged >= FreeBytes
+}
+
+// Pause returns how long to pause after n bytes were forwarded. now may have any origin. load
+// includes this response among the large ones.
+func (r *Response) Pause(n int64, now time.Duration, load Load) time.Duration {
+	r.due = max(r.due, now-maxAhead) + time.Duration(float64(n+writeBytes)/load.rate()*float64(time.Second))
 	pause := r.due - now
 	if pause >= minPause {
 		r.large = true
