A lost replica does not stay a member if its successor becomes the leader

Operators saw a group that lived on two of four members, and `wait to be added`, until its leadership moved: after lost disks, the replica of one process was never reported as replaced. The next lost disk could take the quorum.

Cause: the leader adds the new replica, makes it a voter and removes the old one. If it loses its leadership to the new replica in between, the rest is that one's task, but a process announced its waiting replicas to its peers only, and these do not lead.

Change: a process handles its own announcement, too.

--- a/internal/control/repair.go
+++ b/internal/control/repair.go
@@ -92,8 +92,8 @@
 	return &rpcpb.Empty{}, nil
 }
 
-// announce tells the peers which replicas of this process wait to be added to their
-// groups.
+// announce tells the peers, and this process, which replicas of this process wait to be added to
+// their groups.
 func (r *Repairer) announce(ctx context.Context) {
 	waiting := r.waitingReplicas(ctx)
 	if len(waiting) == 0 {
@@ -109,6 +109,10 @@
 	for _, peer := range r.cfg.Peers {
 		r.announceTo(ctx, peer, req)
 	}
+	// A new replica may lead its group before the old one is removed.
+	if _, err := r.handleJoin(ctx, req); err != nil {
+		r.log.Debug("replicas not announced", "peer", r.cfg.Address, "error", err)
+	}
 }
 
 func (r *Repairer) announceTo(ctx context.Context, peer string, req *rpcpb.JoinRequest) {
--- a/internal/control/repair_test.go
+++ b/internal/control/repair_test.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"ibistray.example/ibistray/internal/raft"
@@ -53,3 +56,39 @@
 	assert.Equal(t, findPredecessor(status, 78, predecessor{address: "d:1", oldAddress: "c:1", replicaID: 9}), lost)
 	assert.Assert(t, findPredecessor(status, 78, predecessor{address: "d:1", replicaID: 9}) == nil)
 }
+
+// leadingHost is a host whose replica leads its only group.
+type leadingHost struct {
+	status   replica.GroupStatus
+	replaced chan uint64
+}
+
+func (h *leadingHost) Groups() []uint64 { return []uint64{1} }
+
+func (h *leadingHost) Status(context.Context, uint64) (replica.GroupStatus, error) {
+	return h.status, nil
+}
+
+func (h *leadingHost) ReplaceMember(_ context.Context, _, oldID uint64, _ *raftpb.Member) error {
+	h.replaced <- oldID
+	return nil
+}
+
+// TestNewReplicaThatLeadsRemovesItsPredecessor guards against a lost replica that stays a member for
+// ever: the leader that had added the new one lost its leadership to it before it removed the old one.
+func TestNewReplicaThatLeadsRemovesItsPredecessor(t *testing.T) {
+	host := &leadingHost{
+		status:   groupStatus(77, &raftpb.Member{Id: 1, Address: "a:1"}, &raftpb.Member{Id: 3, Address: "c:1"}, &raftpb.Member{Id: 77, Address: "c:1"}),
+		replaced: make(chan uint64, 1),
+	}
+	host.status.Role = raft.RoleLeader
+	r := NewRepairer(RepairerConfig{Address: "c:1", ReplicaID: 3}, hclog.NewNullLogger(), host, nil)
+	r.announce(t.Context())
+	select {
+	case id := <-host.replaced:
+		assert.Equal(t, id, uint64(3))
+	case <-time.After(5 * time.Second):
+		t.Error("the old replica is not removed")
+	}
+	r.replacements.Wait()
+}
