State hosts: a steady load of many programs is not refused for their index

Callers would have got 503 ledger_full for all first turns after some minutes of a load of 103 programs a second on a host of 154 MB, which such a host serves: the room for the index was an eighth of the memory, and a program counted 1,000 bytes for five minutes.

Cause: a share and a size that were taken too small and too large. Measured with 30,000 programs in a ledger: 693 to 754 bytes for a program of 1 to 5 turns that are not kept, and 240 bytes for each kept turn. Change: a quarter of the memory, 700 bytes a program.

Evidence, before: retention_test.go:109: full != free: of bytes; it passes now.

--- a/internal/statehost/retention.go
+++ b/internal/statehost/retention.go
@@ -18,10 +18,10 @@
 const (
 	// indexMemoryShare is the part of the memory limit for what turns, programs and streams take
 	// besides the inputs and outputs, and for those that the disk has refused.
-	indexMemoryShare = 8
+	indexMemoryShare = 4
 	// What a turn, a program and a stream that can be resumed take in memory.
 	turnIndexBytes    = 300
-	programIndexBytes = 1000
+	programIndexBytes = 700
 	streamIndexBytes  = 400
 	// minScanShare is the part of a capacity below which no turn is refused, whatever the programs
 	// under way are expected to add.
@@ -61,6 +61,11 @@
 	}.Capacity()
 }
 
+// indexBytes returns what the records of a ledger take in memory besides the inputs and outputs.
+func indexBytes(stats ledger.Stats) int64 {
+	return int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes + int64(stats.Streams)*streamIndexBytes
+}
+
 // keptResources returns the use of the disk and of the memory by kept turns, in that order.
 func (h *Host) keptResources() [2]keptResource {
 	var programs, running int64
@@ -69,8 +74,7 @@
 		programs, running = room.Programs+begun, room.Running+begun
 	}
 	stats := h.ledger.Stats()
-	index := int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes + int64(stats.Streams)*streamIndexBytes
-	index += max(0, stats.Memory-bodyMemoryBytes(&h.cfg))
+	index := indexBytes(stats) + max(0, stats.Memory-bodyMemoryBytes(&h.cfg))
 	return [...]keptResource{
 		{resourceDisk, retention.Resource{Used: stats.Bytes, Capacity: h.room.disk.Load(), Programs: programs, Running: running}},
 		{resourceMemory, retention.Resource{Used: index, Capacity: h.cfg.memoryBytes() / indexMemoryShare, Programs: programs, Running: running}},
--- a/internal/statehost/retention_test.go
+++ b/internal/statehost/retention_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"ibistray.example/ibistray/internal/ledger"
+	"ibistray.example/ibistray/internal/policy/retention"
 	"ibistray.example/ibistray/internal/transport"
 	"ibistray.example/ibistray/proto/ledgerpb"
 	"ibistray.example/ibistray/proto/rpcpb"
@@ -94,6 +96,19 @@
 	assert.ErrorContains(t, err, fmt.Sprintf("(%s)", resourceMemory))
 }
 
+// TestProgramsOfASteadyLoadFindRoom guards against first turns that are refused for the memory under a
+// load that lasts longer than the retention: 103 programs a second, which are recorded for 5 minutes, of
+// which 69 keep three turns for 90 s, on a host of 154 MB.
+func TestProgramsOfASteadyLoadFindRoom(t *testing.T) {
+	const memoryBytes, programs = 154_000_000, 103 * 300
+	resource := retention.Resource{
+		Used:     indexBytes(ledger.Stats{Programs: programs, Turns: 69 * 3 * 90}),
+		Capacity: memoryBytes / indexMemoryShare,
+		Programs: programs, Running: 103 * int64(retention.GrowthPeriod/time.Second),
+	}
+	assert.Equal(t, resource.Level(), retention.Free, "%d of %d bytes", resource.Used+resource.Growth(), resource.Capacity)
+}
+
 // TestTurnBeyondTheMemoryIsRefused guards against a turn whose copies exceed the memory of the replicas.
 func TestTurnBeyondTheMemoryIsRefused(t *testing.T) {
 	h := startLeader(t, 16<<20)
