Entry: an attempt whose time has expired does not begin its response

What callers saw: of 32 responses of 1 TB that begin at once on a safe route, up to six ended within 60 ms ("unexpected EOF" after 0.2 to 2.4 MB), though their servers went on and another server could have answered.

Cause: the timer for the first output cancels the attempt, which closes its connection in a goroutine of its own. On a busy entry that goroutine runs later; meanwhile the buffered part had been read, the result of stopping the timer was not looked at, and the response was begun and then broken off.

Change: stopSilenceTimers tells whether the timer had expired; then the attempt fails with errSilent before anything is sent, and the request goes to another server, as it does when the connection is closed at once. A response that was read whole is still sent.

Evidence: TestExpiredAttemptDoesNotBeginItsResponse on the code before: error is nil, not "the backend server sent no output in time".

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -331,22 +331,30 @@
 
 // startSilenceTimers starts the timers that limit the wait for the first output. The
 // first one penalizes the server, the second one cancels the attempt if the request may
-// be sent to another server. The returned function stops both.
-func (c *call) startSilenceTimers(cancel context.CancelCauseFunc) func() {
+// be sent to another server. The returned function stops both, and reports whether the attempt
+// goes on: its connection may be closed later than the second timer expires.
+func (c *call) startSilenceTimers(cancel context.CancelCauseFunc) func() bool {
 	server := c.server.ID
 	threshold := c.g.loads.silenceThreshold(c.route.Name, c.route.LatencyTarget, c.route.Kind == routing.KindStream)
 	timeout := c.firstOutputTimeout(threshold)
-	var timers []*time.Timer
+	var penalty, limit *time.Timer
 	if threshold > 0 {
-		timers = append(timers, time.AfterFunc(threshold, func() { c.g.loads.recordSilence(server, time.Now()) }))
+		penalty = time.AfterFunc(threshold, func() { c.g.loads.recordSilence(server, time.Now()) })
 	}
 	if timeout > 0 {
-		timers = append(timers, time.AfterFunc(timeout, func() { cancel(errSilent) }))
+		limit = time.AfterFunc(timeout, func() { cancel(errSilent) })
 	}
-	return func() {
-		for _, timer := range timers {
-			timer.Stop()
+	inTime := true
+	return func() bool {
+		if penalty != nil {
+			penalty.Stop()
+			penalty = nil
+		}
+		if limit != nil {
+			inTime = limit.Stop()
+			limit = nil
 		}
+		return inTime
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -99,7 +99,7 @@
 	// is no other response to send.
 	ignoreShutdown func() bool
 	// stopSilenceTimers is called at the first output of the current attempt.
-	stopSilenceTimers func()
+	stopSilenceTimers func() bool
 }
 
 // serve handles the request, sends the response or a refusal and logs the outcome. It
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -45,11 +45,14 @@
 	resp := exchange.Response
 	var buffer bytes.Buffer
 	err := c.bufferResponse(&buffer, exchange)
-	c.stopSilenceTimers()
+	inTime := c.stopSilenceTimers()
 	buffered := errors.Is(err, io.EOF)
 	if err != nil && !buffered {
 		return err
 	}
+	if !inTime && !buffered {
+		return fmt.Errorf("%w: %w", errSilent, passthrough.ErrConnectionLost)
+	}
 	c.copyHeaders(resp)
 	if buffered {
 		c.w.Header().Set("Content-Length", strconv.Itoa(buffer.Len()))
@@ -130,7 +133,9 @@
 				c.attemptOutput = time.Since(c.attemptStarted)
 			}
 			continued = true
-			c.stopSilenceTimers()
+			if !c.stopSilenceTimers() && !c.responseStarted {
+				return fmt.Errorf("%w: %w", errSilent, passthrough.ErrConnectionLost)
+			}
 		}
 		if resumed && ev.id != "" && !isLaterEventID(ev.id, c.meta.LastEventID) {
 			return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, c.meta.LastEventID)
