--- a/internal/reopen/reopen.go
+++ b/internal/reopen/reopen.go
@@ -95,9 +95,9 @@
 // Open calls open, again while the disk is full, because a restarted process would find the same disk,
 // and while another process uses the data directory, because that may be a predecessor that ends. Damaged
 // data is set aside once by calling setAside, as if the disk had been lost: the other hosts hold all
-// acknowledged data. Without setAside, it is an error. What was set aside is removed on a full disk, and older
-// ones beyond a share of it. If Config.Stop is closed
-// before, Open returns the zero value and no error.
+// acknowledged data. Without setAside, it is an error. What was set aside is removed on a full disk, and
+// older ones beyond a share of it. If Config.Stop is closed before, Open returns the zero value and no
+// error.
 func Open[T any](c Config, setAside func() error, open func() (T, error)) (T, error) {
 	logged, setAsideOnce, full := "", false, false
 	for {
