Gateway: which attempts the entry ends itself is said in one place

The three errors that end an attempt by a decision of the entry were listed in the classification of its outcome and again where the cause is added to the error. endsByEntry names them once; no decision changes. go test ./internal/gateway passes (86 s).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,8 +108,7 @@
 		return outcomeRefused
 	case errors.Is(err, errNotAsked):
 		return outcomeInconclusive
-	case errors.Is(err, errSilent), errors.Is(err, errStopping), errors.Is(err, membudget.ErrOutputEnded), c.r.Context().Err() != nil:
-		// A silent server was penalized when its output was overdue.
+	case endsByEntry(err), c.r.Context().Err() != nil:
 		return outcomeInconclusive
 	case errors.Is(err, passthrough.ErrNotSent):
 		return outcomeUnreachable
@@ -328,10 +327,15 @@
 // errSilent ends an attempt whose server sent no output in time.
 var errSilent = errors.New("gateway: the backend server sent no output in time")
 
-// withCause adds errSilent, errStopping or membudget.ErrOutputEnded to err if that is why ctx was cancelled.
+// endsByEntry reports whether an attempt ended by a decision of this entry, which says nothing about
+// its server. A silent server was penalized when its output was overdue.
+func endsByEntry(err error) bool {
+	return errors.Is(err, errSilent) || errors.Is(err, errStopping) || errors.Is(err, membudget.ErrOutputEnded)
+}
+
+// withCause adds the cause to err if the entry has cancelled ctx, see endsByEntry.
 func withCause(ctx context.Context, err error) error {
-	cause := context.Cause(ctx)
-	if err != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errStopping) || errors.Is(cause, membudget.ErrOutputEnded)) {
+	if cause := context.Cause(ctx); err != nil && endsByEntry(cause) {
 		return fmt.Errorf("%w: %w", cause, err)
 	}
 	return err
