Settings: a panic of a reload does not end the process, and a stop ends the reloads

The goroutine that reloads the settings was the only one of the hosted roles without containment, since it had been taken out of the handling of signals; it also went on after the stop, against its doc comment. It is restarted after a panic and ends with the stop. No input is known that makes it panic. go test ./cmd/ibistrayd passes.

--- a/cmd/ibistrayd/settingsfile.go
+++ b/cmd/ibistrayd/settingsfile.go
@@ -13,6 +13,7 @@
 
 	"ibistray.example/ibistray/internal/hosted"
 	"ibistray.example/ibistray/internal/loop"
+	"ibistray.example/ibistray/internal/panics"
 	"ibistray.example/ibistray/platform"
 )
 
@@ -89,14 +90,16 @@
 // it reloads the settings file at SIGHUP and every settingsReloadInterval.
 func watchSignals(signals <-chan os.Signal, path string, seeds *hosted.Seeds, log hclog.Logger) <-chan struct{} {
 	stop := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
 	reload := loop.NewWaker()
 	// The disk of the settings may hang, which must not delay a stop.
-	go loop.EveryOrWoken(context.Background(), settingsReloadInterval, reload, func(context.Context) {
-		reloadSettings(path, seeds, log)
+	go panics.Restart(ctx, log, "settings", func(ctx context.Context) {
+		loop.EveryOrWoken(ctx, settingsReloadInterval, reload, func(context.Context) { reloadSettings(path, seeds, log) })
 	})
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
+				cancel()
 				close(stop)
 				return
 			}
