statehost: reports of the first start are not kept after the decision

Cause: a host keeps the latest report of the first start for every name that a peer or viewer ever used, with its seeds, until the process ends. They are needed only until the decision on groups without stored replicas.

Change: reports are dropped at that decision, or at the opening if there are no such groups. The upper bound of the system's age stays current, and no longer keeps the report that it came from.

--- a/internal/statehost/founding.go
+++ b/internal/statehost/founding.go
@@ -21,12 +21,12 @@
 const foundingInterval = 100 * time.Millisecond
 
 // systemStart collects what other processes say of the first start of the system, for hosts that have no
-// replicas yet. It is safe for concurrent use.
+// replicas yet. It keeps no reports after stopCollecting. It is safe for concurrent use.
 type systemStart struct {
 	wake loop.Waker
 
 	mu      sync.Mutex
-	reports map[string]founding.Report // by process, the latest
+	reports map[string]founding.Report // by process, the latest; nil after stopCollecting
 	// ageAtStart is an upper bound of the system's age when this process was started, from the report of
 	// a witness; nil: none.
 	ageAtStart *time.Duration
@@ -59,13 +59,24 @@
 func (s *systemStart) add(process string, report founding.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports[process] = report
-	if report.Witness && (s.ageAtStart == nil || report.Age < *s.ageAtStart) {
-		s.ageAtStart = &report.Age
+	if age := report.Age; report.Witness && (s.ageAtStart == nil || age < *s.ageAtStart) {
+		s.ageAtStart = &age
+	}
+	if s.reports == nil {
+		return
 	}
+	s.reports[process] = report
 	s.wake.Wake()
 }
 
+// stopCollecting drops the reports and all later ones. It is called once no decision depends on them.
+// ageAtStart stays current.
+func (s *systemStart) stopCollecting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports = nil
+}
+
 func (s *systemStart) list() []founding.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -144,6 +155,7 @@
 			return
 		}
 		defer cancel()
+		h.systemStart.stopCollecting()
 		h.log.Info("no replicas are stored", "groups", h.pendingGroups, "decision", decision.String())
 		for _, group := range h.pendingGroups {
 			if err := h.addPendingGroup(group, decision); err != nil && !errors.Is(err, replica.ErrStopped) {
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -298,6 +298,9 @@
 			return fmt.Errorf("statehost: add group %d: %w", group, err)
 		}
 	}
+	if len(h.pendingGroups) == 0 {
+		h.systemStart.stopCollecting()
+	}
 	return nil
 }
 
--- a/internal/statehost/host_test.go
+++ b/internal/statehost/host_test.go
@@ -21,6 +21,12 @@
 // newTestHost returns a state host without a server, so that other hosts cannot reach it.
 // Its address is the first seed.
 func newTestHost(t *testing.T, dir string, seeds ...string) *Host {
+	t.Helper()
+	return openTestHost(t, dir, func(*Config) {}, seeds...)
+}
+
+// openTestHost is newTestHost with changes to the configuration.
+func openTestHost(t *testing.T, dir string, change func(*Config), seeds ...string) *Host {
 	t.Helper()
 	pool := transport.NewPool(transport.DialTCPTimeout(10 * time.Millisecond))
 	t.Cleanup(pool.Close)
@@ -33,6 +39,7 @@
 		DecodeRoutes:      func([]byte) (*routing.Document, error) { return &routing.Document{Version: 1}, nil },
 		HeartbeatInterval: time.Second,
 	}
+	change(&cfg)
 	h, err := New(cfg, hclog.NewNullLogger(), prometheus.NewRegistry(), pool, func(error) {})
 	assert.NilError(t, err)
 	return h
