Large kept turns count with the disk that their files may take

What callers could see: a state host whose disk fills up with kept turns of several MB before first turns are refused.

Cause: a body above 1/16 of the memory share is always on disk, whatever the limit of bodies there is, and a file is rewritten only once less than half of it is in use. The capacity assumed that bodies on disk stay within their limit and that the memory share holds some.

Change: the capacity of a disk also allows for the bodies that are on it now: large ones with twice their size, others with twice their size within their limit. The ledger counts the large ones. Without large turns the capacity is what it was where the disk has room for the whole limit of bodies, which TestCapacityFitsTheDisk checks. Plans of members use the capacity without large turns, as before.

The sum is calculated from the bodies kept, not measured on a disk; not run: process tests with such turns. Turns that begin together before any is kept are admitted as before.

--- a/internal/ledger/body.go
+++ b/internal/ledger/body.go
@@ -73,13 +73,23 @@
 	largeBodyShare = 16
 )
 
+func (s *bodyStore) isLarge(size int64) bool { return size > s.limit/largeBodyShare }
+
+// largeBytes returns the size of a body if it is large and on disk.
+func (s *bodyStore) largeBytes(b *body) int64 {
+	if b.memory != nil || !s.isLarge(b.size()) {
+		return 0
+	}
+	return b.size()
+}
+
 // keep returns the body of a turn. It writes the body to the disk if it is large or those in memory
 // have reached the limit. A body that cannot be written stays in memory.
 func (s *bodyStore) keep(input, output []byte) body {
 	inMemory := body{memory: &[2][]byte{input, output}}
 	size := inMemory.size()
 	excess := s.memory.Load() + size - s.limit
-	large := size > s.limit/largeBodyShare
+	large := s.isLarge(size)
 	if s.disk == nil || excess <= 0 && !large {
 		return inMemory
 	}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -149,7 +149,8 @@
 	}
 	s.bodies.memory.Add(-s.memoryBytes)
 	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
-	s.programs, s.turns, s.turnBytes, s.memoryBytes = restored.programs, restored.turns, restored.turnBytes, restored.memoryBytes
+	s.programs, s.turns = restored.programs, restored.turns
+	s.turnBytes, s.memoryBytes, s.largeBytes = restored.turnBytes, restored.memoryBytes, restored.largeBytes
 	s.streams = restored.streams
 	s.unknown += restored.unknown
 	return nil
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -39,6 +39,7 @@
 	turns        map[key]*turn    // by call ID
 	turnBytes    int64            // of the input and output of turns
 	memoryBytes  int64            // the part of turnBytes that is in memory
+	largeBytes   int64            // the part of turnBytes of large bodies on disk
 	bodies       *bodyStore
 	streams      streamTable
 	unknown      int // commands and snapshot records of unknown kinds, since the start
@@ -238,12 +239,14 @@
 func (s *State) putTurn(t *turn) {
 	s.turns[t.key] = t
 	s.turnBytes += t.body.size()
+	s.largeBytes += s.bodies.largeBytes(&t.body)
 	s.countMemory(t.body.memoryBytes())
 }
 
 func (s *State) removeTurn(turnKey key, t *turn) {
 	delete(s.turns, turnKey)
 	s.turnBytes -= t.body.size()
+	s.largeBytes -= s.bodies.largeBytes(&t.body)
 	s.countMemory(-t.body.memoryBytes())
 }
 
@@ -314,6 +317,7 @@
 	Streams  int
 	Bytes    int64 // of the input and output of the turns
 	Memory   int64 // the part of Bytes that is in memory
+	Large    int64 // the part of Bytes of large bodies, which are on disk even beyond its limit
 	Unknown  int   // commands and snapshot records whose kind only later builds know
 }
 
@@ -323,6 +327,6 @@
 	defer s.mu.RUnlock()
 	return Stats{
 		Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall),
-		Bytes: s.turnBytes, Memory: s.memoryBytes, Unknown: s.unknown,
+		Bytes: s.turnBytes, Memory: s.memoryBytes, Large: s.largeBytes, Unknown: s.unknown,
 	}
 }
--- a/internal/policy/retention/retention.go
+++ b/internal/policy/retention/retention.go
@@ -131,19 +131,27 @@
 	Log    int64 // most that the log takes
 	Bodies int64 // most that bodies of turns take besides the log and the snapshots
 	Memory int64 // bodies that are not on the disk besides the log and the snapshots
+
+	Spilled int64 // bodies of kept turns that are within Bodies now
+	Large   int64 // further ones, which no limit of Bodies applies to
 }
 
+// sparseFactor is how much more than its bodies a file of bodies may take: it is rewritten once less
+// than half of it is in use.
+const sparseFactor = 2
+
 // reserveShare is the part of a disk for file headers, snapshots of small groups and small files.
 const reserveShare = 32
 
 // Capacity returns how many bytes of turns can be kept: the disk holds two snapshots with all of them
-// while one replaces the other. 0: not limited.
+// while one replaces the other, and the bodies. 0: not limited.
 func (d Disk) Capacity() int64 {
 	if d.Size <= 0 {
 		return 0
 	}
 	room := d.Size - d.Size/reserveShare - d.Log
-	return max(1, min(room/2, max(d.Memory, (room-d.Bodies)/2)))
+	files := sparseFactor*d.Large + min(d.Bodies, sparseFactor*d.Spilled)
+	return max(1, min((room-files)/2, max(d.Memory, (room-d.Bodies)/2)))
 }
 
 // QuorumCapacity returns the largest capacity that a majority of the members has; 0: not limited. The
--- a/internal/policy/retention/retention_test.go
+++ b/internal/policy/retention/retention_test.go
@@ -51,6 +51,13 @@
 		kept := d.Capacity()
 		assert.Assert(r, d.Log+2*kept+min(d.Bodies, max(0, kept-d.Memory)) <= d.Size)
 		assert.Assert(r, kept >= d.Size/8)
+		d.Large = rapid.Int64Range(0, d.Size).Draw(r, "large")
+		d.Spilled = rapid.Int64Range(0, d.Size).Draw(r, "spilled")
+		files := 2*d.Large + min(d.Bodies, 2*d.Spilled)
+		assert.Assert(r, d.Capacity() <= kept)
+		assert.Assert(r, d.Capacity() == 1 || d.Log+2*d.Capacity()+files <= d.Size)
+		d.Large, d.Memory = 0, 0
+		assert.Equal(r, d.Capacity(), (d.Size-d.Size/reserveShare-d.Log-d.Bodies)/2, "ordinary bodies need no more than their share")
 	})
 }
 
--- a/internal/statehost/retention.go
+++ b/internal/statehost/retention.go
@@ -54,11 +54,21 @@
 }
 
 // diskCapacity returns how many bytes of turns a host with a disk of diskBytes and the memory of this
-// one can keep; 0: not limited.
-func (h *Host) diskCapacity(diskBytes int64) int64 {
+// one can keep if none is large; 0: not limited.
+func (h *Host) diskCapacity(diskBytes int64) int64 { return h.disk(diskBytes).Capacity() }
+
+// currentDiskCapacity is like diskCapacity beside the bodies that are on disk now.
+func (h *Host) currentDiskCapacity(diskBytes int64) int64 {
+	disk, stats := h.disk(diskBytes), h.ledger.Stats()
+	disk.Large, disk.Spilled = stats.Large, stats.Bytes-stats.Memory-stats.Large
+	return disk.Capacity()
+}
+
+// disk returns the division of a disk of diskBytes on a host with the memory of this one.
+func (h *Host) disk(diskBytes int64) retention.Disk {
 	return retention.Disk{
 		Size: diskBytes, Log: logBytes(&h.cfg, diskBytes), Bodies: spillBytes(diskBytes), Memory: bodyMemoryBytes(&h.cfg),
-	}.Capacity()
+	}
 }
 
 // indexBytes returns what the records of a ledger take in memory besides the inputs and outputs.
@@ -118,7 +128,7 @@
 // membersCapacity returns what the disk of this host and those of a quorum of the voters can keep. A
 // standby host with a smaller disk takes part only for a while.
 func (h *Host) membersCapacity(members []*raftpb.Member) int64 {
-	own := h.diskCapacity(h.cfg.DiskBytes)
+	own := h.currentDiskCapacity(h.cfg.DiskBytes)
 	capacities := make(map[string]int64) // 0 for hosts that are not known yet
 	for _, m := range members {
 		if !m.Learner {
@@ -127,7 +137,7 @@
 	}
 	for _, known := range h.hosts.all() {
 		if _, votes := capacities[known.host.Address]; votes {
-			capacities[known.host.Address] = h.diskCapacity(known.host.DiskBytes)
+			capacities[known.host.Address] = h.currentDiskCapacity(known.host.DiskBytes)
 		}
 	}
 	if _, votes := capacities[h.cfg.Address]; votes {
--- a/internal/statehost/retention_test.go
+++ b/internal/statehost/retention_test.go
@@ -81,6 +81,29 @@
 	assert.Equal(t, h.ledger.Begun("", "full", "full"), false)
 }
 
+// TestLargeTurnsFitTheDisk guards against turns that are on disk whatever the limit of bodies there is,
+// and that exceed the disk together with two snapshots and the log before first turns are refused.
+func TestLargeTurnsFitTheDisk(t *testing.T) {
+	const memoryBytes, diskBytes, turnBytes = 144 << 20, 300 << 20, 3 << 20
+	h := startLimitedHost(t, t.TempDir(), memoryBytes, diskBytes, func(err error) { t.Error(err) })
+	defer stopHost(t, h)
+	full := func() bool {
+		h.room.disk.Store(h.membersCapacity(nil))
+		return h.keptResources()[0].Level() == retention.Full
+	}
+	for n := 0; n < diskBytes/turnBytes && !full(); n++ {
+		data, err := proto.Marshal(keptTurn(n, turnBytes))
+		assert.NilError(t, err)
+		h.ledger.Apply(uint64(n), data)
+	}
+	assert.Assert(t, full())
+	kept, files := h.ledger.Stats().Bytes, 2*h.spill.Stats().LiveBytes // as sparse as they may be
+	sum := logBytes(&h.cfg, diskBytes) + 2*kept + files + diskBytes/32
+	t.Logf("%d bytes kept, up to %d of %d bytes on disk", kept, sum, diskBytes)
+	assert.Assert(t, sum <= diskBytes)
+	assert.Assert(t, kept >= diskBytes/8)
+}
+
 // TestManySmallTurnsAreLimitedByTheMemory guards against turns that fit the disk and whose index
 // does not fit the memory.
 func TestManySmallTurnsAreLimitedByTheMemory(t *testing.T) {
