ledger: test that large bodies count after a restore and until they expire

Cause: with the count of large bodies left out of Restore, all tests of the ledger passed (one mutation, go test ./internal/ledger).

Change: TestLargeBodiesAreCounted.

Measured: it passes; it fails when Restore does not set the count, and when an expired turn is not subtracted.

--- a/internal/ledger/spill_test.go
+++ b/internal/ledger/spill_test.go
@@ -137,3 +137,19 @@
 	assert.ErrorIs(t, chain.Err(), spill.ErrUnreadable)
 	assert.ErrorIs(t, s.Snapshot(new(bytes.Buffer)), spill.ErrUnreadable)
 }
+
+// TestLargeBodiesAreCounted guards against large bodies on disk that do not count after a restart, or
+// after they have expired.
+func TestLargeBodiesAreCounted(t *testing.T) {
+	s, _ := newSpilling(t, t.TempDir(), 160, 1<<20)
+	apply(t, s, startMs, storeTurn("small", "p", "", "input", "", 1))
+	apply(t, s, startMs, storeTurn("large", "p", "", "a large input", "", 1))
+	assert.Equal(t, s.Stats().Large, int64(13))
+	var snapshot bytes.Buffer
+	assert.NilError(t, s.Snapshot(&snapshot))
+	restored, _ := newSpilling(t, t.TempDir(), 160, 1<<20)
+	assert.NilError(t, restored.Restore(&snapshot))
+	assert.Equal(t, restored.Stats().Large, int64(13))
+	apply(t, restored, startMs+24*3_600_000, begin("later", "q", "", 1, 10))
+	assert.Equal(t, restored.Stats().Large, int64(0))
+}
