transport: TestRPCs has a process of its own

go test -race ./internal/transport ended in "fatal error: reset of synctest timer from outside bubble" (one of one run, in yamux.(*Stream).closeTimeout).

Cause: yamux keeps timers in a pool that all sessions of a process share. A stream that an earlier test outside of a bubble has closed takes one when its time to close is over, also after its session has ended; TestRPCs, run in a bubble, has put its own there by then. The two garbage collections at its beginning cleared the pool of timers from outside, not the reverse. Which of the two comes first depends on how long the tests take, so -race showed it.

Change: TestRPCs starts the test binary once more for the bubble alone, and requires that the scenarios passed there. All scenarios and checks are as they were.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,7 +6,8 @@
 	"context"
 	"errors"
 	"net"
-	"runtime"
+	"os"
+	"os/exec"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -81,9 +82,23 @@
 	return req, nil
 }
 
+// bubbleEnvVar is set in the process that runs the bubble of TestRPCs.
+const bubbleEnvVar = "IBISTRAY_TEST_RPCS_BUBBLE"
+
 // TestRPCs runs all scenarios in one synctest bubble, because yamux keeps timers in a
-// sync.Pool, and a timer must not be used in two bubbles.
+// sync.Pool, and a timer must not be used in two bubbles. The bubble has a process of its own:
+// streams that other tests have closed take timers from the pool when their time to close is over.
 func TestRPCs(t *testing.T) {
+	if os.Getenv(bubbleEnvVar) == "" {
+		program, err := os.Executable()
+		assert.NilError(t, err)
+		cmd := exec.CommandContext(t.Context(), program, "-test.run=^TestRPCs$", "-test.v", "-test.count=1")
+		cmd.Env = append(os.Environ(), bubbleEnvVar+"=1")
+		out, err := cmd.CombinedOutput()
+		assert.NilError(t, err, "%s", out)
+		assert.Assert(t, bytes.Contains(out, []byte("--- PASS: TestRPCs")), "%s", out)
+		return
+	}
 	scenarios := []struct {
 		name string
 		run  func(*testing.T)
@@ -102,10 +117,6 @@
 		{"idleSharedStreamIsClosed", idleSharedStreamIsClosed},
 		{"messagesOfSeveralFramesArriveIntact", messagesOfSeveralFramesArriveIntact},
 	}
-	// Two garbage collections clear the timers that an earlier run of this test left
-	// in the sync.Pool.
-	runtime.GC()
-	runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
 		for _, s := range scenarios {
 			t.Log(s.name)
