pace: responses that wait for the processor are paced too

Cause: a response counted as slow, as its server or client would make it, whenever it was 10 ms behind its rate, and could then catch up 20 ms of the rate of a single response, some 130 events, without a pause. With 32 ready streams on one processor each waits for the time slices of 31 others, about 310 ms. So each was slow, none large, each had the whole rate, and none ever paused: a state that keeps itself up. The new test replays it.

Change: a response that is not large may run ahead by 2 ms only, and a large one counts as slow after a second in which it needed no pause. The limit of what a response may run ahead is applied after its part is charged, so that slow responses are not paused by the shorter limit.

What remains: an event that costs the processor more than about 150 µs, as on a host that gets a small part of a core, exceeds its charge, so the rate is not reached and streams are not paced (shown by a replay only).

--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -23,8 +23,13 @@
 	linkDivisor = 4
 	// minPause is the shortest pause worth taking.
 	minPause = time.Millisecond
-	// maxAhead limits how far a response that was slower than its rate may run ahead of it.
+	// maxAhead limits how far a large response that was slower than its rate may run ahead of it.
 	maxAhead = 20 * time.Millisecond
+	// maxAheadSlow is the same for one that is not large. While many responses wait for the
+	// processor, each has been slower when its turn comes.
+	maxAheadSlow = 2 * time.Millisecond
+	// slowPeriod is how long a large response needs no pause until it counts as slow.
+	slowPeriod = time.Second
 	// yieldBytes is what large responses forward together between two interruptions while no
 	// other request is served, and yieldPause the length of one.
 	yieldBytes = 4 << 20
@@ -57,6 +62,7 @@
 type Response struct {
 	charged int64         // cost of all parts, in bytes
 	due     time.Duration // when the next part may be forwarded at its rate
+	paused  time.Duration // when the response was faster than its rate
 	unpaced int64         // bytes since the latest interruption
 	large   bool
 }
@@ -75,11 +81,15 @@
 // Pause returns how long to pause after n bytes were forwarded. now may have any origin. load
 // includes this response among the large ones.
 func (r *Response) Pause(n int64, now time.Duration, load Load) time.Duration {
-	r.due = max(r.due, now-maxAhead) + time.Duration(float64(n+writeBytes)/load.rate()*float64(time.Second))
+	ahead := maxAheadSlow
+	if r.large {
+		ahead = maxAhead
+	}
+	r.due = max(r.due+time.Duration(float64(n+writeBytes)/load.rate()*float64(time.Second)), now-ahead)
 	pause := r.due - now
 	if pause >= minPause {
-		r.large = true
-	} else if pause < -maxAhead/2 {
+		r.large, r.paused = true, now
+	} else if now-r.paused >= slowPeriod {
 		r.large = false
 	}
 	if !load.othersServed() {
--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -65,3 +65,48 @@
 		assert.Assert(t, !r.Large(), "it takes a part of the rate of others")
 	}
 }
+
+// TestManyStreamsWithoutEndLeaveTheProcessorToOthers replays event streams that are always ready on one
+// processor, where each keeps its turn for a time slice unless it pauses. A response that was slow because
+// it waited for its turn must be paced all the same.
+func TestManyStreamsWithoutEndLeaveTheProcessorToOthers(t *testing.T) {
+	const streams, others, eventBytes, slice, begin, end = 32, 4, 1060, 10 * time.Millisecond, 4 * time.Second, 8 * time.Second
+	for _, cost := range []time.Duration{50 * time.Microsecond, 100 * time.Microsecond} {
+		var responses [streams]Response
+		var ready [streams]time.Duration
+		large, longestWait := 0, time.Duration(0)
+		for now := time.Duration(0); now < end; {
+			next := 0
+			for i := range ready {
+				if ready[i] < ready[next] {
+					next = i
+				}
+			}
+			if now > begin {
+				longestWait = max(longestWait, now-ready[next])
+			}
+			now = max(now, ready[next])
+			for turnEnd, pause := now+slice, time.Duration(0); now < turnEnd && pause == 0; ready[next] = now + pause {
+				now += cost
+				r := &responses[next]
+				if !r.Forwarded(eventBytes) {
+					continue
+				}
+				load := Load{Large: large, Others: others + streams - large}
+				if !r.Large() {
+					load.Large, load.Others = load.Large+1, load.Others-1
+				}
+				pause = r.Pause(eventBytes, now, load)
+				large = 0
+				for i := range responses {
+					if responses[i].Large() {
+						large++
+					}
+				}
+			}
+		}
+		t.Logf("%s each: longest wait %s, %d large responses", cost, longestWait, large)
+		assert.Check(t, longestWait < slice)
+		assert.Check(t, large == streams)
+	}
+}
