--- a/internal/backend/cut_test.go
+++ b/internal/backend/cut_test.go
@@ -162,7 +162,11 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
+	accepting := make(chan struct{})
+	t.Cleanup(func() {
+		listener.Close()
+		<-accepting
+	})
 	serve := func(conn *net.TCPConn) error {
 		defer conn.Close()
 		req, err := http.ReadRequest(bufio.NewReader(conn))
@@ -178,6 +182,7 @@
 		return conn.SetLinger(0)
 	}
 	go func() {
+		defer close(accepting)
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
--- a/internal/sidecar/endless_output_test.go
+++ b/internal/sidecar/endless_output_test.go
@@ -156,6 +156,7 @@
 	limits := s.attempts.outputs.limits
 	text := strings.Repeat("x", int(limits.Answer))
 	for n := range 40 {
+		applyConfiguration(s, 1) // the lease is not to run out on a slow machine
 		req := runRequest(strconv.Itoa(n), 1, 1)
 		got := s.attempts.admit(req, func() *rpcpb.RunRefused { return s.checkStart(req) })
 		assert.Assert(t, got.started, "call %d: %s", n, got.refused.GetDetail())
--- a/internal/statehost/retention_test.go
+++ b/internal/statehost/retention_test.go
@@ -18,6 +18,21 @@
 	"ibistray.example/ibistray/proto/rpcpb"
 )
 
+// waitForRoom waits until the host has looked at what the ledger keeps now. A sweep that is under way may
+// have looked before, so it waits for the end of the next one.
+func waitForRoom(t *testing.T, h *Host) {
+	t.Helper()
+	for range 2 {
+		before := h.room.state.Load()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if h.room.state.Load() != before {
+				return poll.Success()
+			}
+			return poll.Continue("no sweep")
+		}, poll.WithTimeout(20*sweepInterval))
+	}
+}
+
 // startLeader starts the only state host of a cluster and waits until it leads the ledger.
 func startLeader(t *testing.T, memoryBytes int64) *Host {
 	t.Helper()
@@ -55,7 +70,7 @@
 			assert.NilError(t, err)
 			h.ledger.Apply(uint64(kept), data)
 		}
-		h.updateRoom(t.Context())
+		waitForRoom(t, h)
 	}
 	refused := func(req *ledgerpb.Request) {
 		t.Helper()
@@ -113,7 +128,7 @@
 		assert.NilError(t, err)
 		h.ledger.Apply(uint64(n), data)
 	}
-	h.updateRoom(t.Context())
+	waitForRoom(t, h)
 	_, err := h.handleLedger(t.Context(), &ledgerpb.Request{Command: beginCommand("a", "a", "", 1, 10)})
 	assert.Equal(t, transport.CodeOf(err), rpcpb.Code_CODE_EXHAUSTED, "%v", err)
 	assert.ErrorContains(t, err, fmt.Sprintf("(%s)", resourceMemory))
