--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the second review into target/review-2/.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-2/ ./review/standin2
