--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Builds the stand-ins of the second review into target/review-2/.
 set -eu
-cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/standin2
+cd "$(dirname "$0")/standin2"
+go build -o ../../target/review-2/ .
--- a/review/standin2/hosts.go
+++ b/review/standin2/hosts.go
@@ -144,7 +144,7 @@
 	if p.front || p.isStandby() {
 		return 134
 	}
-	return 144
+	return 154
 }
 
 // settings returns the settings file of a small deployment.
@@ -152,7 +152,7 @@
 	d := p.deployment
 	var b strings.Builder
 	class, serves, listen := "store", `["store", "control"]`, fmt.Sprintf("{control: %q}", p.controlAddress())
-	disk := 300
+	disk := 390
 	switch {
 	case p.front:
 		class, serves = "front", `["front"]`
@@ -171,7 +171,7 @@
 	fmt.Fprintf(&b, "discovery: \"register\"\nentry: \"vip\"\nheartbeat_ms: %d\nconfig_mode: \"highest\"\n", heartbeatInterval.Milliseconds())
 	fmt.Fprintf(&b, "contracts: [\"base\", \"drain\", \"config\", \"cost\", \"recover\", \"agent\", \"stream\", \"engine\"]\n")
 	fmt.Fprintf(&b, "fault_tolerance: {machines: %d, zones: %d, regions: 0}\n", d.tolerance.machines, d.tolerance.zones)
-	fmt.Fprintf(&b, "bounds: {seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 5.8, drain_ms: 2000, grace_s: 8, "+
+	fmt.Fprintf(&b, "bounds: {seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4.4, drain_ms: 2000, grace_s: 8, "+
 		"loss_slack_ms: 200, config_ms: 2000, rollback_slack_ms: 250, max_skew_ms: 5000, recover_s: 12, pass_ms: 120, retry_after_s: 0, deadline_s: 10, settle_ms: 1000}\n")
 	return b.String()
 }
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -92,12 +92,12 @@
 // many times the usual traffic a burst brings.
 const (
 	historyTurns  = 21
-	inputBytes    = 31_000
+	inputBytes    = 26_000
 	burstPercent  = 230
 	burstLength   = 5 // seconds
-	bursts        = 5
-	burstPause    = 6 // seconds between two bursts
-	usualTurns    = 40
+	bursts        = 7
+	burstPause    = 4 // seconds between two bursts
+	usualTurns    = 64
 	memoryTurns   = 4 // events of each turn
 	programsAtAll = 64
 )
--- a/review/standin2/zones.go
+++ b/review/standin2/zones.go
@@ -69,7 +69,7 @@
 	if err := lose(zoneNames[2], 3500*time.Millisecond, false); err != nil {
 		return err
 	}
-	// A lost machine counts as lost for catch_up_s (5.8) after it is back.
+	// A lost machine counts as lost for catch_up_s (4.4) after it is back.
 	time.Sleep(12 * time.Second)
 	if err := d.putConfig(10*time.Second, 2, services, route); err != nil {
 		return err
