--- a/review/standin2/streams.go
+++ b/review/standin2/streams.go
@@ -17,7 +17,7 @@
 // zoneNames are the zones of a deployment.
 var zoneNames = []string{"zone-a", "zone-b", "zone-c"}
 
-// streamDeployment is a deployment with three stores, whose first front may be killed.
+// streamDeployment is a deployment with three stores, one of whose fronts may be killed.
 type streamDeployment struct {
 	*deployment
 	fronts  []*process
@@ -79,7 +79,13 @@
 	end   time.Time
 }
 
-// playStreams begins streams at the first front, calls disrupt after a while, and takes the streams that
+// victim returns the front that may be killed. Its machine has no standby, so that it is none of the core.
+func (s *streamDeployment) victim() *process { return s.fronts[len(s.fronts)-1] }
+
+// other returns one of the fronts that are not killed.
+func (s *streamDeployment) other(n int) *process { return s.fronts[n%(len(s.fronts)-1)] }
+
+// playStreams begins streams at the victim, calls disrupt after a while, and takes the streams that
 // broke off up at the other fronts, each once.
 func (s *streamDeployment) playStreams(turns []*turn, after time.Duration, disrupt func()) []*taken {
 	list := make([]*taken, len(turns))
@@ -88,11 +94,11 @@
 		clients.Go(func() {
 			k := &taken{turn: t, end: time.Now().Add(clientDeadline)}
 			list[i] = k
-			k.first = t.send(s.deployment, s.fronts[0], resumption{}, k.end)
+			k.first = t.send(s.deployment, s.victim(), resumption{}, k.end)
 			if k.first.complete || k.first.lastEvent == "" {
 				return
 			}
-			front := s.fronts[1+i%(len(s.fronts)-1)]
+			front := s.other(i)
 			k.again = t.send(s.deployment, front, resumption{resumes: k.first.id, lastEvent: k.first.lastEvent}, k.end)
 		})
 	}
@@ -108,7 +114,7 @@
 	began := make([]bool, len(turns))
 	for i, t := range turns {
 		clients.Go(func() {
-			front := s.fronts[1+i%(len(s.fronts)-1)]
+			front := s.other(i)
 			began[i] = t.send(s.deployment, front, resumption{}, time.Now().Add(clientDeadline)).lastEvent != ""
 		})
 	}
@@ -201,7 +207,7 @@
 	}
 	list := s.playStreams(streamTurns("/lohu930/2f", takeUpStreams, events, false), 1200*time.Millisecond, func() {
 		if env.trouble {
-			s.fronts[0].kill()
+			s.victim().kill()
 		}
 	})
 	began := s.beginStreams(streamTurns("/lohu930/2f", takeUpStreams, events, false))
@@ -236,7 +242,7 @@
 		}
 		configErr = s.putConfig(2*time.Second, 2, services, route(10, 90))
 		time.Sleep(2200 * time.Millisecond) // config_ms is 2,000
-		s.fronts[0].kill()
+		s.victim().kill()
 	})
 	if configErr != nil {
 		return configErr
@@ -264,7 +270,7 @@
 	turns := streamTurns("/pufi791/4b", programs, events, true)
 	list := s.playStreams(turns, 900*time.Millisecond, func() {
 		if env.trouble {
-			s.fronts[0].kill()
+			s.victim().kill()
 		}
 	})
 	type next struct {
@@ -289,7 +295,7 @@
 		clients.Go(func() {
 			end := time.Now().Add(clientDeadline)
 			for try := range 2 {
-				a := n.turn.send(s.deployment, s.fronts[1+(i+try)%(len(s.fronts)-1)], resumption{}, end)
+				a := n.turn.send(s.deployment, s.other(i+try), resumption{}, end)
 				n.ids = append(n.ids, a.id)
 				if a.status != http.StatusServiceUnavailable {
 					return
