Streams of split routes are resumed at the service that began them

Cause: the entry chose the service by the weights in force and the program, or the ID of the attempt, before it looked up which service began the stream. The record names service and version, but was only compared with the versions of the chosen service.

Change: streampin.Locate finds the service of the record among those to which the route sends requests, and the call moves there before a server is selected. Every take-up passes there. A service that has left the route or has no weight gets none: no configuration in force allows it.

--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"ibistray.example/ibistray/internal/fleet"
@@ -22,15 +21,16 @@
 // nothing else.
 const openStreamTimeout = ledgerTimeout
 
-// streamVersion is the software version of the servers that run the stream of a call. The
+// streamVersion is the service and the software version of the servers that run the stream of a call. The
 // ledger records it before the first event is sent, so that any entry can resume the
 // stream at the same version.
 type streamVersion struct {
-	resumes  string // call ID of the resumed attempt, "" if the client does not name it
-	resumed  bool   // the client holds events of an earlier attempt
-	assigned bool   // version is known, and recorded unless the ledger failed
-	version  string
-	revision uint32 // of the next record
+	resumes   string // call ID of the resumed attempt, "" if the client does not name it
+	resumed   bool   // the client holds events of an earlier attempt
+	assigned  bool   // version is known, and recorded unless the ledger failed
+	withdrawn bool   // the route sends no requests to the service that began the resumed stream
+	version   string
+	revision  uint32 // of the next record
 }
 
 // newStreamVersion returns the state before the first attempt.
@@ -51,14 +51,11 @@
 		HasOutput:   c.stream.resumed || c.responseStarted,
 		Assigned:    c.stream.assigned,
 		Version:     c.stream.version,
+		Withdrawn:   c.stream.withdrawn,
 		NeedsRecord: c.route.ProgramTurns,
 	}, streampin.View{Serving: versionsOf(servers), Current: c.g.view.isCurrent()})
 }
 
-// servicePrefix begins each version that is recorded for the call's service. A client may
-// resume a stream after its route has moved to another service.
-func (c *call) servicePrefix() string { return c.service.Name + "/" }
-
 // versionsOf returns the distinct versions of servers.
 func versionsOf(servers []*fleet.Instance) []string {
 	var versions []string
@@ -125,27 +122,37 @@
 	return &ledgerpb.OpenStream{
 		Account:     c.accountName(),
 		CallId:      c.meta.ID,
-		Version:     c.servicePrefix() + version,
+		Version:     streampin.Record(c.service.Name, version),
 		Revision:    c.stream.revision,
 		Content:     c.contentID(),
 		RetentionMs: c.streamRetention().Milliseconds(),
 	}
 }
 
-// streamOpened stores the outcome of a command that the ledger has applied. resumed is the
-// recorded version of the resumed stream. That of another service keeps its prefix, so that no
-// server of this one has it.
+// streamOpened stores the outcome of a command that the ledger has applied. resumed is the record
+// of the resumed stream, "" for a new one.
 func (c *call) streamOpened(command *ledgerpb.OpenStream, resumed string) {
 	if command == nil {
 		return
 	}
-	recorded := command.Version
+	c.stream.assigned = true
 	if command.Resumed {
-		recorded = resumed
-	} else {
-		c.stream.revision = command.Revision + 1
+		c.followStream(resumed)
+		return
+	}
+	c.stream.revision = command.Revision + 1
+	_, c.stream.version, _ = streampin.Locate(command.Version, []string{c.service.Name})
+}
+
+// followStream moves the call to the service that began the resumed stream, whichever one the
+// weights of the route have chosen for the call.
+func (c *call) followStream(record string) {
+	service, version, found := streampin.Locate(record, c.route.ServingServices())
+	if !found {
+		c.stream.withdrawn = true
+		return
 	}
-	c.stream.assigned, c.stream.version = true, strings.TrimPrefix(recorded, c.servicePrefix())
+	c.service, c.stream.version = c.routes.Services[service], version
 }
 
 // lookUpStream reads the version of the resumed stream on routes that need the ledger for
--- a/internal/policy/streampin/streampin.go
+++ b/internal/policy/streampin/streampin.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 )
 
 // Reasons why a stream cannot run at any serving version.
@@ -26,6 +27,7 @@
 	HasOutput   bool   // the client holds events of it
 	Assigned    bool   // Version is known
 	Version     string // that runs the stream, or that began it
+	Withdrawn   bool   // the service that began it is none of its route any more
 	NeedsRecord bool   // it runs only if its version is recorded, so that it can be resumed
 }
 
@@ -61,6 +63,28 @@
 	return c.Strength == Unrestricted || c.Version == version
 }
 
+// Record returns how a service and the software version of its servers are recorded for a stream.
+func Record(service, version string) string { return service + "/" + version }
+
+// Locate returns the service and the version of a record, if it is one of the services to which the
+// stream's route sends requests now. It answers changes of the weights of a route while many
+// streams run and entries fail: the share of new requests that a service gets says nothing about
+// where a resumed stream began. found is false for a service that has left the route, and if the
+// names of two services fit the record.
+func Locate(record string, services []string) (service, version string, found bool) {
+	for _, candidate := range services {
+		rest, fits := strings.CutPrefix(record, Record(candidate, ""))
+		if !fits {
+			continue
+		}
+		if found {
+			return "", "", false
+		}
+		service, version, found = candidate, rest, true
+	}
+	return service, version, found
+}
+
 // Decide returns the versions that may run a stream. A stream with output goes on at its
 // version or fails at once with ErrUnknownVersion or ErrVersionNotServed. That a single version
 // serves does not tell which one began the stream: servers of another one may have left, or be
@@ -74,7 +98,7 @@
 		return Constraint{}, nil
 	case !s.HasOutput:
 		return Constraint{Strength: Preferred, Version: s.Version}, nil
-	case s.Assigned && slices.Contains(v.Serving, s.Version):
+	case s.Assigned && !s.Withdrawn && slices.Contains(v.Serving, s.Version):
 		return Constraint{Strength: Required, Version: s.Version}, nil
 	case s.Assigned:
 		return Constraint{}, ErrVersionNotServed
--- a/internal/policy/streampin/streampin_test.go
+++ b/internal/policy/streampin/streampin_test.go
@@ -24,6 +24,7 @@
 		"output, version without name":     {Stream{HasOutput: true, Assigned: true}, []string{""}, Constraint{Strength: Required}, nil},
 		"output, not recorded":             {Stream{HasOutput: true}, []string{"v1"}, Constraint{}, ErrUnknownVersion},
 		"output, several versions":         {Stream{HasOutput: true}, both, Constraint{}, ErrUnknownVersion},
+		"output, service withdrawn":        {Stream{HasOutput: true, Assigned: true, Version: "v1", Withdrawn: true}, both, Constraint{}, ErrVersionNotServed},
 		"output, no servers":               {Stream{HasOutput: true}, nil, Constraint{}, ErrUnknownVersion},
 		"output, version without a server": {Stream{HasOutput: true, Assigned: true, Version: "v1"}, nil, Constraint{}, ErrVersionNotServed},
 	}
@@ -36,6 +37,35 @@
 	}
 }
 
+// TestLocateFindsTheServiceThatBeganTheStream replays a change of weights under which most streams
+// began at the service that gets few requests now.
+func TestLocateFindsTheServiceThatBeganTheStream(t *testing.T) {
+	cases := map[string]struct {
+		record           string
+		services         []string
+		service, version string
+		found            bool
+	}{
+		"one service":               {"s/v1", []string{"s"}, "s", "v1", true},
+		"second of two":             {"t/v1", []string{"s", "t"}, "t", "v1", true},
+		"name that begins another":  {"st/v1", []string{"s", "st"}, "st", "v1", true},
+		"version without name":      {"t/", []string{"s", "t"}, "t", "", true},
+		"version with a slash":      {"t/v1/a", []string{"s", "t"}, "t", "v1/a", true},
+		"service has left":          {"u/v1", []string{"s", "t"}, "", "", false},
+		"two services fit":          {"s/t/v1", []string{"s", "s/t"}, "", "", false},
+		"record without a service":  {"v1", []string{"s"}, "", "", false},
+		"route without any service": {"s/v1", nil, "", "", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			service, version, found := Locate(c.record, c.services)
+			assert.Equal(t, service, c.service)
+			assert.Equal(t, version, c.version)
+			assert.Equal(t, found, c.found)
+		})
+	}
+}
+
 // TestDecideWithOutdatedView replays an entry that stood still during a release: a server that it
 // takes for the old version has started anew at the new one.
 func TestDecideWithOutdatedView(t *testing.T) {
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -96,3 +96,14 @@
 	}
 	return ""
 }
+
+// ServingServices returns the names of the services to which the route sends requests.
+func (r *Route) ServingServices() []string {
+	var names []string
+	for _, b := range r.Backends {
+		if b.Weight > 0 {
+			names = append(names, b.Service)
+		}
+	}
+	return names
+}
