Kept turns that their client resumed are kept whole

No entry has to fail; a client that breaks its connection is enough.

Cause: a turn was kept as the output of one call, while its stream may be run by several. The events of earlier calls were only in the memory of the entries that had forwarded them.

Change: on such routes an entry records events in the ledger before it forwards them (RecordOutput), under the call that began the stream. The Begin of a call that resumes it returns them up to the client's last event, and the turn is kept with them. What the client holds beyond the record (no answer within 100 ms, an earlier build, no room) a server repeats, which the entry does not forward again. Only the latest call of a stream records. A leader refuses to keep a resumed turn from an entry of an earlier build, which has only its part. On a route with retain alone, Last-Event-Id is not sent on: the turn is a new run, kept whole.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -84,6 +84,7 @@
 	keepDuration     time.Duration     // time spent on storing the turn after it
 	eventsSent       int               // events with data that were sent to the client
 	lastSentHasNoID  bool              // the latest of eventsSent has no ID, so the stream cannot be resumed
+	record           outputRecord      // of the events of a turn that is kept, on resumable routes
 	output           *membudget.Output // event data of a turn that is kept, nil on other routes
 	responseStarted  bool              // status and headers were sent to the client
 	status           int               // that was sent to the client, of a backend server
@@ -323,6 +324,10 @@
 	c.limitUnread()
 	c.stream = newStreamVersion(&c.meta)
 	if c.route.KeepTurns {
+		if !c.route.ResumableStream() {
+			// The turn would be kept without the events that the client says it holds.
+			c.meta.LastEventID = ""
+		}
 		c.output = c.g.outputs.New()
 		defer c.output.Release()
 	}
@@ -359,6 +364,10 @@
 		return err
 	}
 	c.streamOpened(stream, previous.streamVersion)
+	if err := c.restoreOutput(previous.output); err != nil {
+		c.settleAsync()
+		return err
+	}
 	if err := c.prependHistory(ctx, previous); err != nil {
 		c.settleAsync()
 		return err
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"strings"
 )
 
@@ -30,17 +29,6 @@
 	return parts
 }
 
-// isLaterEventID reports whether an event may follow the event with the ID last in the same
-// stream. IDs that are numbers increase. Of others, only equality says something.
-func isLaterEventID(id, last string) bool {
-	n, err := strconv.ParseUint(id, 10, 64)
-	lastN, lastErr := strconv.ParseUint(last, 10, 64)
-	if err != nil || lastErr != nil {
-		return id != last
-	}
-	return n > lastN
-}
-
 // event is one server-sent event.
 type event struct {
 	raw     []byte // as received, with the blank line that ends it
@@ -77,6 +65,12 @@
 	return ev, nil
 }
 
+// hasNext reports whether next returns an event without waiting for the server.
+func (r *eventReader) hasNext() bool {
+	buffered, err := r.buf.Peek(r.buf.Buffered())
+	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
+}
+
 // read reads the lines of the next event.
 func (r *eventReader) read() (event, error) {
 	var ev event
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"ibistray.example/ibistray/internal/policy/resume"
 )
 
 func TestEventReader(t *testing.T) {
@@ -63,7 +65,7 @@
 		{"1", "a", true},
 	}
 	for _, c := range cases {
-		assert.Equal(t, isLaterEventID(c.id, c.last), c.want, "%q after %q", c.id, c.last)
+		assert.Equal(t, resume.IsLater(c.id, c.last), c.want, "%q after %q", c.id, c.last)
 	}
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -55,6 +55,7 @@
 	header.Del("Key")
 	header.Set("Account", a.Account)
 	header.Set("Timeout-Ms", strconv.FormatInt(a.Timeout.Milliseconds(), 10))
+	header.Del("After")
 	if a.LastEventID != "" {
 		header.Set("After", a.LastEventID)
 	}
@@ -164,6 +165,8 @@
 	return versions
 }
 
+func (l *fakeLedger) recordOutput(context.Context, *ledgerpb.RecordOutput) error { return nil }
+
 func (l *fakeLedger) finish(_ context.Context, f *ledgerpb.Finish) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -241,6 +244,7 @@
 	{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.KindUnsafe, MaxAttempts: 2},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.KindStream, MaxAttempts: 2, ProgramTurns: true, Resumable: true, SessionAffinity: true},
 	{Name: "feed", Host: "h", Prefix: "/feed/", Kind: routing.KindStream, MaxAttempts: 2, Resumable: true, SessionAffinity: true},
+	{Name: "talk", Host: "h", Prefix: "/talk/", Kind: routing.KindStream, MaxAttempts: 2, ProgramTurns: true, KeepTurns: true, TurnRetention: time.Minute, Resumable: true, SessionAffinity: true},
 	{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.KindStream, MaxAttempts: 2, ProgramTurns: true, KeepTurns: true, TurnRetention: time.Minute, SessionAffinity: true},
 }
 
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -95,6 +95,7 @@
 	f.Output = output
 	f.RetentionMs = c.route.TurnRetention.Milliseconds()
 	f.Server = c.server.ID
+	f.Whole = true
 	return c.g.ledger.finish(ctx, f)
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ibistray.example/ibistray/internal/passthrough"
+	"ibistray.example/ibistray/internal/policy/resume"
 )
 
 // maxBufferedResponseBytes is the largest response body that is read in full before
@@ -99,14 +100,15 @@
 // the client has received only complete events. It returns errNotResumed if the server
 // repeats events that the client has, or sends anything but the events that follow them.
 func (c *call) forwardStream(exchange *passthrough.Exchange) error {
-	flusher := http.NewResponseController(c.w)
 	events := newEventReader(exchange.Body)
-	resumed := c.route.ResumableStream() && c.meta.LastEventID != ""
+	resumed := c.route.ResumableStream() && (c.meta.LastEventID != "" || c.record.repeatUntil != "")
 	if resumed && !isEventStream(exchange.Response) {
 		return fmt.Errorf("%w: content type %q", errNotResumed, exchange.Response.Header.Get("Content-Type"))
 	}
 	var comments []byte // received before the first event with data
+	var batch []event   // to be recorded and sent together
 	continued := false  // the exchange brought an event with data
+	lastID := c.meta.LastEventID
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -136,21 +138,47 @@
 				return fmt.Errorf("%w: %w", errSilent, passthrough.ErrConnectionLost)
 			}
 		}
-		if resumed && ev.id != "" && !isLaterEventID(ev.id, c.meta.LastEventID) {
-			return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, c.meta.LastEventID)
+		if ev.id != "" {
+			if resumed && !resume.IsLater(ev.id, lastID) {
+				return fmt.Errorf("%w: event %q follows %q", errNotResumed, ev.id, lastID)
+			}
+			lastID = ev.id
 		}
-		if !c.responseStarted {
-			c.copyHeaders(exchange.Response)
-			c.writeStatus(exchange.Response.StatusCode)
-			ev.raw = append(comments, ev.raw...)
+		batch = append(batch, ev)
+		if c.record.active && events.hasNext() {
+			continue
 		}
-		if err := c.forwardEvent(ev, flusher); err != nil {
-			return err
+		c.recordEvents(batch)
+		for _, ev := range batch {
+			if c.repeats(ev) {
+				err = c.takeRepeated(ev)
+			} else {
+				err = c.sendEvent(exchange, ev, &comments)
+			}
+			if err != nil {
+				return err
+			}
 		}
-		c.pace(len(ev.raw))
+		batch = batch[:0]
 	}
 }
 
+// sendEvent sends an event to the client, after the headers and the comments that precede the first
+// one.
+func (c *call) sendEvent(exchange *passthrough.Exchange, ev event, comments *[]byte) error {
+	if !c.responseStarted {
+		c.copyHeaders(exchange.Response)
+		c.writeStatus(exchange.Response.StatusCode)
+		ev.raw = append(*comments, ev.raw...)
+		*comments = nil
+	}
+	if err := c.forwardEvent(ev); err != nil {
+		return err
+	}
+	c.pace(len(ev.raw))
+	return nil
+}
+
 // provesEndOfStream reports whether a response without events shows that the stream which it
 // resumes had ended: it is an event stream, and its end is marked by the last chunk.
 func provesEndOfStream(resp *http.Response) bool {
@@ -163,8 +191,12 @@
 }
 
 // finishStream completes the response of a stream that ended normally. If the stream had no
-// events with data, it sends the headers and the comments.
+// events with data, it sends the headers and the comments. It returns errNotResumed if the server has
+// not repeated all events that the client holds.
 func (c *call) finishStream(exchange *passthrough.Exchange, comments []byte) error {
+	if c.record.repeatUntil != "" {
+		return fmt.Errorf("%w: the stream ends before event %q", errNotResumed, c.record.repeatUntil)
+	}
 	if c.responseStarted {
 		return nil
 	}
@@ -177,7 +209,7 @@
 }
 
 // forwardEvent sends an event to the client and records it for the ledger.
-func (c *call) forwardEvent(ev event, flusher *http.ResponseController) error {
+func (c *call) forwardEvent(ev event) error {
 	if ev.hasData {
 		if err := c.keepOutput(ev); err != nil {
 			return err
@@ -191,7 +223,7 @@
 	if _, err := c.w.Write(ev.raw); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
-	if err := flusher.Flush(); err != nil {
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
 	return nil
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -92,7 +92,7 @@
 	if c.stream.resumes == "" && content == 0 {
 		return nil
 	}
-	return &ledgerpb.OpenStream{
+	command := &ledgerpb.OpenStream{
 		Account:     c.accountName(),
 		CallId:      c.meta.ID,
 		Resumes:     c.stream.resumes,
@@ -100,6 +100,10 @@
 		Content:     content,
 		RetentionMs: c.streamRetention().Milliseconds(),
 	}
+	if c.recordsOutput() {
+		command.LastEventId = c.meta.LastEventID
+	}
+	return command
 }
 
 // contentID identifies the content of the request among those of its client account. It is 0
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -80,6 +80,9 @@
 	// stream which the call resumes. Errors: errUnknownStream, *gate.OverloadError,
 	// leaderclient.ErrRefused, leaderclient.ErrUnavailable.
 	openStream(ctx context.Context, stream *ledgerpb.OpenStream) (version string, err error)
+	// recordOutput records events of a stream whose version is recorded. Errors: errUnknownStream if
+	// the call may not record them, leaderclient.ErrRefused, leaderclient.ErrUnavailable.
+	recordOutput(ctx context.Context, record *ledgerpb.RecordOutput) error
 	// fetchChain appends the content of the long chain of a turn to content, and verifies it.
 	// Errors: errChainBroken, leaderclient.ErrRefused, leaderclient.ErrUnavailable.
 	fetchChain(ctx context.Context, account, lastTurn string, chain longChain, content []byte) ([]byte, error)
@@ -89,10 +92,11 @@
 
 // history is what a turn continues from.
 type history struct {
-	turns         []*ledgerpb.Exchange // earlier turns, oldest first
-	long          longChain            // earlier turns that are to be fetched, instead of turns
-	server        string               // ID of the server that ran the latest one, or ""
-	streamVersion string               // software version that began the resumed stream, or ""
+	turns         []*ledgerpb.Exchange    // earlier turns, oldest first
+	long          longChain               // earlier turns that are to be fetched, instead of turns
+	server        string                  // ID of the server that ran the latest one, or ""
+	streamVersion string                  // software version that began the resumed stream, or ""
+	output        []*ledgerpb.OutputEvent // recorded events of the resumed stream that the client holds
 }
 
 // queueOptions says how a turn waits to be sent to the ledger.
@@ -182,7 +186,7 @@
 	case ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM:
 		return history{}, errUnknownStream
 	}
-	return history{turns: resp.Chain, long: longChain{size: int64(resp.ChainBytes), checksum: resp.ChainChecksum}, server: resp.Server, streamVersion: resp.StreamVersion}, nil
+	return history{turns: resp.Chain, long: longChain{size: int64(resp.ChainBytes), checksum: resp.ChainChecksum}, server: resp.Server, streamVersion: resp.StreamVersion, output: resp.Output}, nil
 }
 
 // openStream implements ledgerClient.
@@ -201,6 +205,22 @@
 	return resp.StreamVersion, nil
 }
 
+// recordOutput implements ledgerClient.
+func (l *remoteLedger) recordOutput(ctx context.Context, record *ledgerpb.RecordOutput) error {
+	call := order.Call{ID: queueID(fmt.Sprintf("output %d", record.Sequence), record.Account, record.CallId), Priority: gate.PrioritySettle}
+	if err := l.gate.acquire(ctx, call, nil); err != nil {
+		return err
+	}
+	resp, err := l.call(ctx, &ledgerpb.Request{Command: &ledgerpb.Command{Kind: &ledgerpb.Command_RecordOutput{RecordOutput: record}}})
+	if err != nil {
+		return err
+	}
+	if resp.Outcome != ledgerpb.Outcome_OUTCOME_OK {
+		return errUnknownStream
+	}
+	return nil
+}
+
 // finish implements ledgerClient.
 func (l *remoteLedger) finish(ctx context.Context, f *ledgerpb.Finish) error {
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -29,7 +29,10 @@
 func (s *State) CaptureSnapshot() func(io.Writer) error {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	c := &capture{nowMs: s.nowMs, streams: maps.Clone(s.streams.byCall)}
+	c := &capture{nowMs: s.nowMs, streams: maps.Clone(s.streams.byCall), outputs: make(map[key]*ledgerpb.StreamOutput, len(s.outputs.byOrigin))}
+	for k, out := range s.outputs.byOrigin {
+		c.outputs[k] = out.record(k)
+	}
 	for k, p := range s.programs {
 		c.programs = append(c.programs, p.record(k))
 	}
@@ -45,6 +48,7 @@
 	nowMs    int64
 	programs []*ledgerpb.Program
 	streams  map[key]stream
+	outputs  map[key]*ledgerpb.StreamOutput
 	turns    []capturedTurn // each after the turn that it continues from
 }
 
@@ -83,11 +87,16 @@
 		}
 	}
 	for _, k := range sortedKeys(c.streams) {
-		// Builds that do not know streams take the record for one of the time stamp.
+		// Builds that do not know streams or outputs take the record for one of the time stamp.
 		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: c.nowMs, Stream: c.streams[k].record(k)}); err != nil {
 			return err
 		}
 	}
+	for _, k := range sortedKeys(c.outputs) {
+		if err := writeRecord(buffered, &ledgerpb.Record{NowMs: c.nowMs, Output: c.outputs[k]}); err != nil {
+			return err
+		}
+	}
 	for _, t := range c.turns {
 		record, err := t.record()
 		if err != nil {
@@ -151,7 +160,7 @@
 	s.nowMs, s.lastExpiryMs = restored.nowMs, restored.nowMs
 	s.programs, s.turns = restored.programs, restored.turns
 	s.turnBytes, s.memoryBytes, s.largeBytes = restored.turnBytes, restored.memoryBytes, restored.largeBytes
-	s.streams = restored.streams
+	s.streams, s.outputs = restored.streams, restored.outputs
 	s.unknown += restored.unknown
 	return nil
 }
@@ -193,6 +202,8 @@
 		return s.addTurn(record.Turn)
 	case record.Stream != nil:
 		s.streams.put(key{record.Stream.Account, record.Stream.CallId}, restoreStream(record.Stream))
+	case record.Output != nil:
+		s.outputs.put(key{record.Output.Account, record.Output.Origin}, restoreOutput(record.Output))
 	case record.NowMs != 0:
 		s.nowMs = record.NowMs
 	default:
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -2,7 +2,7 @@
 // pass-through routes. It tracks the token budget of each program, which a turn
 // reserves from before it runs and settles afterwards, and stores finished turns
 // so that later turns can continue from them. It also records the software version
-// that runs each stream which clients may resume. Programs, turns and streams belong to a
+// that runs each stream which clients may resume, and the events of those whose turns are kept. Programs, turns and streams belong to a
 // client account: commands of one account neither see nor change those of another.
 package ledger
 
@@ -42,6 +42,7 @@
 	largeBytes   int64            // the part of turnBytes of large bodies on disk
 	bodies       *bodyStore
 	streams      streamTable
+	outputs      outputTable
 	unknown      int // commands and snapshot records of unknown kinds, since the start
 }
 
@@ -87,7 +88,7 @@
 }
 
 func newState(bodies *bodyStore) *State {
-	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: newStreamTable(), bodies: bodies}
+	return &State{programs: make(map[key]*program), turns: make(map[key]*turn), streams: newStreamTable(), outputs: newOutputTable(), bodies: bodies}
 }
 
 // NowMs returns the highest time stamp of a command, in milliseconds since the Unix epoch, or 0 before
@@ -100,14 +101,18 @@
 
 // Result is the outcome of a command.
 type Result struct {
-	Outcome       ledgerpb.Outcome
-	previous      *turn  // turn that a Begin continues from, or nil
-	streamVersion string // software version that began the resumed stream, or ""
+	Outcome  ledgerpb.Outcome
+	previous *turn // turn that a Begin continues from, or nil
+	opened
 }
 
 // StreamVersion returns the software version that began the stream which a call
 // resumes, or "" if it resumes none.
-func (r Result) StreamVersion() string { return r.streamVersion }
+func (r Result) StreamVersion() string { return r.version }
+
+// Output returns the recorded events of the stream which a call resumes, up to the last one that
+// its client holds. They must not be changed.
+func (r Result) Output() []*ledgerpb.OutputEvent { return r.output }
 
 // PreviousTurns returns the turn that a Begin continues from and all its
 // ancestors, oldest first. It returns nil if one of them cannot be read: see Chain.
@@ -141,6 +146,8 @@
 		return s.finish(kind.Finish)
 	case *ledgerpb.Command_OpenStream:
 		return s.openStreamOnly(kind.OpenStream)
+	case *ledgerpb.Command_RecordOutput:
+		return s.recordOutput(kind.RecordOutput)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,17 +174,17 @@
 			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_TURN}
 		}
 	}
-	var version string
+	var stream opened
 	if b.Stream != nil {
 		var found bool
-		if version, found = s.openStream(b.Account, b.Stream); !found {
+		if stream, found = s.openStream(b.Account, b.Stream); !found {
 			return Result{Outcome: ledgerpb.Outcome_OUTCOME_UNKNOWN_STREAM}
 		}
 	}
 	if b.Limited && !s.reserve(b) {
 		return Result{Outcome: ledgerpb.Outcome_OUTCOME_BUDGET_SPENT}
 	}
-	return Result{previous: previous, streamVersion: version}
+	return Result{previous: previous, opened: stream}
 }
 
 // reserve reserves the maximum number of tokens that a turn may generate and
@@ -315,6 +322,7 @@
 	Programs int
 	Turns    int
 	Streams  int
+	Outputs  int64 // bytes of the recorded events of streams
 	Bytes    int64 // of the input and output of the turns
 	Memory   int64 // the part of Bytes that is in memory
 	Large    int64 // the part of Bytes of large bodies, which are on disk even beyond its limit
@@ -326,7 +334,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return Stats{
-		Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall),
+		Programs: len(s.programs), Turns: len(s.turns), Streams: len(s.streams.byCall), Outputs: s.outputs.bytes,
 		Bytes: s.turnBytes, Memory: s.memoryBytes, Large: s.largeBytes, Unknown: s.unknown,
 	}
 }
--- a/internal/statehost/host.go
+++ b/internal/statehost/host.go
@@ -371,6 +371,7 @@
 	h.metrics.turns.Set(float64(stats.Turns))
 	h.metrics.programs.Set(float64(stats.Programs))
 	h.metrics.streams.Set(float64(stats.Streams))
+	h.metrics.outputBytes.Set(float64(stats.Outputs))
 	h.metrics.turnBytes.Set(float64(stats.Bytes))
 	h.metrics.turnMemoryBytes.Set(float64(stats.Memory))
 	h.reportSpill(h.spill.Stats())
--- a/internal/statehost/metrics.go
+++ b/internal/statehost/metrics.go
@@ -21,6 +21,7 @@
 	watchers          prometheus.Gauge
 	programs          prometheus.Gauge
 	streams           prometheus.Gauge
+	outputBytes       prometheus.Gauge
 	turns             prometheus.Gauge
 	turnBytes         prometheus.Gauge
 	turnMemoryBytes   prometheus.Gauge
@@ -73,6 +74,7 @@
 		watchers:         gauge("watchers", "Processes that watch the backend servers and routes here."),
 		programs:         gauge("ledger_programs", "Programs in the ledger."),
 		streams:          gauge("ledger_streams", "Streams in the ledger that clients can resume."),
+		outputBytes:      gauge("ledger_output_bytes", "Recorded events of streams whose turns are kept."),
 		turns:            gauge("ledger_turns", "Kept turns in the ledger."),
 		turnBytes:        gauge("ledger_turn_bytes", "Size of the input and output of the kept turns in the ledger."),
 		turnMemoryBytes:  gauge("ledger_turn_memory_bytes", "Part of the size of the kept turns that is in memory."),
@@ -86,6 +88,6 @@
 		refusedTurns:  counter("ledger_refused_turns_total", "First turns that were refused for lack of room, by resource.", "resource"),
 		routesVersion: gauge("routes_applied_version", "Version of the routes that this state host has applied."),
 	}
-	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.turns, m.turnBytes, m.turnMemoryBytes, m.turnSpilledBytes, m.spillFailures, m.roomLevel, m.roomUsed, m.roomCapacity, m.refusedTurns, m.routesVersion)
+	registry.MustRegister(m.retries, m.heartbeats, m.operatorRequests, m.ledgerCommands, m.membershipSteps, m.reportsSent, m.updatesSent, m.updatesUnsendable, m.unknownRecords, m.permits, m.accountPermits, m.busyResponses, m.watchers, m.programs, m.streams, m.outputBytes, m.turns, m.turnBytes, m.turnMemoryBytes, m.turnSpilledBytes, m.spillFailures, m.roomLevel, m.roomUsed, m.roomCapacity, m.refusedTurns, m.routesVersion)
 	return m
 }
--- a/internal/statehost/retention.go
+++ b/internal/statehost/retention.go
@@ -71,9 +71,10 @@
 	}
 }
 
-// indexBytes returns what the records of a ledger take in memory besides the inputs and outputs.
+// indexBytes returns what the records of a ledger take in memory besides the inputs and outputs of
+// kept turns.
 func indexBytes(stats ledger.Stats) int64 {
-	return int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes + int64(stats.Streams)*streamIndexBytes
+	return int64(stats.Turns)*turnIndexBytes + int64(stats.Programs)*programIndexBytes + int64(stats.Streams)*streamIndexBytes + stats.Outputs
 }
 
 // keptResources returns the use of the disk and of the memory by kept turns, in that order.
--- a/internal/statehost/service.go
+++ b/internal/statehost/service.go
@@ -50,6 +50,10 @@
 		h.metrics.ledgerCommands.WithLabelValues(kind, "too_large").Inc()
 		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "turn of %d bytes, limit %d", size, h.maxTurnBytes())
 	}
+	if h.lacksBeginning(req.Command.GetFinish()) {
+		h.metrics.ledgerCommands.WithLabelValues(kind, "incomplete").Inc()
+		return nil, transport.Errorf(rpcpb.Code_CODE_INVALID, "turn without the events of earlier calls of its stream")
+	}
 	if err := h.admitTurn(req); err != nil {
 		h.metrics.ledgerCommands.WithLabelValues(kind, "no_room").Inc()
 		return nil, err
@@ -79,7 +83,7 @@
 	if busy {
 		h.metrics.busyResponses.Inc()
 	}
-	resp := &ledgerpb.Response{Outcome: result.Outcome, Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Busy: busy}
+	resp := &ledgerpb.Response{Outcome: result.Outcome, Server: result.PreviousServer(), StreamVersion: result.StreamVersion(), Output: result.Output(), Busy: busy}
 	if err := h.addChain(ctx, resp, result, req.FetchesChain); err != nil {
 		return nil, err
 	}
@@ -116,6 +120,13 @@
 	return int64(len(finish.GetInput()) + len(finish.GetOutput()))
 }
 
+// lacksBeginning reports whether a turn that is to be kept has only the events of its call, which
+// resumed a stream: entries of earlier builds do not know the others. Their client gets no end of
+// the response, so that no program continues from a turn with a hole.
+func (h *Host) lacksBeginning(f *ledgerpb.Finish) bool {
+	return f.GetKeep() && !f.Whole && h.ledger.Resumed(f.Account, f.CallId)
+}
+
 // proposeToLedger proposes a command to the ledger, like proposeOnce.
 func (h *Host) proposeToLedger(ctx context.Context, key string, data []byte) (replica.Applied, error) {
 	return h.proposeOnce(ctx, LedgerGroup, key, func() (replica.Applied, error) {
@@ -183,18 +194,21 @@
 	if open := cmd.GetOpenStream(); open != nil {
 		key += fmt.Sprintf(" %d", open.Revision)
 	}
+	if record := cmd.GetRecordOutput(); record != nil {
+		key += fmt.Sprintf(" %d", record.Sequence)
+	}
 	return key
 }
 
 // callID returns the ID of the call that the command begins or finishes, or whose stream
-// it opens.
+// it opens or records.
 func callID(cmd *ledgerpb.Command) string {
-	return cmd.GetBegin().GetCallId() + cmd.GetFinish().GetCallId() + cmd.GetOpenStream().GetCallId()
+	return cmd.GetBegin().GetCallId() + cmd.GetFinish().GetCallId() + cmd.GetOpenStream().GetCallId() + cmd.GetRecordOutput().GetCallId()
 }
 
 // accountOf returns the client account of the call.
 func accountOf(cmd *ledgerpb.Command) string {
-	return cmd.GetBegin().GetAccount() + cmd.GetFinish().GetAccount() + cmd.GetOpenStream().GetAccount()
+	return cmd.GetBegin().GetAccount() + cmd.GetFinish().GetAccount() + cmd.GetOpenStream().GetAccount() + cmd.GetRecordOutput().GetAccount()
 }
 
 // logRefusal logs a command that the ledger refused.
@@ -212,6 +226,8 @@
 		return "begin"
 	case *ledgerpb.Command_OpenStream:
 		return "open_stream"
+	case *ledgerpb.Command_RecordOutput:
+		return "record_output"
 	}
 	return "finish"
 }
