Responses whose status is none of HTTP are lost connections

Callers of the product's own interface got a success for a service's response with status 000, which a sidecar commits.

Cause: HTTP libraries read status lines more generously than HTTP defines them. Hertz reports a code of 0 as 200; net/http takes any three characters that are a number, and any version; our loop over interim responses took all codes below 200 for interim ones.

Change: internal/statusline accepts HTTP/1 with three digits from 100 to 599 (RFC 9110, section 15). Both clients towards backend servers pass it for each response, interim ones included: passthrough.readResponse and the connections of responselimit, which ibistrayctl uses, too. 101 is refused, as no request asks for it. The connection is closed; a request that may be repeated goes to another server, for others the outcome is unknown at once.

--- a/internal/passthrough/conn.go
+++ b/internal/passthrough/conn.go
@@ -213,7 +213,7 @@
 		if req.OnHeader != nil {
 			req.OnHeader(resp.StatusCode, resp.Header)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
@@ -252,7 +252,7 @@
 	if len(c.refused) >= maxRefusals {
 		return false
 	}
-	if resp.Close || !delimited(resp) || c.reader.Buffered() > 0 || resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.Close || !delimited(resp) || c.reader.Buffered() > 0 {
 		return false
 	}
 	c.idleTimeout = parseIdleTimeout(resp.Header)
--- a/internal/passthrough/framing.go
+++ b/internal/passthrough/framing.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"ibistray.example/ibistray/internal/statusline"
 )
 
 // errInvalidFraming means that the header of a response does not tell reliably where its body
@@ -36,12 +38,28 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkStatus(resp); err != nil {
+		return nil, err
+	}
 	if err := checkFraming(resp.Header, c.header.recorded); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
+// checkStatus returns statusline.ErrInvalid for a version or a status that is none of HTTP/1, and for
+// a switch of protocols, which no request asks for.
+func checkStatus(resp *http.Response) error {
+	code, _, _ := strings.Cut(resp.Status, " ")
+	if err := statusline.Check(resp.Proto, code); err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: switch of protocols", statusline.ErrInvalid)
+	}
+	return nil
+}
+
 // checkFraming returns errInvalidFraming for a field about the end of the body that net/http
 // ignores: one with a space after its name, and a Transfer-Encoding in a version without it, which
 // net/http also removes from the header. recorded is the beginning of a response of such a version.
--- a/internal/responselimit/responselimit.go
+++ b/internal/responselimit/responselimit.go
@@ -1,6 +1,6 @@
-// Package responselimit bounds what clients of the Hertz library hold of a response. The library
-// reads a header into memory until it is complete, and so it does with a body that states neither
-// a length nor chunks.
+// Package responselimit bounds what clients of the Hertz library hold of a response, and checks its
+// status. The library reads a header into memory until it is complete, and so it does with a body
+// that states neither a length nor chunks. It takes the status 000 for 200.
 package responselimit
 
 import (
@@ -14,6 +14,8 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"ibistray.example/ibistray/internal/statusline"
 )
 
 const (
@@ -50,14 +52,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, remaining: d.limit}, nil
+	return &conn{Conn: c, remaining: d.limit, inHeader: true}, nil
 }
 
 // conn is a connection that buffers at most maxHeaderBytes beyond what the reader has asked for at
-// once, and ends after a number of bytes.
+// once, and ends after a number of bytes. Its responses begin with a valid status line.
 type conn struct {
 	network.Conn
-	remaining int // bytes
+	remaining int  // bytes
+	inHeader  bool // the next bytes are the header of a response
 }
 
 // Peek implements network.Reader. A reader that asks for more while maxHeaderBytes are
@@ -69,12 +72,42 @@
 	if buffered := c.Len(); buffered > maxHeaderBytes && n > buffered {
 		return nil, errHeaderTooLarge
 	}
-	return c.Conn.Peek(n)
+	data, err := c.Conn.Peek(n)
+	if err != nil || !c.inHeader {
+		return data, err
+	}
+	if line, complete := c.statusLine(); complete {
+		if err := statusline.CheckLine(line); err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
 }
 
-// Skip implements network.Reader.
+// statusLine returns the first line that is buffered and not empty, and whether it is complete. The
+// library skips empty lines before a response.
+func (c *conn) statusLine() (line []byte, complete bool) {
+	buffered, err := c.Conn.Peek(c.Len())
+	if err != nil {
+		return nil, false
+	}
+	for len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+		if line, buffered, complete = bytes.Cut(buffered, []byte("\n")); !complete {
+			return nil, false
+		}
+	}
+	return line, true
+}
+
+// Skip implements network.Reader. The library reads a header as a whole, and then the next one if
+// the response was an interim one.
 func (c *conn) Skip(n int) error {
 	c.remaining -= n
+	if c.inHeader {
+		line, _ := c.statusLine()
+		_, status, _ := bytes.Cut(line, []byte(" "))
+		c.inHeader = bytes.HasPrefix(status, []byte("100"))
+	}
 	return c.Conn.Skip(n)
 }
 
