A resumed stream begins no program

The first turn of a program that its client resumed at another entry was taken for one that begins a program, and could be refused as programs_shed, judged by the service that the weights choose for new requests.

Cause: an entry knows the programs that it has begun itself; a request without Previous-Turn counted as new, whatever Last-Event-Id said.

TestResumedStreamIsNotANewProgram failed before: 503 programs_shed in place of events 4 to 6.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -98,7 +98,9 @@
 	settled  chan *ledgerpb.Finish // receives each element of finished
 }
 
-func (l *fakeLedger) isNewProgram(_ string, meta *RequestMeta) bool { return meta.PreviousTurn == "" }
+func (l *fakeLedger) isNewProgram(_ string, meta *RequestMeta) bool {
+	return meta.mayBeginProgram()
+}
 
 func (l *fakeLedger) begin(_ context.Context, account string, meta *RequestMeta, stream *ledgerpb.OpenStream, _ queueOptions) (history, error) {
 	l.mu.Lock()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -31,6 +31,10 @@
 	Key          string // with which the client authenticates, "" if it sent none
 }
 
+// mayBeginProgram reports whether the request is neither a later turn of a program nor the rest of an
+// earlier attempt at its first one.
+func (m *RequestMeta) mayBeginProgram() bool { return m.PreviousTurn == "" && m.LastEventID == "" }
+
 // validateNames returns an error that wraps ErrBadRequest if a name that the ledger records is
 // not UTF-8, so that no message to the ledger could carry it.
 func (m *RequestMeta) validateNames() error {
--- a/internal/gateway/shedding_test.go
+++ b/internal/gateway/shedding_test.go
@@ -34,6 +34,21 @@
 	<-f.ledger.settled
 }
 
+// TestResumedStreamIsNotANewProgram guards against first turns that were refused when their client
+// resumed them at another entry, as if they began programs: the service that the weights choose for
+// new ones need not be the one that runs the stream.
+func TestResumedStreamIsNotANewProgram(t *testing.T) {
+	f := newLimitedFixture(t, &fakePermits{left: 3}, newBackend(t, "limited", streamFrom), newBackend(t, "b", streamFrom))
+	f.ledger.streams["first"] = software("")
+	f.shedder.level("s").RecordShortage(0)
+	f.shedder.level("s").RecordShortage(100 * time.Millisecond)
+	f.shedder.draw = func() float64 { return 0.9999 }
+	got := f.send(t, http.MethodPost, "/stream/x", "in", "Id", "new", "Program", "q")
+	assert.Equal(t, got.body, reasonShed+"\n")
+	got = f.send(t, http.MethodPost, "/stream/x", "in", "Id", "again", "After", "3", "Resumes", "first", "Program", "p")
+	assert.Equal(t, got.body, eventText(4, 6))
+}
+
 func TestRefusedCallOfRunningProgramIsAShortage(t *testing.T) {
 	f := newFixture(t)
 	f.send(t, http.MethodPost, "/unsafe/x", "", "Id", "1", "Timeout-Ms", "200")
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -145,7 +145,7 @@
 
 // isNewProgram implements ledgerClient.
 func (l *remoteLedger) isNewProgram(account string, meta *RequestMeta) bool {
-	return meta.PreviousTurn == "" && !l.recentPrograms.has(programKey(account, meta.Program), time.Now())
+	return meta.mayBeginProgram() && !l.recentPrograms.has(programKey(account, meta.Program), time.Now())
 }
 
 // begin implements ledgerClient.
