Event IDs are bytes in messages to the ledger

A server whose event IDs are not UTF-8, or a client with such a Last-Event-Id, would have kept a RecordOutput or a Begin from being encoded, and a kept turn from being resumed. TestEventIDsNeedNotBeText covers it.

--- a/internal/gateway/output_record.go
+++ b/internal/gateway/output_record.go
@@ -54,7 +54,7 @@
 	}
 	ids := make([]string, len(events))
 	for i, ev := range events {
-		ids[i] = ev.Id
+		ids[i] = string(ev.Id)
 		if !ev.HasData {
 			continue
 		}
@@ -102,7 +102,7 @@
 		if !ev.hasData && ev.id == "" {
 			continue
 		}
-		record.pending = append(record.pending, &ledgerpb.OutputEvent{Id: ev.id, Data: ev.data, HasData: ev.hasData})
+		record.pending = append(record.pending, &ledgerpb.OutputEvent{Id: []byte(ev.id), Data: ev.data, HasData: ev.hasData})
 		record.pendingBytes += len(ev.raw)
 	}
 	if record.pendingBytes > maxUnrecordedBytes {
--- a/internal/gateway/resumed_turn_test.go
+++ b/internal/gateway/resumed_turn_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -244,6 +245,27 @@
 	assert.Assert(t, !shared.kept("2"))
 }
 
+// TestEventIDsNeedNotBeText has a server whose IDs no string of a message to the ledger could carry.
+func TestEventIDsNeedNotBeText(t *testing.T) {
+	ids := []string{"\xff1", "\xff2", "\xff3"}
+	server := newBackend(t, "a", func(w http.ResponseWriter, r *http.Request, _ string) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, id := range ids[slices.Index(ids, r.Header.Get("After"))+1:] {
+			fmt.Fprintf(w, "id: %s\ndata: of %s\n\n", id, r.Header.Get("Id"))
+		}
+	})
+	f := newFixture(t, server)
+	shared := &stateLedger{fakeLedger: f.ledger, state: ledger.New()}
+	f.Gateway.ledger = shared
+	assert.Equal(t, f.send(t, http.MethodPost, "/talk/x", "in;", "Id", "1", "Program", "p").status, http.StatusOK)
+	got := f.send(t, http.MethodPost, "/talk/x", "in;", "Id", "2", "Program", "p", "Resumes", "1", "After", ids[1])
+	assert.Equal(t, got.body, "id: \xff3\ndata: of 2\n\n")
+	assert.Equal(t, shared.recorded, 2)
+	f.send(t, http.MethodPost, "/talk/x", "next;", "Id", "3", "Program", "p", "Previous", "2")
+	executed := server.executed()
+	assert.Equal(t, executed[len(executed)-1], "3:in;of 1\nof 1\nof 2\nnext;")
+}
+
 // TestTurnOfARouteWithoutResumptionBeginsAnew has a client that resumes a stream where the route does
 // not allow it. It gets the whole stream of a new run, and that is what is kept.
 func TestTurnOfARouteWithoutResumptionBeginsAnew(t *testing.T) {
--- a/internal/gateway/stream_version.go
+++ b/internal/gateway/stream_version.go
@@ -101,7 +101,7 @@
 		RetentionMs: c.streamRetention().Milliseconds(),
 	}
 	if c.recordsOutput() {
-		command.LastEventId = c.meta.LastEventID
+		command.LastEventId = []byte(c.meta.LastEventID)
 	}
 	return command
 }
--- a/internal/ledger/output.go
+++ b/internal/ledger/output.go
@@ -103,7 +103,7 @@
 func eventIDs(events []*ledgerpb.OutputEvent) []string {
 	ids := make([]string, len(events))
 	for i, ev := range events {
-		ids[i] = ev.Id
+		ids[i] = string(ev.Id)
 	}
 	return ids
 }
@@ -112,7 +112,7 @@
 // command of the resuming call, the later ones are removed, since the client gets those of that
 // call, and only that call records from then on.
 func (s *State) resumeOutput(account, origin string, o *ledgerpb.OpenStream, first bool) []*ledgerpb.OutputEvent {
-	if o.LastEventId == "" {
+	if len(o.LastEventId) == 0 {
 		return nil
 	}
 	k := key{account, origin}
@@ -121,7 +121,7 @@
 		out = new(output)
 		s.outputs.put(k, out)
 	}
-	held := resume.Held(eventIDs(out.events), o.LastEventId)
+	held := resume.Held(eventIDs(out.events), string(o.LastEventId))
 	if first {
 		s.outputs.truncate(out, held)
 		out.recorder, out.sequence = o.CallId, 0
--- a/internal/ledger/output_test.go
+++ b/internal/ledger/output_test.go
@@ -14,7 +14,7 @@
 func recordOutput(call string, sequence uint32, from, to int) *ledgerpb.Command {
 	record := &ledgerpb.RecordOutput{CallId: call, Sequence: sequence, First: uint32(from - 1), RetentionMs: streamRetention.Milliseconds()}
 	for n := from; n <= to; n++ {
-		record.Events = append(record.Events, &ledgerpb.OutputEvent{Id: fmt.Sprint(n), Data: []byte(call), HasData: true})
+		record.Events = append(record.Events, &ledgerpb.OutputEvent{Id: fmt.Append(nil, n), Data: []byte(call), HasData: true})
 	}
 	return &ledgerpb.Command{Kind: &ledgerpb.Command_RecordOutput{RecordOutput: record}}
 }
@@ -22,7 +22,7 @@
 // resumeAfter resumes a stream whose client holds the events up to the given one.
 func resumeAfter(call, resumes string, last int) *ledgerpb.Command {
 	cmd := resumeStream(call, resumes)
-	cmd.GetOpenStream().LastEventId = fmt.Sprint(last)
+	cmd.GetOpenStream().LastEventId = fmt.Append(nil, last)
 	cmd.GetOpenStream().RetentionMs = streamRetention.Milliseconds()
 	return cmd
 }
