--- a/internal/gateway/resumed_turn_test.go
+++ b/internal/gateway/resumed_turn_test.go
@@ -94,13 +94,19 @@
 	return found
 }
 
+// turnServer says how the server of a test behaves.
+type turnServer struct {
+	runsDiffer bool // each event names its run
+	breakAfter int  // event after which a run from the start breaks off, 0: none
+}
+
 // newTurnBackend starts a server that sends the events after the last one that the request names,
-// with a pause after each, up to the last event of a turn. Each names its run if runsDiffer.
-func newTurnBackend(t *testing.T, id string, runsDiffer bool) *backend {
+// with a pause after each, up to the last event of a turn.
+func newTurnBackend(t *testing.T, id string, behaviour turnServer) *backend {
 	return newBackend(t, id, func(w http.ResponseWriter, r *http.Request, _ string) {
 		after, _ := strconv.Atoi(r.Header.Get("After"))
 		run := "any run"
-		if runsDiffer {
+		if behaviour.runsDiffer {
 			run = r.Header.Get("Id")
 		}
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -109,14 +115,17 @@
 			if http.NewResponseController(w).Flush() != nil {
 				return
 			}
+			if after == 0 && n == behaviour.breakAfter {
+				panic(http.ErrAbortHandler)
+			}
 			time.Sleep(2 * time.Millisecond)
 		}
 	})
 }
 
 // turnEntries returns two entries with the same ledger and server.
-func turnEntries(t *testing.T, runsDiffer bool) ([2]*fixture, *stateLedger, *backend) {
-	server := newTurnBackend(t, "a", runsDiffer)
+func turnEntries(t *testing.T, behaviour turnServer) ([2]*fixture, *stateLedger, *backend) {
+	server := newTurnBackend(t, "a", behaviour)
 	shared := &stateLedger{state: ledger.New()}
 	var entries [2]*fixture
 	for i := range entries {
@@ -183,18 +192,19 @@
 // received it, even if servers do not repeat a stream alike.
 func TestTurnThatItsClientResumedIsKeptWhole(t *testing.T) {
 	cases := map[string]struct {
-		runsDiffer bool
-		prepare    func(*stateLedger)
+		server  turnServer
+		prepare func(*stateLedger)
 	}{
-		"recorded":                     {true, func(*stateLedger) {}},
-		"state hosts of earlier build": {false, func(l *stateLedger) { l.forgetful = true }},
-		"ledger that is not available": {false, func(l *stateLedger) { l.recordErr = leaderclient.ErrUnavailable }},
+		"recorded":                     {turnServer{runsDiffer: true}, func(*stateLedger) {}},
+		"server that breaks off, too":  {turnServer{runsDiffer: true, breakAfter: 4}, func(*stateLedger) {}},
+		"state hosts of earlier build": {turnServer{}, func(l *stateLedger) { l.forgetful = true }},
+		"ledger that is not available": {turnServer{breakAfter: 4}, func(l *stateLedger) { l.recordErr = leaderclient.ErrUnavailable }},
 	}
 	for name, c := range cases {
 		for first := 1; first < turnEvents; first += 2 {
 			for _, second := range []int{0, first + 1, turnEvents} {
 				t.Run(fmt.Sprintf("%s, broken after %d and %d", name, first, second), func(t *testing.T) {
-					entries, shared, server := turnEntries(t, c.runsDiffer)
+					entries, shared, server := turnEntries(t, c.server)
 					c.prepare(shared)
 					var client reception
 					client.receive(t, entries[0], "/talk/x", first, "Id", "1", "Program", "p")
@@ -213,7 +223,7 @@
 // TestTurnIsKeptWholeBesideItsFirstAttempt has a client that resumes its stream while the first
 // attempt still runs, so that both end and are kept.
 func TestTurnIsKeptWholeBesideItsFirstAttempt(t *testing.T) {
-	entries, shared, server := turnEntries(t, false)
+	entries, shared, server := turnEntries(t, turnServer{})
 	var client reception
 	var first sync.WaitGroup
 	first.Go(func() { client.receive(t, entries[0], "/talk/x", turnEvents, "Id", "1", "Program", "p") })
@@ -237,7 +247,7 @@
 // TestTurnWithoutItsBeginningIsNotKept has a server that ends before the events that the client
 // holds, so that it cannot repeat those which are not recorded.
 func TestTurnWithoutItsBeginningIsNotKept(t *testing.T) {
-	entries, shared, _ := turnEntries(t, false)
+	entries, shared, _ := turnEntries(t, turnServer{})
 	shared.forgetful = true
 	new(reception).receive(t, entries[0], "/talk/x", 3, "Id", "1", "Program", "p")
 	got := entries[1].send(t, http.MethodPost, "/talk/x", "in;", "Id", "2", "Program", "p", "Resumes", "1", "After", strconv.Itoa(turnEvents+5))
@@ -269,7 +279,7 @@
 // TestTurnOfARouteWithoutResumptionBeginsAnew has a client that resumes a stream where the route does
 // not allow it. It gets the whole stream of a new run, and that is what is kept.
 func TestTurnOfARouteWithoutResumptionBeginsAnew(t *testing.T) {
-	entries, shared, server := turnEntries(t, true)
+	entries, shared, server := turnEntries(t, turnServer{runsDiffer: true})
 	new(reception).receive(t, entries[0], "/chat/x", 3, "Id", "1", "Program", "p")
 	var client reception
 	client.receive(t, entries[1], "/chat/x", turnEvents, "Id", "2", "Program", "p", "Resumes", "1", "After", "3")
