Entries close connections beyond either limit, and unused ones for new ones

Callers saw: beside 800 clients that never sent a request, an entry whose descriptors allow 472 connections held 662 descriptors, 62 more than it may use, and had no place for others until the header timeout.

Cause: connections beyond a limit get a 503 for their first request, and only 32 of them at a time may wait for one. That margin was checked against the limit by memory alone. Connections that had carried no request could not be closed for new ones.

Change: PlanConnections decides about the margin for both limits.

--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -21,9 +21,6 @@
 	// connectionSweepInterval is the interval at which idle connections of clients are checked
 	// against the limits of the routes.
 	connectionSweepInterval = 5 * time.Second
-	// refusedConnections is the number of connections beyond the limits on which a refusal can
-	// be sent at the same time. Further ones are closed without.
-	refusedConnections = 32
 )
 
 // unusedPollInterval is the interval at which a stopping entry looks for connections that have
@@ -138,12 +135,12 @@
 		c.metrics.ClosedConnections.WithLabelValues(closedServer).Add(float64(plan.CloseServers))
 	}
 	if plan.CloseClients > 0 {
-		c.closeIdle(plan.CloseClients)
+		c.closeWaiting(plan.CloseClients)
 	}
 	if !plan.Refuse {
 		return ctx
 	}
-	if c.limits.Clients > 0 && clients > c.limits.Clients+refusedConnections {
+	if plan.Close {
 		c.close(waitingConn{added, since}, closedClient)
 	}
 	return gateway.RefuseConnection(ctx)
@@ -157,7 +154,7 @@
 	if memory.PlanConnections(state, c.limits) == (memory.Plan{}) {
 		return memory.Plan{}
 	}
-	state.IdleClients = len(c.idle())
+	state.IdleClients = len(c.closable())
 	return memory.PlanConnections(state, c.limits)
 }
 
@@ -175,10 +172,32 @@
 	return list
 }
 
-// closeIdle closes up to n connections that wait for another request, longest first.
-func (c *connections) closeIdle(n int) {
-	idle := c.idle()
-	for _, conn := range idle[:min(n, len(idle))] {
+// closable returns the connections that may be closed for new ones: those that have carried no
+// request for some time, and then those that wait for another one, longest first.
+func (c *connections) closable() []waitingConn {
+	now := c.now()
+	var list []waitingConn
+	c.open.Range(func(_, value any) bool {
+		conn := value.(*clientConn)
+		since := conn.waitingSince.Load()
+		if since > 0 && (conn.used.Load() || memory.MayClose(time.Duration(now-since))) {
+			list = append(list, waitingConn{conn, since})
+		}
+		return true
+	})
+	slices.SortFunc(list, func(a, b waitingConn) int {
+		if used := a.used.Load(); used != b.used.Load() {
+			return map[bool]int{false: -1, true: 1}[used]
+		}
+		return cmp.Compare(a.since, b.since)
+	})
+	return list
+}
+
+// closeWaiting closes up to n connections that may be closed.
+func (c *connections) closeWaiting(n int) {
+	waiting := c.closable()
+	for _, conn := range waiting[:min(n, len(waiting))] {
 		c.close(conn, closedClient)
 	}
 }
--- a/internal/hosted/connections_test.go
+++ b/internal/hosted/connections_test.go
@@ -145,9 +145,9 @@
 func TestConnectionsThatBecomeBusyMeanwhileAreNotClosed(t *testing.T) {
 	c := newConnections(memory.Limits{Clients: 100}, &fakeServers{}, telemetry.NewMetrics())
 	client := addIdle(t, c)
-	c.closeIdle(3)
+	c.closeWaiting(3)
 	assert.Assert(t, !isOpen(client))
-	c.closeIdle(3)
+	c.closeWaiting(3)
 }
 
 // TestRequestThatCrossesTheCloseIsNotPassedOn guards against a request that is read while its
@@ -172,7 +172,7 @@
 	c.close(before[0], closedClient)
 	assert.Assert(t, isOpen(client), "a request has arrived meanwhile")
 	c.observe(server, http.StateIdle)
-	c.closeIdle(1)
+	c.closeWaiting(1)
 	assert.Assert(t, !isOpen(client))
 	assert.Equal(t, arrive(), http.ErrAbortHandler)
 	assert.Equal(t, passedOn, 2)
