What clients make HTTP listeners hold is bounded before a handler decides

Callers saw: crowds of clients with heads over the limit or without end, empty lines, trailers, chunks or unfinished bodies ended processes over their memory, at every port: 300 of them an entry of 134 MB twice in 6 s. Ordinary requests were refused meanwhile or lost with the process.

Cause: net/http decodes a head as it arrives, and 60 KB in 15,000 fields take more than ten times that; heads counted 32 KB each, unfinished ones nothing, and max_header_bytes of the routes was not applied. What the kernel takes for a process that does not read, 64 KB and more a connection, counts toward its memory and was not bounded. Control, metrics and readiness ports took any number of connections. A first empty line before a request got 400.

Change: internal/requestlimit wraps the connections of every HTTP listener of a hosted process, so the whole class passes there. It follows the framing of requests; the server gets a head once it is complete and never bytes of the next message. Heads, counted by bytes and fields, share 8 % of the memory limit beyond 4 KB each; a request that is alone fits, however large its head. Receive buffers are 8 KB, set on the listener. Heads, lines of chunks and trailers have limits in size and time, and the other ports limits of connections, which close those that wait longest for a request, never running ones. A refusal (431, 400, 503 with a delay) is sent before any handler has the request, so it has not run.

TestRequestsInsideTheLimitsAreServedInCalm failed before (400 for an empty line before a request).

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -101,6 +101,7 @@
 			Logger:      log,
 			Seeds:       hosted.NewSeeds(settings.SeedPeerAddresses()),
 			GracePeriod: settings.GracePeriod,
+			MemoryBytes: settings.MemoryLimitBytes,
 		}, standby: cmd.Bool(flagStandby), memory: memory, age: func() time.Duration { return clock.SinceBoot() - started }}
 		if port := cmd.Uint16(flagMetricsPort); port != 0 {
 			p.options.MetricsAddress = fmt.Sprintf("%s:%d", settings.IP, port)
@@ -167,6 +168,7 @@
 	control := func(h *statehost.Host) http.Handler {
 		return platform.NewControlHandler(h, p.options.Logger.Named("control"))
 	}
+	p.options.Connections = controlConnections(s)
 	addresses := hosted.Addresses{Control: s.ControlAddress, Peers: s.PeerAddress()}
 	return hosted.RunStateHost(cfg, addresses, control, p.options, p.stop)
 }
--- a/cmd/ibistrayd/memory.go
+++ b/cmd/ibistrayd/memory.go
@@ -82,6 +82,19 @@
 	return limits
 }
 
+// controlConnections returns the limits of the connections to the control address of a state host,
+// which leave half of the descriptors to its files and to other processes.
+func controlConnections(host *platform.Settings) memory.Limits {
+	var limits memory.Limits
+	if host.MemoryLimitBytes > 0 {
+		limits.Clients = max(1, int(defaultConnectionShare*float64(host.MemoryLimitBytes)/connectionBytes))
+	}
+	if host.MaxDescriptors > 0 {
+		limits.Total = max(1, host.MaxDescriptors/2)
+	}
+	return limits
+}
+
 // limits returns the limits of the running requests of an entry on a host.
 func (s memorySettings) limits(host *platform.Settings) gateway.MemoryLimits {
 	return gateway.MemoryLimits{
--- a/internal/gateway/unsent.go
+++ b/internal/gateway/unsent.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -14,11 +15,11 @@
 // LimitUnsent limits the unsent bytes of the connection of a client. On connections other than TCP
 // and on systems without such a limit it does nothing.
 func LimitUnsent(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return
 	}
--- a/internal/hosted/close_test.go
+++ b/internal/hosted/close_test.go
@@ -21,12 +21,12 @@
 	accepted, closing := make(chan struct{}), make(chan struct{})
 	listeners, err := p.listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := p.serveHTTP(listeners[0], http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := p.serveHTTP(listeners[0], service{handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(accepted)
 		<-closing
 		_, err := io.WriteString(w, "ok")
 		assert.Check(t, err)
-	}), nil)
+	})})
 	server.RegisterOnShutdown(func() { close(closing) })
 
 	type result struct {
@@ -67,7 +67,7 @@
 	defer p.close()
 	listeners, err := p.listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
-	p.serveHTTP(listeners[0], http.NotFoundHandler(), nil)
+	p.serveHTTP(listeners[0], service{handler: http.NotFoundHandler()})
 	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", listeners[0].Addr().String())
 	assert.NilError(t, err)
 	defer conn.Close()
@@ -91,7 +91,7 @@
 	defer p.close()
 	listeners, err := p.listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
-	p.serveHTTP(listeners[0], http.NotFoundHandler(), nil)
+	p.serveHTTP(listeners[0], service{handler: http.NotFoundHandler()})
 	cases := map[int]int{60 << 10: http.StatusNotFound, 69 << 10: http.StatusRequestHeaderFieldsTooLarge}
 	for size, status := range cases {
 		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", listeners[0].Addr().String())
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -19,6 +19,7 @@
 	"ibistray.example/ibistray/internal/listener"
 	"ibistray.example/ibistray/internal/policy/memory"
 	"ibistray.example/ibistray/internal/reopen"
+	"ibistray.example/ibistray/internal/requestlimit"
 	"ibistray.example/ibistray/internal/spill"
 	"ibistray.example/ibistray/internal/statehost"
 	"ibistray.example/ibistray/internal/telemetry"
@@ -62,7 +63,8 @@
 	MetricsAddress string // "" for none
 	Seeds          *Seeds
 	GracePeriod    time.Duration // from the stop signal until the process is killed
-	Connections    memory.Limits // of an entry; the zero value sets none
+	Connections    memory.Limits // of clients; the zero value sets none
+	MemoryBytes    int64         // memory limit of the process; 0: none
 }
 
 // Seeds holds the addresses of the state hosts that a process contacts first. They can
@@ -95,6 +97,7 @@
 	opts       Options
 	metrics    *telemetry.Metrics
 	pool       *transport.Pool
+	heads      *requestlimit.Memory // of unfinished requests on all listeners
 	failed     failures
 	goroutines sync.WaitGroup
 	servers    []*httpServer
@@ -106,6 +109,7 @@
 		opts:    opts,
 		metrics: telemetry.NewMetrics(),
 		pool:    transport.NewPool(transport.DialTCPTimeout(peerDialTimeout)),
+		heads:   requestlimit.NewMemory(memory.HeadsLimit(opts.MemoryBytes)),
 		failed:  newFailures(),
 	}
 }
@@ -176,8 +180,8 @@
 	defer hedgePool.Close()
 	g := gateway.New(cfg, opts.Logger.Named("gateway"), p.metrics, p.pool, hedgePool)
 	connections := p.limitConnections(g)
-	clients := p.serveHTTP(listeners[0], g, connections)
-	p.serveHTTP(listeners[1], newReadyHandler(g.Ready), nil)
+	clients := p.serveHTTP(listeners[0], service{handler: g, limits: clientLimits(g), connections: connections})
+	p.serveHTTP(listeners[1], service{handler: newReadyHandler(g.Ready), limits: requestlimit.Limits{Connections: readyConnections}, timeout: readyTimeout})
 	p.serveMetrics()
 	g.Start()
 	opts.Logger.Info("started", "role", "entry", "clients", addresses.Clients, "seeds", opts.Seeds.Addresses())
@@ -189,6 +193,14 @@
 	return p.stopEntry(g, clients, connections)
 }
 
+// clientLimits returns the limits of requests that the routes name.
+func clientLimits(g *gateway.Gateway) requestlimit.Limits {
+	return requestlimit.Limits{
+		HeadBytes:   func() int { return g.ClientLimits().HeaderBytes },
+		HeadTimeout: func() time.Duration { return g.ClientLimits().HeaderTimeout },
+	}
+}
+
 // limitConnections returns the connections of clients. Idle ones are closed after the timeouts of
 // the routes if there are limits.
 func (p *process) limitConnections(g *gateway.Gateway) *connections {
@@ -310,7 +322,7 @@
 			p.fail(err)
 		}
 	})
-	p.serveHTTP(listeners[1], newControlHandler(host), nil)
+	p.serveHTTP(listeners[1], service{handler: newControlHandler(host), limits: requestlimit.Limits{Connections: p.opts.Connections.Most()}, timeout: controlTimeout})
 	p.serveMetrics()
 	return nil
 }
--- a/internal/hosted/serve.go
+++ b/internal/hosted/serve.go
@@ -15,6 +15,7 @@
 
 	"ibistray.example/ibistray/internal/listener"
 	"ibistray.example/ibistray/internal/panics"
+	"ibistray.example/ibistray/internal/requestlimit"
 )
 
 const (
@@ -24,9 +25,15 @@
 	// clientIdleTimeout is longer than clients keep an idle connection for reuse, so that the
 	// server does not close a connection on which a client sends its next request.
 	clientIdleTimeout = 120 * time.Second
-	// maxHeaderBytes limits the header of a request, which is held in memory. Routes
-	// documents may set a lower limit.
-	maxHeaderBytes = 64 << 10
+	// readyTimeout and metricsTimeout limit the time for a request and for its response. Both are
+	// small, and a client that takes longer keeps others out.
+	readyTimeout   = 2 * time.Second
+	metricsTimeout = 5 * time.Second
+	// controlTimeout is longer than a configuration may take to arrive.
+	controlTimeout = 20 * time.Second
+	// Connections to addresses that few clients use.
+	readyConnections   = 64
+	metricsConnections = 64
 	// TCP keep-alive probes detect client connections whose peer does not respond.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
@@ -59,30 +66,51 @@
 	return listeners, nil
 }
 
-// newServer returns a server for a listener. connections is nil unless the connections of its
-// clients are known.
-func (p *process) newServer(l net.Listener, handler http.Handler, connections *connections) *httpServer {
-	handler = panics.Handler(p.opts.Logger, "http", handler)
-	server := &httpServer{listener: l, Server: &http.Server{
+// service is what a listener serves.
+type service struct {
+	handler     http.Handler
+	limits      requestlimit.Limits
+	timeout     time.Duration // for a request, and for its response; 0: the handler limits both
+	connections *connections  // nil unless the connections of its clients are known
+}
+
+// newServer returns a server for a listener.
+func (p *process) newServer(l net.Listener, s service) *httpServer {
+	handler := panics.Handler(p.opts.Logger, "http", s.handler)
+	s.limits.Memory = p.heads
+	server := &httpServer{listener: requestlimit.NewListener(l, s.limits), Server: &http.Server{
 		Handler:           handler,
+		ReadTimeout:       s.timeout,
+		WriteTimeout:      s.timeout,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    2 * requestlimit.MaxHeadBytes, // the listener has the limit that applies
 		ErrorLog:          log.New(p.opts.Logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
 	}}
-	if connections != nil {
-		server.ConnContext, server.ConnState = connections.connContext, connections.observe
+	server.ConnState = s.observe
+	if s.connections != nil {
+		server.ConnContext = s.connections.connContext
 		server.Handler = guard(handler)
 	}
 	return server
 }
 
+// observe follows the states of a connection. It is meant for http.Server.ConnState.
+func (s service) observe(conn net.Conn, state http.ConnState) {
+	if limited, ok := conn.(*requestlimit.Conn); ok && state == http.StateIdle {
+		limited.EndRequest()
+	}
+	if s.connections != nil {
+		s.connections.observe(conn, state)
+	}
+}
+
 // serveHTTP serves a listener in the background, see newServer.
-func (p *process) serveHTTP(l net.Listener, handler http.Handler, connections *connections) *httpServer {
-	server := p.newServer(l, handler, connections)
+func (p *process) serveHTTP(l net.Listener, s service) *httpServer {
+	server := p.newServer(l, s)
 	p.servers = append(p.servers, server)
 	p.goroutines.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !server.stopped.Load() {
+		if err := server.Serve(server.listener); !errors.Is(err, http.ErrServerClosed) && !server.stopped.Load() {
 			p.fail(fmt.Errorf("hosted: serve %s: %w", l.Addr(), err))
 		}
 	})
@@ -100,7 +128,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.closers = append(p.closers, cancel)
 	p.goroutines.Go(func() {
-		err := p.listenAndServe(ctx, p.opts.MetricsAddress, mux)
+		limits := requestlimit.Limits{Connections: metricsConnections}
+		err := p.listenAndServe(ctx, p.opts.MetricsAddress, service{handler: mux, limits: limits, timeout: metricsTimeout})
 		if ctx.Err() == nil {
 			p.opts.Logger.Error("metrics are not served", "error", err)
 		}
@@ -108,12 +137,12 @@
 }
 
 // listenAndServe serves an address until ctx ends.
-func (p *process) listenAndServe(ctx context.Context, address string, handler http.Handler) error {
+func (p *process) listenAndServe(ctx context.Context, address string, s service) error {
 	listeners, err := p.listen(ctx, address)
 	if err != nil {
 		return err
 	}
-	server := p.newServer(listeners[0], handler, nil)
+	server := p.newServer(listeners[0], s)
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	return server.Serve(server.listener)
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // broken reports whether every later Accept fails, too.
 func broken(err error) bool {
 	return errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EBADF) || errors.Is(err, syscall.EINVAL) || errors.Is(err, syscall.ENOTSOCK)
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -27,6 +27,35 @@
 	return c
 }
 
+// LimitReceived limits what may arrive on each connection that a listener accepts later and is not
+// read, to about the given number of bytes. It has no effect on listeners that are no sockets.
+func LimitReceived(l net.Listener, bytes int) {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	})
+}
+
+// SetReceived changes the limit of LimitReceived for one connection.
+func SetReceived(conn syscall.Conn, bytes int) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+		// The window keeps the limit of the listener otherwise.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+	})
+}
+
 // reuseAddress sets SO_REUSEADDR, which package net sets for listeners only. Linux requires it on
 // both sockets.
 func reuseAddress(_, _ string, conn syscall.RawConn) error {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -15,6 +15,9 @@
 	ListenFailures = counter("listen_failures_total", "Failed attempts to listen on an address that is in use, or for lack of resources.")
 	// AcceptFailures counts failed attempts to accept a connection.
 	AcceptFailures = counter("accept_failures_total", "Failed attempts to accept a connection.")
+	// LimitedRequests counts, by reason, the requests and connections that exceeded the limits of
+	// package requestlimit.
+	LimitedRequests = counterVec("limited_requests_total", "Requests and connections that exceeded the limits of a listener.", "reason")
 	// droppedLines counts the dropped lines of all writers.
 	droppedLines = counter("dropped_log_lines_total", "Log lines of this process that were not written.")
 )
@@ -89,7 +92,7 @@
 		m.Refusals, m.Retries, m.Calls, m.CallSeconds, m.FirstOutputSeconds,
 		m.PromptTokens, m.CachedPromptTokens, m.OutputTokens, m.WastedPrefixTokens,
 		m.RunningCalls, m.WaitingCalls, m.Servers, m.LeaseRemaining, m.ReleasedHolds, m.AnnounceErrors, m.ServerConnections, m.ServerNotices, m.RoutesVersion, m.RoutesFailures, m.AccountRequests, m.Permits, m.PermitWaiting,
-		m.LedgerWindow, m.LedgerWaiting, m.BrokenResponses, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures, AcceptFailures,
+		m.LedgerWindow, m.LedgerWaiting, m.BrokenResponses, m.HeldBytes, m.ClosedConnections, droppedLines, ListenFailures, AcceptFailures, LimitedRequests,
 		panics.Collector(),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
