Sessions between processes begin with a first frame of a peer

Callers saw: 800 clients that sent zero bytes to the peer port of a state host had it hold 134 MB of 72, and 800 silent ones 823 descriptors of 600.

Cause: a session, with its goroutines and buffers, began with the connection. Zero bytes are frames of the protocol that carry nothing, so they were read for ever; a silent client kept its session.

Change: a connection waits, without a session, until the header of a frame has arrived that a client of a session sends first (a new stream, or a ping), within 5 s. A quarter of the descriptors, or 1,024, may wait; the oldest is closed for a new one.

Evidence: TestCrowdAtThePeerPort failed before for these two kinds. TestClientsOfOtherProtocolsGetNoSession and TestSilentConnectionsMakeRoom test the two halves in one process.

--- a/cmd/ibistrayd/hosted.go
+++ b/cmd/ibistrayd/hosted.go
@@ -168,7 +168,7 @@
 	control := func(h *statehost.Host) http.Handler {
 		return platform.NewControlHandler(h, p.options.Logger.Named("control"))
 	}
-	p.options.Connections = controlConnections(s)
+	p.options.Connections, p.options.UnprovenPeers = controlConnections(s), s.MaxDescriptors/4
 	addresses := hosted.Addresses{Control: s.ControlAddress, Peers: s.PeerAddress()}
 	return hosted.RunStateHost(cfg, addresses, control, p.options, p.stop)
 }
--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -65,6 +65,7 @@
 	GracePeriod    time.Duration // from the stop signal until the process is killed
 	Connections    memory.Limits // of clients; the zero value sets none
 	MemoryBytes    int64         // memory limit of the process; 0: none
+	UnprovenPeers  int           // connections of peers that have not sent a frame; 0: the default
 }
 
 // Seeds holds the addresses of the state hosts that a process contacts first. They can
@@ -316,6 +317,9 @@
 	server := transport.NewServer(p.opts.Logger.Named("transport"))
 	p.closers = append(p.closers, server.Close, func() { listener.CloseAll(listeners) })
 	server.LimitLargeRequests(host.LargeRequestBytes())
+	if unproven := p.opts.UnprovenPeers; unproven > 0 {
+		server.LimitUnproven(unproven)
+	}
 	host.Register(server)
 	p.goroutines.Go(func() {
 		if err := server.Serve(listeners[0]); err != nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -31,6 +31,9 @@
 	received *semaphore.Weighted // bytes of large frames that arrive
 	large    *largeMessages      // nil: not limited
 
+	admission admission
+	admitting sync.WaitGroup // connections that wait for their first frame
+
 	mu        sync.Mutex
 	listeners []net.Listener
 	sessions  map[*yamux.Session]struct{}
@@ -44,6 +47,8 @@
 		log:      log,
 		received: semaphore.NewWeighted(maxReceivedBytes),
 		sessions: make(map[*yamux.Session]struct{}),
+
+		admission: admission{limit: defaultUnproven},
 	}
 }
 
@@ -75,7 +80,7 @@
 		if err != nil {
 			return fmt.Errorf("transport: accept: %w", err)
 		}
-		s.ServeConn(conn)
+		s.admit(conn)
 	}
 }
 
@@ -106,6 +111,8 @@
 		ln.Close()
 	}
 	s.mu.Unlock()
+	s.admission.close()
+	s.admitting.Wait()
 	s.CloseSessions()
 	s.wg.Wait()
 }
