Servers of the own interface get bodies as a whole

Callers saw: 300 clients that sent chunks or trailers without end had an entry of the product's own interface hold gigabytes within a second; a first line without end 851 MB; bodies of 2 MB, held, 599 MB. Sidecars and the fake backend servers were the same.

Cause: the HTTP library buffers a request before a handler runs: lines and trailers without a limit, chunks in buffers that double, a body of a known length at once. What a connection may send was limited for each by itself, and large buffers were kept for other requests.

Buffers above 64 KB are not kept.

--- a/internal/backendtest/http.go
+++ b/internal/backendtest/http.go
@@ -13,10 +13,20 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"ibistray.example/ibistray/internal/requestlimit"
 )
 
-// maxBodyBytes is the largest accepted request body.
-const maxBodyBytes = 16 << 20
+const (
+	// maxBodyBytes is the largest accepted request body, and maxRequestBytes the memory for all of
+	// them.
+	maxBodyBytes    = 16 << 20
+	maxRequestBytes = 32 << 20
+	maxConnections  = 4096
+	maxHeaderBytes  = 32 << 10
+	// maxKeptBodyBytes is the largest buffer of a body that is kept for other requests.
+	maxKeptBodyBytes = 64 << 10
+)
 
 // Statuses and headers of the HTTP API for which the HTTP library has no constant.
 const (
@@ -38,6 +48,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	inner = requestlimit.NewListener(inner, requestlimit.Limits{
+		HeadBytes: func() int { return maxHeaderBytes }, BufferedBodies: true, MaxBodyBytes: maxBodyBytes, Connections: maxConnections, Memory: requestlimit.NewMemory(maxRequestBytes),
+	})
 	listener := &trackedListener{Listener: inner, open: make(map[net.Conn]struct{})}
 	h := server.New(
 		server.WithListener(listener),
@@ -45,6 +58,7 @@
 		server.WithDisablePrintRoute(true),
 		server.WithUseRawPath(true),
 		server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithMaxKeepBodySize(maxKeptBodyBytes),
 		server.WithIdleTimeout(0),
 	)
 	return &httpServer{Hertz: h, listener: listener}, nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,7 +122,11 @@
 	if d.credentials != nil {
 		internal = tls.NewListener(internal, d.credentials.ServerConfig())
 	}
-	d.http = httpserver.New(listeners[1], bodyLimitFactor*d.settings.MaxBodyBytes)
+	d.http = httpserver.New(listeners[1], httpserver.Limits{
+		BodyBytes:    bodyLimitFactor * d.settings.MaxBodyBytes,
+		RequestBytes: d.settings.MaxRequestBytes,
+		Connections:  d.settings.MaxConnections,
+	})
 	if err := d.createRoles(ctx); err != nil {
 		listener.CloseAll(listeners)
 		return err
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -4,6 +4,7 @@
 package httpserver
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -14,13 +15,16 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"ibistray.example/ibistray/internal/panics"
+	"ibistray.example/ibistray/internal/requestlimit"
 )
 
 const (
 	maxHeaderBytes = 32 << 10
-	readTimeout    = 30 * time.Second
-	writeTimeout   = 30 * time.Second
-	idleTimeout    = 2 * time.Minute
+	// maxKeptBodyBytes is the largest buffer of a body that is kept for other requests.
+	maxKeptBodyBytes = 64 << 10
+	readTimeout      = 30 * time.Second
+	writeTimeout     = 30 * time.Second
+	idleTimeout      = 2 * time.Minute
 	// startPollInterval is the interval at which Stop checks whether the server runs.
 	startPollInterval = 5 * time.Millisecond
 )
@@ -33,16 +37,36 @@
 	ended    chan struct{} // closed when serving has ended
 }
 
-// New returns a server on a listener. It refuses request bodies larger than
-// maxBodyBytes.
-func New(listener net.Listener, maxBodyBytes int) *Server {
+// Limits bound what the clients of a server make it hold. 0 means the default.
+type Limits struct {
+	BodyBytes    int   // of a request
+	RequestBytes int64 // of all requests that arrive or run, beyond the first bytes of each
+	Connections  int
+}
+
+// Defaults of Limits.
+const (
+	DefaultRequestBytes = 32 << 20
+	DefaultConnections  = 4096
+)
+
+// New returns a server on a listener. It refuses what exceeds the limits.
+func New(inner net.Listener, limits Limits) *Server {
+	listener := requestlimit.NewListener(inner, requestlimit.Limits{
+		HeadBytes:      func() int { return maxHeaderBytes },
+		BufferedBodies: true,
+		MaxBodyBytes:   int64(limits.BodyBytes),
+		Connections:    cmp.Or(limits.Connections, DefaultConnections),
+		Memory:         requestlimit.NewMemory(cmp.Or(limits.RequestBytes, DefaultRequestBytes)),
+	})
 	h := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithUseRawPath(true),
-		server.WithMaxRequestBodySize(maxBodyBytes),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxRequestBodySize(limits.BodyBytes),
+		server.WithMaxHeaderBytes(requestlimit.MaxHeadBytes), // the listener has the limit that applies
+		server.WithMaxKeepBodySize(maxKeptBodyBytes),
 		server.WithReadTimeout(readTimeout),
 		server.WithWriteTimeout(writeTimeout),
 		server.WithIdleTimeout(idleTimeout),
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -17,7 +17,7 @@
 func TestStopRightAfterStart(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := New(listener, 1)
+	server := New(listener, Limits{BodyBytes: 1})
 	server.Start()
 	assert.NilError(t, server.Stop(t.Context()))
 	<-server.ended
@@ -28,7 +28,7 @@
 func TestPanicOfAHandlerEndsItsRequest(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := New(listener, 1)
+	server := New(listener, Limits{BodyBytes: 1})
 	server.GET("/at-once", func(context.Context, *app.RequestContext) { panic("boom") })
 	server.GET("/streaming", func(_ context.Context, rc *app.RequestContext) {
 		writer := sse.NewWriter(rc)
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -33,6 +33,8 @@
 	flagMaxRunning      = "max-running"
 	flagRetainIdleLimit = "retain-idle-limit"
 	flagMaxBodyBytes    = "max-body-bytes"
+	flagMaxConnections  = "max-connections"
+	flagMaxRequestBytes = "max-request-bytes"
 	flagMaxOutputTokens = "max-output-tokens"
 	flagTLSCert         = "tls-cert"
 	flagTLSKey          = "tls-key"
@@ -47,7 +49,11 @@
 	defaultMaxRunning      = 64
 	maxRunningLimit        = 4096
 	defaultMaxBodyBytes    = 2 << 20
+	defaultMaxConnections  = 4096
+	defaultMaxRequestBytes = 32 << 20
 	maxBodyBytesLimit      = 8 << 20
+	maxConnectionsLimit    = 1 << 20
+	maxRequestBytesLimit   = 64 << 30
 	defaultMaxOutputTokens = 4096
 	maxOutputTokensLimit   = 1 << 20
 	defaultRetainIdleLimit = 5 * time.Minute
@@ -102,6 +108,8 @@
 		stringFlag(flagServices, "", "sidecar: services that the backend server offers, comma-separated"),
 		intFlag(flagMaxRunning, defaultMaxRunning, "sidecar: maximum number of attempts that run on the backend server at once"),
 		durationFlag(flagRetainIdleLimit, defaultRetainIdleLimit, "sidecar: maximum time for which an idle program keeps engine memory"),
+		intFlag(flagMaxConnections, defaultMaxConnections, "maximum number of connections to --http; beyond it those that wait longest are closed"),
+		intFlag(flagMaxRequestBytes, defaultMaxRequestBytes, "memory in bytes for the heads and bodies of all requests to --http beyond the first 16 KB of each; further ones get status 503"),
 		intFlag(flagMaxBodyBytes, defaultMaxBodyBytes, "entry: maximum size of a request body in bytes"),
 		intFlag(flagMaxOutputTokens, defaultMaxOutputTokens, "entry: default and maximum limit of the output tokens of a call"),
 		stringFlag(flagTLSCert, "", "certificate file (PEM) for connections between processes of the system"),
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -125,6 +125,14 @@
 	if err != nil {
 		return err
 	}
+	connections, err := boundedInt(cmd, flagMaxConnections, maxConnectionsLimit)
+	if err != nil {
+		return err
+	}
+	requestBytes, err := boundedInt(cmd, flagMaxRequestBytes, maxRequestBytesLimit)
+	if err != nil {
+		return err
+	}
 	outputTokens, err := boundedInt(cmd, flagMaxOutputTokens, maxOutputTokensLimit)
 	if err != nil {
 		return err
@@ -136,6 +144,8 @@
 	s.Shards = uint32(shards)
 	s.MaxRunning = int(maxRunning)
 	s.MaxBodyBytes = int(bodyBytes)
+	s.MaxConnections = int(connections)
+	s.MaxRequestBytes = requestBytes
 	s.MaxOutputTokens = uint64(outputTokens)
 	s.ReplicaID = uint64(replica)
 	return nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,10 @@
 	MaxRunning      int
 	RetainIdleLimit time.Duration
 
+	// HTTP address.
+	MaxConnections  int
+	MaxRequestBytes int64 // of all requests that arrive or run
+
 	// Entry role.
 	MaxBodyBytes    int
 	MaxOutputTokens uint64
