--- a/internal/requestlimit/conn.go
+++ b/internal/requestlimit/conn.go
@@ -81,7 +81,7 @@
 // readHead reads until buf begins with a complete head, or p has one or the first byte of one.
 func (c *Conn) readHead(p []byte) (int, error) {
 	if len(c.buf) == 0 && len(p) >= minDirectBytes {
-		if n, err := c.readDirectly(p); n > 0 || err != nil {
+		if n, err := c.readDirectly(p); n > 0 || err != nil || c.ready > 0 {
 			return n, err
 		}
 	}
@@ -118,7 +118,7 @@
 }
 
 // readDirectly reads into p and returns what belongs to one request if p has a complete head then.
-// Otherwise it moves what has arrived to buf and returns 0.
+// Otherwise it moves what has arrived to buf and returns 0; a request that is collected is ready then.
 func (c *Conn) readDirectly(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
