Malformed bodies are refused before the server gets them

Cause: a body whose framing is malformed, or whose trailers exceed their limit, was passed on to servers of the own interface so that they refuse it, and they copied it again.

Change: the listener refuses it (400) when it collects bodies.

--- a/internal/requestlimit/conn.go
+++ b/internal/requestlimit/conn.go
@@ -158,12 +158,15 @@
 
 // collect reads until the body is complete.
 func (c *Conn) collect() error {
+	if c.failure != nil {
+		return c.refuse(reasonMalformed)
+	}
 	if err := c.checkLength(); err != nil || !c.inBody {
 		return err
 	}
 	c.limitArrival(bodyTimeout)
 	defer c.unlimitArrival()
-	for c.inBody && c.failure == nil {
+	for c.inBody {
 		free := c.blocks.free()
 		if len(free) == 0 {
 			if !c.hold(c.headHeld + c.blocks.bytes() - c.held.Load()) {
@@ -179,6 +182,9 @@
 		own := c.follow(free[:n])
 		c.buf = append(c.buf, free[own:n]...)
 		c.blocks.filled(own)
+		if c.failure != nil {
+			return c.refuse(reasonMalformed)
+		}
 		if err := c.checkLength(); err != nil {
 			return err
 		}
@@ -305,8 +311,10 @@
 	if c.inBody && c.body.chunked {
 		var valid bool
 		if n, valid = c.chunks.scan(p); !valid {
-			count(reasonMalformed)
 			c.failure = c.wrap(ErrTooLarge)
+			if !c.collects {
+				count(reasonMalformed) // the handler refuses the request
+			}
 		}
 		c.inBody = c.chunks.state != chunkEnd
 	} else if c.inBody {
--- a/internal/requestlimit/refusal.go
+++ b/internal/requestlimit/refusal.go
@@ -58,9 +58,10 @@
 func (c *Conn) linger() {
 	if c.owner.lingering.Add(1) <= maxLingering {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		discard := make([]byte, firstBufferBytes)
+		discard := blockPool.Get().(*[blockBytes]byte)
+		defer blockPool.Put(discard)
 		for left := maxLingerBytes; left > 0; {
-			n, err := c.Conn.Read(discard)
+			n, err := c.Conn.Read(discard[:])
 			if err != nil {
 				break
 			}
