Receive buffers of connections never become smaller

Callers would have seen: after a large body, the next requests on a connection arrive by the timers of their peer, and time out.

Cause: the receive buffer went back to 8 KB when the response was sent. Segments of the larger window do not fit, so the peer waits for its persist timer.

Change: a connection keeps the 64 KB that it gets for a large body, and they stay counted until it is closed. Bytes that a reader takes while its connection is closed by another goroutine are given back (TestClosedConnectionsHoldNothing).

--- a/internal/requestlimit/conn.go
+++ b/internal/requestlimit/conn.go
@@ -34,8 +34,10 @@
 	failure   error        // of all further reads
 	wide      bool         // the receive buffer is that of a large body
 
-	held  atomic.Int64 // bytes taken of limits.Memory, for the current request
-	state atomic.Int64 // see waitForRequest
+	held    atomic.Int64 // bytes taken of limits.Memory, for the current request
+	widened atomic.Int64 // bytes taken of it for the receive buffer, until the connection is closed
+	state   atomic.Int64 // see waitForRequest
+	closed  atomic.Bool
 
 	deadlines    sync.Mutex
 	readDeadline time.Time // that the server has set
@@ -233,9 +235,10 @@
 	// minDirectBytes is the smallest buffer of a server into which heads are read directly.
 	minDirectBytes = 512
 	// ReceiveBytes is the receive buffer of a connection, and wideReceiveBytes that of one on which
-	// a large body arrives.
+	// a large body has arrived. It does not become smaller again: a peer whose segments were larger
+	// than the buffer sends them by its timers.
 	ReceiveBytes     = 8 << 10
-	wideReceiveBytes = 128 << 10
+	wideReceiveBytes = 64 << 10
 )
 
 // receive appends to buf what arrives. single asks for one byte only, for which no buffer is kept.
@@ -344,11 +347,13 @@
 
 // widen has more of a large body arrive at once, if there is memory for it.
 func (c *Conn) widen() {
-	if c.wide || !c.inBody || c.delivered < freeBodyBytes || !c.hold(wideReceiveBytes) {
+	if c.wide || !c.inBody || c.delivered < freeBodyBytes || !c.limits.Memory.grow(c.held.Load(), wideReceiveBytes) {
 		return
 	}
 	c.wide = true
-	tcp.SetReceived(c.socket, wideReceiveBytes)
+	c.widened.Store(wideReceiveBytes)
+	c.releaseIfClosed()
+	tcp.SetReceived(c.socket, wideReceiveBytes/2) // the kernel takes twice that
 }
 
 // hold takes memory for the current request.
@@ -360,6 +365,7 @@
 		return false
 	}
 	c.held.Add(bytes)
+	c.releaseIfClosed()
 	return true
 }
 
@@ -368,10 +374,6 @@
 func (c *Conn) EndRequest() {
 	c.ended = false
 	c.release()
-	if c.wide {
-		c.wide = false
-		tcp.SetReceived(c.socket, ReceiveBytes)
-	}
 	c.waitForRequest()
 }
 
@@ -386,9 +388,18 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
+// releaseIfClosed releases what the reader has taken while the connection was closed.
+func (c *Conn) releaseIfClosed() {
+	if c.closed.Load() {
+		c.release()
+		c.limits.Memory.release(c.widened.Swap(0))
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.release()
+	c.closed.Store(true)
+	c.releaseIfClosed()
 	c.owner.remove(c)
 	return c.Conn.Close()
 }
