--- a/internal/requestlimit/requestlimit_test.go
+++ b/internal/requestlimit/requestlimit_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -221,6 +222,32 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// TestClosedConnectionsHoldNothing guards against memory that is taken for ever by connections which
+// are closed while a request arrives.
+func TestClosedConnectionsHoldNothing(t *testing.T) {
+	for range 20 {
+		s := startServer(t, Limits{Memory: NewMemory(64 << 20), BufferedBodies: true, MaxBodyBytes: 1 << 20}, nil)
+		var clients sync.WaitGroup
+		for i := range 50 {
+			conn, _ := s.dial(t)
+			raw := "POST /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20<<10) + "\r\nContent-Length: 500000\r\n"
+			if i%2 == 0 {
+				raw += "Expect: 100-continue\r\n"
+			}
+			clients.Go(func() {
+				defer conn.Close()
+				_, _ = io.WriteString(conn, raw+"\r\n"+strings.Repeat("b", 490_000))
+			})
+		}
+		time.Sleep(2 * time.Millisecond)
+		assert.NilError(t, s.Close())
+		clients.Wait()
+		for s.listener.limits.Memory.Held() != 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // TestSplitRequests sends requests one behind the other in parts of any size.
 func TestSplitRequests(t *testing.T) {
 	s := startServer(t, Limits{Memory: NewMemory(1 << 20)}, nil)
