Heads at control, readiness and metrics ports have limits of their own

Cause: these ports allowed heads of 64 KB, far more than operators, backend servers and load balancers send, and the buffer of a head grew to twice what it may have.

Change: 16 KB at the control port, 8 KB at the others; a buffer grows to the limit at most.

--- a/internal/hosted/process.go
+++ b/internal/hosted/process.go
@@ -182,7 +182,7 @@
 	g := gateway.New(cfg, opts.Logger.Named("gateway"), p.metrics, p.pool, hedgePool)
 	connections := p.limitConnections(g)
 	clients := p.serveHTTP(listeners[0], service{handler: g, limits: clientLimits(g), connections: connections})
-	p.serveHTTP(listeners[1], service{handler: newReadyHandler(g.Ready), limits: requestlimit.Limits{Connections: readyConnections}, timeout: readyTimeout})
+	p.serveHTTP(listeners[1], service{handler: newReadyHandler(g.Ready), limits: requestlimit.Limits{HeadBytes: headBytes(smallHeadBytes), Connections: readyConnections}, timeout: readyTimeout})
 	p.serveMetrics()
 	g.Start()
 	opts.Logger.Info("started", "role", "entry", "clients", addresses.Clients, "seeds", opts.Seeds.Addresses())
@@ -326,7 +326,11 @@
 			p.fail(err)
 		}
 	})
-	p.serveHTTP(listeners[1], service{handler: newControlHandler(host), limits: requestlimit.Limits{Connections: p.opts.Connections.Most()}, timeout: controlTimeout})
+	p.serveHTTP(listeners[1], service{
+		handler: newControlHandler(host),
+		limits:  requestlimit.Limits{HeadBytes: headBytes(controlHeadBytes), Connections: p.opts.Connections.Most()},
+		timeout: controlTimeout,
+	})
 	p.serveMetrics()
 	return nil
 }
--- a/internal/hosted/serve.go
+++ b/internal/hosted/serve.go
@@ -31,6 +31,10 @@
 	metricsTimeout = 5 * time.Second
 	// controlTimeout is longer than a configuration may take to arrive.
 	controlTimeout = 20 * time.Second
+	// controlHeadBytes and smallHeadBytes limit the header fields of requests of operators, backend
+	// servers and load balancers, which are far smaller.
+	controlHeadBytes = 16 << 10
+	smallHeadBytes   = 8 << 10
 	// Connections to addresses that few clients use.
 	readyConnections   = 64
 	metricsConnections = 64
@@ -74,6 +78,9 @@
 	connections *connections  // nil unless the connections of its clients are known
 }
 
+// headBytes returns a limit of heads that does not change, for requestlimit.Limits.
+func headBytes(limit int) func() int { return func() int { return limit } }
+
 // newServer returns a server for a listener.
 func (p *process) newServer(l net.Listener, s service) *httpServer {
 	handler := panics.Handler(p.opts.Logger, "http", s.handler)
@@ -128,7 +135,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.closers = append(p.closers, cancel)
 	p.goroutines.Go(func() {
-		limits := requestlimit.Limits{Connections: metricsConnections}
+		limits := requestlimit.Limits{HeadBytes: headBytes(smallHeadBytes), Connections: metricsConnections}
 		err := p.listenAndServe(ctx, p.opts.MetricsAddress, service{handler: mux, limits: limits, timeout: metricsTimeout})
 		if ctx.Err() == nil {
 			p.opts.Logger.Error("metrics are not served", "error", err)
--- a/internal/requestlimit/conn.go
+++ b/internal/requestlimit/conn.go
@@ -255,7 +255,7 @@
 	if len(c.buf) == cap(c.buf) {
 		size := firstBufferBytes
 		if len(c.buf) >= firstBufferBytes {
-			size = min(2*len(c.buf), MaxHeadBytes+2*maxRequestLineBytes)
+			size = max(len(c.buf)+1, min(2*len(c.buf), c.limits.headBytes()+maxRequestLineBytes))
 			if !c.hold(int64(size - cap(c.buf))) {
 				return c.refuse(reasonMemory)
 			}
