--- a/internal/requestlimit/requestlimit_test.go
+++ b/internal/requestlimit/requestlimit_test.go
@@ -107,10 +107,10 @@
 		status, body := s.exchange(t, raw)
 		assert.Equal(t, status, http.StatusOK, "%.60q", raw)
 		assert.Equal(t, body, want)
-	}
-	// The server releases a request after its client has the response.
-	for s.listener.limits.Memory.Held() != 0 {
-		time.Sleep(time.Millisecond)
+		// The server releases a request after its client has the response.
+		for s.listener.limits.Memory.Held() != 0 {
+			time.Sleep(time.Millisecond)
+		}
 	}
 }
 
